--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control replica: consensus shell, resource interface, watch and failover.
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decision logic of corktack, without input or output.
+//!
+//! Everything here is a deterministic state machine: it takes events and an
+//! explicit [`time::Timestamp`], and returns actions for a shell to perform.
+//! Nothing blocks, reads a clock, opens a file or draws ambient randomness,
+//! so the same code runs in the server, in the simulator and in bulk inside
+//! hollow nodes.
+
+pub mod backend;
+pub mod consensus;
+pub mod identity;
+pub mod position;
+pub mod resources;
+pub mod state;
+pub mod time;
+pub mod view;
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,1 @@
+//! The edge of a proxy: callers connections.
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins, fleets, load, faults and reports.
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,2 @@
+//! Command line of corktack.
+fn main() {}
--- /dev/null
+++ b/crates/protocol/src/frame.rs
@@ -0,0 +1,125 @@
+//! Frames: version, length, checksum, then one `bincode` message.
+//!
+//! The header has [`HEADER_BYTES`] bytes: the version, three zero bytes, the
+//! payload's length and its CRC-32, both in network byte order. A frame that
+//! breaks a rule is an error of the connection, which is then closed: the
+//! sender's later bytes cannot be trusted to start at a frame.
+
+use bytes::{Buf, BufMut, BytesMut};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::marker::PhantomData;
+use tokio_util::codec::{Decoder, Encoder};
+
+/// Version of the internal protocol.
+pub const PROTOCOL_VERSION: u8 = 1;
+/// Bytes of a frame's header.
+pub const HEADER_BYTES: usize = 12;
+/// Largest payload of a frame, in bytes.
+pub const PAYLOAD_LIMIT: usize = 8 * 1024 * 1024;
+
+/// Why a frame could not be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum FrameError {
+    /// The peer speaks another version.
+    #[error("frame of protocol version {0}, this process speaks {PROTOCOL_VERSION}")]
+    Version(u8),
+    /// The payload is over [`PAYLOAD_LIMIT`].
+    #[error("frame of {0} bytes, at most {PAYLOAD_LIMIT} are allowed")]
+    TooLarge(usize),
+    /// The payload does not match its checksum.
+    #[error("frame with a wrong checksum")]
+    Checksum,
+    /// The payload is not a message.
+    #[error("frame that holds no valid message")]
+    Decode(#[from] bincode::error::DecodeError),
+    /// The message could not be encoded.
+    #[error("message that cannot be encoded")]
+    Encode(#[from] bincode::error::EncodeError),
+    /// The connection failed.
+    #[error("connection failed")]
+    Io(#[from] std::io::Error),
+}
+
+/// Encodes a message as a frame's payload or a record on disk.
+///
+/// # Errors
+/// [`FrameError::Encode`] when the message has no encoding.
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, FrameError> {
+    Ok(bincode::serde::encode_to_vec(message, bincode::config::standard())?)
+}
+
+/// Decodes what [`encode`] wrote; allocates no more than the bytes justify.
+///
+/// # Errors
+/// [`FrameError::Decode`] when the bytes are not exactly one message.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FrameError> {
+    let config = bincode::config::standard().with_limit::<PAYLOAD_LIMIT>();
+    let (message, used) = bincode::serde::decode_from_slice(bytes, config)?;
+    if used != bytes.len() {
+        let error = bincode::error::DecodeError::Other("bytes after the message");
+        return Err(FrameError::Decode(error));
+    }
+    Ok(message)
+}
+
+/// Codec for `tokio_util::codec::Framed`: sends `Out`, receives `In`.
+#[derive(Debug)]
+pub struct FrameCodec<Out, In> {
+    messages: PhantomData<fn(Out) -> In>,
+}
+
+impl<Out, In> Default for FrameCodec<Out, In> {
+    fn default() -> Self {
+        Self { messages: PhantomData }
+    }
+}
+
+impl<Out: Serialize, In> Encoder<Out> for FrameCodec<Out, In> {
+    type Error = FrameError;
+
+    fn encode(&mut self, message: Out, buffer: &mut BytesMut) -> Result<(), FrameError> {
+        let payload = encode(&message)?;
+        if payload.len() > PAYLOAD_LIMIT {
+            return Err(FrameError::TooLarge(payload.len()));
+        }
+        buffer.reserve(HEADER_BYTES + payload.len());
+        buffer.put_u32(u32::from(PROTOCOL_VERSION) << 24);
+        // The limit above keeps the length far below `u32::MAX`.
+        buffer.put_u32(payload.len() as u32);
+        buffer.put_u32(crc32fast::hash(&payload));
+        buffer.put_slice(&payload);
+        Ok(())
+    }
+}
+
+impl<Out, In: DeserializeOwned> Decoder for FrameCodec<Out, In> {
+    type Item = In;
+    type Error = FrameError;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<In>, FrameError> {
+        if buffer.len() < HEADER_BYTES {
+            return Ok(None);
+        }
+        let mut header = &buffer[..HEADER_BYTES];
+        let version = header.get_u32();
+        let length = header.get_u32() as usize;
+        let checksum = header.get_u32();
+        if version != u32::from(PROTOCOL_VERSION) << 24 {
+            return Err(FrameError::Version((version >> 24) as u8));
+        }
+        if length > PAYLOAD_LIMIT {
+            return Err(FrameError::TooLarge(length));
+        }
+        if buffer.len() < HEADER_BYTES + length {
+            buffer.reserve(HEADER_BYTES + length - buffer.len());
+            return Ok(None);
+        }
+        buffer.advance(HEADER_BYTES);
+        let payload = buffer.split_to(length);
+        if crc32fast::hash(&payload) != checksum {
+            return Err(FrameError::Checksum);
+        }
+        decode(&payload).map(Some)
+    }
+}
--- /dev/null
+++ b/crates/server/src/lib.rs
@@ -0,0 +1,1 @@
+//! Wires settings, telemetry, control and proxy into processes.
--- /dev/null
+++ b/crates/sim/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deterministic simulation and model checking of the core.
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable log, snapshots and small files of a corktack process.
