Control state: resources, proxies, owners, primaries

Cause: the control replica needs the state that its log agrees on.

Change: ControlState applies every command deterministically and returns the outcome with the changes of the proxies' view.

A put of the stored spec keeps its version: the view's revision is that of the last entry which changed it, so a proxy that reports at least the revision of an accepted change has it in force.

Failure found: CallerMatch left absent fields out, which the internal codec cannot read back (bincode writes no field names). Seen failing first in a_view_with_partly_matching_bindings_survives_the_wire: "UnexpectedVariant Option<T> found 4". Absent fields are written now, as null in a manifest.

Ownership at fleet size is not measured yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backend;
 pub mod consensus;
 pub mod identity;
+pub mod ownership;
 pub mod position;
 pub mod resources;
 pub mod state;
--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources/mod.rs
@@ -1,5 +1,11 @@
 //! The resources that operators declare.
 
+mod network;
+mod validation;
+
+pub use network::{NetworkError, SourceNetwork};
+pub use validation::{MEMBER_LIMIT, PERCENT_LIMIT, SpecError, TEXT_LIMIT};
+
 use crate::identity::{BindingName, ClassName, GroupName, MemberName, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -28,7 +34,7 @@
 }
 
 /// One back end of a group.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "camelCase")]
 pub struct MemberSpec {
     /// Name, unique in the group.
@@ -43,7 +49,7 @@
 }
 
 /// What an operator declares of a database group.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "camelCase")]
 pub struct DatabaseGroupSpec {
     /// Database name that callers connect to.
@@ -78,7 +84,7 @@
 }
 
 /// What an operator declares of a priority class.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "camelCase")]
 pub struct PriorityClassSpec {
     /// Higher is served first.
@@ -90,25 +96,28 @@
 }
 
 /// Which callers a binding covers; an absent field covers all.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// Absent fields are written too: the internal codec has no field names, so a
+/// field left out would shift the ones after it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "camelCase")]
 pub struct CallerMatch {
     /// User name of the startup message.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub user: Option<String>,
     /// Database name of the startup message.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub database: Option<String>,
     /// `application_name` of the startup message.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub application_name: Option<String>,
     /// Source network, `ADDRESS/PREFIX`.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub source_network: Option<String>,
 }
 
 /// What an operator declares of a binding.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "camelCase")]
 pub struct BindingSpec {
     /// The callers.
@@ -133,7 +142,7 @@
 }
 
 /// The declared part of a resource.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ResourceSpec {
     /// A database group.
     DatabaseGroup(DatabaseGroupSpec),
@@ -142,3 +151,51 @@
     /// A binding.
     Binding(BindingSpec),
 }
+
+impl ResourceKey {
+    /// Its kind.
+    #[must_use]
+    pub const fn kind(&self) -> Kind {
+        match self {
+            Self::DatabaseGroup(_) => Kind::DatabaseGroup,
+            Self::PriorityClass(_) => Kind::PriorityClass,
+            Self::Binding(_) => Kind::Binding,
+        }
+    }
+
+    /// Its name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        match self {
+            Self::DatabaseGroup(name) => name.as_str(),
+            Self::PriorityClass(name) => name.as_str(),
+            Self::Binding(name) => name.as_str(),
+        }
+    }
+}
+
+impl ResourceSpec {
+    /// Its kind.
+    #[must_use]
+    pub const fn kind(&self) -> Kind {
+        match self {
+            Self::DatabaseGroup(_) => Kind::DatabaseGroup,
+            Self::PriorityClass(_) => Kind::PriorityClass,
+            Self::Binding(_) => Kind::Binding,
+        }
+    }
+}
+
+impl DatabaseGroupSpec {
+    /// The member of that name.
+    #[must_use]
+    pub fn member(&self, name: &MemberName) -> Option<&MemberSpec> {
+        self.members.iter().find(|member| member.name == *name)
+    }
+
+    /// Smallest number of members that is more than half.
+    #[must_use]
+    pub const fn majority(&self) -> usize {
+        self.members.len() / 2 + 1
+    }
+}
--- a/crates/core/src/state/command.rs
+++ b/crates/core/src/state/command.rs
@@ -15,7 +15,7 @@
 pub struct ChangeId(pub String);
 
 /// What an operator wants done to one resource.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ResourceOperation {
     /// Creates or replaces. `expected` zero: it must not exist; `None`: whatever is stored.
     Put {
--- /dev/null
+++ b/crates/core/tests/state.rs
@@ -0,0 +1,269 @@
+//! Operators' changes on the control state: compare-and-swap, resends, checks.
+
+mod support;
+
+use corktack_core::position::Term;
+use corktack_core::resources::{
+    BindingSpec, CallerMatch, Kind, ResourceKey, ResourceSpec, ResourceVersion,
+};
+use corktack_core::state::command::{
+    ChangeId, Command, FailoverStep, Outcome, Refusal, ResourceOperation,
+};
+use corktack_core::state::{ControlState, RESEND_MEMORY_LIMIT};
+use corktack_core::view::{Revision, View};
+use rstest::rstest;
+use support::*;
+
+#[test]
+fn of_two_equal_changes_one_wins_and_the_other_conflicts() {
+    let mut cell = Cell::new();
+    let version = cell.put_group("calls", None).expect("accepted");
+    let mut first = group_spec("calls", 3);
+    first.slots = 6;
+    let mut second = first.clone();
+    second.slots = 7;
+    let won = cell.put("calls", first, Some(version)).expect("accepted");
+    let lost = cell.put("calls", second.clone(), Some(version));
+    assert_eq!(lost, Err(Refusal::Conflict { stored: won }));
+    let stored = cell.state.get(&group_key("calls")).expect("stored");
+    assert_eq!((stored.version, stored.generation), (won, 2));
+    assert!(cell.put("calls", second, Some(won)).is_ok());
+}
+
+#[test]
+fn a_create_of_what_exists_and_a_replace_of_what_does_not_conflict() {
+    let mut cell = Cell::new();
+    let none = ResourceVersion::default();
+    let replaced = cell.put_group("calls", Some(ResourceVersion(7)));
+    assert_eq!(replaced, Err(Refusal::Conflict { stored: none }));
+    let version = cell.put_group("calls", Some(none)).expect("accepted");
+    let again = cell.put_group("calls", Some(none));
+    assert_eq!(again, Err(Refusal::Conflict { stored: version }));
+}
+
+#[test]
+fn a_resend_gets_the_first_answer_also_after_a_snapshot() {
+    let mut cell = Cell::new();
+    let accepted = cell.put_command("first", "calls", 3, Some(ResourceVersion::default()));
+    let refused = cell.put_command("second", "calls", 5, Some(ResourceVersion::default()));
+    let answers = [cell.apply(accepted.clone()).outcome, cell.apply(refused.clone()).outcome];
+    assert!(matches!(answers[1], Outcome::Refused(Refusal::Conflict { .. })));
+
+    cell.apply(delete_command("third", "calls", None));
+    cell.state = decode(&encode(&cell.state));
+
+    for (command, first) in [accepted, refused].into_iter().zip(answers) {
+        let resent = cell.apply(command);
+        assert_eq!(resent.outcome, first);
+        assert!(resent.changes.is_empty());
+    }
+    assert!(cell.state.get(&group_key("calls")).is_none());
+}
+
+#[test]
+fn a_change_id_used_for_another_operation_is_refused() {
+    let mut cell = Cell::new();
+    let command = cell.put_command("one", "calls", 3, None);
+    let first = cell.apply(command.clone());
+    let other = cell.put_command("one", "calls", 5, None);
+    let outcome = cell.apply(other).outcome;
+    assert_eq!(invalid_field(outcome), "changeId");
+    assert_eq!(cell.apply(command).outcome, first.outcome);
+}
+
+#[rstest]
+#[case("")]
+#[case(&"x".repeat(129))]
+fn a_change_id_without_bounds_is_refused_and_not_remembered(#[case] id: &str) {
+    let mut cell = Cell::new();
+    let command = cell.put_command(id, "calls", 3, None);
+    assert_eq!(invalid_field(cell.apply(command).outcome), "changeId");
+    assert_eq!(encode(&cell.state).len(), encode(&ControlState::default()).len());
+}
+
+#[test]
+fn the_memory_of_resends_is_bounded_and_forgets_the_oldest_first() {
+    let mut cell = Cell::new();
+    let put = |cell: &Cell, number: usize| cell.put_command(&number.to_string(), "calls", 3, None);
+    let first = put(&cell, 0);
+    let first_outcome = cell.apply(first.clone()).outcome;
+    for number in 1..RESEND_MEMORY_LIMIT {
+        let command = delete_command(&number.to_string(), "missing", None);
+        cell.apply(command);
+    }
+    assert_eq!(cell.apply(first.clone()).outcome, first_outcome);
+    let size = encode(&cell.state).len();
+    cell.apply(delete_command("one more", "missing", None));
+    assert!(encode(&cell.state).len() < size + 100);
+    let forgotten = delete_command("0", "calls", None);
+    assert!(matches!(cell.apply(forgotten).outcome, Outcome::Accepted { .. }));
+}
+
+#[test]
+fn an_entry_applied_twice_changes_nothing() {
+    let mut cell = Cell::new();
+    let command = cell.put_command("one", "calls", 3, None);
+    let first = cell.apply(command.clone());
+    let before = cell.state.clone();
+    let again = cell.state.apply(Revision(1), command);
+    assert_eq!(again.outcome, first.outcome);
+    assert!(again.changes.is_empty());
+    assert_eq!(cell.state, before);
+}
+
+#[test]
+fn a_put_of_the_stored_spec_keeps_version_and_view() {
+    let mut cell = Cell::new();
+    let version = cell.put_group("calls", None).expect("accepted");
+    let revision = cell.state.view_revision();
+    assert_eq!(cell.put_group("calls", Some(version)), Ok(version));
+    assert_eq!(cell.state.view_revision(), revision);
+    assert!(cell.state.applied() > revision);
+}
+
+#[rstest]
+#[case("spec.members", &|spec: &mut Group| spec.members.clear())]
+#[case("spec.members[1].name", &|spec: &mut Group| spec.members[1].name = spec.members[0].name.clone())]
+#[case("spec.members[2].address", &|spec: &mut Group| spec.members[2].address = spec.members[0].address)]
+#[case("spec.members[0].address", &|spec: &mut Group| spec.members[0].address.set_port(0))]
+#[case("spec.slots", &|spec: &mut Group| spec.slots = 0)]
+#[case("spec.connections", &|spec: &mut Group| spec.connections = spec.slots - 1)]
+#[case("spec.database", &|spec: &mut Group| spec.database.clear())]
+#[case("spec.database", &|spec: &mut Group| spec.database = "other".to_owned())]
+fn an_invalid_group_is_refused_by_field(#[case] field: &str, #[case] spoil: &dyn Fn(&mut Group)) {
+    let mut cell = Cell::new();
+    cell.put_group("other", None).expect("accepted");
+    let mut spec = group_spec("calls", 3);
+    spoil(&mut spec);
+    let refusal = cell.put("calls", spec, None).expect_err("refused");
+    assert_eq!(invalid_field(Outcome::Refused(refusal)), field);
+    assert!(cell.state.get(&group_key("calls")).is_none());
+}
+
+#[rstest]
+#[case("10.0.0.0/8", true)]
+#[case("::1/128", true)]
+#[case("10.0.0.0", false)]
+#[case("10.0.0.0/33", false)]
+#[case("10.0.0/8", false)]
+fn source_networks_are_checked(#[case] network: &str, #[case] valid: bool) {
+    let mut cell = Cell::new();
+    cell.put_class("gold", 10, 50).expect("accepted");
+    let callers = CallerMatch { source_network: Some(network.to_owned()), ..Default::default() };
+    let outcome = cell.put_binding("desk", "gold", callers);
+    match outcome {
+        Ok(_) => assert!(valid),
+        Err(refusal) => {
+            assert!(!valid);
+            assert_eq!(invalid_field(Outcome::Refused(refusal)), "spec.match.sourceNetwork");
+        }
+    }
+}
+
+#[test]
+fn classes_are_checked_against_bindings_and_shares() {
+    let mut cell = Cell::new();
+    let unknown = cell.put_binding("desk", "gold", CallerMatch::default()).expect_err("refused");
+    assert_eq!(invalid_field(Outcome::Refused(unknown)), "spec.class");
+    cell.put_class("gold", 10, 60).expect("accepted");
+    let over = cell.put_class("silver", 5, 41).expect_err("refused");
+    assert_eq!(invalid_field(Outcome::Refused(over)), "spec.guaranteedPercent");
+    cell.put_class("silver", 5, 40).expect("accepted");
+    cell.put_class("gold", 11, 60).expect("its own share counts once");
+    cell.put_binding("desk", "gold", CallerMatch::default()).expect("accepted");
+
+    let by = ResourceKey::Binding(name("desk"));
+    let gold = ResourceKey::PriorityClass(name("gold"));
+    assert_eq!(cell.delete(gold.clone()), Err(Refusal::InUse { by: by.clone() }));
+    assert!(cell.delete(by).is_ok());
+    assert!(cell.delete(gold.clone()).is_ok());
+    assert_eq!(cell.delete(gold), Err(Refusal::NotFound));
+    assert_eq!(cell.state.list(Kind::PriorityClass).len(), 1);
+}
+
+#[test]
+fn a_spec_of_another_kind_is_refused() {
+    let mut cell = Cell::new();
+    let spec = ResourceSpec::DatabaseGroup(group_spec("calls", 3));
+    let refusal = cell.put_spec(ResourceKey::Binding(name("calls")), spec, None);
+    assert_eq!(invalid_field(Outcome::Refused(refusal.expect_err("refused"))), "kind");
+}
+
+#[test]
+fn a_view_with_partly_matching_bindings_survives_the_wire() {
+    let mut cell = Cell::new();
+    cell.put_class("gold", 10, 50).expect("accepted");
+    let callers = CallerMatch { user: Some("ana".to_owned()), ..Default::default() };
+    cell.put_binding("desk", "gold", callers.clone()).expect("accepted");
+    let view: View = decode(&encode(&cell.state.view()));
+    assert_eq!(view, cell.state.view());
+
+    let spec = BindingSpec { callers, class: name("gold"), order: 0 };
+    let manifest = serde_json::to_string(&spec).expect("serializable");
+    assert_eq!(serde_json::from_str::<BindingSpec>(&manifest).expect("readable"), spec);
+}
+
+#[test]
+fn a_primary_stays_while_it_is_a_member() {
+    let mut cell = Cell::new();
+    cell.put_group("calls", None).expect("accepted");
+    let view = cell.group("calls");
+    assert_eq!((view.primary, view.term), (None, Term(0)));
+    cell.adopt("calls", "m0", 4).expect("adopted");
+    cell.put("calls", group_spec("calls", 5), None).expect("accepted");
+    assert_eq!(cell.group("calls").primary, Some(name("m0")));
+    let mut spec = group_spec("calls", 3);
+    spec.members.remove(0);
+    cell.put("calls", spec, None).expect("accepted");
+    let view = cell.group("calls");
+    assert_eq!((view.primary, view.term), (None, Term(4)));
+}
+
+#[test]
+fn a_stale_step_is_refused_and_leaves_the_rest_of_its_batch() {
+    let mut cell = Cell::new();
+    for group in ["a", "b"] {
+        cell.put_group(group, None).expect("accepted");
+        cell.adopt(group, "m0", 4).expect("adopted");
+    }
+    cell.step("a", FailoverStep::Begin { term: Term(6) }).expect("begun");
+    let begin = FailoverStep::Begin { term: Term(5) };
+    let batch = vec![(name("a"), begin.clone()), (name("b"), begin.clone()), (name("c"), begin)];
+    let Outcome::Batch { refused } = cell.apply(Command::Failover(batch)).outcome else {
+        panic!("a batch has a batch's outcome")
+    };
+    assert_eq!(refused, [(0, Refusal::StaleTerm { stored: Term(6) }), (2, Refusal::NotFound)]);
+    assert_eq!(cell.group("b").term, Term(5));
+    let stale = Err(Refusal::StaleTerm { stored: Term(6) });
+    assert_eq!(cell.step("a", complete("m1", 5)), stale);
+    assert_eq!(cell.step("a", complete("nobody", 6)), Err(Refusal::NotFound));
+    assert_eq!(cell.step("a", complete("m1", 6)), Ok(()));
+    assert_eq!(cell.step("a", complete("m1", 6)), Ok(()), "a repeat is accepted");
+    assert_eq!(cell.step("a", complete("m2", 6)), stale, "a term has one primary");
+    assert_eq!(cell.adopt("a", "m2", 6), stale);
+    assert_eq!(cell.adopt("a", "m2", 7), Ok(()));
+}
+
+#[test]
+fn leaving_and_declared_draining_add_up() {
+    let mut cell = Cell::new();
+    let mut spec = group_spec("calls", 3);
+    spec.members[0].draining = true;
+    cell.put("calls", spec, None).expect("accepted");
+    let leaving = |member: &str, leaving| {
+        Command::MembersLeaving(vec![(name("calls"), name(member), leaving)])
+    };
+    cell.apply(leaving("m1", true));
+    assert_eq!(Vec::from_iter(cell.group("calls").draining), [name("m0"), name("m1")]);
+    cell.apply(leaving("m0", true));
+    cell.apply(leaving("m0", false));
+    cell.apply(leaving("m1", false));
+    assert_eq!(Vec::from_iter(cell.group("calls").draining), [name("m0")]);
+    let unknown = cell.apply(leaving("nobody", true)).outcome;
+    assert_eq!(unknown, Outcome::Batch { refused: vec![(0, Refusal::NotFound)] });
+}
+
+fn delete_command(id: &str, group: &str, expected: Option<ResourceVersion>) -> Command {
+    let operation = ResourceOperation::Delete { key: group_key(group), expected };
+    Command::Resource { change: ChangeId(id.to_owned()), operation }
+}
