--- /dev/null
+++ b/crates/core/src/consensus/election.rs
@@ -0,0 +1,260 @@
+//! Elections: terms, pre-votes, votes and timeouts.
+
+use super::leader::Leader;
+use super::message::{LogEnd, Message, MessageBody};
+use super::replica::{Replica, RoleState};
+use super::{CellConfig, Entry, Payload, voter_ids};
+use crate::identity::ReplicaId;
+use crate::position::Term;
+use crate::time::Timestamp;
+use std::collections::BTreeMap;
+
+/// Answers to a request for votes or pre-votes.
+#[derive(Debug, Default)]
+pub(super) struct Votes {
+    answers: BTreeMap<ReplicaId, bool>,
+}
+
+/// How a request for votes stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Tally {
+    Open,
+    Won,
+    Lost,
+}
+
+impl Votes {
+    fn record(&mut self, from: ReplicaId, granted: bool) {
+        self.answers.entry(from).or_insert(granted);
+    }
+
+    /// Counts the answers of voters only: a learner's or a stranger's is worth nothing.
+    fn tally(&self, cell: &CellConfig) -> Tally {
+        let voters = voter_ids(cell);
+        let count = |wanted: bool| {
+            let of_voters = self.answers.iter().filter(|(id, _)| voters.contains(id));
+            of_voters.filter(|(_, granted)| **granted == wanted).count()
+        };
+        let quorum = voters.len() / 2 + 1;
+        if count(true) >= quorum {
+            Tally::Won
+        } else if count(false) > voters.len().saturating_sub(quorum) {
+            Tally::Lost
+        } else {
+            Tally::Open
+        }
+    }
+}
+
+impl Replica {
+    /// Compares the message's term with ours; returns whether to look at the message.
+    pub(super) fn admit_term(
+        &mut self,
+        now: Timestamp,
+        from: ReplicaId,
+        message: &Message,
+    ) -> bool {
+        match &message.body {
+            // Their terms are questions, not facts.
+            MessageBody::PreVoteRequest(_) | MessageBody::PreVoteResponse { granted: true } => true,
+            // Reads prove themselves by a heartbeat round.
+            MessageBody::ReadRequest { .. } | MessageBody::ReadResponse { .. } => true,
+            MessageBody::VoteRequest { transfer, .. } => {
+                self.admit_vote_request(now, from, message.term, *transfer)
+            }
+            MessageBody::AppendRequest(_)
+            | MessageBody::HeartbeatRequest { .. }
+            | MessageBody::SnapshotChunk(_) => self.admit_leader(now, from, message.term),
+            MessageBody::TimeoutNow => message.term == self.hard_state.term,
+            MessageBody::PreVoteResponse { granted: false }
+            | MessageBody::VoteResponse { .. }
+            | MessageBody::AppendResponse(_)
+            | MessageBody::HeartbeatResponse { .. }
+            | MessageBody::SnapshotResponse { .. }
+            | MessageBody::StaleTerm => self.admit_response(now, from, message.term),
+        }
+    }
+
+    /// A vote request does not disturb a leader that is alive, unless that
+    /// leader asked for the election.
+    fn admit_vote_request(
+        &mut self,
+        now: Timestamp,
+        from: ReplicaId,
+        term: Term,
+        transfer: bool,
+    ) -> bool {
+        if term < self.hard_state.term {
+            self.send(from, MessageBody::VoteResponse { granted: false });
+            return false;
+        }
+        if term > self.hard_state.term {
+            if !transfer && self.hears_leader(now) {
+                return false;
+            }
+            self.become_follower(now, term, None);
+        }
+        true
+    }
+
+    fn admit_leader(&mut self, now: Timestamp, from: ReplicaId, term: Term) -> bool {
+        if term < self.hard_state.term {
+            // Without this answer a leader of a lower term could hold a replica of
+            // a higher one forever: it keeps others from voting for that replica.
+            self.send(from, MessageBody::StaleTerm);
+            return false;
+        }
+        if self.is_leader() && term == self.hard_state.term {
+            ::log::error!(term = term.0, from = from.0; "second leader in one term");
+            return false;
+        }
+        self.become_follower(now, term, Some(from));
+        self.leader_contact = Some(now);
+        self.reset_election_deadline(now);
+        true
+    }
+
+    /// Answers count only from members of the cell, so that a stranger cannot
+    /// depose a leader by naming a high term.
+    fn admit_response(&mut self, now: Timestamp, from: ReplicaId, term: Term) -> bool {
+        let member = self.is_member(from);
+        if member && term > self.hard_state.term {
+            self.become_follower(now, term, None);
+            return false;
+        }
+        member && term == self.hard_state.term
+    }
+
+    /// Whether a leader of the current term is known to be alive.
+    fn hears_leader(&self, now: Timestamp) -> bool {
+        let recent =
+            |contact: Timestamp| now.saturating_since(contact) < self.settings.election_timeout;
+        // A leader that lost its majority steps down by itself, so it may hold on until then.
+        self.is_leader() || (self.leader.is_some() && self.leader_contact.is_some_and(recent))
+    }
+
+    pub(super) fn handle_election_timeout(&mut self, now: Timestamp) {
+        if self.is_voter() {
+            self.begin_pre_vote(now);
+        } else {
+            self.become_follower(now, self.hard_state.term, None);
+            self.reset_election_deadline(now);
+        }
+    }
+
+    fn begin_pre_vote(&mut self, now: Timestamp) {
+        self.set_leader(None);
+        self.reset_election_deadline(now);
+        self.role = RoleState::PreCandidate(self.own_vote());
+        let term = Term(self.hard_state.term.0 + 1);
+        self.ask_voters(term, MessageBody::PreVoteRequest(self.log.last()));
+        self.count_votes(now);
+    }
+
+    /// Raises the term and asks for votes. `transfer` tells that the leader asked for it.
+    pub(super) fn begin_election(&mut self, now: Timestamp, transfer: bool) {
+        self.set_leader(None);
+        self.reset_election_deadline(now);
+        self.hard_state.term.0 += 1;
+        self.hard_state.vote = Some(self.settings.id);
+        self.role = RoleState::Candidate(self.own_vote());
+        let log_end = self.log.last();
+        self.ask_voters(self.hard_state.term, MessageBody::VoteRequest { log_end, transfer });
+        self.count_votes(now);
+    }
+
+    fn own_vote(&self) -> Votes {
+        let mut votes = Votes::default();
+        votes.record(self.settings.id, true);
+        votes
+    }
+
+    fn ask_voters(&mut self, term: Term, body: MessageBody) {
+        let others = voter_ids(self.log.cell()).into_iter().filter(|id| *id != self.settings.id);
+        for to in others {
+            let message = Message { term, body: body.clone() };
+            self.outbox.push(super::Action::Send { to, message });
+        }
+    }
+
+    fn count_votes(&mut self, now: Timestamp) {
+        let (tally, pre_vote) = match &self.role {
+            RoleState::PreCandidate(votes) => (votes.tally(self.log.cell()), true),
+            RoleState::Candidate(votes) => (votes.tally(self.log.cell()), false),
+            RoleState::Follower | RoleState::Leader(_) => return,
+        };
+        match (tally, pre_vote) {
+            (Tally::Open, _) => {}
+            (Tally::Won, true) => self.begin_election(now, false),
+            (Tally::Won, false) => self.become_leader(now),
+            (Tally::Lost, _) => self.become_follower(now, self.hard_state.term, None),
+        }
+    }
+
+    fn become_leader(&mut self, now: Timestamp) {
+        let first_index = self.log.last_index() + 1;
+        let leader = Leader::new(&self.log, self.settings.id, first_index, now);
+        self.role = RoleState::Leader(Box::new(leader));
+        self.incoming = None;
+        self.set_leader(Some(self.settings.id));
+        let term = self.hard_state.term;
+        self.log.append(Entry { term, index: first_index, payload: Payload::Empty });
+        self.send_heartbeats(now);
+    }
+
+    pub(super) fn handle_pre_vote_request(
+        &mut self,
+        now: Timestamp,
+        from: ReplicaId,
+        term: Term,
+        log_end: LogEnd,
+    ) {
+        if term > self.hard_state.term && self.hears_leader(now) {
+            return;
+        }
+        if term > self.hard_state.term && self.log.is_covered_by(log_end) {
+            // The grant carries the term asked for: it promises nothing about ours.
+            let message = Message { term, body: MessageBody::PreVoteResponse { granted: true } };
+            self.outbox.push(super::Action::Send { to: from, message });
+        } else {
+            self.send(from, MessageBody::PreVoteResponse { granted: false });
+        }
+    }
+
+    pub(super) fn handle_pre_vote_response(
+        &mut self,
+        now: Timestamp,
+        from: ReplicaId,
+        term: Term,
+        granted: bool,
+    ) {
+        let asked = Term(self.hard_state.term.0 + 1);
+        if let RoleState::PreCandidate(votes) = &mut self.role
+            && (!granted || term == asked)
+        {
+            votes.record(from, granted);
+            self.count_votes(now);
+        }
+    }
+
+    /// The request is of the current term, see [`Replica::admit_term`].
+    pub(super) fn handle_vote_request(&mut self, now: Timestamp, from: ReplicaId, log_end: LogEnd) {
+        let free = match self.hard_state.vote {
+            Some(candidate) => candidate == from,
+            None => self.leader.is_none(),
+        };
+        let granted = free && self.log.is_covered_by(log_end);
+        if granted {
+            self.hard_state.vote = Some(from);
+            self.reset_election_deadline(now);
+        }
+        self.send(from, MessageBody::VoteResponse { granted });
+    }
+
+    pub(super) fn handle_vote_response(&mut self, now: Timestamp, from: ReplicaId, granted: bool) {
+        if let RoleState::Candidate(votes) = &mut self.role {
+            votes.record(from, granted);
+            self.count_votes(now);
+        }
+    }
+}
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -5,6 +5,23 @@
 //! to disk before any later [`Action::Send`] of the same batch leaves, because
 //! votes and acknowledgements promise what they say to survive a crash.
 
+mod election;
+mod error;
+mod follower;
+mod leader;
+mod log;
+mod membership;
+pub mod message;
+mod progress;
+mod read_index;
+mod replica;
+mod replication;
+mod transfer;
+
+pub use error::ConsensusError;
+pub use message::Message;
+pub use replica::Replica;
+
 use crate::identity::ReplicaId;
 use crate::position::Term;
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/crates/core/tests/consensus/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the consensus module over an in-memory network with a virtual clock.
+
+mod elections;
+mod faults;
+mod membership;
+mod network;
+mod oracle;
+mod snapshots;
--- /dev/null
+++ b/crates/core/tests/consensus/membership.rs
@@ -0,0 +1,129 @@
+//! Changes of the cell, lost disks and removed members.
+
+use super::network::{Answer, ELECTION_TIMEOUT, Network, SETTLE, member};
+use corktack_core::consensus::{CellChange, Rejection, Role};
+use corktack_core::identity::ReplicaId;
+
+const REFUSED: Answer = Answer::Rejected(Rejection::CellChange);
+
+/// Gives a replica that lost its disk a new identity and brings it into the cell.
+fn replace(network: &mut Network, lost: u64, new: u64) {
+    network.nodes.remove(&lost);
+    network.add(new, None);
+    network.change_cell(&CellChange::AddLearner(member(new)));
+    network.change_cell(&CellChange::Promote(ReplicaId(new)));
+    network.change_cell(&CellChange::Remove(ReplicaId(lost)));
+}
+
+#[test]
+fn a_lost_disk_is_replaced_and_a_second_loss_right_after_loses_nothing() {
+    let mut network = Network::start(3, 21);
+    for number in 0..30_u8 {
+        network.commit(&[number]);
+    }
+    replace(&mut network, 3, 4);
+    network.crash(2);
+    network.commit(b"with the new replica");
+    network.nodes.remove(&2);
+    network.add(5, None);
+    network.change_cell(&CellChange::AddLearner(member(5)));
+    network.change_cell(&CellChange::Promote(ReplicaId(5)));
+    network.change_cell(&CellChange::Remove(ReplicaId(2)));
+    network.crash(1);
+    network.expect_convergence();
+    assert_eq!(network.nodes[&5].state.len(), 31);
+}
+
+#[test]
+fn a_learner_is_promoted_only_when_it_answers_and_has_caught_up() {
+    let mut network = Network::start(3, 22);
+    network.commit(b"one");
+    network.change_cell(&CellChange::AddLearner(member(4)));
+    let leader = network.expect_leader();
+    let silent = network.propose_cell(leader, CellChange::Promote(ReplicaId(4)));
+    assert_eq!(network.answers[&silent], REFUSED);
+    network.add(4, None);
+    network.run_for(SETTLE);
+    assert_eq!(network.replica(4).role(), Role::Learner);
+    network.change_cell(&CellChange::Promote(ReplicaId(4)));
+    network.run_for(SETTLE);
+    assert_eq!(network.replica(4).role(), Role::Follower);
+}
+
+#[test]
+fn changes_without_sense_and_second_changes_are_refused() {
+    let mut network = Network::start(3, 23);
+    let leader = network.expect_leader();
+    let known = network.propose_cell(leader, CellChange::AddLearner(member(1)));
+    let stranger = network.propose_cell(leader, CellChange::Remove(ReplicaId(9)));
+    let voter = network.propose_cell(leader, CellChange::Promote(ReplicaId(2)));
+    let first = network.propose_cell(leader, CellChange::AddLearner(member(4)));
+    let second = network.propose_cell(leader, CellChange::AddLearner(member(5)));
+    for refused in [known, stranger, voter, second] {
+        assert_eq!(network.answers[&refused], REFUSED);
+    }
+    network.run_for(SETTLE);
+    assert!(matches!(network.answers[&first], Answer::Committed(_)));
+}
+
+#[test]
+fn the_last_voter_cannot_be_removed() {
+    let mut network = Network::start(1, 24);
+    let leader = network.expect_leader();
+    let request = network.propose_cell(leader, CellChange::Remove(ReplicaId(1)));
+    assert_eq!(network.answers[&request], REFUSED);
+}
+
+#[test]
+fn a_new_leader_refuses_changes_until_an_entry_of_its_term_is_committed() {
+    let mut network = Network::start(3, 25);
+    let old = network.expect_leader();
+    network.crash(old);
+    let new = network.run_until("new leader", Network::leader);
+    // At the moment of its election nobody has acknowledged its first entry.
+    let request = network.propose_cell(new, CellChange::AddLearner(member(4)));
+    assert_eq!(network.answers[&request], REFUSED);
+}
+
+#[test]
+fn a_change_that_was_not_committed_is_rolled_back() {
+    let mut network = Network::start(3, 26);
+    let old = network.expect_leader();
+    network.isolate(&[old]);
+    network.propose_cell(old, CellChange::AddLearner(member(4)));
+    assert_eq!(network.replica(old).cell().learners.len(), 1);
+    network.run_for(ELECTION_TIMEOUT * 4);
+    network.commit(b"by the others");
+    network.heal();
+    network.expect_convergence();
+    assert!(network.replica(old).cell().learners.is_empty());
+}
+
+#[test]
+fn a_removed_leader_steps_down_and_disturbs_nobody() {
+    let mut network = Network::start(3, 27);
+    let old = network.expect_leader();
+    let request = network.propose_cell(old, CellChange::Remove(ReplicaId(old)));
+    network.run_for(SETTLE);
+    assert!(matches!(network.answers[&request], Answer::Committed(_)));
+    assert_ne!(network.replica(old).role(), Role::Leader);
+    let new = network.expect_leader();
+    let term = network.replica(new).term();
+    network.run_for(SETTLE * 5);
+    assert_eq!(network.replica(new).term(), term);
+    assert_eq!(network.leader(), Some(new));
+}
+
+#[test]
+fn a_removed_replica_that_does_not_know_it_disturbs_nobody() {
+    let mut network = Network::start(4, 28);
+    let leader = network.expect_leader();
+    let removed = (1..=4).find(|id| *id != leader).expect("follower");
+    network.isolate(&[removed]);
+    network.change_cell(&CellChange::Remove(ReplicaId(removed)));
+    network.heal();
+    let leader = network.expect_leader();
+    let term = network.replica(leader).term();
+    network.run_for(SETTLE * 5);
+    assert_eq!(network.replica(leader).term(), term);
+}
--- /dev/null
+++ b/crates/core/tests/consensus/network.rs
@@ -0,0 +1,424 @@
+//! Replicas, their disks and the links between them, all in memory.
+
+use super::oracle::{Oracle, check_log_matching};
+use corktack_core::consensus::{
+    Action, CellChange, CellConfig, CellMember, ConsensusSettings, Entry, Event, HardState,
+    Message, Payload, PersistedState, Rejection, Replica, RequestId, Role, Snapshot,
+};
+use corktack_core::identity::ReplicaId;
+use corktack_core::time::Timestamp;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+pub const ELECTION_TIMEOUT: Duration = Duration::from_millis(100);
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(20);
+/// Long enough for an election and what follows on a quiet network.
+pub const SETTLE: Duration = Duration::from_millis(1_000);
+
+/// What the links do to messages.
+#[derive(Clone, Copy)]
+pub struct Faults {
+    pub loss: f64,
+    pub duplication: f64,
+    pub longest_delay: Duration,
+    /// Chance that a replica crashes inside a batch of actions.
+    pub crash: f64,
+}
+
+impl Faults {
+    pub const NONE: Self =
+        Self { loss: 0.0, duplication: 0.0, longest_delay: Duration::from_millis(2), crash: 0.0 };
+}
+
+#[derive(Clone, Default)]
+pub struct Disk {
+    pub hard_state: HardState,
+    pub snapshot: Option<Snapshot>,
+    pub entries: BTreeMap<u64, Entry>,
+}
+
+impl Disk {
+    fn load(&self) -> PersistedState {
+        PersistedState {
+            hard_state: self.hard_state,
+            snapshot: self.snapshot.clone(),
+            entries: self.entries.values().cloned().collect(),
+        }
+    }
+
+    pub fn snapshot_index(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index)
+    }
+}
+
+pub struct Node {
+    pub replica: Option<Replica>,
+    pub disk: Disk,
+    /// The state machine: every command applied.
+    pub state: Vec<(u64, Vec<u8>)>,
+    first_cell: Option<CellConfig>,
+    starts: u64,
+}
+
+/// The last answer to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Committed(u64),
+    Read(u64),
+    Rejected(Rejection),
+}
+
+pub struct Network {
+    pub now: Timestamp,
+    pub nodes: BTreeMap<u64, Node>,
+    pub faults: Faults,
+    pub answers: BTreeMap<RequestId, Answer>,
+    pub oracle: Oracle,
+    pub random: ChaCha8Rng,
+    /// Messages delivered by kind of body, for tests of traffic.
+    pub snapshot_chunks: u64,
+    blocked: BTreeSet<(u64, u64)>,
+    in_flight: BTreeMap<(Timestamp, u64), (u64, u64, Message)>,
+    reads: BTreeMap<RequestId, u64>,
+    next_number: u64,
+}
+
+pub fn member(id: u64) -> CellMember {
+    let port = u16::try_from(7_000 + id).expect("small id");
+    CellMember { id: ReplicaId(id), address: ([127, 0, 0, 1], port).into() }
+}
+
+pub fn cell_of(voters: impl IntoIterator<Item = u64>) -> CellConfig {
+    CellConfig { voters: voters.into_iter().map(member).collect(), learners: Vec::new() }
+}
+
+impl Network {
+    /// A cell of `voters` that starts on empty disks.
+    pub fn start(voters: u64, seed: u64) -> Self {
+        let mut network = Self {
+            now: Timestamp::from_millis(1),
+            nodes: BTreeMap::new(),
+            faults: Faults::NONE,
+            answers: BTreeMap::new(),
+            oracle: Oracle::default(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            snapshot_chunks: 0,
+            blocked: BTreeSet::new(),
+            in_flight: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            next_number: 0,
+        };
+        for id in 1..=voters {
+            network.add(id, Some(cell_of(1..=voters)));
+        }
+        network
+    }
+
+    /// Adds a replica with an empty disk.
+    pub fn add(&mut self, id: u64, first_cell: Option<CellConfig>) {
+        let node =
+            Node { replica: None, disk: Disk::default(), state: Vec::new(), first_cell, starts: 0 };
+        self.nodes.insert(id, node);
+        self.restart(id);
+    }
+
+    /// Ends a process; its disk stays.
+    pub fn crash(&mut self, id: u64) {
+        self.node(id).replica = None;
+    }
+
+    pub fn restart(&mut self, id: u64) {
+        let now = self.now;
+        let node = self.node(id);
+        node.starts += 1;
+        let settings = ConsensusSettings {
+            id: ReplicaId(id),
+            election_timeout: ELECTION_TIMEOUT,
+            heartbeat_interval: HEARTBEAT_INTERVAL,
+            append_bytes_limit: 256,
+            snapshot_chunk_bytes: 64,
+            seed: node.starts,
+        };
+        let replica = Replica::new(settings, node.disk.load(), node.first_cell.clone(), now);
+        node.replica = Some(replica.expect("the disk holds a log of this replica"));
+        node.state = node.disk.snapshot.as_ref().map_or_else(Vec::new, decode_state);
+    }
+
+    pub fn node(&mut self, id: u64) -> &mut Node {
+        self.nodes.get_mut(&id).expect("known replica")
+    }
+
+    pub fn replica(&self, id: u64) -> &Replica {
+        self.nodes[&id].replica.as_ref().expect("running replica")
+    }
+
+    /// Cuts the links between `side` and everyone else, in both directions.
+    pub fn isolate(&mut self, side: &[u64]) {
+        self.heal();
+        for id in self.nodes.keys().copied().collect::<Vec<_>>() {
+            for inside in side.iter().filter(|_| !side.contains(&id)) {
+                self.blocked.insert((*inside, id));
+                self.blocked.insert((id, *inside));
+            }
+        }
+    }
+
+    /// Cuts one direction of one link.
+    pub fn block(&mut self, from: u64, to: u64) {
+        self.blocked.insert((from, to));
+    }
+
+    pub fn heal(&mut self) {
+        self.blocked.clear();
+    }
+
+    pub fn running(&self) -> Vec<u64> {
+        self.nodes.iter().filter(|(_, node)| node.replica.is_some()).map(|(id, _)| *id).collect()
+    }
+
+    /// The leader of the highest term among running replicas.
+    pub fn leader(&self) -> Option<u64> {
+        let leads = |id: &u64| self.replica(*id).role() == Role::Leader;
+        self.running().into_iter().filter(leads).max_by_key(|id| self.replica(*id).term())
+    }
+
+    pub fn expect_leader(&mut self) -> u64 {
+        self.run_until("a leader that committed", |network| {
+            let leader = network.leader()?;
+            let replica = network.replica(leader);
+            (replica.commit_index() == replica.last_index()).then_some(leader)
+        })
+    }
+
+    fn next_request(&mut self) -> RequestId {
+        self.next_number += 1;
+        RequestId(self.next_number)
+    }
+
+    pub fn propose(&mut self, id: u64, command: &[u8]) -> RequestId {
+        let request = self.next_request();
+        self.handle(id, Event::Propose { request, command: command.to_vec() });
+        request
+    }
+
+    pub fn propose_cell(&mut self, id: u64, change: CellChange) -> RequestId {
+        let request = self.next_request();
+        self.handle(id, Event::ProposeCell { request, change });
+        request
+    }
+
+    pub fn read(&mut self, id: u64) -> RequestId {
+        let request = self.next_request();
+        self.reads.insert(request, self.oracle.highest_applied());
+        self.handle(id, Event::ReadIndex { request });
+        request
+    }
+
+    /// Proposes on the leader until one is committed; returns its index.
+    pub fn commit(&mut self, command: &[u8]) -> u64 {
+        let leader = self.expect_leader();
+        let request = self.propose(leader, command);
+        self.run_until("a commit", |network| match network.answers.get(&request)? {
+            Answer::Committed(index) => Some(*index),
+            other => panic!("the proposal was answered {other:?}"),
+        })
+    }
+
+    /// Changes the cell, again and again until the leader takes it.
+    pub fn change_cell(&mut self, change: &CellChange) {
+        for _ in 0..50 {
+            let leader = self.expect_leader();
+            let request = self.propose_cell(leader, change.clone());
+            self.run_for(HEARTBEAT_INTERVAL * 2);
+            if let Some(Answer::Committed(_)) = self.answers.get(&request) {
+                return;
+            }
+        }
+        panic!("the cell was not changed");
+    }
+
+    /// Makes a snapshot of a replica's state and drops the log below it.
+    pub fn compact(&mut self, id: u64) {
+        let node = self.node(id);
+        let Some(replica) = &node.replica else { return };
+        let index = replica.applied_index();
+        if index <= node.disk.snapshot_index() {
+            return;
+        }
+        let (term, cell) = replica.snapshot_header(index).expect("applied entry");
+        let snapshot = Snapshot { index, term, cell, data: encode_state(&node.state) };
+        node.disk.entries.retain(|entry, _| *entry > index);
+        node.disk.snapshot = Some(snapshot.clone());
+        self.handle(id, Event::Compact { snapshot });
+    }
+
+    /// Feeds one event and performs the actions; with faults, only the first of them.
+    pub fn handle(&mut self, id: u64, event: Event<Message>) {
+        let now = self.now;
+        let Some(replica) = self.node(id).replica.as_mut() else { return };
+        for action in replica.handle(now, event) {
+            if self.faults.crash > 0.0 && self.random.random_bool(self.faults.crash) {
+                self.crash(id);
+                return;
+            }
+            self.perform(id, action);
+        }
+    }
+
+    fn perform(&mut self, id: u64, action: Action<Message>) {
+        match action {
+            Action::Persist { hard_state, entries } => self.persist(id, hard_state, entries),
+            Action::InstallSnapshot(snapshot) => self.install(id, snapshot),
+            Action::Send { to, message } => self.send(id, to.0, message),
+            Action::Apply(entries) => self.apply(id, entries),
+            Action::Committed { request, index } => {
+                self.answers.insert(request, Answer::Committed(index));
+            }
+            Action::ReadReady { request, index } => {
+                let needed = self.reads[&request];
+                assert!(index >= needed, "stale read: {index} after {needed} was applied");
+                self.answers.insert(request, Answer::Read(index));
+            }
+            Action::Rejected { request, rejection } => {
+                self.answers.insert(request, Answer::Rejected(rejection));
+            }
+            Action::RoleChanged { role: Role::Leader, term, .. } => {
+                let disk = &self.nodes[&id].disk;
+                self.oracle.leader_elected(term, id, &disk.entries, disk.snapshot_index());
+            }
+            Action::RoleChanged { .. } => {}
+        }
+    }
+
+    fn persist(&mut self, id: u64, hard_state: Option<HardState>, entries: Vec<Entry>) {
+        let disk = &mut self.node(id).disk;
+        if let Some(hard_state) = hard_state {
+            assert!(hard_state.term >= disk.hard_state.term, "the term went back");
+            disk.hard_state = hard_state;
+        }
+        if let Some(first) = entries.first() {
+            disk.entries.split_off(&first.index);
+        }
+        disk.entries.extend(entries.into_iter().map(|entry| (entry.index, entry)));
+    }
+
+    fn install(&mut self, id: u64, snapshot: Snapshot) {
+        let state = decode_state(&snapshot);
+        let expected: Vec<_> =
+            self.oracle.committed_up_to(snapshot.index).filter_map(command).collect();
+        assert_eq!(state, expected, "the snapshot holds another state");
+        let node = self.node(id);
+        node.disk.entries.clear();
+        node.disk.snapshot = Some(snapshot);
+        node.state = state;
+    }
+
+    fn apply(&mut self, id: u64, entries: Vec<Entry>) {
+        for entry in entries {
+            self.oracle.applied(id, &entry);
+            let disk = &self.nodes[&id].disk;
+            assert_eq!(disk.entries.get(&entry.index), Some(&entry), "applied before synced");
+            self.node(id).state.extend(command(&entry));
+        }
+    }
+
+    fn send(&mut self, from: u64, to: u64, message: Message) {
+        let copies = 1 + usize::from(self.random.random_bool(self.faults.duplication));
+        for _ in 0..copies {
+            if self.random.random_bool(self.faults.loss) {
+                continue;
+            }
+            let longest = self.faults.longest_delay.as_micros() as u64;
+            let delay = Duration::from_micros(self.random.random_range(500..=longest));
+            self.next_number += 1;
+            let place = (self.now + delay, self.next_number);
+            self.in_flight.insert(place, (from, to, message.clone()));
+        }
+    }
+
+    /// Delivers the next message or runs the next timer.
+    fn step(&mut self, until: Timestamp) -> bool {
+        let message = self.in_flight.first_key_value().map(|((at, _), _)| *at);
+        let timer =
+            self.running().into_iter().map(|id| (self.replica(id).next_deadline(), id)).min();
+        let timer_at = timer.map(|(at, _)| at);
+        let Some(next) = message.into_iter().chain(timer_at).min().filter(|at| *at <= until) else {
+            self.now = until;
+            return false;
+        };
+        self.now = self.now.max(next);
+        if message == Some(next) {
+            self.deliver();
+        } else if let Some((_, id)) = timer {
+            self.handle(id, Event::Tick);
+        }
+        true
+    }
+
+    fn deliver(&mut self) {
+        let Some((_, (from, to, message))) = self.in_flight.pop_first() else { return };
+        if self.blocked.contains(&(from, to)) || !self.nodes.contains_key(&to) {
+            return;
+        }
+        use corktack_core::consensus::message::MessageBody;
+        self.snapshot_chunks += u64::from(matches!(message.body, MessageBody::SnapshotChunk(_)));
+        self.handle(to, Event::Message { from: ReplicaId(from), message });
+    }
+
+    pub fn run_for(&mut self, duration: Duration) {
+        let until = self.now + duration;
+        while self.step(until) {}
+        self.check_logs();
+    }
+
+    /// Runs until `done` answers; fails after a long virtual time.
+    pub fn run_until<T>(&mut self, what: &str, done: impl Fn(&Self) -> Option<T>) -> T {
+        let until = self.now + SETTLE * 20;
+        loop {
+            if let Some(found) = done(self) {
+                return found;
+            }
+            assert!(self.step(until), "no {what} within {:?}", SETTLE * 20);
+        }
+    }
+
+    pub fn check_logs(&self) {
+        let logs: Vec<_> = self.nodes.values().map(|node| &node.disk.entries).collect();
+        for (place, left) in logs.iter().enumerate() {
+            for right in &logs[place + 1..] {
+                check_log_matching(left, right);
+            }
+        }
+    }
+
+    /// Waits until every running replica has applied the same.
+    pub fn expect_convergence(&mut self) {
+        let leader = self.expect_leader();
+        let target = self.replica(leader).last_index();
+        self.run_until("convergence", |network| {
+            let members = network.replica(leader).cell().clone();
+            let ids = members.voters.iter().chain(&members.learners).map(|member| member.id.0);
+            let running = network.running();
+            let mut ids = ids.filter(|id| running.contains(id));
+            ids.all(|id| network.replica(id).applied_index() >= target).then_some(())
+        });
+        self.check_logs();
+    }
+}
+
+fn command(entry: &Entry) -> Option<(u64, Vec<u8>)> {
+    match &entry.payload {
+        Payload::Command(command) => Some((entry.index, command.clone())),
+        Payload::Empty | Payload::Cell(_) => None,
+    }
+}
+
+fn encode_state(state: &[(u64, Vec<u8>)]) -> Vec<u8> {
+    serde_json::to_vec(state).expect("encodable state")
+}
+
+fn decode_state(snapshot: &Snapshot) -> Vec<(u64, Vec<u8>)> {
+    serde_json::from_slice(&snapshot.data).expect("state of a snapshot")
+}
