--- /dev/null
+++ b/crates/storage/src/memory.rs
@@ -0,0 +1,164 @@
+//! A folder in memory that loses unsynced bytes at a crash.
+
+use crate::disk::Disk;
+use crate::error::{Operation, StorageError};
+use crate::replica_log::ReplicaLog;
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// A replica's log in memory.
+pub type MemoryLog = ReplicaLog<MemoryDisk>;
+
+#[derive(Clone, Debug, Default)]
+struct MemoryFile {
+    content: Vec<u8>,
+    durable: Vec<u8>,
+}
+
+#[derive(Debug, Default)]
+struct MemoryFolder {
+    files: BTreeMap<u64, MemoryFile>,
+    names: BTreeMap<String, u64>,
+    durable_names: BTreeMap<String, u64>,
+    next_file: u64,
+    /// Operations left before every further one fails.
+    operations_left: Option<u64>,
+}
+
+impl MemoryFolder {
+    fn file(&mut self, name: &str) -> &mut MemoryFile {
+        let number = *self.names.entry(name.to_owned()).or_insert_with(|| {
+            self.next_file += 1;
+            self.next_file
+        });
+        self.files.entry(number).or_default()
+    }
+
+    fn count_operation(&mut self, operation: Operation, name: &str) -> Result<(), StorageError> {
+        match &mut self.operations_left {
+            Some(0) => Err(StorageError::Io {
+                operation,
+                path: PathBuf::from(name),
+                source: std::io::ErrorKind::StorageFull.into(),
+            }),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+/// A folder in memory. Clones are handles to the same folder.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryDisk {
+    folder: Arc<Mutex<MemoryFolder>>,
+}
+
+impl MemoryDisk {
+    /// An empty folder.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn folder(&self) -> MutexGuard<'_, MemoryFolder> {
+        // Every operation leaves the folder whole, also when it panics.
+        self.folder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Loses what was not synced. Of each file's unsynced tail of `n` bytes the
+    /// first `kept(n)` stay; names and cuts that were not synced are undone.
+    pub fn crash(&self, mut kept: impl FnMut(usize) -> usize) {
+        let mut folder = self.folder();
+        folder.names = folder.durable_names.clone();
+        folder.operations_left = None;
+        let live: Vec<u64> = folder.names.values().copied().collect();
+        folder.files.retain(|number, _| live.contains(number));
+        for file in folder.files.values_mut() {
+            let tail = file.content.strip_prefix(&*file.durable).unwrap_or_default();
+            let keep = kept(tail.len()).min(tail.len());
+            file.durable = [&*file.durable, &tail[..keep]].concat();
+            file.content = file.durable.clone();
+        }
+    }
+
+    /// Lets this many changes succeed and every later one fail, until the next crash.
+    pub fn fail_after(&self, operations: u64) {
+        self.folder().operations_left = Some(operations);
+    }
+
+    /// Bytes of all files.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let folder = self.folder();
+        folder.names.values().map(|number| folder.files[number].content.len()).sum()
+    }
+}
+
+impl Disk for MemoryDisk {
+    fn list(&self) -> Result<Vec<String>, StorageError> {
+        Ok(self.folder().names.keys().cloned().collect())
+    }
+
+    fn read(&self, name: &str) -> Result<Option<Vec<u8>>, StorageError> {
+        let folder = self.folder();
+        let number = folder.names.get(name);
+        Ok(number.map(|number| folder.files[number].content.clone()))
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
+        let mut folder = self.folder();
+        folder.count_operation(Operation::Write, name)?;
+        folder.file(name).content.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> Result<(), StorageError> {
+        let mut folder = self.folder();
+        folder.count_operation(Operation::Truncate, name)?;
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        folder.file(name).content.truncate(length);
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> Result<(), StorageError> {
+        let mut folder = self.folder();
+        folder.count_operation(Operation::Sync, name)?;
+        let file = folder.file(name);
+        match file.content.strip_prefix(&*file.durable) {
+            Some(tail) => file.durable.extend_from_slice(tail),
+            None => file.durable = file.content.clone(),
+        }
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> Result<(), StorageError> {
+        let mut folder = self.folder();
+        folder.count_operation(Operation::Rename, from)?;
+        if let Some(number) = folder.names.remove(from) {
+            folder.names.insert(to.to_owned(), number);
+        }
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> Result<(), StorageError> {
+        let mut folder = self.folder();
+        folder.count_operation(Operation::Remove, name)?;
+        folder.names.remove(name);
+        Ok(())
+    }
+
+    fn sync_folder(&mut self) -> Result<(), StorageError> {
+        let mut folder = self.folder();
+        folder.count_operation(Operation::Sync, "")?;
+        folder.durable_names = folder.names.clone();
+        Ok(())
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        PathBuf::from(name)
+    }
+}
