--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod state;
 pub mod time;
 pub mod view;
+pub mod watch;
--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -1,12 +1,12 @@
 //! Which proxy owns which group.
 //!
 //! Owners are chosen by rendezvous (highest random weight) hashing over the live
-//! proxies, nearest to the group's primary first: same zone, then same region,
-//! then anywhere. No proxy is given more than [`capacity`] groups. A group keeps
-//! its owner while that proxy is live; only a proxy that registers may take
-//! groups from others, at most [`MOVES_PER_REGISTRATION`] at a time, so that a
-//! proxy that was away gets its groups back and a fleet that restarts one by
-//! one stays balanced.
+//! proxies, nearest to the group's primary first, with capped load: see [`Rank`].
+//! A group keeps its owner while that proxy is live, also when its primary moves
+//! to another zone. Only a proxy that registers takes groups from others, at most
+//! [`MOVES_PER_REGISTRATION`] at a time: first those it owned before it went, then
+//! those that rank it above their owner. So a proxy that was away gets its groups
+//! back, and a fleet that restarts one by one stays balanced.
 
 use crate::identity::{GroupName, ProxyName, ZoneName};
 use siphasher::sip::SipHasher13;
@@ -14,11 +14,15 @@
 use std::hash::Hasher;
 
 /// Most groups that move to one proxy because it registered.
-pub const MOVES_PER_REGISTRATION: usize = 16;
+pub const MOVES_PER_REGISTRATION: usize = 64;
 
 /// A proxy may own this many quarters of the mean.
 const CAPACITY_QUARTERS: usize = 5;
 
+/// A proxy in the primary's region may own this many times the capacity before
+/// one in another region is chosen: a busier owner costs less than a far one.
+const NEAR_OVERLOAD: usize = 2;
+
 /// Fixed keys: every replica, of any build, must choose the same owner.
 const HASH_KEYS: (u64, u64) = (0x636f_726b_7461_636b, 0x6f77_6e65_7273_6869);
 
@@ -39,11 +43,21 @@
     Zone,
 }
 
-/// How much a group prefers a proxy; the highest wins.
+/// How well a proxy suits a group; the highest wins, then the highest weight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Preference {
-    proximity: Proximity,
-    weight: u64,
+pub enum Rank {
+    /// It is full.
+    Full,
+    /// Another region, below capacity.
+    Far,
+    /// The primary's region, over capacity and below twice that.
+    BusyRegion,
+    /// The primary's zone, over capacity and below twice that.
+    BusyZone,
+    /// The primary's region, below capacity.
+    Region,
+    /// The primary's zone, below capacity.
+    Zone,
 }
 
 /// Region of a zone: the text before the first `.`.
@@ -84,11 +98,8 @@
 }
 
 impl Placement<'_> {
-    /// How much the group prefers a proxy.
-    #[must_use]
-    pub fn preference(&self, proxy: &ProxyName, zone: &ZoneName) -> Preference {
-        let proximity = self.zone.map_or(Proximity::Far, |primary| proximity(primary, zone));
-        Preference { proximity, weight: weight(self.group, proxy) }
+    fn proximity(&self, zone: &ZoneName) -> Proximity {
+        self.zone.map_or(Proximity::Far, |primary| proximity(primary, zone))
     }
 }
 
@@ -137,14 +148,13 @@
         self.seats.contains_key(proxy)
     }
 
-    /// Gives the group to the proxy below capacity that it prefers, none when no proxy is live.
+    /// Gives the group to the proxy that suits it best, none when no proxy is live.
     pub fn assign(&mut self, placement: Placement<'_>) -> Option<ProxyName> {
         let limit = self.capacity;
-        let (proxy, seat) = self
-            .seats
-            .iter_mut()
-            .filter(|(_, seat)| seat.groups < limit)
-            .max_by_key(|(proxy, seat)| placement.preference(proxy, seat.zone))?;
+        let (proxy, seat) = self.seats.iter_mut().max_by_key(|(proxy, seat)| {
+            let rank = rank(placement.proximity(seat.zone), seat.groups, limit);
+            (rank, weight(placement.group, proxy))
+        })?;
         seat.groups += 1;
         Some((*proxy).clone())
     }
@@ -156,67 +166,87 @@
         }
     }
 
-    /// Moves groups to a proxy that registered: those that prefer it to their
-    /// owner, and those whose owner is over capacity, the most wanted first.
+    /// Moves groups to a proxy that registered and names them.
     pub fn attract<'b>(
         &mut self,
         newcomer: &ProxyName,
-        groups: impl Iterator<Item = (Placement<'b>, &'b ProxyName)>,
+        groups: impl Iterator<Item = Owned<'b>>,
     ) -> Vec<GroupName> {
-        let Some(zone) = self.seats.get(newcomer).map(|seat| seat.zone) else {
-            return Vec::new();
-        };
-        let mut wanted: Vec<_> = groups
-            .filter(|(_, owner)| *owner != newcomer)
-            .filter_map(|(placement, owner)| self.wish(newcomer, zone, placement, owner))
-            .collect();
-        wanted.sort_by(|one, other| other.cmp(one));
+        let foreign = groups.filter(|group| group.owner != newcomer);
+        let mut wishes: Vec<_> = foreign.filter_map(|group| self.wish(newcomer, group)).collect();
+        wishes.sort_by(|one, other| other.order().cmp(&one.order()));
         let mut moved = Vec::new();
-        for wish in wanted {
-            let full = self.seats.get(newcomer).is_none_or(|seat| seat.groups >= self.capacity);
-            if full || moved.len() == MOVES_PER_REGISTRATION {
+        for wish in wishes {
+            if moved.len() == MOVES_PER_REGISTRATION {
                 break;
             }
-            if self.transfer(&wish, newcomer) {
-                moved.push(wish.group.clone());
+            // Loads changed since the wish was made: it must still hold.
+            if self.wish(newcomer, wish.group).is_none() {
+                continue;
             }
+            self.release(wish.group.owner);
+            self.seats.get_mut(newcomer).into_iter().for_each(|seat| seat.groups += 1);
+            moved.push(wish.group.placement.group.clone());
         }
         moved
     }
 
-    fn wish<'b>(
+    /// Tells whether the group would rather have the newcomer.
+    fn wish<'b>(&self, newcomer: &ProxyName, group: Owned<'b>) -> Option<Wish<'b>> {
+        let offered = self.suitability(newcomer, group.placement, 0)?;
+        let present = self.suitability(group.owner, group.placement, 1)?;
+        let returning = group.former_owner == Some(newcomer) && offered.0 > Rank::Full;
+        (returning || offered > present).then_some(Wish { returning, offered, group })
+    }
+
+    /// Rank and weight of a proxy that owns `counted` groups which do not count.
+    fn suitability(
         &self,
-        newcomer: &ProxyName,
-        zone: &ZoneName,
-        placement: Placement<'b>,
-        owner: &'b ProxyName,
-    ) -> Option<Wish<'b>> {
-        let seat = self.seats.get(owner)?;
-        let preference = placement.preference(newcomer, zone);
-        let preferred = preference > placement.preference(owner, seat.zone);
-        let overloaded = seat.groups > self.capacity;
-        let group = placement.group;
-        (preferred || overloaded).then_some(Wish { preferred, preference, group, owner })
+        proxy: &ProxyName,
+        placement: Placement<'_>,
+        counted: usize,
+    ) -> Option<(Rank, u64)> {
+        let seat = self.seats.get(proxy)?;
+        let groups = seat.groups.saturating_sub(counted);
+        let rank = rank(placement.proximity(seat.zone), groups, self.capacity);
+        Some((rank, weight(placement.group, proxy)))
     }
+}
 
-    fn transfer(&mut self, wish: &Wish<'_>, newcomer: &ProxyName) -> bool {
-        let overloaded = self.seats.get(wish.owner).is_some_and(|seat| seat.groups > self.capacity);
-        if !wish.preferred && !overloaded {
-            return false;
-        }
-        self.release(wish.owner);
-        if let Some(seat) = self.seats.get_mut(newcomer) {
-            seat.groups += 1;
-        }
-        true
+fn rank(proximity: Proximity, groups: usize, capacity: usize) -> Rank {
+    let free = groups < capacity;
+    let bearable = groups < capacity * NEAR_OVERLOAD;
+    match proximity {
+        Proximity::Zone if free => Rank::Zone,
+        Proximity::Zone if bearable => Rank::BusyZone,
+        Proximity::Region if free => Rank::Region,
+        Proximity::Region if bearable => Rank::BusyRegion,
+        Proximity::Far if free => Rank::Far,
+        _ => Rank::Full,
     }
 }
 
-/// A group that could move to a proxy that registered.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// A group with its owner.
+#[derive(Clone, Copy, Debug)]
+pub struct Owned<'a> {
+    /// The group.
+    pub placement: Placement<'a>,
+    /// Its owner.
+    pub owner: &'a ProxyName,
+    /// The proxy that owned it last and went.
+    pub former_owner: Option<&'a ProxyName>,
+}
+
+/// A group that should move to a proxy that registered.
+#[derive(Debug)]
 struct Wish<'b> {
-    preferred: bool,
-    preference: Preference,
-    group: &'b GroupName,
-    owner: &'b ProxyName,
+    returning: bool,
+    offered: (Rank, u64),
+    group: Owned<'b>,
+}
+
+impl Wish<'_> {
+    fn order(&self) -> (bool, (Rank, u64), &GroupName) {
+        (self.returning, self.offered, self.group.placement.group)
+    }
 }
--- a/crates/core/src/state/fleet.rs
+++ b/crates/core/src/state/fleet.rs
@@ -5,7 +5,7 @@
 use super::command::{ProxyRegistration, Refusal};
 use super::records::{GroupRecord, ProxyRecord};
 use crate::identity::{GroupName, Incarnation, ProxyName};
-use crate::ownership::{Balancer, Placement};
+use crate::ownership::{Balancer, Owned, Placement};
 use crate::view::{ProxyState, ProxyView, Revision};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -130,13 +130,12 @@
         let orphans = groups.iter().filter(|(_, group)| is_orphan(group));
         let orphans: BTreeSet<_> = orphans.map(|(name, _)| name.clone()).collect();
         for name in &orphans {
+            remember_owner(groups, name);
             assign(groups, &mut balancer, name, changed);
         }
         for newcomer in newcomers {
             let settled = groups.iter().filter(|(name, _)| !orphans.contains(*name));
-            let owned = settled.filter_map(|(name, group)| {
-                Some((placement(name, group), group.view.owner.as_ref()?))
-            });
+            let owned = settled.filter_map(|(name, group)| owned(name, group));
             for name in balancer.attract(newcomer, owned) {
                 set_owner(groups, &name, Some(newcomer.clone()), changed);
             }
@@ -186,6 +185,20 @@
     Placement { group: name, zone: group.primary_spec().map(|member| &member.zone) }
 }
 
+fn owned<'a>(name: &'a GroupName, group: &'a GroupRecord) -> Option<Owned<'a>> {
+    let owner = group.view.owner.as_ref()?;
+    let former_owner = group.former_owner.as_ref();
+    Some(Owned { placement: placement(name, group), owner, former_owner })
+}
+
+/// Notes the owner that went, so that it gets the group back.
+fn remember_owner(groups: &mut BTreeMap<GroupName, GroupRecord>, name: &GroupName) {
+    let Some(group) = groups.get_mut(name) else { return };
+    if let Some(owner) = &group.view.owner {
+        group.former_owner = Some(owner.clone());
+    }
+}
+
 fn assign(
     groups: &mut BTreeMap<GroupName, GroupRecord>,
     balancer: &mut Balancer<'_>,
@@ -204,6 +217,9 @@
     changed: &mut ChangeSet,
 ) {
     let Some(group) = groups.get_mut(name) else { return };
+    if group.former_owner == owner {
+        group.former_owner = None;
+    }
     if group.view.owner != owner {
         Arc::make_mut(&mut group.view).owner = owner;
         changed.groups.insert(name.clone());
--- a/crates/core/src/state/records.rs
+++ b/crates/core/src/state/records.rs
@@ -1,6 +1,6 @@
 //! What the control state keeps of each object.
 
-use crate::identity::{GroupName, MemberName};
+use crate::identity::{GroupName, MemberName, ProxyName};
 use crate::resources::{DatabaseGroupSpec, MemberSpec, ResourceKey, ResourceSpec, ResourceVersion};
 use crate::view::{GroupView, ProxyView, Revision};
 use serde::{Deserialize, Serialize};
@@ -48,6 +48,8 @@
     pub generation: u64,
     /// Members that the platform's list calls leaving.
     pub leaving: BTreeSet<MemberName>,
+    /// The proxy that owned it last and went; it gets the group back when it returns.
+    pub former_owner: Option<ProxyName>,
     /// The group as proxies see it.
     pub view: Arc<GroupView>,
 }
@@ -57,7 +59,13 @@
         let draining = declared_draining(&spec);
         let view =
             GroupView { spec, primary: None, term: Default::default(), owner: None, draining };
-        Self { version, generation: 1, leaving: BTreeSet::new(), view: Arc::new(view) }
+        Self {
+            version,
+            generation: 1,
+            leaving: BTreeSet::new(),
+            former_owner: None,
+            view: Arc::new(view),
+        }
     }
 
     /// Replaces the spec. A primary that is no longer a member is forgotten; the
--- /dev/null
+++ b/crates/core/tests/ownership.rs
@@ -0,0 +1,196 @@
+//! Balance, nearness and churn of owners at the size that decides.
+//!
+//! Figures are printed (`cargo test -p corktack-core --test ownership -- --nocapture`).
+
+mod support;
+
+use corktack_core::identity::ProxyName;
+use corktack_core::ownership::{MOVES_PER_REGISTRATION, Proximity, capacity, proximity};
+use corktack_core::state::command::Command;
+use corktack_core::view::{ProxyState, ViewChange};
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::time::Instant;
+use support::*;
+
+const PROXIES: usize = 1_100;
+const GROUPS: usize = 733;
+
+fn group_name(number: usize) -> String {
+    format!("g{number}")
+}
+
+/// Groups with their primaries spread over the members' zones.
+fn put_groups(cell: &mut Cell, count: usize) {
+    for number in 0..count {
+        let group = group_name(number);
+        cell.put_group(&group, None).expect("accepted");
+        cell.adopt(&group, &format!("m{}", number % 3), 1).expect("adopted");
+    }
+}
+
+fn cell(proxies: usize, groups: usize) -> Cell {
+    let mut cell = Cell::new();
+    cell.apply(Command::RegisterProxies(fleet(proxies)));
+    put_groups(&mut cell, groups);
+    cell
+}
+
+fn owners(cell: &Cell) -> BTreeMap<String, Option<ProxyName>> {
+    let groups = cell.state.groups();
+    groups.map(|(name, group)| (name.to_string(), group.view.owner.clone())).collect()
+}
+
+fn highest_load(cell: &Cell) -> usize {
+    let mut loads = BTreeMap::<ProxyName, usize>::new();
+    for owner in owners(cell).into_values() {
+        *loads.entry(owner.expect("every group is owned")).or_default() += 1;
+    }
+    loads.into_values().max().unwrap_or_default()
+}
+
+fn moved(before: &BTreeMap<String, Option<ProxyName>>, cell: &Cell) -> usize {
+    let after = owners(cell);
+    before.iter().filter(|(group, owner)| after[*group] != **owner).count()
+}
+
+/// Groups by nearness of owner and primary: same zone, same region, far.
+fn nearness(cell: &Cell) -> [usize; 3] {
+    let mut counts = [0; 3];
+    for (_, group) in cell.state.groups() {
+        let owner = group.view.owner.as_ref().and_then(|owner| cell.state.proxy(owner));
+        let owner = owner.expect("a stored owner");
+        let primary = group.primary_spec().expect("a primary");
+        counts[match proximity(&owner.zone, &primary.zone) {
+            Proximity::Zone => 0,
+            Proximity::Region => 1,
+            Proximity::Far => 2,
+        }] += 1;
+    }
+    counts
+}
+
+#[test]
+fn a_whole_fleet_is_balanced_and_near() {
+    let started = Instant::now();
+    let cell = cell(PROXIES, GROUPS);
+    let took = started.elapsed();
+    println!("{PROXIES} proxies, {GROUPS} groups: built in {took:?}, {} entries", cell.last);
+    println!("highest load {}, zone/region/far {:?}", highest_load(&cell), nearness(&cell));
+    // All primaries are in one of two regions, so its proxies take up to twice the capacity.
+    assert!(highest_load(&cell) <= 2 * capacity(GROUPS, PROXIES));
+    assert_eq!(nearness(&cell)[2], 0);
+}
+
+#[test]
+fn groups_do_not_pile_up_on_few_proxies() {
+    let cell = cell(6, 600);
+    println!("6 proxies, 600 groups: highest load {}, {:?}", highest_load(&cell), nearness(&cell));
+    assert!(highest_load(&cell) <= 2 * capacity(600, 6));
+}
+
+#[test]
+fn only_the_groups_of_a_lost_proxy_move() {
+    let mut cell = cell(PROXIES, GROUPS);
+    let lost: Vec<_> =
+        (0..PROXIES).step_by(9).map(|number| life(&format!("p{number}"), 1)).collect();
+    let before = owners(&cell);
+    let affected = before.values().flatten().filter(|owner| lost.iter().any(|it| it.0 == **owner));
+    let affected = affected.count();
+    let started = Instant::now();
+    let count = lost.len();
+    cell.apply(Command::ProxiesDown(lost));
+    let took = started.elapsed();
+    println!("{count} proxies lost at once: {} groups moved in {took:?}", moved(&before, &cell));
+    assert_eq!(moved(&before, &cell), affected);
+    assert!(highest_load(&cell) <= 2 * capacity(GROUPS, PROXIES - count));
+}
+
+#[rstest]
+#[case(9, 30)]
+#[case(1_100, 733)]
+fn a_proxy_that_comes_back_gets_its_groups_back(#[case] proxies: usize, #[case] groups: usize) {
+    let mut cell = cell(proxies, groups);
+    let before = owners(&cell);
+    cell.apply(Command::ProxiesDown(vec![life("p2", 1)]));
+    let lost = moved(&before, &cell);
+    cell.apply(Command::RegisterProxies(vec![registration("p2", 2, ZONES[2])]));
+    let gained = moved(&before, &cell);
+    println!("{proxies} proxies, {groups} groups: {lost} lost, {gained} more than before it");
+    assert!(lost > 0);
+    let after = owners(&cell);
+    let mut lost = before.iter().filter(|(_, owner)| **owner == Some(name("p2")));
+    assert!(lost.all(|(group, owner)| after[group] == *owner));
+}
+
+#[test]
+fn a_fleet_restarted_one_by_one_stays_balanced() {
+    let mut cell = cell(12, 120);
+    let mut moves = 0;
+    for number in 0..12 {
+        let proxy = format!("p{number}");
+        let before = owners(&cell);
+        cell.apply(Command::ProxiesDraining(vec![life(&proxy, 1)]));
+        moves += moved(&before, &cell);
+        cell.apply(Command::ProxiesDown(vec![life(&proxy, 1)]));
+        let before = owners(&cell);
+        cell.apply(Command::RegisterProxies(vec![registration(&proxy, 2, ZONES[number % 6])]));
+        assert!(moved(&before, &cell) <= MOVES_PER_REGISTRATION);
+        moves += moved(&before, &cell);
+    }
+    println!("12 restarts, 120 groups: {moves} moves, highest load {}", highest_load(&cell));
+    assert!(highest_load(&cell) <= 2 * capacity(120, 12));
+}
+
+#[test]
+fn a_fleet_that_grows_one_by_one_spreads() {
+    let mut cell = cell(1, 120);
+    for registration in fleet(12).split_off(1) {
+        let before = owners(&cell);
+        cell.apply(Command::RegisterProxies(vec![registration]));
+        assert!(moved(&before, &cell) <= MOVES_PER_REGISTRATION);
+    }
+    println!("grown from 1 to 12 proxies, 120 groups: highest load {}", highest_load(&cell));
+    assert!(highest_load(&cell) <= 2 * capacity(120, 12));
+}
+
+#[test]
+fn a_restart_without_an_absence_moves_nothing() {
+    let mut cell = cell(9, 30);
+    let before = owners(&cell);
+    let again = registration("p4", 2, ZONES[4]);
+    let applied = cell.apply(Command::RegisterProxies(vec![again.clone()]));
+    assert_eq!(moved(&before, &cell), 0);
+    assert!(matches!(&applied.changes[..], [ViewChange::PutProxy(..)]));
+    assert!(cell.apply(Command::RegisterProxies(vec![again])).changes.is_empty());
+}
+
+#[test]
+fn a_stopping_proxy_stays_so_for_its_life() {
+    let mut cell = cell(2, 4);
+    let state = |cell: &Cell| cell.state.proxy(&name("p1")).expect("stored").state;
+    cell.apply(Command::ProxiesDraining(vec![life("p1", 9)]));
+    assert_eq!(state(&cell), ProxyState::Live, "another life was meant");
+    cell.apply(Command::ProxiesDraining(vec![life("p1", 1)]));
+    assert_eq!(highest_load(&cell), 4);
+    cell.apply(Command::RegisterProxies(vec![registration("p1", 1, ZONES[1])]));
+    assert_eq!(state(&cell), ProxyState::Draining);
+    cell.apply(Command::RegisterProxies(vec![registration("p1", 2, ZONES[1])]));
+    assert_eq!(state(&cell), ProxyState::Live);
+}
+
+#[test]
+fn groups_wait_for_a_first_proxy_and_old_ones_are_forgotten() {
+    let mut cell = Cell::new();
+    put_groups(&mut cell, 3);
+    assert!(owners(&cell).values().all(Option::is_none));
+    cell.apply(Command::RegisterProxies(fleet(300)));
+    assert!(owners(&cell).values().all(Option::is_some));
+    let all = (0..300).map(|number| life(&format!("p{number}"), 1));
+    for down in all {
+        cell.apply(Command::ProxiesDown(vec![down]));
+    }
+    assert!(owners(&cell).values().all(Option::is_none));
+    assert_eq!(cell.state.proxies().count(), 256);
+    assert!(cell.state.proxy(&name("p0")).is_none(), "the first down is forgotten first");
+}
--- a/crates/core/tests/state.rs
+++ b/crates/core/tests/state.rs
@@ -6,9 +6,7 @@
 use corktack_core::resources::{
     BindingSpec, CallerMatch, Kind, ResourceKey, ResourceSpec, ResourceVersion,
 };
-use corktack_core::state::command::{
-    ChangeId, Command, FailoverStep, Outcome, Refusal, ResourceOperation,
-};
+use corktack_core::state::command::{Command, FailoverStep, Outcome, Refusal};
 use corktack_core::state::{ControlState, RESEND_MEMORY_LIMIT};
 use corktack_core::view::{Revision, View};
 use rstest::rstest;
@@ -262,8 +260,3 @@
     let unknown = cell.apply(leaving("nobody", true)).outcome;
     assert_eq!(unknown, Outcome::Batch { refused: vec![(0, Refusal::NotFound)] });
 }
-
-fn delete_command(id: &str, group: &str, expected: Option<ResourceVersion>) -> Command {
-    let operation = ResourceOperation::Delete { key: group_key(group), expected };
-    Command::Resource { change: ChangeId(id.to_owned()), operation }
-}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -89,6 +89,11 @@
     bincode::serde::decode_from_slice(bytes, bincode::config::standard()).expect("decodable").0
 }
 
+pub fn delete_command(id: &str, group: &str, expected: Option<ResourceVersion>) -> Command {
+    let operation = ResourceOperation::Delete { key: group_key(group), expected };
+    Command::Resource { change: ChangeId(id.to_owned()), operation }
+}
+
 /// A control state with the revision of its next entry.
 #[derive(Clone, Default)]
 pub struct Cell {
