--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,7 +8,9 @@
 
 pub mod backend;
 pub mod consensus;
+pub mod failover;
 pub mod identity;
+pub mod membership;
 pub mod ownership;
 pub mod position;
 pub mod resources;
