--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,10 +8,13 @@
 
 pub mod backend;
 pub mod consensus;
+pub mod failover;
 pub mod identity;
+pub mod membership;
 pub mod ownership;
 pub mod position;
 pub mod resources;
 pub mod state;
 pub mod time;
 pub mod view;
+pub mod watch;
