--- /dev/null
+++ b/crates/control/src/cell/inbound.rs
@@ -0,0 +1,99 @@
+//! Incoming connections of other replicas.
+
+use super::PeerMessage;
+use crate::node::{NodeHandle, NodeInput};
+use crate::stop::StopSignal;
+use corktack_core::identity::ReplicaId;
+use corktack_protocol::cell::CellName;
+use corktack_protocol::frame::FrameCodec;
+use futures_util::StreamExt;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+use tokio_util::codec::FramedRead;
+
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after a failed accept (out of file descriptors, most likely).
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// What incoming connections are checked against.
+#[derive(Clone)]
+pub(crate) struct InboundSettings {
+    pub(crate) cell: CellName,
+    pub(crate) replica: ReplicaId,
+}
+
+/// Accepts replicas until the stop.
+pub(crate) async fn accept_replicas(
+    listener: TcpListener,
+    settings: InboundSettings,
+    node: NodeHandle,
+    stop: StopSignal,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.stopped() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let serving = serve_replica(stream, settings.clone(), node.clone());
+                actix_rt::spawn(until_stopped(serving, stop.clone()));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn until_stopped(serving: impl Future<Output = ()>, stop: StopSignal) {
+    tokio::select! {
+        () = serving => (),
+        () = stop.stopped() => (),
+    }
+}
+
+type Connection = FramedRead<TcpStream, FrameCodec<PeerMessage, PeerMessage>>;
+
+async fn serve_replica(stream: TcpStream, settings: InboundSettings, node: NodeHandle) {
+    // The option only saves latency: a connection without it still works.
+    drop(stream.set_nodelay(true));
+    let mut connection = FramedRead::new(stream, FrameCodec::default());
+    let Some(from) = receive_hello(&mut connection, &settings).await else { return };
+    loop {
+        match connection.next().await {
+            Some(Ok(message)) => {
+                if node.send(NodeInput::Cell { from, message }).is_err() {
+                    return;
+                }
+            }
+            Some(Err(error)) => {
+                log::warn!(replica = from.0, error:% = error; "connection of a replica failed");
+                return;
+            }
+            None => return,
+        }
+    }
+}
+
+/// The sender, when it belongs to this cell.
+async fn receive_hello(
+    connection: &mut Connection,
+    settings: &InboundSettings,
+) -> Option<ReplicaId> {
+    let message = timeout(HELLO_TIMEOUT, connection.next()).await.ok()??;
+    match message {
+        Ok(PeerMessage::Hello { cell, replica, .. })
+            if cell == settings.cell && replica != settings.replica =>
+        {
+            Some(replica)
+        }
+        Ok(_) => {
+            log::warn!(cell = settings.cell.0.as_str(); "connection of another cell refused");
+            None
+        }
+        Err(error) => {
+            log::warn!(error:% = error; "connection without a valid first message refused");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/cell/mod.rs
@@ -0,0 +1,13 @@
+//! Connections between the replicas of a cell.
+
+mod inbound;
+mod outbound;
+
+pub(crate) use inbound::{InboundSettings, accept_replicas};
+pub(crate) use outbound::{LinkSettings, Links};
+
+use corktack_core::consensus::Message;
+use corktack_protocol::cell::CellMessage;
+
+/// A message between replicas.
+pub(crate) type PeerMessage = CellMessage<Message>;
--- /dev/null
+++ b/crates/control/src/cell/outbound.rs
@@ -0,0 +1,171 @@
+//! Outgoing connections: one to each other replica, with a bounded queue.
+
+use super::PeerMessage;
+use crate::backoff::Backoff;
+use crate::metrics::Metrics;
+use actix_rt::ArbiterHandle;
+use corktack_core::consensus::{CellConfig, CellMember};
+use corktack_core::identity::{Incarnation, ReplicaId};
+use corktack_protocol::cell::CellName;
+use corktack_protocol::frame::{FrameCodec, FrameError};
+use futures_util::SinkExt;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::codec::FramedWrite;
+
+/// Messages that wait for one replica before further ones are dropped. The
+/// consensus core sends again what it gets no answer to, and so do callers of
+/// forwarded commands.
+const QUEUE_MESSAGES: usize = 256;
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+const SEND_TIMEOUT: Duration = Duration::from_secs(5);
+const BACKOFF_FIRST: Duration = Duration::from_millis(20);
+const BACKOFF_LAST: Duration = Duration::from_secs(1);
+
+/// Who this replica says it is on its connections.
+#[derive(Clone, Debug)]
+pub(crate) struct LinkSettings {
+    pub(crate) cell: CellName,
+    pub(crate) replica: ReplicaId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) seed: u64,
+}
+
+struct Link {
+    address: SocketAddr,
+    queue: mpsc::Sender<PeerMessage>,
+}
+
+/// The outgoing connections of a replica.
+pub(crate) struct Links {
+    settings: LinkSettings,
+    arbiter: ArbiterHandle,
+    metrics: Metrics,
+    links: HashMap<ReplicaId, Link>,
+}
+
+impl Links {
+    pub(crate) fn new(settings: LinkSettings, arbiter: ArbiterHandle, metrics: Metrics) -> Self {
+        Self { settings, arbiter, metrics, links: HashMap::new() }
+    }
+
+    /// Follows a change of the cell. Replicas that left keep no connection.
+    pub(crate) fn follow(&mut self, cell: &CellConfig) {
+        let members: Vec<CellMember> = cell.voters.iter().chain(&cell.learners).cloned().collect();
+        self.links.retain(|id, link| {
+            members.iter().any(|member| member.id == *id && member.address == link.address)
+        });
+        self.connect(&members);
+    }
+
+    /// Opens a connection to each of `members` that has none.
+    pub(crate) fn connect(&mut self, members: &[CellMember]) {
+        for member in members {
+            if member.id != self.settings.replica && !self.links.contains_key(&member.id) {
+                let link = self.open(member);
+                self.links.insert(member.id, link);
+            }
+        }
+    }
+
+    /// Queues a message; says whether there was room.
+    pub(crate) fn send(&self, to: ReplicaId, message: PeerMessage) -> bool {
+        let Some(link) = self.links.get(&to) else { return false };
+        let queued = link.queue.try_send(message).is_ok();
+        if !queued {
+            self.metrics.cell_messages_dropped.inc();
+        }
+        queued
+    }
+
+    fn open(&self, member: &CellMember) -> Link {
+        let (queue, messages) = mpsc::channel(QUEUE_MESSAGES);
+        let address = member.address;
+        let backoff =
+            Backoff::new(BACKOFF_FIRST, BACKOFF_LAST, self.settings.seed.wrapping_add(member.id.0));
+        let hello = self.hello();
+        self.arbiter.spawn(run_link(address, hello, messages, backoff));
+        Link { address, queue }
+    }
+
+    fn hello(&self) -> PeerMessage {
+        PeerMessage::Hello {
+            cell: self.settings.cell.clone(),
+            replica: self.settings.replica,
+            incarnation: self.settings.incarnation,
+        }
+    }
+}
+
+/// Keeps one connection open until the queue is closed.
+async fn run_link(
+    address: SocketAddr,
+    hello: PeerMessage,
+    mut messages: mpsc::Receiver<PeerMessage>,
+    mut backoff: Backoff,
+) {
+    loop {
+        if let Some(connection) = connect(address, &hello).await {
+            backoff.reset();
+            if send_all(connection, &mut messages).await.is_ok() {
+                return;
+            }
+        }
+        if wait_disconnected(&mut messages, backoff.next()).await.is_err() {
+            return;
+        }
+    }
+}
+
+type Connection = FramedWrite<TcpStream, FrameCodec<PeerMessage, PeerMessage>>;
+
+async fn connect(address: SocketAddr, hello: &PeerMessage) -> Option<Connection> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let mut connection = FramedWrite::new(stream, FrameCodec::default());
+    timeout(SEND_TIMEOUT, connection.send(hello.clone())).await.ok()?.ok()?;
+    Some(connection)
+}
+
+/// Sends until the queue is closed (`Ok`) or the connection fails.
+async fn send_all(
+    mut connection: Connection,
+    messages: &mut mpsc::Receiver<PeerMessage>,
+) -> Result<(), FrameError> {
+    while let Some(message) = messages.recv().await {
+        connection.feed(message).await?;
+        while let Ok(message) = messages.try_recv() {
+            connection.feed(message).await?;
+        }
+        flush(&mut connection).await?;
+    }
+    Ok(())
+}
+
+async fn flush(connection: &mut Connection) -> Result<(), FrameError> {
+    match timeout(SEND_TIMEOUT, connection.flush()).await {
+        Ok(result) => result,
+        Err(_) => Err(FrameError::Io(std::io::ErrorKind::TimedOut.into())),
+    }
+}
+
+struct QueueClosed;
+
+/// Drops what is queued while there is no connection: it would arrive stale.
+async fn wait_disconnected(
+    messages: &mut mpsc::Receiver<PeerMessage>,
+    delay: Duration,
+) -> Result<(), QueueClosed> {
+    let drain = async {
+        while messages.recv().await.is_some() {}
+        QueueClosed
+    };
+    match timeout(delay, drain).await {
+        Ok(closed) => Err(closed),
+        Err(_) => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/control/src/clock.rs
@@ -0,0 +1,25 @@
+//! The monotonic clock that the core's timestamps are read from.
+
+use corktack_core::time::Timestamp;
+use std::time::Instant;
+
+/// A monotonic clock whose origin is its own start.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    #[must_use]
+    pub fn start() -> Self {
+        Self { origin: Instant::now() }
+    }
+
+    /// The time since the start.
+    #[must_use]
+    pub fn now(&self) -> Timestamp {
+        let micros = self.origin.elapsed().as_micros();
+        Timestamp(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/crates/control/src/http/body.rs
@@ -0,0 +1,77 @@
+//! Reads the body of a PUT.
+
+use super::answer::ErrorAnswer;
+use crate::api::{BODY_LIMIT, ErrorCode, PutBody};
+use actix_web::web;
+use bytes::Bytes;
+use corktack_core::resources::{API_VERSION, Kind, ResourceSpec, ResourceVersion};
+use serde::de::DeserializeOwned;
+use serde_json::error::Category;
+
+/// What a PUT asks for.
+#[derive(Debug)]
+pub(super) struct PutRequest {
+    pub(super) spec: ResourceSpec,
+    pub(super) expected: Option<ResourceVersion>,
+}
+
+/// Reads the bytes of a body, up to the limit.
+pub(super) async fn read_body(payload: web::Payload) -> Result<Bytes, ErrorAnswer> {
+    let Ok(read) = payload.to_bytes_limited(BODY_LIMIT).await else {
+        let message = format!("the body has more than {BODY_LIMIT} bytes");
+        return Err(ErrorAnswer::new(ErrorCode::TooLarge, message));
+    };
+    read.map_err(|error| ErrorAnswer::new(ErrorCode::BadRequest, error.to_string()))
+}
+
+/// Reads a body whose path names `kind` and `name`.
+pub(super) fn parse_put(kind: Kind, name: &str, body: &[u8]) -> Result<PutRequest, ErrorAnswer> {
+    let body: PutBody<serde_json::Value> =
+        serde_json::from_slice(body).map_err(|error| describe("", &error))?;
+    check_agreement(kind, name, &body)?;
+    let spec = match kind {
+        Kind::DatabaseGroup => ResourceSpec::DatabaseGroup(parse_spec(body.spec)?),
+        Kind::PriorityClass => ResourceSpec::PriorityClass(parse_spec(body.spec)?),
+        Kind::Binding => ResourceSpec::Binding(parse_spec(body.spec)?),
+    };
+    Ok(PutRequest { spec, expected: body.metadata.resource_version })
+}
+
+/// What the body says of itself must not contradict the path.
+fn check_agreement(
+    kind: Kind,
+    name: &str,
+    body: &PutBody<serde_json::Value>,
+) -> Result<(), ErrorAnswer> {
+    if body.api_version.as_deref().is_some_and(|version| version != API_VERSION) {
+        return Err(ErrorAnswer::invalid("apiVersion", format!("must be {API_VERSION}")));
+    }
+    if body.kind.is_some_and(|stated| stated != kind) {
+        return Err(ErrorAnswer::invalid("kind", "is not the one of the path"));
+    }
+    if body.metadata.name.as_deref().is_some_and(|stated| stated != name) {
+        return Err(ErrorAnswer::invalid("metadata.name", "is not the one of the path"));
+    }
+    Ok(())
+}
+
+fn parse_spec<Spec: DeserializeOwned>(spec: serde_json::Value) -> Result<Spec, ErrorAnswer> {
+    serde_json::from_value(spec).map_err(|error| describe("spec", &error))
+}
+
+/// Text that is not JSON is a bad request; JSON of another shape is an invalid field.
+pub(super) fn describe(parent: &str, error: &serde_json::Error) -> ErrorAnswer {
+    let reason = error.to_string();
+    if error.classify() != Category::Data {
+        return ErrorAnswer::new(ErrorCode::BadRequest, reason);
+    }
+    let path = [Some(parent).filter(|parent| !parent.is_empty()), quoted_field(&reason)];
+    let path: Vec<&str> = path.into_iter().flatten().collect();
+    ErrorAnswer::invalid(path.join("."), reason.clone())
+}
+
+/// The field that a message of serde names in backquotes.
+fn quoted_field(reason: &str) -> Option<&str> {
+    let names_field = reason.starts_with("unknown field") || reason.starts_with("missing field");
+    reason.split('`').nth(1).filter(|_| names_field)
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,27 @@
 //! The control replica: consensus shell, resource interface, watch and failover.
+//!
+//! One thread owns the replica, its log and its state (see the `node` module);
+//! arbiters serve the sockets round it and reach it through a channel.
+
+pub mod api;
+mod back_end;
+mod backoff;
+mod cell;
+mod clock;
+mod error;
+mod feed;
+mod http;
+mod leader;
+mod metrics;
+mod node;
+mod platform;
+mod proxies;
+mod render;
+mod replica;
+mod settings;
+mod stop;
+
+pub use error::{ControlError, RequestError};
+pub use node::NodeStatus;
+pub use replica::{ControlHandle, ControlReplica};
+pub use settings::{CellStart, ControlListeners, ControlSettings, PlatformSource};
--- /dev/null
+++ b/crates/control/src/metrics.rs
@@ -0,0 +1,117 @@
+//! Metrics of a control replica.
+
+use crate::node::NodeStatus;
+use corktack_core::consensus::Role;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+const FIRST_BUCKET_SECONDS: f64 = 0.000_1;
+const BUCKET_FACTOR: f64 = 2.0;
+const BUCKETS: u16 = 18;
+
+/// Phase of a failover.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct PhaseLabel {
+    pub(crate) phase: &'static str,
+}
+
+/// Metrics of a control replica; clones share their values.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    pub(crate) leader: Gauge,
+    pub(crate) term: Gauge,
+    pub(crate) commit_index: Gauge,
+    pub(crate) applied_index: Gauge,
+    pub(crate) proposals: Counter,
+    pub(crate) proposals_rejected: Counter,
+    pub(crate) syncs: Counter,
+    pub(crate) sync_seconds: Histogram,
+    pub(crate) snapshots: Counter,
+    pub(crate) cell_messages_dropped: Counter,
+    pub(crate) proxies_connected: Gauge,
+    pub(crate) proxy_bytes_sent: Counter,
+    pub(crate) proxy_snapshots: Counter,
+    pub(crate) failover_steps: Family<PhaseLabel, Counter>,
+    pub(crate) failover_seconds: Histogram,
+}
+
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, BUCKET_FACTOR, BUCKETS))
+}
+
+fn gauge_value(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        Self {
+            leader: Gauge::default(),
+            term: Gauge::default(),
+            commit_index: Gauge::default(),
+            applied_index: Gauge::default(),
+            proposals: Counter::default(),
+            proposals_rejected: Counter::default(),
+            syncs: Counter::default(),
+            sync_seconds: seconds(),
+            snapshots: Counter::default(),
+            cell_messages_dropped: Counter::default(),
+            proxies_connected: Gauge::default(),
+            proxy_bytes_sent: Counter::default(),
+            proxy_snapshots: Counter::default(),
+            failover_steps: Family::default(),
+            failover_seconds: seconds(),
+        }
+    }
+
+    /// Registers the metrics; they may be in several registries.
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        let registry = registry.sub_registry_with_prefix("corktack_control");
+        self.register_consensus(registry);
+        self.register_proxies(registry);
+        self.register_failover(registry);
+    }
+
+    /// Follows the replica's status.
+    pub(crate) fn note_status(&self, status: &NodeStatus) {
+        self.leader.set(i64::from(status.role == Role::Leader));
+        self.term.set(gauge_value(status.term.0));
+        self.commit_index.set(gauge_value(status.commit_index));
+        self.applied_index.set(gauge_value(status.applied_index));
+    }
+
+    fn register_consensus(&self, registry: &mut Registry) {
+        registry.register("leader", "1 while this replica leads", self.leader.clone());
+        registry.register("term", "Term of the control log", self.term.clone());
+        registry.register("commit_index", "Newest committed entry", self.commit_index.clone());
+        registry.register("applied_index", "Newest applied entry", self.applied_index.clone());
+        registry.register("proposals", "Commands proposed here", self.proposals.clone());
+        let rejected = self.proposals_rejected.clone();
+        registry.register("proposals_rejected", "Commands rejected here", rejected);
+        registry.register("syncs", "Syncs of the log", self.syncs.clone());
+        registry.register("sync_seconds", "Time of a write and sync", self.sync_seconds.clone());
+        registry.register("snapshots", "Snapshots made or installed", self.snapshots.clone());
+        let dropped = self.cell_messages_dropped.clone();
+        registry.register("cell_messages_dropped", "Messages dropped, queue full", dropped);
+    }
+
+    fn register_proxies(&self, registry: &mut Registry) {
+        let connected = self.proxies_connected.clone();
+        registry.register("proxies_connected", "Proxies that watch here", connected);
+        let bytes = self.proxy_bytes_sent.clone();
+        registry.register("proxy_sent_bytes", "Bytes sent to proxies", bytes);
+        let snapshots = self.proxy_snapshots.clone();
+        registry.register("proxy_snapshots", "Snapshots sent to proxies", snapshots);
+    }
+
+    fn register_failover(&self, registry: &mut Registry) {
+        let steps = self.failover_steps.clone();
+        registry.register("failover_steps", "Steps of changes of primary", steps);
+        let seconds = self.failover_seconds.clone();
+        registry.register("failover_seconds", "Time from decision to new primary", seconds);
+    }
+}
--- /dev/null
+++ b/crates/control/src/node/apply.rs
@@ -0,0 +1,157 @@
+//! Writes, applies and answers: what the core's actions do.
+
+use super::handle::ProposalAnswer;
+use super::pending::{ForwardedProposal, ProposalKind, ProposalOrigin};
+use super::thread::{NodeError, NodeThread};
+use crate::cell::PeerMessage;
+use crate::error::RequestError;
+use corktack_core::consensus::{Entry, Event, HardState, Payload, Rejection, RequestId, Snapshot};
+use corktack_core::state::ControlState;
+use corktack_core::state::command::Command;
+use corktack_core::view::Revision;
+use corktack_protocol::frame::{decode, encode};
+use corktack_storage::LogStore;
+use std::time::Instant;
+
+impl NodeThread {
+    pub(super) fn persist(
+        &mut self,
+        hard_state: Option<HardState>,
+        entries: &[Entry],
+    ) -> Result<(), NodeError> {
+        let begin = Instant::now();
+        self.parts.log.persist(hard_state, entries)?;
+        self.note_sync(begin);
+        Ok(())
+    }
+
+    fn note_sync(&self, begin: Instant) {
+        self.parts.metrics.syncs.inc();
+        self.parts.metrics.sync_seconds.observe(begin.elapsed().as_secs_f64());
+    }
+
+    pub(super) fn install_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), NodeError> {
+        let state: ControlState = decode(&snapshot.data)?;
+        let begin = Instant::now();
+        self.parts.log.install_snapshot(snapshot)?;
+        self.note_sync(begin);
+        self.parts.metrics.snapshots.inc();
+        self.parts.state = state;
+        self.parts.applied = snapshot.index;
+        self.snapshot_index = snapshot.index;
+        self.outcomes.clear();
+        self.parts.feed.reset(self.parts.state.view_revision());
+        self.answer_applied();
+        Ok(())
+    }
+
+    pub(super) fn apply(&mut self, entries: Vec<Entry>) -> Result<(), NodeError> {
+        for entry in entries {
+            if let Payload::Command(command) = &entry.payload {
+                self.apply_command(entry.index, decode(command)?);
+            }
+            self.parts.applied = entry.index;
+        }
+        self.answer_applied();
+        Ok(())
+    }
+
+    fn apply_command(&mut self, index: u64, command: Command) {
+        let revision = Revision(index);
+        let applied = self.parts.feed.apply(&mut self.parts.state, revision, command);
+        self.outcomes.insert(index, applied.outcome);
+    }
+
+    /// Answers what waited for the entries just applied.
+    fn answer_applied(&mut self) {
+        let applied = self.parts.applied;
+        for (index, proposal) in self.pending.take_applied(applied) {
+            self.answer_at(index, proposal);
+        }
+        let reads = self.pending.take_ready_reads(applied);
+        self.run_reads(reads);
+    }
+
+    /// Answers a committed proposal, once its entry is applied here: a read that
+    /// follows the answer on this replica then sees the change.
+    pub(super) fn answer_at(&mut self, index: u64, proposal: ForwardedProposal) {
+        if index > self.parts.applied {
+            self.pending.await_apply(index, proposal);
+            return;
+        }
+        let answer = self.outcome_of(index, proposal.kind);
+        // The asker may have given up; there is no one else to tell.
+        drop(proposal.reply.send(answer));
+    }
+
+    fn outcome_of(&self, index: u64, kind: ProposalKind) -> ProposalAnswer {
+        match (kind, self.outcomes.get(index)) {
+            (ProposalKind::Cell, _) => Ok(None),
+            (ProposalKind::Command, Some(outcome)) => Ok(Some(outcome.clone())),
+            (ProposalKind::Command, None) => Err(RequestError::OutcomeForgotten),
+        }
+    }
+
+    pub(super) fn answer_committed(&mut self, request: RequestId, index: u64) {
+        match self.pending.take_proposal(request) {
+            Some(ProposalOrigin::Local(kind, reply)) => {
+                self.answer_at(index, ForwardedProposal { kind, reply });
+            }
+            Some(ProposalOrigin::Peer(replica, request)) => {
+                let answer = PeerMessage::Forwarded { request, outcome: Ok(index) };
+                self.parts.links.send(replica, answer);
+            }
+            Some(ProposalOrigin::Duty(id)) => {
+                let outcome = self.outcomes.get(index).cloned();
+                self.parts.duties.take_outcome(self.parts.clock.now(), id, outcome);
+            }
+            None => (),
+        }
+    }
+
+    pub(super) fn answer_rejected(&mut self, request: RequestId, rejection: Rejection) {
+        if let Some(tasks) = self.pending.take_reads(request) {
+            Self::refuse_reads(tasks, rejection.into());
+            return;
+        }
+        self.parts.metrics.proposals_rejected.inc();
+        match self.pending.take_proposal(request) {
+            Some(ProposalOrigin::Local(_, reply)) => drop(reply.send(Err(rejection.into()))),
+            Some(ProposalOrigin::Peer(replica, request)) => {
+                let answer = PeerMessage::Forwarded { request, outcome: Err(rejection) };
+                self.parts.links.send(replica, answer);
+            }
+            Some(ProposalOrigin::Duty(id)) => {
+                self.parts.duties.take_outcome(self.parts.clock.now(), id, None);
+            }
+            None => (),
+        }
+    }
+
+    pub(super) fn answer_reads(&mut self, request: RequestId, index: u64) {
+        let Some(tasks) = self.pending.take_reads(request) else { return };
+        if index > self.parts.applied {
+            self.pending.await_reads(index, tasks);
+        } else {
+            self.run_reads(tasks);
+        }
+    }
+
+    /// Puts a snapshot in place of a long log.
+    pub(super) fn snapshot_if_due(&mut self) -> Result<(), NodeError> {
+        let index = self.parts.applied;
+        if index < self.snapshot_index + self.parts.snapshot_entries {
+            return Ok(());
+        }
+        let Some((term, cell)) = self.parts.replica.snapshot_header(index) else { return Ok(()) };
+        let data = encode(&self.parts.state)?;
+        let snapshot = Snapshot { index, term, cell, data };
+        let begin = Instant::now();
+        // Synced before the core may drop the entries that it covers.
+        self.parts.log.compact(&snapshot)?;
+        self.note_sync(begin);
+        self.parts.metrics.snapshots.inc();
+        self.snapshot_index = index;
+        self.step(vec![Event::Compact { snapshot }], Vec::new())
+    }
+}
--- /dev/null
+++ b/crates/control/src/node/status.rs
@@ -0,0 +1,38 @@
+//! What the rest of the process sees of the replica.
+
+use corktack_core::consensus::{CellConfig, Replica, Role};
+use corktack_core::identity::ReplicaId;
+use corktack_core::position::Term;
+
+/// What the rest of the process sees of the replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeStatus {
+    /// Whether the consensus thread runs.
+    pub running: bool,
+    /// The replica's role.
+    pub role: Role,
+    /// The current term.
+    pub term: Term,
+    /// The leader, where known.
+    pub leader: Option<ReplicaId>,
+    /// Newest entry known to be committed.
+    pub commit_index: u64,
+    /// Newest entry applied to the state.
+    pub applied_index: u64,
+    /// The cell in force.
+    pub cell: CellConfig,
+}
+
+impl NodeStatus {
+    pub(crate) fn of(replica: &Replica, applied_index: u64) -> Self {
+        Self {
+            running: true,
+            role: replica.role(),
+            term: replica.term(),
+            leader: replica.leader(),
+            commit_index: replica.commit_index(),
+            applied_index,
+            cell: replica.cell().clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/proxies/connection.rs
@@ -0,0 +1,193 @@
+//! One proxy's connection.
+
+use super::server::ProxyServer;
+use super::table::{ConnectionId, HeartbeatReport, ProxyIdentity};
+use crate::error::RequestError;
+use crate::feed::{FeedStep, encode_frame};
+use bytes::Bytes;
+use corktack_core::identity::ProxyName;
+use corktack_core::view::Revision;
+use corktack_core::watch::WatchCursor;
+use corktack_protocol::control::{ControlMessage, ProxyMessage};
+use corktack_protocol::frame::{FrameCodec, FrameError};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesOrdered;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::time::timeout;
+use tokio_util::codec::FramedRead;
+
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+/// A proxy that takes nothing for this long is cut off; it comes back for a snapshot.
+const SEND_TIMEOUT: Duration = Duration::from_secs(5);
+/// Heartbeats that may wait for their proof; more of them break the protocol.
+const WAITING_HEARTBEATS: usize = 64;
+
+/// Why a proxy's connection ended.
+#[derive(Debug, thiserror::Error)]
+enum ConnectionError {
+    #[error("the connection is closed")]
+    Closed,
+    #[error("nothing was heard in time")]
+    Silent,
+    #[error("the proxy does not take what it is sent")]
+    Slow,
+    #[error("the first message is not a hello, or a later one is")]
+    OutOfPlace,
+    #[error("the proxy has revision {0:?}, which this cell never had")]
+    UnknownRevision(Revision),
+    #[error("a newer connection of the same proxy has taken its place")]
+    Replaced,
+    #[error("too many heartbeats without waiting for answers")]
+    TooManyHeartbeats,
+    #[error("the replica cannot prove that it is current")]
+    NotCurrent(#[from] RequestError),
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+}
+
+type Reader = FramedRead<OwnedReadHalf, FrameCodec<ControlMessage, ProxyMessage>>;
+
+/// Serves a proxy until it goes, fails or the replica stops.
+pub(crate) async fn serve_proxy(stream: TcpStream, id: ConnectionId, server: ProxyServer) {
+    // The option only saves latency: a connection without it still works.
+    drop(stream.set_nodelay(true));
+    let (read_half, write_half) = stream.into_split();
+    let mut reader = FramedRead::new(read_half, FrameCodec::default());
+    let Ok((identity, revision)) = receive_hello(&mut reader).await else { return };
+    let proxy = identity.proxy.clone();
+    server.table.connect(id, identity, revision);
+    server.metrics.proxies_connected.inc();
+    let cursor = WatchCursor::new(revision);
+    let mut connection = Connection { id, proxy, reader, write_half, cursor, server };
+    let ended = connection.run_until_stopped().await;
+    connection.server.table.disconnect(id, &connection.proxy);
+    connection.server.metrics.proxies_connected.dec();
+    if let Err(error) = ended {
+        log::debug!(proxy = connection.proxy.as_str(), error:% = error; "proxy disconnected");
+    }
+}
+
+async fn receive_hello(reader: &mut Reader) -> Result<(ProxyIdentity, Revision), ConnectionError> {
+    let message = timeout(HELLO_TIMEOUT, reader.next()).await;
+    match message.map_err(|_| ConnectionError::Silent)? {
+        Some(Ok(ProxyMessage::Hello { proxy, incarnation, address, zone, revision })) => {
+            Ok((ProxyIdentity { proxy, incarnation, address, zone }, revision))
+        }
+        Some(Ok(_)) => Err(ConnectionError::OutOfPlace),
+        Some(Err(error)) => Err(error.into()),
+        None => Err(ConnectionError::Closed),
+    }
+}
+
+struct Connection {
+    id: ConnectionId,
+    proxy: ProxyName,
+    reader: Reader,
+    write_half: OwnedWriteHalf,
+    cursor: WatchCursor,
+    server: ProxyServer,
+}
+
+impl Connection {
+    async fn run_until_stopped(&mut self) -> Result<(), ConnectionError> {
+        let stop = self.server.stop.clone();
+        tokio::select! {
+            ended = self.run() => ended,
+            () = stop.stopped() => Ok(()),
+        }
+    }
+
+    async fn run(&mut self) -> Result<(), ConnectionError> {
+        let mut feed = self.server.feed.subscribe();
+        self.prove_and_catch_up().await?;
+        let mut acknowledgements = FuturesOrdered::new();
+        loop {
+            tokio::select! {
+                message = timeout(self.server.heartbeat_timeout, self.reader.next()) => {
+                    let message = message.map_err(|_| ConnectionError::Silent)?;
+                    let sequence = self.note_heartbeat(message)?;
+                    if acknowledgements.len() >= WAITING_HEARTBEATS {
+                        return Err(ConnectionError::TooManyHeartbeats);
+                    }
+                    let proof = self.server.proofs.request();
+                    acknowledgements.push_back(async move {
+                        ControlMessage::HeartbeatAck {
+                            sequence,
+                            current: proof.await.unwrap_or(false),
+                        }
+                    });
+                }
+                Some(acknowledgement) = acknowledgements.next() => {
+                    // A proof covers what was committed before it: deltas go first, so
+                    // that a proxy told "current" has been sent everything it needs.
+                    self.send_deltas().await?;
+                    self.send(&encode_frame(acknowledgement)?).await?;
+                }
+                changed = feed.changed() => {
+                    changed.map_err(|_| ConnectionError::Closed)?;
+                    self.send_deltas().await?;
+                }
+            }
+        }
+    }
+
+    /// Nothing is sent before the proof: a replica that was cut off must not hand
+    /// an old configuration to a proxy that has none.
+    async fn prove_and_catch_up(&mut self) -> Result<(), ConnectionError> {
+        let from = self.cursor.sent();
+        let newest = self.server.node.read(|reader| reader.feed.newest()).await?;
+        if from > newest {
+            return Err(ConnectionError::UnknownRevision(from));
+        }
+        self.send_deltas().await
+    }
+
+    fn note_heartbeat(
+        &self,
+        message: Option<Result<ProxyMessage, FrameError>>,
+    ) -> Result<u64, ConnectionError> {
+        let Some(message) = message else { return Err(ConnectionError::Closed) };
+        let ProxyMessage::Heartbeat { sequence, revision, draining, observations } = message?
+        else {
+            return Err(ConnectionError::OutOfPlace);
+        };
+        let report = HeartbeatReport { revision, draining, observations };
+        match self.server.table.heartbeat(self.id, &self.proxy, report) {
+            true => Ok(sequence),
+            false => Err(ConnectionError::Replaced),
+        }
+    }
+
+    /// Sends what was applied since the last time, in order and without gaps.
+    async fn send_deltas(&mut self) -> Result<(), ConnectionError> {
+        loop {
+            match self.server.feed.advance(&mut self.cursor)? {
+                FeedStep::UpToDate => return Ok(()),
+                FeedStep::Frames(frames) => {
+                    for frame in frames {
+                        self.send(&frame).await?;
+                    }
+                }
+                FeedStep::Snapshot => self.send_snapshot().await?,
+            }
+        }
+    }
+
+    async fn send_snapshot(&mut self) -> Result<(), ConnectionError> {
+        let snapshot = self.server.node.read(|reader| reader.snapshot_frame()).await??;
+        self.send(&snapshot.frame).await?;
+        self.server.metrics.proxy_snapshots.inc();
+        self.cursor.snapshot_sent(snapshot.revision);
+        Ok(())
+    }
+
+    async fn send(&mut self, frame: &Bytes) -> Result<(), ConnectionError> {
+        let written = timeout(SEND_TIMEOUT, self.write_half.write_all(frame)).await;
+        written.map_err(|_| ConnectionError::Slow)?.map_err(FrameError::Io)?;
+        self.server.metrics.proxy_bytes_sent.inc_by(frame.len() as u64);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/control/src/proxies/table.rs
@@ -0,0 +1,187 @@
+//! The proxies connected to this replica, and their summary for the leader.
+
+use crate::node::{NodeHandle, NodeInput};
+use crate::stop::StopSignal;
+use corktack_core::identity::{GroupName, Incarnation, MemberName, ProxyName, ZoneName};
+use corktack_core::view::Revision;
+use corktack_protocol::cell::ProxyReport;
+use corktack_protocol::control::{MemberHealth, Observation};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::{BuildHasher, RandomState};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::{MissedTickBehavior, interval};
+
+const SHARDS: usize = 16;
+/// Summaries between two that carry every observation, not only the changes: a
+/// new leader, or one that missed a summary, then knows all of them again.
+const FULL_SUMMARY_EVERY: u64 = 5;
+
+/// Number of one connection, to tell a proxy's connections apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ConnectionId(pub(crate) u64);
+
+/// Who a proxy says it is.
+#[derive(Clone, Debug)]
+pub(crate) struct ProxyIdentity {
+    pub(crate) proxy: ProxyName,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) address: SocketAddr,
+    pub(crate) zone: ZoneName,
+}
+
+/// A proxy's heartbeat.
+#[derive(Clone, Debug)]
+pub(crate) struct HeartbeatReport {
+    pub(crate) revision: Revision,
+    pub(crate) draining: bool,
+    pub(crate) observations: Vec<Observation>,
+}
+
+type MemberKey = (GroupName, MemberName);
+
+struct ConnectedProxy {
+    connection: ConnectionId,
+    identity: ProxyIdentity,
+    revision: Revision,
+    draining: bool,
+    heard: bool,
+    health: BTreeMap<MemberKey, MemberHealth>,
+    changed: BTreeSet<MemberKey>,
+}
+
+type Shard = HashMap<ProxyName, ConnectedProxy>;
+
+/// The proxies connected to this replica, in shards each under its own lock.
+#[derive(Clone)]
+pub(crate) struct ProxyTable {
+    shards: Arc<[Mutex<Shard>; SHARDS]>,
+    hasher: RandomState,
+}
+
+impl ProxyTable {
+    pub(crate) fn new() -> Self {
+        let shards = std::array::from_fn(|_| Mutex::default());
+        Self { shards: Arc::new(shards), hasher: RandomState::new() }
+    }
+
+    fn shard(&self, proxy: &ProxyName) -> MutexGuard<'_, Shard> {
+        let number = self.hasher.hash_one(proxy) as usize % SHARDS;
+        lock(&self.shards[number])
+    }
+
+    /// Enters a proxy; its newest connection replaces an older one.
+    pub(crate) fn connect(
+        &self,
+        connection: ConnectionId,
+        identity: ProxyIdentity,
+        revision: Revision,
+    ) {
+        let proxy = ConnectedProxy {
+            connection,
+            revision,
+            draining: false,
+            heard: true,
+            health: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            identity,
+        };
+        self.shard(&proxy.identity.proxy.clone()).insert(proxy.identity.proxy.clone(), proxy);
+    }
+
+    /// Removes a proxy, unless a newer connection has replaced this one.
+    pub(crate) fn disconnect(&self, connection: ConnectionId, proxy: &ProxyName) {
+        let mut shard = self.shard(proxy);
+        if shard.get(proxy).is_some_and(|entry| entry.connection == connection) {
+            shard.remove(proxy);
+        }
+    }
+
+    /// Notes a heartbeat. Says whether the connection is still the proxy's newest.
+    pub(crate) fn heartbeat(
+        &self,
+        connection: ConnectionId,
+        proxy: &ProxyName,
+        report: HeartbeatReport,
+    ) -> bool {
+        let mut shard = self.shard(proxy);
+        match shard.get_mut(proxy) {
+            Some(entry) if entry.connection == connection => entry.note(report),
+            _ => return false,
+        }
+        true
+    }
+
+    /// What was heard since the last summary; with every observation when `full`.
+    fn summary(&self, full: bool) -> Vec<ProxyReport> {
+        let mut reports = Vec::new();
+        for shard in self.shards.iter() {
+            let mut shard = lock(shard);
+            reports.extend(shard.values_mut().filter_map(|proxy| proxy.report(full)));
+        }
+        reports
+    }
+}
+
+fn lock(shard: &Mutex<Shard>) -> MutexGuard<'_, Shard> {
+    // A panic while the lock was held leaves a map that is still whole.
+    shard.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl ConnectedProxy {
+    fn note(&mut self, report: HeartbeatReport) {
+        self.heard = true;
+        self.revision = self.revision.max(report.revision);
+        self.draining |= report.draining;
+        for observation in report.observations {
+            let key = (observation.group, observation.member);
+            self.changed.insert(key.clone());
+            self.health.insert(key, observation.health);
+        }
+    }
+
+    fn report(&mut self, full: bool) -> Option<ProxyReport> {
+        if !std::mem::take(&mut self.heard) {
+            return None;
+        }
+        let changed = std::mem::take(&mut self.changed);
+        let wanted = |key: &MemberKey| full || changed.contains(key);
+        let observed = self.health.iter().filter(|(key, _)| wanted(key));
+        let observations = observed.map(|(key, health)| observation(key, *health)).collect();
+        Some(ProxyReport {
+            proxy: self.identity.proxy.clone(),
+            incarnation: self.identity.incarnation,
+            address: self.identity.address,
+            zone: self.identity.zone.clone(),
+            revision: self.revision,
+            draining: self.draining,
+            observations,
+        })
+    }
+}
+
+fn observation((group, member): &MemberKey, health: MemberHealth) -> Observation {
+    Observation { group: group.clone(), member: member.clone(), health }
+}
+
+/// Sends a summary to the leader every interval until the stop.
+pub(crate) async fn send_summaries(
+    table: ProxyTable,
+    spacing: Duration,
+    node: NodeHandle,
+    stop: StopSignal,
+) {
+    let mut ticks = interval(spacing);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    for number in 0_u64.. {
+        tokio::select! {
+            _ = ticks.tick() => (),
+            () = stop.stopped() => return,
+        }
+        let reports = table.summary(number % FULL_SUMMARY_EVERY == 0);
+        if !reports.is_empty() && node.send(NodeInput::Reports(reports)).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/settings.rs
@@ -0,0 +1,122 @@
+//! Settings of a control replica.
+
+use corktack_core::consensus::{CellConfig, CellMember};
+use corktack_core::identity::{Incarnation, ReplicaId};
+use corktack_protocol::cell::CellName;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::time::Duration;
+
+const DEFAULT_ELECTION_TIMEOUT: Duration = Duration::from_millis(300);
+const DEFAULT_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
+const DEFAULT_PROXY_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+const DEFAULT_PROXY_HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(3);
+const DEFAULT_SNAPSHOT_ENTRIES: u64 = 4_096;
+const DEFAULT_WATCH_CHANGES: usize = 8_192;
+const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+const DEFAULT_BACK_END_TIMEOUT: Duration = Duration::from_secs(1);
+const DEFAULT_PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+const DEFAULT_WORKERS: usize = 2;
+
+/// How a replica with an empty data folder finds its cell. A replica that finds
+/// its log on disk goes by the log; the addresses are then only a first hint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CellStart {
+    /// The replica is one of the first voters of a new cell.
+    Bootstrap(CellConfig),
+    /// The replica waits to be added as a learner by these members.
+    Join(Vec<CellMember>),
+}
+
+/// The platform's list of live and leaving machines: `{"live":[ADDRESS],"leaving":[ADDRESS]}`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlatformSource {
+    /// Where the list is served over HTTP.
+    pub address: SocketAddr,
+    /// Path of the list, with its leading slash.
+    pub path: String,
+    /// Time between two polls.
+    pub interval: Duration,
+}
+
+/// Settings of a control replica.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// Name of the cell; connections of other cells are refused.
+    pub cell: CellName,
+    /// This replica. One that lost its disk must come back under a new identity.
+    pub replica: ReplicaId,
+    /// Number of this life of the process.
+    pub incarnation: Incarnation,
+    /// How an empty replica finds its cell.
+    pub start: CellStart,
+    /// Folder of the log and the snapshots; nothing else may write there.
+    pub data_folder: PathBuf,
+    /// Shortest time without a leader before an election.
+    pub election_timeout: Duration,
+    /// Time between heartbeats of the leader.
+    pub heartbeat_interval: Duration,
+    /// Time between heartbeats of a proxy, and between summaries of them to the leader.
+    pub proxy_heartbeat_interval: Duration,
+    /// Silence after which a proxy counts as down.
+    pub proxy_heartbeat_timeout: Duration,
+    /// When and how a primary is replaced.
+    pub failover: corktack_core::failover::FailoverSettings,
+    /// Longest wait for a fence or a promotion, its connection included.
+    pub back_end_timeout: Duration,
+    /// Longest wait for a probe, its connection included.
+    pub probe_timeout: Duration,
+    /// Log entries after which a snapshot is made.
+    pub snapshot_entries: u64,
+    /// Changes kept for watchers; one further behind gets a snapshot or lists again.
+    pub watch_changes: usize,
+    /// Longest time a request waits for its outcome before it is answered 503.
+    pub request_timeout: Duration,
+    /// The platform's list, where there is one.
+    pub platform: Option<PlatformSource>,
+    /// Bearer token that operators present. Without one only loopback is served.
+    pub operator_token: Option<String>,
+    /// Threads of the resource interface, and arbiters of the proxies' watch.
+    pub workers: usize,
+    /// Seed of the jitter of elections and reconnections.
+    pub seed: u64,
+}
+
+impl ControlSettings {
+    /// Settings with the defaults for everything that is not given.
+    #[must_use]
+    pub fn new(cell: CellName, replica: ReplicaId, start: CellStart, data_folder: PathBuf) -> Self {
+        Self {
+            cell,
+            replica,
+            incarnation: Incarnation(0),
+            start,
+            data_folder,
+            election_timeout: DEFAULT_ELECTION_TIMEOUT,
+            heartbeat_interval: DEFAULT_HEARTBEAT_INTERVAL,
+            proxy_heartbeat_interval: DEFAULT_PROXY_HEARTBEAT_INTERVAL,
+            proxy_heartbeat_timeout: DEFAULT_PROXY_HEARTBEAT_TIMEOUT,
+            failover: corktack_core::failover::FailoverSettings::default(),
+            back_end_timeout: DEFAULT_BACK_END_TIMEOUT,
+            probe_timeout: DEFAULT_PROBE_TIMEOUT,
+            snapshot_entries: DEFAULT_SNAPSHOT_ENTRIES,
+            watch_changes: DEFAULT_WATCH_CHANGES,
+            request_timeout: DEFAULT_REQUEST_TIMEOUT,
+            platform: None,
+            operator_token: None,
+            workers: DEFAULT_WORKERS,
+            seed: replica.0,
+        }
+    }
+}
+
+/// Bound listeners of a control replica.
+#[derive(Debug)]
+pub struct ControlListeners {
+    /// For other control replicas.
+    pub cell: TcpListener,
+    /// For proxies.
+    pub proxies: TcpListener,
+    /// For operators, over HTTP.
+    pub operators: TcpListener,
+}
--- /dev/null
+++ b/crates/control/tests/cell.rs
@@ -0,0 +1,137 @@
+//! Restarts, cuts and changes of the cell.
+
+mod support;
+
+use awc::http::{Method, StatusCode};
+use corktack_control::api::{AnyManifest, ErrorCode, ResourceList};
+use corktack_core::consensus::Role;
+use rstest::rstest;
+use serde_json::json;
+use std::time::Duration;
+use support::operator::class;
+use support::{Cell, until};
+
+#[rstest]
+#[case::from_the_log(4_096)]
+#[case::from_a_snapshot(8)]
+#[actix_rt::test]
+async fn everything_accepted_survives_a_restart_of_all(#[case] snapshot_entries: u64) {
+    let adjust = |settings: &mut corktack_control::ControlSettings| {
+        settings.snapshot_entries = snapshot_entries;
+    };
+    let mut cell = Cell::start_with(3, adjust);
+    let leader = cell.leader().await;
+    let operator = cell.replicas[leader].operator();
+    for priority in 1..=30 {
+        operator.put_class("gold", priority, None).await.accepted();
+    }
+    let before: AnyManifest = operator.get("/v1/classes/gold").await.read();
+    for replica in &mut cell.replicas {
+        replica.stop().await;
+    }
+    for replica in &mut cell.replicas {
+        replica.restart(&adjust).await;
+    }
+    cell.leader().await;
+    for replica in &cell.replicas {
+        let after: AnyManifest = replica.operator().get("/v1/classes/gold").await.read();
+        assert_eq!(after, before);
+    }
+}
+
+#[actix_rt::test]
+async fn a_replica_that_is_cut_off_answers_nothing_old() {
+    let adjust = |settings: &mut corktack_control::ControlSettings| {
+        settings.request_timeout = Duration::from_millis(500);
+    };
+    let mut cell = Cell::start_with(3, adjust);
+    let leader = cell.leader().await;
+    let operator = cell.replicas[leader].operator();
+    until("a change", async || {
+        let answer = operator.put_class("gold", 1, None).await;
+        (answer.status == StatusCode::OK).then_some(())
+    })
+    .await;
+    for place in (0..3).filter(|place| *place != leader) {
+        cell.replicas[place].stop().await;
+    }
+    let read = operator.get("/v1/classes/gold").await;
+    assert!(read.retry_after);
+    assert_eq!(read.refused(StatusCode::SERVICE_UNAVAILABLE).code, ErrorCode::Unavailable);
+    assert_eq!(operator.get("/ready").await.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(operator.get("/live").await.status, StatusCode::OK);
+    assert!(!operator.status().await.current);
+    let body = class(2, None);
+    let path = "/v1/classes/gold";
+    let lost = operator.send(Method::PUT, path, Some("change-2"), Some(&body)).await;
+    let lost = lost.refused(StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(lost.change_id.as_deref(), Some("change-2"));
+    // The others come back: the resend is accepted once, whatever became of the first.
+    for place in (0..3).filter(|place| *place != leader) {
+        cell.replicas[place].restart(&adjust).await;
+    }
+    until("the resend is accepted", async || {
+        let answer = operator.send(Method::PUT, path, Some("change-2"), Some(&body)).await;
+        (answer.status == StatusCode::OK).then_some(())
+    })
+    .await;
+    let stored: AnyManifest = operator.get(path).await.read();
+    assert_eq!(stored.metadata().generation, Some(2));
+}
+
+#[actix_rt::test]
+async fn a_planned_stop_hands_leadership_over() {
+    let mut cell = Cell::start(3);
+    let leader = cell.leader().await;
+    let term = cell.replicas[leader].running().status().term;
+    cell.replicas[leader].stop().await;
+    let next = cell.leader().await;
+    assert_ne!(next, leader);
+    // A transfer raises the term once; an election after a timeout may need several.
+    assert_eq!(cell.replicas[next].running().status().term.0, term.0 + 1);
+}
+
+#[actix_rt::test]
+async fn a_lost_disk_is_replaced_by_a_learner_under_a_new_id() {
+    let adjust = |settings: &mut corktack_control::ControlSettings| {
+        settings.snapshot_entries = 8;
+    };
+    let mut cell = Cell::start_with(3, adjust);
+    let leader = cell.leader().await;
+    let operator = cell.replicas[leader].operator();
+    for priority in 1..=20 {
+        operator.put_class("gold", priority, None).await.accepted();
+    }
+    let lost = (0..3).find(|place| *place != leader).expect("a follower");
+    let lost_id = cell.replicas[lost].id;
+    cell.replicas[lost].stop().await;
+    cell.join(4, adjust);
+    let address = cell.replicas[3].cell;
+    let changes = [
+        json!({"operation": "addLearner", "id": 4, "address": address}),
+        json!({"operation": "promote", "id": 4}),
+        json!({"operation": "remove", "id": lost_id}),
+    ];
+    for change in &changes {
+        until("the cell changes", async || {
+            let answer = operator.send(Method::POST, "/v1/cell", None, Some(change)).await;
+            let known = [StatusCode::NO_CONTENT, StatusCode::CONFLICT];
+            assert!(known.contains(&answer.status), "{:?}", answer.body);
+            (answer.status == StatusCode::NO_CONTENT).then_some(())
+        })
+        .await;
+    }
+    // The second machine lost right after the repair: the newcomer carries the majority.
+    let third = (0..3).find(|place| *place != leader && *place != lost).expect("a third");
+    cell.replicas[third].stop().await;
+    let newcomer = &cell.replicas[3];
+    until("the newcomer follows", async || (newcomer.role() == Some(Role::Follower)).then_some(()))
+        .await;
+    let list: ResourceList = until("the newcomer answers", async || {
+        let answer = newcomer.operator().get("/v1/classes").await;
+        (answer.status == StatusCode::OK).then(|| answer.read())
+    })
+    .await;
+    assert_eq!(list.items.len(), 1);
+    newcomer.operator().put_class("gold", 21, None).await.accepted();
+}
--- /dev/null
+++ b/crates/control/tests/proxies.rs
@@ -0,0 +1,107 @@
+//! The proxies' watch.
+
+mod support;
+
+use corktack_core::identity::ClassName;
+use corktack_core::view::{ProxyState, View};
+use support::proxy::Proxy;
+use support::{Cell, until};
+
+/// Changes that a proxy sleeps through; more than the cell below keeps.
+const CHANGES: u32 = 500;
+
+#[actix_rt::test]
+async fn a_proxy_gets_every_change_in_order() {
+    let cell = Cell::start(3);
+    cell.leader().await;
+    let follower = &cell.replicas[cell.follower().await];
+    let operator = follower.operator();
+    let mut proxy = Proxy::connect(follower.proxies, "p-1", View::default()).await;
+    let mut newest = Default::default();
+    for priority in 1..=20 {
+        newest = operator.put_class("gold", priority, None).await.accepted().revision;
+    }
+    proxy.reach(newest).await;
+    let gold = ClassName::new("gold").expect("a valid name");
+    assert_eq!(proxy.view.classes[&gold].priority, 20);
+    assert!(proxy.snapshots + proxy.deltas >= 1);
+    let current = until("a proof", async || proxy.confirm().await).await;
+    assert!(current);
+}
+
+#[actix_rt::test]
+async fn a_proxy_that_slept_through_many_changes_gets_a_snapshot() {
+    let cell = Cell::start_with(1, |settings| settings.watch_changes = 100);
+    cell.leader().await;
+    let replica = &cell.replicas[0];
+    let operator = replica.operator();
+    let mut proxy = Proxy::connect(replica.proxies, "p-1", View::default()).await;
+    let first = operator.put_class("gold", 0, None).await.accepted().revision;
+    proxy.reach(first).await;
+    let View { revision, .. } = proxy.view;
+    let asleep = std::mem::take(&mut proxy.view);
+    drop(proxy);
+    let mut newest = revision;
+    for priority in 1..=CHANGES {
+        newest = operator.put_class("gold", priority, None).await.accepted().revision;
+    }
+    let mut proxy = Proxy::connect(replica.proxies, "p-1", asleep).await;
+    proxy.reach(newest).await;
+    assert_eq!(proxy.snapshots, 1);
+    let gold = ClassName::new("gold").expect("a valid name");
+    assert_eq!(proxy.view.classes[&gold].priority, CHANGES);
+}
+
+#[actix_rt::test]
+async fn a_replica_that_is_cut_off_serves_no_proxy() {
+    let mut cell = Cell::start(3);
+    let leader = cell.leader().await;
+    let place = cell.follower().await;
+    let operator = cell.replicas[place].operator();
+    operator.put_class("gold", 1, None).await.accepted();
+    let address = cell.replicas[place].proxies;
+    let mut proxy = Proxy::connect(address, "p-1", View::default()).await;
+    assert_eq!(proxy.confirm().await, Some(true));
+    let other = (0..3).find(|it| *it != leader && *it != place).expect("a third replica");
+    cell.replicas[other].stop().await;
+    cell.replicas[leader].stop().await;
+    let proof = until("a proof fails", async || {
+        let proof = proxy.confirm().await;
+        (proof != Some(true)).then_some(proof)
+    })
+    .await;
+    assert_eq!(proof, Some(false));
+    // The replica still holds a configuration, and must not hand it to a newcomer.
+    let mut newcomer = Proxy::connect(address, "p-2", View::default()).await;
+    assert_eq!(newcomer.step().await, None);
+}
+
+#[actix_rt::test]
+async fn silent_proxies_are_down_and_stopping_ones_are_draining() {
+    let cell = Cell::start_with(3, |settings| {
+        settings.proxy_heartbeat_timeout = std::time::Duration::from_millis(400);
+    });
+    cell.leader().await;
+    let replica = &cell.replicas[cell.follower().await];
+    let operator = replica.operator();
+    let mut stopping = Proxy::connect(replica.proxies, "p-stopping", View::default()).await;
+    let mut silent = Proxy::connect(replica.proxies, "p-silent", View::default()).await;
+    let state = async |name: &str| {
+        let status = operator.status().await;
+        status.proxies.iter().find(|it| it.name.as_str() == name).map(|it| it.state)
+    };
+    until("both are live", async || {
+        stopping.confirm().await;
+        silent.confirm().await;
+        let live = state("p-stopping").await == Some(ProxyState::Live);
+        (live && state("p-silent").await == Some(ProxyState::Live)).then_some(())
+    })
+    .await;
+    drop(silent);
+    until("one is draining, one is down", async || {
+        stopping.heartbeat(true, Vec::new()).await;
+        let draining = state("p-stopping").await == Some(ProxyState::Draining);
+        (draining && state("p-silent").await == Some(ProxyState::Down)).then_some(())
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/control/tests/support/mod.rs
@@ -0,0 +1,167 @@
+//! Cells of replicas in one process, an operator and a proxy.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+pub mod operator;
+pub mod proxy;
+
+use corktack_control::{
+    CellStart, ControlHandle, ControlListeners, ControlReplica, ControlSettings,
+};
+use corktack_core::consensus::{CellConfig, CellMember, Role};
+use corktack_core::identity::{Incarnation, ReplicaId};
+use corktack_protocol::cell::CellName;
+use operator::Operator;
+use prometheus_client::registry::Registry;
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+const BOUND: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(10);
+const LOOPBACK: &str = "127.0.0.1:0";
+
+/// Polls until `condition` gives a value; fails the test after a generous bound.
+pub async fn until<T>(what: &str, mut condition: impl AsyncFnMut() -> Option<T>) -> T {
+    let deadline = Instant::now() + BOUND;
+    loop {
+        if let Some(value) = condition().await {
+            return value;
+        }
+        assert!(Instant::now() < deadline, "not within the bound: {what}");
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+pub struct TestReplica {
+    pub id: ReplicaId,
+    pub start: CellStart,
+    pub folder: TempDir,
+    pub cell: SocketAddr,
+    pub proxies: SocketAddr,
+    pub operators: SocketAddr,
+    pub handle: Option<ControlHandle>,
+    lives: u64,
+}
+
+impl TestReplica {
+    pub fn operator(&self) -> Operator {
+        Operator::new(self.operators)
+    }
+
+    pub fn role(&self) -> Option<Role> {
+        self.handle.as_ref().map(|handle| handle.status().role)
+    }
+
+    pub fn running(&self) -> &ControlHandle {
+        self.handle.as_ref().expect("the replica runs")
+    }
+
+    pub async fn stop(&mut self) {
+        if let Some(handle) = self.handle.take() {
+            handle.stop().await;
+        }
+    }
+
+    /// Starts again on the same folder and addresses.
+    pub async fn restart(&mut self, adjust: &impl Fn(&mut ControlSettings)) {
+        let listeners = ControlListeners {
+            cell: bind(self.cell).await,
+            proxies: bind(self.proxies).await,
+            operators: bind(self.operators).await,
+        };
+        self.launch(listeners, adjust);
+    }
+
+    fn launch(&mut self, listeners: ControlListeners, adjust: &impl Fn(&mut ControlSettings)) {
+        let folder = self.folder.path().to_path_buf();
+        let name = CellName("test".to_owned());
+        let mut settings = ControlSettings::new(name, self.id, self.start.clone(), folder);
+        self.lives += 1;
+        settings.incarnation = Incarnation(self.lives);
+        settings.proxy_heartbeat_interval = Duration::from_millis(50);
+        settings.proxy_heartbeat_timeout = Duration::from_secs(2);
+        adjust(&mut settings);
+        let handle = ControlReplica::start(settings, listeners, &mut Registry::default());
+        self.handle = Some(handle.expect("a replica starts"));
+    }
+}
+
+async fn bind(address: SocketAddr) -> TcpListener {
+    until("the address is free", async || TcpListener::bind(address).ok()).await
+}
+
+fn bind_any() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind(LOOPBACK).expect("loopback has a free port");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    (listener, address)
+}
+
+type Bound = (ControlListeners, [SocketAddr; 3]);
+
+fn bind_listeners() -> Bound {
+    let (cell, cell_address) = bind_any();
+    let (proxies, proxies_address) = bind_any();
+    let (operators, operators_address) = bind_any();
+    let addresses = [cell_address, proxies_address, operators_address];
+    (ControlListeners { cell, proxies, operators }, addresses)
+}
+
+pub struct Cell {
+    pub replicas: Vec<TestReplica>,
+}
+
+impl Cell {
+    pub fn start(size: u64) -> Self {
+        Self::start_with(size, |_| ())
+    }
+
+    pub fn start_with(size: u64, adjust: impl Fn(&mut ControlSettings)) -> Self {
+        let bound: Vec<_> = (1..=size).map(|id| (ReplicaId(id), bind_listeners())).collect();
+        let member =
+            |(id, (_, [cell, ..])): &(ReplicaId, Bound)| CellMember { id: *id, address: *cell };
+        let voters = bound.iter().map(member).collect();
+        let start = CellStart::Bootstrap(CellConfig { voters, learners: Vec::new() });
+        let launch = |(id, bound)| launch(id, start.clone(), bound, &adjust);
+        Self { replicas: bound.into_iter().map(launch).collect() }
+    }
+
+    /// Adds a replica that waits to be added to the cell.
+    pub fn join(&mut self, id: u64, adjust: impl Fn(&mut ControlSettings)) {
+        let member = |it: &TestReplica| CellMember { id: it.id, address: it.cell };
+        let members = self.replicas.iter().map(member).collect();
+        let start = CellStart::Join(members);
+        self.replicas.push(launch(ReplicaId(id), start, bind_listeners(), &adjust));
+    }
+
+    /// Place of the leader that most replicas agree on.
+    pub async fn leader(&self) -> usize {
+        until("a leader", async || {
+            let place = self.replicas.iter().position(|it| it.role() == Some(Role::Leader))?;
+            let id = Some(self.replicas[place].id);
+            let running = self.replicas.iter().filter_map(|it| it.handle.as_ref());
+            let agreed = running.filter(|it| it.status().leader == id).count();
+            (2 * agreed > self.replicas.len()).then_some(place)
+        })
+        .await
+    }
+
+    /// Place of a running follower.
+    pub async fn follower(&self) -> usize {
+        let leader = self.leader().await;
+        let running = |it: &usize| *it != leader && self.replicas[*it].handle.is_some();
+        (0..self.replicas.len()).find(running).expect("a follower runs")
+    }
+}
+
+fn launch(
+    id: ReplicaId,
+    start: CellStart,
+    (listeners, [cell, proxies, operators]): Bound,
+    adjust: &impl Fn(&mut ControlSettings),
+) -> TestReplica {
+    let folder = TempDir::new().expect("a folder can be made");
+    let mut replica =
+        TestReplica { id, start, folder, cell, proxies, operators, handle: None, lives: 0 };
+    replica.launch(listeners, adjust);
+    replica
+}
--- /dev/null
+++ b/crates/control/tests/support/proxy.rs
@@ -0,0 +1,84 @@
+//! A proxy's side of the watch.
+
+use corktack_core::identity::{Incarnation, ProxyName, ZoneName};
+use corktack_core::view::{Revision, View};
+use corktack_protocol::control::{ControlMessage, Observation, ProxyMessage};
+use corktack_protocol::frame::FrameCodec;
+use futures_util::{SinkExt, StreamExt};
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+pub struct Proxy {
+    connection: Framed<TcpStream, FrameCodec<ProxyMessage, ControlMessage>>,
+    pub view: View,
+    pub snapshots: usize,
+    pub deltas: usize,
+    sequence: u64,
+}
+
+impl Proxy {
+    pub async fn connect(control: SocketAddr, name: &str, view: View) -> Self {
+        let stream = TcpStream::connect(control).await.expect("the replica accepts");
+        let mut connection = Framed::new(stream, FrameCodec::default());
+        let hello = ProxyMessage::Hello {
+            proxy: ProxyName::new(name).expect("a valid name"),
+            incarnation: Incarnation(1),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            zone: ZoneName::new("amba.a").expect("a valid name"),
+            revision: view.revision,
+        };
+        connection.send(hello).await.expect("the replica takes the hello");
+        Self { connection, view, snapshots: 0, deltas: 0, sequence: 0 }
+    }
+
+    pub async fn heartbeat(&mut self, draining: bool, observations: Vec<Observation>) {
+        self.sequence += 1;
+        let heartbeat = ProxyMessage::Heartbeat {
+            sequence: self.sequence,
+            revision: self.view.revision,
+            draining,
+            observations,
+        };
+        self.connection.send(heartbeat).await.expect("the replica takes the heartbeat");
+    }
+
+    /// Applies the next message; gives what an acknowledgement says of being
+    /// current. None at the end of the connection.
+    pub async fn step(&mut self) -> Option<Option<bool>> {
+        let message = self.connection.next().await?.ok()?;
+        Some(match message {
+            ControlMessage::Snapshot(view) => {
+                self.view.replace(*view).expect("a snapshot is newer");
+                self.snapshots += 1;
+                None
+            }
+            ControlMessage::Delta(delta) => {
+                self.view.apply(delta).expect("a delta is newer");
+                self.deltas += 1;
+                None
+            }
+            ControlMessage::HeartbeatAck { sequence, current } => {
+                assert!(sequence <= self.sequence, "an answer to a heartbeat that was sent");
+                Some(current)
+            }
+        })
+    }
+
+    /// Heartbeats until one is acknowledged; gives whether the replica is current.
+    pub async fn confirm(&mut self) -> Option<bool> {
+        self.heartbeat(false, Vec::new()).await;
+        loop {
+            if let Some(current) = self.step().await? {
+                return Some(current);
+            }
+        }
+    }
+
+    /// Applies messages until the view has `revision`.
+    pub async fn reach(&mut self, revision: Revision) {
+        while self.view.revision < revision {
+            self.step().await.expect("the connection goes on");
+        }
+    }
+}
--- a/crates/protocol/src/cell.rs
+++ b/crates/protocol/src/cell.rs
@@ -30,6 +30,17 @@
     pub observations: Vec<Observation>,
 }
 
+/// Revision in force on a proxy, as it reported.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProxyRevision {
+    /// The proxy.
+    pub proxy: ProxyName,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Revision in force there.
+    pub revision: Revision,
+}
+
 /// A message of one control replica to another. `Consensus` is the message type
 /// of the consensus module.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -64,4 +75,16 @@
         /// Index of the log entry, or the rejection.
         outcome: Result<u64, corktack_core::consensus::Rejection>,
     },
+    /// Asks the leader for the revisions in force on the proxies.
+    QueryProxies {
+        /// Number for the answer.
+        request: u64,
+    },
+    /// The leader's answer to [`CellMessage::QueryProxies`]; empty when it does not lead.
+    ProxyRevisions {
+        /// Number of the query.
+        request: u64,
+        /// What each proxy reported last.
+        revisions: Vec<ProxyRevision>,
+    },
 }
