Stand-in group: replicated members over SQLite that answer tokio-postgres

Cause: proxies, failover and experiments need back ends that expose terms and log positions; no database server is brought in. Ruled out: pgwire's query handlers, because a ParameterStatus must come before CommandComplete; the crate's message codec is used alone. Ruled out: elections inside the group, because control decides the primary. SIGKILL of the program and load are not measured yet.

--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,201 @@
+//! The embedded SQL engine: connections, functions, applied position and replay.
+
+use crate::entry::{LogEntry, Value};
+use rusqlite::functions::FunctionFlags;
+use rusqlite::{Connection, InterruptHandle, params_from_iter};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// Name of the engine's file inside a member's data folder.
+pub const DATABASE_FILE_NAME: &str = "state.sqlite";
+/// What `SELECT version()` answers.
+pub const VERSION_TEXT: &str = "PostgreSQL 16.0 (corktack stand-in)";
+
+const BUSY_TIMEOUT: Duration = Duration::from_secs(10);
+const SLEEP_STEP: Duration = Duration::from_millis(5);
+const STATEMENT_CACHE: usize = 64;
+const SCHEMA: &str = "CREATE TABLE IF NOT EXISTS replication_state (\
+    id INTEGER PRIMARY KEY CHECK (id = 1), applied_index INTEGER NOT NULL);\
+    INSERT OR IGNORE INTO replication_state VALUES (1, 0);";
+
+/// Stops what a connection runs.
+pub struct Interrupt {
+    cancelled: Arc<AtomicBool>,
+    handle: InterruptHandle,
+}
+
+impl Interrupt {
+    /// Interrupts the running statement.
+    pub fn interrupt(&self) {
+        self.cancelled.store(true, Ordering::SeqCst);
+        self.handle.interrupt();
+    }
+
+    /// Forgets an earlier interruption.
+    pub fn clear(&self) {
+        self.cancelled.store(false, Ordering::SeqCst);
+    }
+}
+
+/// One connection to the embedded engine.
+pub struct Engine {
+    connection: Connection,
+    interrupt: Arc<Interrupt>,
+}
+
+impl Engine {
+    /// Opens the connection that writes, and creates the schema of the applied position.
+    ///
+    /// # Errors
+    /// The engine cannot open its file.
+    pub fn open_writer(data_folder: &Path) -> rusqlite::Result<Self> {
+        let engine = Self::open(data_folder)?;
+        engine.connection.pragma_update(None, "journal_mode", "WAL")?;
+        engine.connection.pragma_update(None, "synchronous", "NORMAL")?;
+        engine.connection.execute_batch(SCHEMA)?;
+        Ok(engine)
+    }
+
+    /// Opens a connection that only reads committed state.
+    ///
+    /// # Errors
+    /// The engine cannot open its file.
+    pub fn open_reader(data_folder: &Path) -> rusqlite::Result<Self> {
+        let engine = Self::open(data_folder)?;
+        engine.connection.pragma_update(None, "query_only", "ON")?;
+        Ok(engine)
+    }
+
+    fn open(data_folder: &Path) -> rusqlite::Result<Self> {
+        let connection = Connection::open(data_folder.join(DATABASE_FILE_NAME))?;
+        connection.busy_timeout(BUSY_TIMEOUT)?;
+        connection.pragma_update(None, "foreign_keys", "ON")?;
+        connection.set_prepared_statement_cache_capacity(STATEMENT_CACHE);
+        let cancelled = Arc::new(AtomicBool::new(false));
+        register_functions(&connection, &cancelled)?;
+        let handle = connection.get_interrupt_handle();
+        Ok(Self { connection, interrupt: Arc::new(Interrupt { cancelled, handle }) })
+    }
+
+    /// The connection itself.
+    #[must_use]
+    pub fn connection(&self) -> &Connection {
+        &self.connection
+    }
+
+    /// What stops a running statement.
+    #[must_use]
+    pub fn interrupt(&self) -> Arc<Interrupt> {
+        self.interrupt.clone()
+    }
+
+    /// Index of the last applied entry that this connection's snapshot holds.
+    ///
+    /// # Errors
+    /// The engine failed.
+    pub fn applied_index(&self) -> rusqlite::Result<u64> {
+        let sql = "SELECT applied_index FROM replication_state";
+        let mut statement = self.connection.prepare_cached(sql)?;
+        statement.query_row([], |row| row.get::<_, i64>(0)).map(i64::cast_unsigned)
+    }
+
+    /// Opens a write transaction; a transaction left open by a lost caller is rolled back.
+    ///
+    /// # Errors
+    /// The engine failed.
+    pub fn begin_write(&self) -> rusqlite::Result<()> {
+        self.rollback()?;
+        self.connection.execute_batch("BEGIN IMMEDIATE")
+    }
+
+    /// Opens a read transaction and fixes its snapshot; returns the applied index it sees.
+    ///
+    /// # Errors
+    /// The engine failed.
+    pub fn begin_read(&self) -> rusqlite::Result<u64> {
+        self.rollback()?;
+        self.connection.execute_batch("BEGIN DEFERRED")?;
+        self.applied_index()
+    }
+
+    /// Commits the open transaction together with the index of its log entry.
+    ///
+    /// # Errors
+    /// The engine failed; the transaction may still be open.
+    pub fn commit_applied(&self, index: u64) -> rusqlite::Result<()> {
+        let sql = "UPDATE replication_state SET applied_index = ?1";
+        self.connection.prepare_cached(sql)?.execute([index.cast_signed()])?;
+        self.connection.execute_batch("COMMIT")
+    }
+
+    /// Rolls back the open transaction, if there is one.
+    ///
+    /// # Errors
+    /// The engine failed.
+    pub fn rollback(&self) -> rusqlite::Result<()> {
+        if self.connection.is_autocommit() {
+            return Ok(());
+        }
+        self.connection.execute_batch("ROLLBACK")
+    }
+
+    /// Applies committed entries that follow the applied index, in one transaction.
+    ///
+    /// # Errors
+    /// The engine failed; nothing was applied.
+    pub fn apply(&self, entries: &[Arc<LogEntry>]) -> rusqlite::Result<u64> {
+        self.interrupt.clear();
+        self.begin_write()?;
+        let applied = self.applied_index()?;
+        let mut last = applied;
+        for entry in entries.iter().filter(|entry| entry.index > applied) {
+            self.replay(entry)?;
+            last = entry.index;
+        }
+        self.commit_applied(last)?;
+        Ok(last)
+    }
+
+    fn replay(&self, entry: &LogEntry) -> rusqlite::Result<()> {
+        for write in &entry.statements {
+            let mut statement = self.connection.prepare_cached(&write.sql)?;
+            let parameters = write.parameters.iter().cloned();
+            let mut rows = statement.query(params_from_iter(parameters.map(sql_value)))?;
+            while rows.next()?.is_some() {}
+        }
+        Ok(())
+    }
+}
+
+fn sql_value(value: Value) -> rusqlite::types::Value {
+    value.into()
+}
+
+fn register_functions(
+    connection: &Connection,
+    cancelled: &Arc<AtomicBool>,
+) -> rusqlite::Result<()> {
+    let flags = FunctionFlags::SQLITE_UTF8;
+    connection.create_scalar_function("version", 0, flags, |_| Ok(VERSION_TEXT))?;
+    let cancelled = cancelled.clone();
+    connection.create_scalar_function("pg_sleep", 1, flags, move |context| {
+        let seconds = context.get::<Option<f64>>(0)?.unwrap_or(0.0);
+        sleep_until_cancelled(seconds, &cancelled)
+    })
+}
+
+/// Sleeps in short steps, so that an interruption ends it soon.
+fn sleep_until_cancelled(seconds: f64, cancelled: &AtomicBool) -> rusqlite::Result<&'static str> {
+    let length = Duration::try_from_secs_f64(seconds).unwrap_or_default();
+    let start = Instant::now();
+    while start.elapsed() < length {
+        if cancelled.load(Ordering::SeqCst) {
+            let code = rusqlite::ffi::Error::new(rusqlite::ffi::SQLITE_INTERRUPT);
+            return Err(rusqlite::Error::SqliteFailure(code, None));
+        }
+        std::thread::sleep(SLEEP_STEP.min(length.saturating_sub(start.elapsed())));
+    }
+    Ok("")
+}
--- /dev/null
+++ b/crates/standin/src/replication/mod.rs
@@ -0,0 +1,10 @@
+//! Replication of the log between the members of a group.
+
+pub mod link;
+pub mod message;
+mod progress;
+pub mod sender;
+pub mod server;
+pub mod state;
+
+pub use state::{Replication, ReplicationError, ReplicationStatus, Role};
