Control: failover of a stand-in group tested, with and without the leader's stop

Change: tests only.

Conclusion: fence, promotion and announcement work against the stand-in; a new leader takes a failover over.

--- /dev/null
+++ b/crates/control/tests/failover.rs
@@ -0,0 +1,95 @@
+//! Failover of a stand-in group.
+
+mod support;
+
+use corktack_control::api::GroupBody;
+use corktack_core::identity::{GroupName, MemberName};
+use corktack_core::position::Term;
+use corktack_core::view::View;
+use corktack_protocol::control::{MemberHealth, Observation};
+use corktack_standin::{Group, GroupSettings};
+use rstest::rstest;
+use serde_json::json;
+use support::operator::Operator;
+use support::proxy::Proxy;
+use support::{Cell, until};
+use tempfile::TempDir;
+
+const GROUP: &str = "records";
+
+fn start_group(folder: &TempDir) -> Group {
+    let name = GroupName::new(GROUP).expect("a valid name");
+    Group::start(GroupSettings::new(name, folder.path().to_path_buf())).expect("a group starts")
+}
+
+async fn declare(operator: &Operator, group: &Group) {
+    let members = group.peers().iter().zip(group.postgres_addresses());
+    let members: Vec<_> = members
+        .map(|(peer, address)| json!({"name": peer.name, "address": address, "zone": "amba.a"}))
+        .collect();
+    let spec = json!({"database": GROUP, "members": members, "slots": 5, "connections": 15});
+    operator.put(&format!("/v1/groups/{GROUP}"), json!({ "spec": spec })).await.accepted();
+}
+
+async fn primary(operator: &Operator) -> Option<(MemberName, Term)> {
+    let status = operator.status().await;
+    let group: &GroupBody = status.groups.first()?;
+    Some((group.primary.clone()?, group.term))
+}
+
+fn unreachable(member: &MemberName) -> Observation {
+    let group = GroupName::new(GROUP).expect("a valid name");
+    Observation { group, member: member.clone(), health: MemberHealth::Unreachable }
+}
+
+async fn write(group: &Group, member: &MemberName) {
+    let place = group.peers().iter().position(|peer| peer.name == *member).expect("a member");
+    let address = group.postgres_addresses()[place];
+    let mut config = tokio_postgres::Config::new();
+    config.hostaddr(address.ip()).port(address.port()).user("test").dbname(GROUP);
+    let (client, connection) = config.connect(tokio_postgres::NoTls).await.expect("a connection");
+    actix_rt::spawn(async move { drop(connection.await) });
+    let statement = "CREATE TABLE flags (line TEXT)";
+    client.simple_query(statement).await.expect("the primary takes a write");
+}
+
+#[rstest]
+#[case::the_leader_stays(false)]
+#[case::the_leader_stops_too(true)]
+#[actix_rt::test]
+async fn a_failed_primary_is_replaced(#[case] leader_stops: bool) {
+    let folder = TempDir::new().expect("a folder can be made");
+    let mut group = start_group(&folder);
+    let mut cell = Cell::start(3);
+    let leader = cell.leader().await;
+    let follower = cell.follower().await;
+    let operator = cell.replicas[follower].operator();
+    let mut proxy = Proxy::connect(cell.replicas[follower].proxies, "p-1", View::default()).await;
+    declare(&operator, &group).await;
+    let (first, term) = until("the group's own primary is adopted", async || {
+        proxy.confirm().await;
+        primary(&operator).await
+    })
+    .await;
+    assert_eq!(first, group.peers()[0].name);
+
+    group.stop_member(0);
+    if leader_stops {
+        cell.replicas[leader].stop().await;
+    }
+    proxy.heartbeat(false, vec![unreachable(&first)]).await;
+    let (second, next_term) = until("another primary", async || {
+        proxy.confirm().await;
+        primary(&operator).await.filter(|(_, next)| *next > term)
+    })
+    .await;
+    assert_ne!(second, first);
+    write(&group, &second).await;
+    let seen = until("the proxy is told", async || {
+        proxy.confirm().await;
+        let view = &proxy.view.groups[&GroupName::new(GROUP).ok()?];
+        (view.term == next_term).then(|| view.primary.clone())
+    })
+    .await;
+    assert_eq!(seen, Some(second));
+}
