Lab: links that delay, cut and reset, callers that check every answer, reports

Cause: both users' loads and the faults between processes need a tool of our own. Change: TCP links, child processes by id, the two profiles, open-loop callers with tokens and keys, the check of what callers were told against what databases hold, JSON and SVG reports.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,10 @@
-//! Stand-ins, fleets, load, faults and reports.
+//! The lab: links that fail, processes of a fleet, load, checks and reports.
+//!
+//! "A process starts no other process" binds the product; the lab is what starts
+//! fleets of it.
+
+pub mod link;
+pub mod load;
+pub mod process;
+pub mod profile;
+pub mod report;
