--- /dev/null
+++ b/crates/lab/src/fleet/plan.rs
@@ -0,0 +1,219 @@
+//! Names, addresses and files of a fleet before it is started.
+
+use super::ports::free_addresses;
+use crate::profile::Profile;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// A control replica.
+#[derive(Clone, Debug)]
+pub struct ControlPlan {
+    /// Identity.
+    pub id: u64,
+    /// Interface for other replicas.
+    pub cell: SocketAddr,
+    /// Interface for proxies.
+    pub proxies: SocketAddr,
+    /// Interface for operators.
+    pub operators: SocketAddr,
+}
+
+/// A proxy.
+#[derive(Clone, Debug)]
+pub struct ProxyPlan {
+    /// Name.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+    /// Interface for callers.
+    pub callers: SocketAddr,
+    /// Interface for other proxies.
+    pub peers: SocketAddr,
+    /// Metrics and readiness.
+    pub telemetry: SocketAddr,
+}
+
+/// A member of a group.
+#[derive(Clone, Debug)]
+pub struct MemberPlan {
+    /// Name.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+    /// PostgreSQL interface.
+    pub sql: SocketAddr,
+    /// Replication interface.
+    pub replication: SocketAddr,
+}
+
+/// A database group.
+#[derive(Clone, Debug)]
+pub struct GroupPlan {
+    /// Name, and name of its database.
+    pub name: String,
+    /// Members; the first starts as primary.
+    pub members: Vec<MemberPlan>,
+}
+
+/// A whole fleet.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// The workload it serves.
+    pub profile: Profile,
+    /// Folder of settings, data and logs.
+    pub folder: PathBuf,
+    /// Control replicas.
+    pub controls: Vec<ControlPlan>,
+    /// Proxies, one a region in turn.
+    pub proxies: Vec<ProxyPlan>,
+    /// Groups, one a region in turn.
+    pub groups: Vec<GroupPlan>,
+}
+
+impl FleetPlan {
+    /// Plans a fleet of `controls` control replicas and `proxies` proxies for a profile.
+    ///
+    /// # Errors
+    /// The system's error when ports cannot be had.
+    pub fn new(
+        profile: Profile,
+        folder: &Path,
+        controls: u64,
+        proxies: usize,
+    ) -> std::io::Result<Self> {
+        let controls = (1..=controls).map(plan_control).collect::<Result<_, _>>()?;
+        let proxies = (0..proxies).map(|n| plan_proxy(&profile, n)).collect::<Result<_, _>>()?;
+        let groups = (0..profile.groups as usize).map(|n| plan_group(&profile, n));
+        let groups = groups.collect::<Result<_, _>>()?;
+        Ok(Self { profile, folder: folder.to_owned(), controls, proxies, groups })
+    }
+}
+
+fn plan_control(id: u64) -> std::io::Result<ControlPlan> {
+    let addresses = free_addresses(3)?;
+    Ok(ControlPlan { id, cell: addresses[0], proxies: addresses[1], operators: addresses[2] })
+}
+
+fn plan_proxy(profile: &Profile, number: usize) -> std::io::Result<ProxyPlan> {
+    let addresses = free_addresses(3)?;
+    let region = &profile.regions[number % profile.regions.len()];
+    Ok(ProxyPlan {
+        name: format!("proxy-{}", number + 1),
+        zone: format!("{region}.1"),
+        callers: addresses[0],
+        peers: addresses[1],
+        telemetry: addresses[2],
+    })
+}
+
+fn plan_group(profile: &Profile, number: usize) -> std::io::Result<GroupPlan> {
+    let region = &profile.regions[number % profile.regions.len()];
+    let name = format!("{}-{}", profile.name, number + 1);
+    let members = (1..=profile.members).map(|member| {
+        let addresses = free_addresses(2)?;
+        Ok(MemberPlan {
+            name: format!("{name}-m{member}"),
+            zone: format!("{region}.{member}"),
+            sql: addresses[0],
+            replication: addresses[1],
+        })
+    });
+    let members = members.collect::<std::io::Result<_>>()?;
+    Ok(GroupPlan { name, members })
+}
+
+/// Settings file of a control replica, in the form that `corktack control` reads.
+#[derive(Debug, Serialize)]
+struct ControlFile<'a> {
+    replica: u64,
+    data_folder: &'a Path,
+    addresses: ControlFileAddresses,
+    members: Vec<ControlFileMember>,
+}
+
+#[derive(Debug, Serialize)]
+struct ControlFileAddresses {
+    cell: SocketAddr,
+    proxies: SocketAddr,
+    operators: SocketAddr,
+}
+
+#[derive(Debug, Serialize)]
+struct ControlFileMember {
+    id: u64,
+    address: SocketAddr,
+}
+
+/// Settings file of a proxy, in the form that `corktack proxy` reads.
+#[derive(Debug, Serialize)]
+struct ProxyFile<'a> {
+    name: &'a str,
+    zone: &'a str,
+    data_folder: &'a Path,
+    addresses: ProxyFileAddresses,
+    control: ProxyFileControl,
+}
+
+#[derive(Debug, Serialize)]
+struct ProxyFileAddresses {
+    callers: SocketAddr,
+    peers: SocketAddr,
+    peers_announced: SocketAddr,
+    telemetry: SocketAddr,
+}
+
+#[derive(Debug, Serialize)]
+struct ProxyFileControl {
+    replicas: Vec<SocketAddr>,
+}
+
+impl FleetPlan {
+    /// Text of a control replica's settings file.
+    ///
+    /// # Errors
+    /// The library's error when a value has no TOML form.
+    pub fn control_file(
+        &self,
+        control: &ControlPlan,
+        data_folder: &Path,
+    ) -> Result<String, toml::ser::Error> {
+        let members = self.controls.iter();
+        toml::to_string(&ControlFile {
+            replica: control.id,
+            data_folder,
+            addresses: ControlFileAddresses {
+                cell: control.cell,
+                proxies: control.proxies,
+                operators: control.operators,
+            },
+            members: members.map(|m| ControlFileMember { id: m.id, address: m.cell }).collect(),
+        })
+    }
+
+    /// Text of a proxy's settings file. Other proxies reach it at `announced`, and it
+    /// reaches the control replicas at `controls`.
+    ///
+    /// # Errors
+    /// The library's error when a value has no TOML form.
+    pub fn proxy_file(
+        &self,
+        proxy: &ProxyPlan,
+        data_folder: &Path,
+        announced: SocketAddr,
+        controls: Vec<SocketAddr>,
+    ) -> Result<String, toml::ser::Error> {
+        toml::to_string(&ProxyFile {
+            name: &proxy.name,
+            zone: &proxy.zone,
+            data_folder,
+            addresses: ProxyFileAddresses {
+                callers: proxy.callers,
+                peers: proxy.peers,
+                peers_announced: announced,
+                telemetry: proxy.telemetry,
+            },
+            control: ProxyFileControl { replicas: controls },
+        })
+    }
+}
