--- /dev/null
+++ b/crates/server/src/settings/control.rs
@@ -0,0 +1,294 @@
+//! Settings of a control replica.
+
+use super::error::{Check, SettingsError, ValueProblem};
+use super::proxy::replace;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Largest time-out, in milliseconds.
+const TIMEOUT_MAXIMUM_MS: u64 = 3_600_000;
+/// Fewest characters of an operator token.
+const TOKEN_MINIMUM: usize = 16;
+/// What to do about an address that others can reach.
+const TOKEN_REMEDY: &str = "set operator_token";
+
+/// Settings of a control replica, as in its file.
+#[derive(Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// Name of the cell; replicas of other cells are refused. Default `main`.
+    #[serde(default = "default_cell")]
+    pub cell: String,
+    /// Identity of this replica, a number from 1. A replica that lost its data folder must
+    /// come back under one never used before. No default.
+    pub replica: u64,
+    /// Folder of the log and snapshots, on a disk that keeps what is synced. No default.
+    pub data_folder: PathBuf,
+    /// Waits to be added to the running cell of `members`, instead of founding a cell with
+    /// them. Looked at only while the data folder is empty. Default false.
+    #[serde(default)]
+    pub join: bool,
+    /// Bearer token that operators present; at least 16 characters. Without one the
+    /// operators' address must be a loopback one. Default none.
+    #[serde(default)]
+    pub operator_token: Option<String>,
+    /// Addresses it listens on.
+    pub addresses: ControlAddresses,
+    /// The cell's replicas, this one included unless it joins. No default.
+    pub members: Vec<ControlMember>,
+    /// The platform's list of machines. Default none.
+    #[serde(default)]
+    pub platform: Option<PlatformList>,
+    /// Limits.
+    #[serde(default)]
+    pub limits: ControlLimits,
+    /// Time-outs.
+    #[serde(default)]
+    pub timeouts: ControlTimeouts,
+}
+
+impl std::fmt::Debug for ControlSettings {
+    /// Leaves the operator token out.
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("ControlSettings")
+            .field("cell", &self.cell)
+            .field("replica", &self.replica)
+            .field("data_folder", &self.data_folder)
+            .field("addresses", &self.addresses)
+            .field("members", &self.members)
+            .finish_non_exhaustive()
+    }
+}
+
+fn default_cell() -> String {
+    "main".to_owned()
+}
+
+/// Addresses a control replica listens on.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlAddresses {
+    /// IP and port for other control replicas. No default. Keep it on a private network.
+    pub cell: SocketAddr,
+    /// IP and port for proxies. No default. Keep it on a private network.
+    pub proxies: SocketAddr,
+    /// IP and port for operators (HTTP). No default.
+    pub operators: SocketAddr,
+    /// IP and port for metrics, liveness and readiness. Default none.
+    pub telemetry: Option<SocketAddr>,
+}
+
+/// A replica of the cell.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlMember {
+    /// Its identity.
+    pub id: u64,
+    /// IP and port of its interface for other replicas.
+    pub address: SocketAddr,
+}
+
+/// The platform's list of live and leaving machines.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformList {
+    /// IP and port of the HTTP server that has it. No default.
+    pub address: SocketAddr,
+    /// Path of the list, with its leading slash. Default `/`.
+    #[serde(default = "default_path")]
+    pub path: String,
+    /// Time between two polls, in milliseconds. Default 1000.
+    #[serde(default = "default_poll_interval_ms")]
+    pub poll_interval_ms: u32,
+}
+
+fn default_path() -> String {
+    "/".to_owned()
+}
+
+const fn default_poll_interval_ms() -> u32 {
+    1_000
+}
+
+/// Limits of a control replica.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ControlLimits {
+    /// Log entries after which a snapshot replaces them. Default 4096.
+    pub snapshot_entries: u64,
+    /// Revisions kept for watchers; one further behind gets a snapshot. Default 256.
+    pub watch_revisions: u32,
+    /// Threads of the operators' interface, and of the proxies'. Default 2.
+    pub workers: u32,
+    /// Log records kept in memory. Default 4096.
+    pub event_records: u32,
+}
+
+impl Default for ControlLimits {
+    fn default() -> Self {
+        Self { snapshot_entries: 4_096, watch_revisions: 256, workers: 2, event_records: 4_096 }
+    }
+}
+
+/// Time-outs of a control replica.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ControlTimeouts {
+    /// Shortest time without a leader before an election, in milliseconds. Default 300.
+    pub election_ms: u32,
+    /// Time between heartbeats of the leader, in milliseconds. Default 50.
+    pub heartbeat_ms: u32,
+    /// Time between heartbeats of a proxy, in milliseconds; as in the proxies' settings.
+    /// Default 1000.
+    pub proxy_heartbeat_ms: u32,
+    /// Silence after which a proxy counts as down, in milliseconds. Default 3000.
+    pub proxy_silence_ms: u32,
+    /// Longest time a request of an operator waits for its outcome, in milliseconds.
+    /// Default 5000.
+    pub request_ms: u32,
+    /// Longest wait for one statement to a back end, in milliseconds. Default 1000.
+    pub back_end_ms: u32,
+}
+
+impl Default for ControlTimeouts {
+    fn default() -> Self {
+        Self {
+            election_ms: 300,
+            heartbeat_ms: 50,
+            proxy_heartbeat_ms: 1_000,
+            proxy_silence_ms: 3_000,
+            request_ms: 5_000,
+            back_end_ms: 1_000,
+        }
+    }
+}
+
+/// What the command line may set over the file.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ControlOverrides {
+    /// Over `data_folder`.
+    pub data_folder: Option<PathBuf>,
+    /// Over `addresses.cell`.
+    pub cell: Option<SocketAddr>,
+    /// Over `addresses.proxies`.
+    pub proxies: Option<SocketAddr>,
+    /// Over `addresses.operators`.
+    pub operators: Option<SocketAddr>,
+    /// Over `addresses.telemetry`.
+    pub telemetry: Option<SocketAddr>,
+}
+
+impl ControlSettings {
+    /// Reads a file, applies the overrides and checks every value.
+    ///
+    /// # Errors
+    /// A [`SettingsError`] that names the file, key and value.
+    pub fn load(file: &Path, overrides: ControlOverrides) -> Result<Self, SettingsError> {
+        let mut settings: Self = super::parse_file(file)?;
+        settings.override_by(overrides);
+        settings.check(file)?;
+        Ok(settings)
+    }
+
+    fn override_by(&mut self, overrides: ControlOverrides) {
+        replace(&mut self.data_folder, overrides.data_folder);
+        replace(&mut self.addresses.cell, overrides.cell);
+        replace(&mut self.addresses.proxies, overrides.proxies);
+        replace(&mut self.addresses.operators, overrides.operators);
+        self.addresses.telemetry = overrides.telemetry.or(self.addresses.telemetry);
+    }
+
+    /// Checks every value; `file` is named in the errors.
+    ///
+    /// # Errors
+    /// The first value that is not allowed.
+    pub fn check(&self, file: &Path) -> Result<(), SettingsError> {
+        let check = Check { file };
+        check.range("replica", self.replica, 1..=u64::MAX)?;
+        self.check_addresses(&check)?;
+        self.check_token(&check)?;
+        self.check_members(&check)?;
+        self.check_limits(&check)?;
+        self.check_timeouts(&check)
+    }
+
+    fn check_addresses(&self, check: &Check<'_>) -> Result<(), SettingsError> {
+        let mut listeners = vec![
+            ("addresses.cell", self.addresses.cell),
+            ("addresses.proxies", self.addresses.proxies),
+            ("addresses.operators", self.addresses.operators),
+        ];
+        listeners.extend(self.addresses.telemetry.map(|a| ("addresses.telemetry", a)));
+        check.distinct(&listeners)
+    }
+
+    fn check_token(&self, check: &Check<'_>) -> Result<(), SettingsError> {
+        if self.operator_token.as_ref().is_some_and(|token| token.len() < TOKEN_MINIMUM) {
+            let problem = ValueProblem::TooShort(TOKEN_MINIMUM);
+            return Err(check.refuse("operator_token", "(hidden)", problem));
+        }
+        let token = self.operator_token.is_some();
+        check.authenticated("addresses.operators", self.addresses.operators, token, TOKEN_REMEDY)
+    }
+
+    fn check_members(&self, check: &Check<'_>) -> Result<(), SettingsError> {
+        let addresses: Vec<SocketAddr> = self.members.iter().map(|one| one.address).collect();
+        check.addresses("members.address", &addresses)?;
+        for (place, member) in self.members.iter().enumerate() {
+            check.range("members.id", member.id, 1..=u64::MAX)?;
+            if self.members[..place].iter().any(|other| other.id == member.id) {
+                return Err(check.refuse("members.id", member.id, ValueProblem::Duplicate));
+            }
+        }
+        if !self.join && !self.members.iter().any(|member| member.id == self.replica) {
+            return Err(check.refuse("replica", self.replica, ValueProblem::NotMember));
+        }
+        Ok(())
+    }
+
+    fn check_limits(&self, check: &Check<'_>) -> Result<(), SettingsError> {
+        let limits = &self.limits;
+        check.range("limits.snapshot_entries", limits.snapshot_entries, 1..=10_000_000)?;
+        check.range("limits.watch_revisions", limits.watch_revisions, 1..=1_000_000)?;
+        check.range("limits.workers", limits.workers, 1..=256)?;
+        check.range("limits.event_records", limits.event_records, 1..=1_000_000)
+    }
+
+    fn check_timeouts(&self, check: &Check<'_>) -> Result<(), SettingsError> {
+        let timeouts = &self.timeouts;
+        let range = |key, value: u32| check.range(key, value, 1..=TIMEOUT_MAXIMUM_MS);
+        range("timeouts.election_ms", timeouts.election_ms)?;
+        range("timeouts.heartbeat_ms", timeouts.heartbeat_ms)?;
+        range("timeouts.proxy_heartbeat_ms", timeouts.proxy_heartbeat_ms)?;
+        range("timeouts.proxy_silence_ms", timeouts.proxy_silence_ms)?;
+        range("timeouts.request_ms", timeouts.request_ms)?;
+        range("timeouts.back_end_ms", timeouts.back_end_ms)?;
+        if let Some(platform) = &self.platform {
+            range("platform.poll_interval_ms", platform.poll_interval_ms)?;
+        }
+        check_rising(
+            check,
+            ("timeouts.heartbeat_ms", timeouts.heartbeat_ms),
+            ("timeouts.election_ms", timeouts.election_ms),
+        )?;
+        check_rising(
+            check,
+            ("timeouts.proxy_heartbeat_ms", timeouts.proxy_heartbeat_ms),
+            ("timeouts.proxy_silence_ms", timeouts.proxy_silence_ms),
+        )
+    }
+}
+
+/// Refuses a smaller value that is above the larger one.
+fn check_rising(
+    check: &Check<'_>,
+    (key, value): (&'static str, u32),
+    (limit_key, limit): (&'static str, u32),
+) -> Result<(), SettingsError> {
+    if value > limit {
+        return Err(check.refuse(key, value, ValueProblem::Above(limit_key)));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/server/src/settings/error.rs
@@ -0,0 +1,158 @@
+//! Why a settings file is refused.
+
+use corktack_core::identity::NameError;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::{Path, PathBuf};
+
+/// Why settings were refused. Each variant names the file, and the key and value where one is at fault.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file could not be read.
+    #[error("settings file {}: cannot be read", file.display())]
+    Read {
+        /// The file.
+        file: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file is not TOML of the expected form: a bad type, an unknown or a missing key.
+    #[error("settings file {}, line {line} ({text:?}): {reason}", file.display())]
+    Form {
+        /// The file.
+        file: PathBuf,
+        /// Number of the line, from 1.
+        line: usize,
+        /// The line, with its key and value.
+        text: String,
+        /// What the parser says.
+        reason: String,
+    },
+    /// A value is well formed and not allowed.
+    #[error("settings file {}: {key} = {value}: {problem}", file.display())]
+    Value {
+        /// The file.
+        file: PathBuf,
+        /// Path of the key.
+        key: &'static str,
+        /// The value.
+        value: String,
+        /// What is wrong with it.
+        problem: ValueProblem,
+    },
+}
+
+/// What is wrong with a value.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum ValueProblem {
+    /// A number is out of its range.
+    #[error("must be {} to {}", .0.start(), .0.end())]
+    Range(RangeInclusive<u64>),
+    /// A list must not be empty.
+    #[error("must name at least one")]
+    Empty,
+    /// An entry of a list stands twice.
+    #[error("stands twice")]
+    Duplicate,
+    /// Two values that must rise do not.
+    #[error("must not be above {0}")]
+    Above(&'static str),
+    /// An address that others can reach takes callers or operators without authentication.
+    #[error("is not a loopback address, which needs authentication: {0}")]
+    Unauthenticated(&'static str),
+    /// Two listeners have one address.
+    #[error("is also the address of {0}")]
+    SameAddress(&'static str),
+    /// The port is zero where other processes must know it.
+    #[error("must name a port")]
+    NoPort,
+    /// A name is not valid.
+    #[error(transparent)]
+    Name(#[from] NameError),
+    /// This replica is not in the list of the cell.
+    #[error("is not among the cell's members")]
+    NotMember,
+    /// The text is too short to be a secret.
+    #[error("must have at least {0} characters")]
+    TooShort(usize),
+}
+
+/// Checks the values of one file, and names it in the errors.
+pub(super) struct Check<'a> {
+    /// The file.
+    pub(super) file: &'a Path,
+}
+
+impl Check<'_> {
+    /// The error for one value.
+    pub(super) fn refuse(
+        &self,
+        key: &'static str,
+        value: impl ToString,
+        problem: ValueProblem,
+    ) -> SettingsError {
+        SettingsError::Value { file: self.file.to_owned(), key, value: value.to_string(), problem }
+    }
+
+    /// Refuses a number outside its range.
+    pub(super) fn range(
+        &self,
+        key: &'static str,
+        value: impl Into<u64>,
+        allowed: RangeInclusive<u64>,
+    ) -> Result<(), SettingsError> {
+        let value = value.into();
+        if allowed.contains(&value) {
+            return Ok(());
+        }
+        Err(self.refuse(key, value, ValueProblem::Range(allowed)))
+    }
+
+    /// Refuses an address that others can reach, unless callers prove who they are.
+    pub(super) fn authenticated(
+        &self,
+        key: &'static str,
+        address: SocketAddr,
+        authenticated: bool,
+        remedy: &'static str,
+    ) -> Result<(), SettingsError> {
+        if authenticated || address.ip().is_loopback() {
+            return Ok(());
+        }
+        Err(self.refuse(key, address, ValueProblem::Unauthenticated(remedy)))
+    }
+
+    /// Refuses two listeners on one address. Port 0 is never the same twice.
+    pub(super) fn distinct(
+        &self,
+        listeners: &[(&'static str, SocketAddr)],
+    ) -> Result<(), SettingsError> {
+        for (place, (key, address)) in listeners.iter().enumerate() {
+            let earlier = listeners[..place].iter().find(|(_, other)| other == address);
+            if let Some((other, _)) = earlier.filter(|_| address.port() != 0) {
+                return Err(self.refuse(key, address, ValueProblem::SameAddress(other)));
+            }
+        }
+        Ok(())
+    }
+
+    /// Refuses an empty list and one with an entry twice.
+    pub(super) fn addresses(
+        &self,
+        key: &'static str,
+        addresses: &[SocketAddr],
+    ) -> Result<(), SettingsError> {
+        if addresses.is_empty() {
+            return Err(self.refuse(key, "[]", ValueProblem::Empty));
+        }
+        for (place, address) in addresses.iter().enumerate() {
+            if address.port() == 0 {
+                return Err(self.refuse(key, address, ValueProblem::NoPort));
+            }
+            if addresses[..place].contains(address) {
+                return Err(self.refuse(key, address, ValueProblem::Duplicate));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/server/src/settings/mod.rs
@@ -0,0 +1,39 @@
+//! Settings files: TOML, one form a role, unknown keys refused, values checked at start.
+
+pub mod control;
+mod error;
+pub mod proxy;
+
+pub use control::{ControlOverrides, ControlSettings};
+pub use error::{SettingsError, ValueProblem};
+pub use proxy::{ProxyOverrides, ProxySettings};
+
+use serde::de::DeserializeOwned;
+use std::ops::Range;
+use std::path::Path;
+
+/// Reads a file's text and parses it, without a check of the values.
+fn parse_file<T: DeserializeOwned>(file: &Path) -> Result<T, SettingsError> {
+    let read = std::fs::read_to_string(file);
+    let text = read.map_err(|source| SettingsError::Read { file: file.to_owned(), source })?;
+    parse(file, &text)
+}
+
+fn parse<T: DeserializeOwned>(file: &Path, text: &str) -> Result<T, SettingsError> {
+    toml::from_str(text).map_err(|error| {
+        let (line, content) = locate(text, error.span());
+        SettingsError::Form {
+            file: file.to_owned(),
+            line,
+            text: content.to_owned(),
+            reason: error.message().to_owned(),
+        }
+    })
+}
+
+/// Number and content of the line at which a span starts.
+fn locate(text: &str, span: Option<Range<usize>>) -> (usize, &str) {
+    let start = span.map_or(0, |span| span.start).min(text.len());
+    let line = text.as_bytes()[..start].iter().filter(|byte| **byte == b'\n').count();
+    (line + 1, text.lines().nth(line).unwrap_or_default().trim())
+}
--- /dev/null
+++ b/crates/server/src/telemetry/mod.rs
@@ -0,0 +1,104 @@
+//! What a process tells about itself: log, ring of recent events, metrics, health.
+
+pub mod event_log;
+pub mod http;
+pub mod ring;
+
+pub use event_log::{EventLog, WriteError, WriteReason};
+pub use ring::{EventRecord, EventRing};
+
+use log::{LevelFilter, Log, Metadata, Record};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::mpsc::{SyncSender, sync_channel};
+
+/// Target prefix of this project's own records; of other libraries only warnings are kept.
+const OWN_TARGET: &str = "corktack";
+
+/// Why the log could not be installed.
+#[derive(Debug, thiserror::Error)]
+pub enum TelemetryError {
+    /// The process has a logger already.
+    #[error("the process has a logger already")]
+    Installed(#[from] log::SetLoggerError),
+    /// The thread that writes event logs could not be started.
+    #[error("the thread that writes event logs cannot be started")]
+    Thread(#[source] std::io::Error),
+}
+
+/// A logger that prints by `env_logger` and keeps records of all levels in a ring.
+pub struct Tee {
+    printer: env_logger::Logger,
+    events: Arc<EventLog>,
+    errors: SyncSender<()>,
+}
+
+impl Tee {
+    /// Joins a printer and a ring; starts the thread that writes the ring out after errors.
+    ///
+    /// # Errors
+    /// [`TelemetryError::Thread`].
+    pub fn new(printer: env_logger::Logger, events: Arc<EventLog>) -> Result<Self, TelemetryError> {
+        // One waiting request is enough: the write that it causes holds every record till then.
+        let (errors, requests) = sync_channel(1);
+        let log = Arc::clone(&events);
+        let write = move || requests.iter().for_each(|()| log.write_limited(WriteReason::Error));
+        let thread = std::thread::Builder::new().name("event-log".to_owned());
+        thread.spawn(write).map_err(TelemetryError::Thread)?;
+        Ok(Self { printer, events, errors })
+    }
+}
+
+impl Log for Tee {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        keeps(metadata) || self.printer.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if self.printer.matches(record) {
+            self.printer.log(record);
+        }
+        if !keeps(record.metadata()) {
+            return;
+        }
+        self.events.push(EventRecord::from_log(record));
+        if record.level() == log::Level::Error {
+            // A full channel means that a write is about to happen.
+            let _ = self.errors.try_send(());
+        }
+    }
+
+    fn flush(&self) {
+        self.printer.flush();
+    }
+}
+
+fn keeps(metadata: &Metadata<'_>) -> bool {
+    metadata.target().starts_with(OWN_TARGET) || metadata.level() <= log::Level::Warn
+}
+
+/// Installs the process's log: warnings and above are printed (or what `RUST_LOG` says), all
+/// levels are kept in a ring of `records`, which is written to `folder` on errors and panics.
+///
+/// # Errors
+/// [`TelemetryError`] when the process has a logger already.
+pub fn install(folder: &Path, records: usize) -> Result<Arc<EventLog>, TelemetryError> {
+    let environment = env_logger::Env::default().default_filter_or("warn");
+    let printer = env_logger::Builder::from_env(environment).build();
+    let events = EventLog::new(folder, records);
+    log::set_boxed_logger(Box::new(Tee::new(printer, Arc::clone(&events))?))?;
+    log::set_max_level(LevelFilter::Trace);
+    write_on_panic(Arc::clone(&events));
+    Ok(events)
+}
+
+/// Adds to the panic hook: the panic becomes a record, and the ring is written out at once.
+pub fn write_on_panic(events: Arc<EventLog>) {
+    let earlier = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        let text = format!("{panic}");
+        log::error!(target: "corktack::panic", "thread panicked: {text}");
+        events.write_limited(WriteReason::Panic);
+        earlier(panic);
+    }));
+}
--- /dev/null
+++ b/crates/server/src/watch_client/mod.rs
@@ -0,0 +1,114 @@
+//! The proxy's side of the watch of control.
+//!
+//! A task on a thread of its own connects to one control replica, publishes the
+//! configuration in force and sends heartbeats; [`state`] decides, this module performs.
+//! A configuration is published at once and reported as in force once it is on disk.
+
+mod connection;
+mod metrics;
+pub mod state;
+pub mod store;
+mod task;
+pub mod view_file;
+
+pub use metrics::WatchMetrics;
+pub use state::WatchSettings;
+pub use store::{StoreError, ViewStore};
+pub use view_file::ViewFile;
+
+use corktack_core::view::View;
+use corktack_protocol::control::Observation;
+use prometheus_client::registry::Registry;
+use std::sync::Arc;
+use std::time::Duration;
+use task::WatchTask;
+use tokio::sync::{mpsc, watch};
+
+/// Why the watch could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum WatchError {
+    /// The stored configuration cannot be read.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// A thread could not be started.
+    #[error("the thread that stores configurations cannot be started")]
+    Thread(#[source] std::io::Error),
+}
+
+/// What the owner of a watch may ask of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Request {
+    /// Report from now on that the proxy is stopping.
+    Drain,
+    /// Close the connection and end.
+    Stop,
+}
+
+/// A running watch. It ends when the handle is dropped.
+#[derive(Debug)]
+pub struct WatchHandle {
+    views: watch::Receiver<Arc<View>>,
+    current: watch::Receiver<bool>,
+    requests: mpsc::UnboundedSender<Request>,
+    arbiter: actix_rt::Arbiter,
+}
+
+impl WatchHandle {
+    /// The configuration in force.
+    #[must_use]
+    pub fn views(&self) -> watch::Receiver<Arc<View>> {
+        self.views.clone()
+    }
+
+    /// Whether a replica proved since the start that the configuration in force is current.
+    #[must_use]
+    pub fn current(&self) -> watch::Receiver<bool> {
+        self.current.clone()
+    }
+
+    /// Reports from now on that the proxy is stopping.
+    pub fn drain(&self) {
+        // A watch that has ended reports nothing any more.
+        let _ = self.requests.send(Request::Drain);
+    }
+
+    /// Ends the watch and its thread.
+    pub fn stop(self) {
+        let _ = self.requests.send(Request::Stop);
+        self.arbiter.stop();
+    }
+}
+
+/// Starts the watch from the stored configuration, on a thread of its own.
+///
+/// # Errors
+/// [`WatchError`] when the stored configuration cannot be read.
+pub fn start(
+    settings: WatchSettings,
+    connect_timeout: Duration,
+    store: Box<dyn ViewStore>,
+    observations: mpsc::UnboundedReceiver<Observation>,
+    registry: &mut Registry,
+) -> Result<WatchHandle, WatchError> {
+    let metrics = WatchMetrics::register(registry);
+    let stored = store.load()?.unwrap_or_default();
+    metrics.revision.set(i64::try_from(stored.revision.0).unwrap_or(i64::MAX));
+    let (publish, views) = watch::channel(Arc::new(stored.clone()));
+    let (proved, current) = watch::channel(false);
+    let (requests, asked) = mpsc::unbounded_channel();
+    let syncer = store::Syncer::start(store, metrics.clone()).map_err(WatchError::Thread)?;
+    let task = WatchTask {
+        settings,
+        stored,
+        connect_timeout,
+        syncer,
+        observations,
+        requests: asked,
+        publish,
+        proved,
+        metrics,
+    };
+    let arbiter = actix_rt::Arbiter::new();
+    arbiter.spawn(task.run());
+    Ok(WatchHandle { views, current, requests, arbiter })
+}
--- /dev/null
+++ b/crates/server/src/watch_client/state.rs
@@ -0,0 +1,393 @@
+//! Decisions of the proxy's watch of control, as a state machine without I/O.
+//!
+//! The shell feeds [`Event`]s with the time and performs the [`Action`]s in order. The
+//! machine keeps the configuration in anything that is [`InForce`]: a proxy keeps the whole
+//! [`View`], a hollow node only its revision, so that thousands fit in one process.
+
+use corktack_core::identity::{GroupName, Incarnation, MemberName, ProxyName, ZoneName};
+use corktack_core::time::Timestamp;
+use corktack_core::view::{Delta, Revision, View, ViewError};
+use corktack_protocol::control::{ControlMessage, MemberHealth, Observation, ProxyMessage};
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Shortest time between two heartbeats that observations cause.
+const OBSERVATION_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A configuration that rises with each change and never falls.
+pub trait InForce {
+    /// The revision in force.
+    fn revision(&self) -> Revision;
+    /// Takes a later snapshot.
+    ///
+    /// # Errors
+    /// [`ViewError::NotNewer`] when it is not later.
+    fn replace(&mut self, snapshot: View) -> Result<(), ViewError>;
+    /// Takes the changes of a later revision.
+    ///
+    /// # Errors
+    /// [`ViewError::NotNewer`] when it is not later.
+    fn apply(&mut self, delta: Delta) -> Result<(), ViewError>;
+    /// Whether the group is part of the configuration.
+    fn has_group(&self, group: &GroupName) -> bool;
+}
+
+impl InForce for View {
+    fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    fn replace(&mut self, snapshot: View) -> Result<(), ViewError> {
+        Self::replace(self, snapshot)
+    }
+
+    fn apply(&mut self, delta: Delta) -> Result<(), ViewError> {
+        Self::apply(self, delta)
+    }
+
+    fn has_group(&self, group: &GroupName) -> bool {
+        self.groups.contains_key(group)
+    }
+}
+
+/// Keeps no more than the revision; for hollow nodes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RevisionOnly(pub Revision);
+
+impl RevisionOnly {
+    fn rise(&mut self, offered: Revision) -> Result<(), ViewError> {
+        if offered <= self.0 {
+            return Err(ViewError::NotNewer { offered, in_force: self.0 });
+        }
+        self.0 = offered;
+        Ok(())
+    }
+}
+
+impl InForce for RevisionOnly {
+    fn revision(&self) -> Revision {
+        self.0
+    }
+
+    fn replace(&mut self, snapshot: View) -> Result<(), ViewError> {
+        self.rise(snapshot.revision)
+    }
+
+    fn apply(&mut self, delta: Delta) -> Result<(), ViewError> {
+        self.rise(delta.revision)
+    }
+
+    fn has_group(&self, _group: &GroupName) -> bool {
+        true
+    }
+}
+
+/// Settings of the watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WatchSettings {
+    /// The proxy.
+    pub proxy: ProxyName,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Address of its owner interface, for other proxies.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// The control replicas; tried in an order shuffled by `seed`.
+    pub replicas: Vec<SocketAddr>,
+    /// Time between heartbeats.
+    pub heartbeat_interval: Duration,
+    /// Time without a proof that the replica is current before another one is taken.
+    pub silence_timeout: Duration,
+    /// Shortest wait before another replica is tried; doubles with each failure.
+    pub retry_minimum: Duration,
+    /// Longest wait before another replica is tried.
+    pub retry_maximum: Duration,
+    /// Seed of the order of replicas and of the jitter.
+    pub seed: u64,
+}
+
+/// What happens to the watch.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// The connection asked for is open.
+    Connected,
+    /// The connection could not be opened, or was lost.
+    Disconnected,
+    /// A message came in on the open connection.
+    Message(ControlMessage),
+    /// The owner saw changes at back ends.
+    Observed(Vec<Observation>),
+    /// The proxy is stopping.
+    Draining,
+    /// The configuration of this revision is on disk.
+    Synced(Revision),
+}
+
+/// What the shell must do, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Open a connection; the one before is closed.
+    Connect(SocketAddr),
+    /// Close the connection.
+    Disconnect,
+    /// Send on the open connection.
+    Send(ProxyMessage),
+    /// The configuration in force rose: publish it and put it on disk.
+    Publish,
+    /// The replica proved that it is current, so the configuration in force is too.
+    Current,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Waits until the time to try the next replica.
+    Waiting(Timestamp),
+    /// A connection was asked for.
+    Connecting,
+    /// A connection is open.
+    Connected,
+}
+
+/// The state machine.
+#[derive(Debug)]
+pub struct WatchState<C = View> {
+    settings: WatchSettings,
+    in_force: C,
+    synced: Revision,
+    phase: Phase,
+    next_replica: usize,
+    failures: u32,
+    sequence: u64,
+    /// Sequence of the first heartbeat on the open connection.
+    first_sequence: u64,
+    last_heartbeat: Timestamp,
+    last_proof: Timestamp,
+    draining: bool,
+    observed: BTreeMap<(GroupName, MemberName), Seen>,
+    unsent: bool,
+    rng: ChaCha8Rng,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    health: MemberHealth,
+    sent: bool,
+}
+
+impl<C: InForce> WatchState<C> {
+    /// A watch that goes on from `in_force`, which is on disk or empty. The first
+    /// [`Event::Tick`] makes it connect.
+    #[must_use]
+    pub fn new(mut settings: WatchSettings, in_force: C, now: Timestamp) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
+        settings.replicas.shuffle(&mut rng);
+        Self {
+            synced: in_force.revision(),
+            settings,
+            in_force,
+            phase: Phase::Waiting(now),
+            next_replica: 0,
+            failures: 0,
+            sequence: 0,
+            first_sequence: 0,
+            last_heartbeat: now,
+            last_proof: now,
+            draining: false,
+            observed: BTreeMap::new(),
+            unsent: false,
+            rng,
+        }
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub const fn in_force(&self) -> &C {
+        &self.in_force
+    }
+
+    /// When the next [`Event::Tick`] is due.
+    #[must_use]
+    pub fn deadline(&self) -> Timestamp {
+        match self.phase {
+            Phase::Waiting(until) => until,
+            Phase::Connecting => self.last_proof + self.settings.silence_timeout,
+            Phase::Connected => {
+                let silence = self.last_proof + self.settings.silence_timeout;
+                silence.min(self.last_heartbeat + self.heartbeat_gap())
+            }
+        }
+    }
+
+    /// Takes one event; the actions are to be performed in order.
+    #[must_use]
+    pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Action> {
+        match event {
+            Event::Tick => {}
+            Event::Connected => return self.connected(now),
+            Event::Disconnected => return self.lost(now),
+            Event::Message(message) => return self.receive(now, message),
+            Event::Observed(observations) => self.observe(observations),
+            Event::Draining => return self.drain(now),
+            Event::Synced(revision) => self.synced = self.synced.max(revision),
+        }
+        self.tick(now)
+    }
+
+    fn tick(&mut self, now: Timestamp) -> Vec<Action> {
+        match self.phase {
+            Phase::Waiting(until) if now >= until => vec![self.connect(now)],
+            Phase::Waiting(_) => Vec::new(),
+            _ if now >= self.last_proof + self.settings.silence_timeout => self.change_replica(now),
+            Phase::Connected if now >= self.last_heartbeat + self.heartbeat_gap() => {
+                vec![self.heartbeat(now)]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Time between the last heartbeat and the next; short while observations wait.
+    fn heartbeat_gap(&self) -> Duration {
+        if self.unsent {
+            return OBSERVATION_INTERVAL.min(self.settings.heartbeat_interval);
+        }
+        self.settings.heartbeat_interval
+    }
+
+    fn connect(&mut self, now: Timestamp) -> Action {
+        let replica = self.settings.replicas[self.next_replica % self.settings.replicas.len()];
+        self.next_replica += 1;
+        self.phase = Phase::Connecting;
+        self.last_proof = now;
+        Action::Connect(replica)
+    }
+
+    fn connected(&mut self, now: Timestamp) -> Vec<Action> {
+        if self.phase != Phase::Connecting {
+            return Vec::new();
+        }
+        self.phase = Phase::Connected;
+        self.last_proof = now;
+        self.first_sequence = self.sequence + 1;
+        self.observed.values_mut().for_each(|seen| seen.sent = false);
+        let hello = Action::Send(self.hello());
+        vec![hello, self.heartbeat(now)]
+    }
+
+    fn hello(&self) -> ProxyMessage {
+        ProxyMessage::Hello {
+            proxy: self.settings.proxy.clone(),
+            incarnation: self.settings.incarnation,
+            address: self.settings.address,
+            zone: self.settings.zone.clone(),
+            revision: self.in_force.revision(),
+        }
+    }
+
+    fn heartbeat(&mut self, now: Timestamp) -> Action {
+        self.last_heartbeat = now;
+        self.sequence += 1;
+        let message = ProxyMessage::Heartbeat {
+            sequence: self.sequence,
+            revision: self.synced.min(self.in_force.revision()),
+            draining: self.draining,
+            observations: self.take_unsent(),
+        };
+        Action::Send(message)
+    }
+
+    fn take_unsent(&mut self) -> Vec<Observation> {
+        self.unsent = false;
+        let mut observations = Vec::new();
+        for ((group, member), seen) in &mut self.observed {
+            if !seen.sent {
+                seen.sent = true;
+                let (group, member) = (group.clone(), member.clone());
+                observations.push(Observation { group, member, health: seen.health });
+            }
+        }
+        observations
+    }
+
+    fn observe(&mut self, observations: Vec<Observation>) {
+        for Observation { group, member, health } in observations {
+            self.observed.insert((group, member), Seen { health, sent: false });
+            self.unsent = true;
+        }
+    }
+
+    fn drain(&mut self, now: Timestamp) -> Vec<Action> {
+        self.draining = true;
+        if self.phase != Phase::Connected {
+            return Vec::new();
+        }
+        vec![self.heartbeat(now)]
+    }
+
+    fn receive(&mut self, now: Timestamp, message: ControlMessage) -> Vec<Action> {
+        if self.phase != Phase::Connected {
+            return Vec::new();
+        }
+        match message {
+            ControlMessage::Snapshot(view) => {
+                let taken = self.in_force.replace(*view);
+                self.take(taken)
+            }
+            ControlMessage::Delta(delta) => {
+                let taken = self.in_force.apply(delta);
+                self.take(taken)
+            }
+            ControlMessage::HeartbeatAck { sequence, current } => {
+                self.acknowledged(now, sequence, current)
+            }
+        }
+    }
+
+    /// What is not newer is dropped: configuration never reverts.
+    fn take(&mut self, taken: Result<(), ViewError>) -> Vec<Action> {
+        if taken.is_err() {
+            return Vec::new();
+        }
+        let in_force = &self.in_force;
+        self.observed.retain(|(group, _), _| in_force.has_group(group));
+        vec![Action::Publish]
+    }
+
+    /// Only an answer to a heartbeat of this connection proves anything about its replica.
+    fn acknowledged(&mut self, now: Timestamp, sequence: u64, current: bool) -> Vec<Action> {
+        let of_this_connection = (self.first_sequence..=self.sequence).contains(&sequence);
+        if !current || !of_this_connection {
+            return Vec::new();
+        }
+        self.failures = 0;
+        self.last_proof = now;
+        vec![Action::Current]
+    }
+
+    fn change_replica(&mut self, now: Timestamp) -> Vec<Action> {
+        self.wait(now);
+        vec![Action::Disconnect]
+    }
+
+    fn lost(&mut self, now: Timestamp) -> Vec<Action> {
+        if !matches!(self.phase, Phase::Waiting(_)) {
+            self.wait(now);
+        }
+        Vec::new()
+    }
+
+    /// Waits a random time between half and all of the doubled minimum.
+    fn wait(&mut self, now: Timestamp) {
+        let doubled = self.settings.retry_minimum.saturating_mul(1 << self.failures.min(16));
+        let longest = doubled.min(self.settings.retry_maximum);
+        let wait = longest.mul_f64(self.rng.random_range(0.5..=1.0));
+        self.failures += 1;
+        self.phase = Phase::Waiting(now + wait);
+    }
+}
--- /dev/null
+++ b/crates/server/src/watch_client/store.rs
@@ -0,0 +1,96 @@
+//! The last configuration in force, kept on disk over restarts.
+
+use super::metrics::WatchMetrics;
+use corktack_core::view::{Revision, View};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use tokio::sync::mpsc;
+
+/// Why a configuration could not be kept or read.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// The file could not be read.
+    #[error("stored configuration {}: cannot be read", file.display())]
+    Read {
+        /// The file.
+        file: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file could not be written and synced.
+    #[error("stored configuration {}: cannot be written", file.display())]
+    Write {
+        /// The file.
+        file: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The configuration has no encoding.
+    #[error("a configuration cannot be encoded")]
+    Encode(#[from] corktack_protocol::frame::FrameError),
+}
+
+/// Keeps the last configuration in force.
+pub trait ViewStore: Send {
+    /// What was kept last; none when nothing was, or when it is damaged: the proxy then starts
+    /// like a fresh one, and waits for control.
+    ///
+    /// # Errors
+    /// [`StoreError::Read`].
+    fn load(&self) -> Result<Option<View>, StoreError>;
+
+    /// Keeps a configuration; it is synced when this returns.
+    ///
+    /// # Errors
+    /// [`StoreError::Write`].
+    fn save(&mut self, view: &View) -> Result<(), StoreError>;
+}
+
+/// Writes configurations on a thread of its own, so that no event loop waits for the disk.
+pub(super) struct Syncer {
+    views: Sender<Arc<View>>,
+    synced: mpsc::UnboundedReceiver<Revision>,
+}
+
+impl Syncer {
+    pub(super) fn start(store: Box<dyn ViewStore>, metrics: WatchMetrics) -> std::io::Result<Self> {
+        let (views, written) = channel();
+        let (report, synced) = mpsc::unbounded_channel();
+        let thread = std::thread::Builder::new().name("view-sync".to_owned());
+        thread.spawn(move || write_views(store, &written, &report, &metrics))?;
+        Ok(Self { views, synced })
+    }
+
+    /// Asks for a configuration to be written.
+    pub(super) fn sync(&self, view: Arc<View>) {
+        // The thread ends only after this value is dropped.
+        let _ = self.views.send(view);
+    }
+
+    /// The next revision that is on disk.
+    pub(super) async fn synced(&mut self) -> Option<Revision> {
+        self.synced.recv().await
+    }
+}
+
+fn write_views(
+    mut store: Box<dyn ViewStore>,
+    views: &Receiver<Arc<View>>,
+    report: &mpsc::UnboundedSender<Revision>,
+    metrics: &WatchMetrics,
+) {
+    while let Ok(mut view) = views.recv() {
+        // Only the newest matters.
+        while let Ok(newer) = views.try_recv() {
+            view = newer;
+        }
+        match store.save(&view) {
+            Ok(()) => drop(report.send(view.revision)),
+            Err(error) => {
+                metrics.sync_failures.inc();
+                log::error!(error:? = error; "the configuration in force cannot be put on disk");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/watch_client/task.rs
@@ -0,0 +1,184 @@
+//! The task that performs what the watch's state machine decides.
+
+use super::Request;
+use super::connection::{Arrival, Connection};
+use super::metrics::WatchMetrics;
+use super::state::{Action, Event, WatchSettings, WatchState};
+use super::store::Syncer;
+use corktack_core::time::Timestamp;
+use corktack_core::view::View;
+use corktack_protocol::control::Observation;
+use futures_util::FutureExt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, watch};
+
+/// Most messages taken before what they changed is published.
+const MESSAGES_BEFORE_PUBLISH: usize = 256;
+
+/// What the task starts from.
+pub(super) struct WatchTask {
+    pub(super) settings: WatchSettings,
+    pub(super) stored: View,
+    pub(super) connect_timeout: Duration,
+    pub(super) syncer: Syncer,
+    pub(super) observations: mpsc::UnboundedReceiver<Observation>,
+    pub(super) requests: mpsc::UnboundedReceiver<Request>,
+    pub(super) publish: watch::Sender<Arc<View>>,
+    pub(super) proved: watch::Sender<bool>,
+    pub(super) metrics: WatchMetrics,
+}
+
+impl WatchTask {
+    /// Runs until it is told to stop or every handle is gone.
+    pub(super) async fn run(self) {
+        let origin = Instant::now();
+        let send_limit = self.settings.silence_timeout;
+        let state = WatchState::new(self.settings, self.stored, Timestamp::ZERO);
+        let shell = Shell {
+            origin,
+            state,
+            connection: Connection::Closed,
+            connect_timeout: self.connect_timeout,
+            send_limit,
+            syncer: self.syncer,
+            publish: self.publish,
+            proved: self.proved,
+            metrics: self.metrics,
+            unpublished: false,
+        };
+        shell.run(self.observations, self.requests).await;
+    }
+}
+
+/// The state machine and what its actions act on.
+struct Shell {
+    origin: Instant,
+    state: WatchState,
+    connection: Connection,
+    connect_timeout: Duration,
+    send_limit: Duration,
+    syncer: Syncer,
+    publish: watch::Sender<Arc<View>>,
+    proved: watch::Sender<bool>,
+    metrics: WatchMetrics,
+    unpublished: bool,
+}
+
+impl Shell {
+    async fn run(
+        mut self,
+        mut observations: mpsc::UnboundedReceiver<Observation>,
+        mut requests: mpsc::UnboundedReceiver<Request>,
+    ) {
+        loop {
+            let wake = tokio::time::Instant::from_std(self.instant(self.state.deadline()));
+            tokio::select! {
+                request = requests.recv() => match request {
+                    Some(Request::Drain) => self.handle(Event::Draining).await,
+                    Some(Request::Stop) | None => return,
+                },
+                Some(first) = observations.recv() => {
+                    let mut seen = vec![first];
+                    while let Ok(next) = observations.try_recv() {
+                        seen.push(next);
+                    }
+                    self.handle(Event::Observed(seen)).await;
+                }
+                Some(revision) = self.syncer.synced() => {
+                    self.handle(Event::Synced(revision)).await;
+                }
+                arrival = self.connection.next() => self.arrived(arrival).await,
+                () = tokio::time::sleep_until(wake) => self.handle(Event::Tick).await,
+            }
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::ZERO + self.origin.elapsed()
+    }
+
+    fn instant(&self, time: Timestamp) -> Instant {
+        self.origin + time.saturating_since(Timestamp::ZERO)
+    }
+
+    /// Takes what arrived, and what is there already behind it, then publishes once.
+    async fn arrived(&mut self, first: Arrival) {
+        let mut next = Some(first);
+        let mut taken = 0;
+        while let Some(arrival) = next.take() {
+            self.handle(self.event(arrival)).await;
+            taken += 1;
+            if taken < MESSAGES_BEFORE_PUBLISH {
+                next = self.connection.next().now_or_never();
+            }
+        }
+        self.publish();
+    }
+
+    fn event(&self, arrival: Arrival) -> Event {
+        match arrival {
+            Arrival::Opened => {
+                self.metrics.connections.inc();
+                self.metrics.connected.set(1);
+                Event::Connected
+            }
+            Arrival::Lost(error) => {
+                log::info!(error:% = error; "connection to control lost");
+                self.metrics.connected.set(0);
+                Event::Disconnected
+            }
+            Arrival::Message(message) => Event::Message(*message),
+        }
+    }
+
+    async fn handle(&mut self, event: Event) {
+        let actions = self.state.handle(self.now(), event);
+        for action in actions {
+            self.perform(action).await;
+        }
+    }
+
+    async fn perform(&mut self, action: Action) {
+        match action {
+            Action::Connect(replica) => {
+                log::debug!(replica:% = replica; "connecting to control");
+                self.connection = Connection::open(replica, self.connect_timeout);
+            }
+            Action::Disconnect => {
+                log::warn!("no proof from the control replica that it is current; changing it");
+                self.close();
+            }
+            Action::Send(message) => {
+                if let Err(error) = self.connection.send(message, self.send_limit).await {
+                    log::info!(error:% = error; "connection to control lost");
+                    self.close();
+                    // A lost connection only sets the time of the next try.
+                    let now = self.now();
+                    let _ = self.state.handle(now, Event::Disconnected);
+                }
+            }
+            Action::Publish => self.unpublished = true,
+            Action::Current => {
+                self.publish();
+                self.proved.send_if_modified(|proved| !std::mem::replace(proved, true));
+            }
+        }
+    }
+
+    fn close(&mut self) {
+        self.connection = Connection::Closed;
+        self.metrics.connected.set(0);
+    }
+
+    fn publish(&mut self) {
+        if !std::mem::take(&mut self.unpublished) {
+            return;
+        }
+        let view = Arc::new(self.state.in_force().clone());
+        self.metrics.revision.set(i64::try_from(view.revision.0).unwrap_or(i64::MAX));
+        log::debug!(revision = view.revision.0; "configuration in force");
+        self.syncer.sync(Arc::clone(&view));
+        self.publish.send_replace(view);
+    }
+}
--- /dev/null
+++ b/crates/server/tests/manifest.rs
@@ -0,0 +1,104 @@
+//! Manifests: what is refused, and that the error names file, document, key and value.
+
+use corktack_core::resources::{ResourceKey, ResourceVersion};
+use corktack_server::manifest::{ManifestError, check, load, parse};
+use rstest::rstest;
+use std::path::Path;
+
+const MANIFESTS: &str = r"
+apiVersion: corktack/v1
+kind: PriorityClass
+metadata: {name: gold, resourceVersion: 0}
+spec: {priority: 30, guaranteedPercent: 50}
+---
+apiVersion: corktack/v1
+kind: DatabaseGroup
+metadata: {name: records}
+spec:
+  database: records
+  slots: 5
+  connections: 40
+  members:
+    - {name: records-1, address: '127.0.0.1:5501', zone: amba.a}
+    - {name: records-2, address: '127.0.0.1:5502', zone: cuyo.a}
+---
+apiVersion: corktack/v1
+kind: Binding
+metadata: {name: fraud}
+spec:
+  match: {user: fraud, database: records, sourceNetwork: 10.0.0.0/8}
+  class: gold
+---
+";
+
+fn parse_text(text: &str) -> Result<Vec<corktack_server::manifest::Manifest>, ManifestError> {
+    parse(Path::new("group.yaml"), text)
+}
+
+#[test]
+fn documents_keep_their_place_and_version() {
+    let manifests = parse_text(MANIFESTS).unwrap();
+    assert_eq!(manifests.len(), 3);
+    assert_eq!(manifests[0].resource_version, Some(ResourceVersion(0)));
+    assert_eq!(manifests[1].document, 2);
+    assert!(matches!(&manifests[2].key, ResourceKey::Binding(name) if name.as_str() == "fraud"));
+    assert!(check(&manifests).is_empty());
+}
+
+#[rstest]
+#[case("slots: 5", "slot: 5", 2, &["spec", "slot"])]
+#[case("slots: 5", "slots: five", 2, &["spec.slots", "five"])]
+#[case("127.0.0.1:5502", "host:5502", 2, &["spec.members[1].address", "line 16", "host:5502"])]
+#[case("kind: Binding", "kind: Bindings", 3, &["kind", "Bindings"])]
+#[case("metadata: {name: fraud}", "metadata: {nam: fraud}", 3, &["metadata", "nam"])]
+#[case("metadata: {name: fraud}", "metadata: {name: 'fr aud'}", 3, &["metadata.name", "fr aud"])]
+#[case("priority: 30", "priority: -1", 1, &["spec.priority", "-1"])]
+#[case("apiVersion: corktack/v1\nkind: Binding", "apiVersion: v2\nkind: Binding", 3, &["v2"])]
+#[case("class: gold", "class: gold\nstatus: {}", 3, &["status"])]
+fn a_bad_document_names_file_document_key_and_value(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] document: usize,
+    #[case] named: &[&str],
+) {
+    let text = parse_text(&MANIFESTS.replace(from, to)).unwrap_err().to_string();
+    assert!(text.contains("group.yaml"), "{text}");
+    assert!(text.contains(&format!("document {document}")), "{text}");
+    for name in named {
+        assert!(text.contains(name), "{text} does not name {name}");
+    }
+}
+
+#[rstest]
+#[case("class: gold", "class: golden", "spec.class = golden")]
+#[case("database: records, source", "database: other, source", "spec.match.database = other")]
+#[case("10.0.0.0/8", "10.0.0.0/40", "spec.match.sourceNetwork = 10.0.0.0/40")]
+#[case("slots: 5", "slots: 0", "spec.slots = 0")]
+#[case("connections: 40", "connections: 4", "spec.connections = 4")]
+#[case("records-2", "records-1", "spec.members[1].name = records-1")]
+#[case("127.0.0.1:5502", "127.0.0.1:5501", "spec.members[1].address = 127.0.0.1:5501")]
+#[case("guaranteedPercent: 50", "guaranteedPercent: 101", "spec.guaranteedPercent = 101")]
+fn a_bad_value_or_reference_is_found_without_a_server(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] named: &str,
+) {
+    let errors = check(&parse_text(&MANIFESTS.replace(from, to)).unwrap());
+    let texts: Vec<String> = errors.iter().map(ToString::to_string).collect();
+    assert_eq!(texts.len(), 1, "{texts:?}");
+    assert!(texts[0].contains(named), "{texts:?}");
+}
+
+#[test]
+fn one_resource_is_declared_once_over_the_files_of_a_folder() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("b.yaml"), MANIFESTS).unwrap();
+    std::fs::write(folder.path().join("a.yml"), MANIFESTS).unwrap();
+    std::fs::write(folder.path().join("notes.txt"), "not a manifest").unwrap();
+    let manifests = load(folder.path()).unwrap();
+    assert_eq!(manifests.len(), 6);
+    assert!(manifests[0].file.ends_with("a.yml"));
+    let errors = check(&manifests);
+    let first = errors.first().unwrap().to_string();
+    assert!(first.contains("b.yaml") && first.contains("a.yml"), "{first}");
+}
--- /dev/null
+++ b/crates/server/tests/settings.rs
@@ -0,0 +1,176 @@
+//! Settings files: what is refused, and that the error names file, key and value.
+
+use corktack_server::data_folder::{DataFolder, DataFolderError};
+use corktack_server::listeners::bind;
+use corktack_server::settings::{
+    ControlOverrides, ControlSettings, ProxyOverrides, ProxySettings, SettingsError, ValueProblem,
+};
+use rstest::rstest;
+use std::io::ErrorKind;
+use std::path::PathBuf;
+use tempfile::TempDir;
+
+const PROXY: &str = r#"
+name = "proxy-1"
+zone = "amba.a"
+data_folder = "/var/lib/corktack"
+[addresses]
+callers = "127.0.0.1:6432"
+peers = "127.0.0.1:7001"
+telemetry = "127.0.0.1:9101"
+[control]
+replicas = ["127.0.0.1:7101", "127.0.0.1:7102"]
+[authentication]
+mode = "trust"
+[limits]
+callers = 500
+"#;
+
+const CONTROL: &str = r#"
+replica = 1
+data_folder = "/var/lib/corktack"
+[addresses]
+cell = "127.0.0.1:7100"
+proxies = "127.0.0.1:7101"
+operators = "127.0.0.1:7102"
+[[members]]
+id = 1
+address = "127.0.0.1:7100"
+"#;
+
+fn file(text: &str) -> (TempDir, PathBuf) {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("settings.toml");
+    std::fs::write(&path, text).unwrap();
+    (folder, path)
+}
+
+fn load_proxy(text: &str) -> Result<ProxySettings, SettingsError> {
+    ProxySettings::load(&file(text).1, ProxyOverrides::default())
+}
+
+fn load_control(text: &str) -> Result<ControlSettings, SettingsError> {
+    ControlSettings::load(&file(text).1, ControlOverrides::default())
+}
+
+#[test]
+fn flags_override_the_file() {
+    let overrides = ProxyOverrides {
+        zone: Some("cuyo.b".parse().unwrap()),
+        callers: Some("127.0.0.1:5433".parse().unwrap()),
+        data_folder: Some("/elsewhere".into()),
+        ..ProxyOverrides::default()
+    };
+    let settings = ProxySettings::load(&file(PROXY).1, overrides).unwrap();
+    assert_eq!(settings.zone.as_str(), "cuyo.b");
+    assert_eq!(settings.addresses.callers.port(), 5433);
+    assert_eq!(settings.data_folder, PathBuf::from("/elsewhere"));
+    assert_eq!(settings.limits.callers, 500);
+    assert_eq!(settings.limits.edge_arbiters, 2);
+}
+
+#[rstest]
+#[case("callers = 500", "calers = 500", "calers")]
+#[case("callers = 500", "callers = \"many\"", "many")]
+#[case("callers = 500", "callers = -1", "-1")]
+#[case("mode = \"trust\"", "mode = \"none\"", "none")]
+#[case("127.0.0.1:6432", "localhost:6432", "localhost:6432")]
+#[case("name = \"proxy-1\"", "name = \"proxy 1\"", "proxy 1")]
+fn a_bad_form_names_the_line_with_key_and_value(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] named: &str,
+) {
+    let error = load_proxy(&PROXY.replace(from, to)).unwrap_err();
+    let SettingsError::Form { text, .. } = &error else { panic!("{error:?}") };
+    assert!(text.contains(named), "{text}");
+    assert!(error.to_string().contains("settings.toml"), "{error}");
+}
+
+#[rstest]
+#[case("callers = 500", "callers = 0", "limits.callers")]
+#[case("127.0.0.1:6432", "0.0.0.0:6432", "addresses.callers")]
+#[case("127.0.0.1:9101", "127.0.0.1:7001", "addresses.telemetry")]
+#[case("\"127.0.0.1:7101\", \"127.0.0.1:7102\"", "", "control.replicas")]
+#[case("127.0.0.1:7102", "127.0.0.1:7101", "control.replicas")]
+#[case("127.0.0.1:7102", "127.0.0.1:0", "control.replicas")]
+#[case("mode = \"trust\"", "mode = \"scram\"", "authentication.users")]
+#[case("[limits]\ncallers = 500", "[timeouts]\nhandover_ms = 0", "timeouts.handover_ms")]
+#[case("[control]", "[control]\nheartbeat_interval_ms = 4000", "control.heartbeat_interval_ms")]
+fn a_bad_value_names_file_key_and_value(#[case] from: &str, #[case] to: &str, #[case] key: &str) {
+    let error = load_proxy(&PROXY.replace(from, to)).unwrap_err();
+    let SettingsError::Value { key: found, value, .. } = &error else { panic!("{error:?}") };
+    assert_eq!(*found, key);
+    let text = error.to_string();
+    assert!(text.contains("settings.toml") && text.contains(&format!("{key} = {value}")), "{text}");
+}
+
+#[test]
+fn callers_on_other_machines_need_scram_users() {
+    let open = PROXY.replace("127.0.0.1:6432", "10.0.0.1:6432");
+    let scram = "mode = \"scram\"\n[[authentication.users]]\nname = \"app\"\npassword = \"secret\"";
+    let settings = load_proxy(&open.replace("mode = \"trust\"", scram)).unwrap();
+    assert_eq!(settings.authentication.users[0].name, "app");
+    assert!(!format!("{settings:?}").contains("secret"));
+}
+
+#[test]
+fn operators_on_other_machines_need_a_token() {
+    let open = CONTROL.replace("127.0.0.1:7102", "10.0.0.1:7102");
+    let error = load_control(&open).unwrap_err();
+    assert!(matches!(
+        error,
+        SettingsError::Value {
+            key: "addresses.operators",
+            problem: ValueProblem::Unauthenticated(_),
+            ..
+        }
+    ));
+    let token = format!("operator_token = \"0123456789abcdef\"\n{open}");
+    assert!(load_control(&token).is_ok());
+}
+
+#[rstest]
+#[case("replica = 1", "replica = 2", "replica")]
+#[case("replica = 1", "replica = 0", "replica")]
+#[case("127.0.0.1:7101", "127.0.0.1:7100", "addresses.proxies")]
+#[case("replica = 1", "replica = 1\noperator_token = \"short\"", "operator_token")]
+fn a_bad_control_value_names_its_key(#[case] from: &str, #[case] to: &str, #[case] key: &str) {
+    let error = load_control(&CONTROL.replacen(from, to, 1)).unwrap_err();
+    let SettingsError::Value { key: found, .. } = &error else { panic!("{error:?}") };
+    assert_eq!(*found, key);
+    assert!(!error.to_string().contains("short\""));
+}
+
+#[test]
+fn a_joining_replica_need_not_be_a_member() {
+    let joining = CONTROL.replacen("replica = 1", "replica = 4\njoin = true", 1);
+    assert!(load_control(&joining).is_ok());
+}
+
+#[test]
+fn a_taken_port_names_setting_and_address() {
+    let first = bind("addresses.callers", "127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = first.local_addr().unwrap();
+    let error = bind("addresses.callers", address).unwrap_err();
+    assert_eq!(error.source.kind(), ErrorKind::AddrInUse);
+    assert!(error.to_string().contains(&format!("addresses.callers = {address}")), "{error}");
+}
+
+#[test]
+fn a_data_folder_serves_one_process() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("made");
+    let held = DataFolder::open(&path).unwrap();
+    assert!(matches!(DataFolder::open(&path), Err(DataFolderError::InUse { .. })));
+    drop(held);
+    assert!(DataFolder::open(&path).is_ok());
+}
+
+#[test]
+fn a_data_folder_that_cannot_be_made_is_named() {
+    let (_folder, file) = file("");
+    let error = DataFolder::open(&file).unwrap_err();
+    assert!(matches!(error, DataFolderError::Unwritable { .. }));
+    assert!(error.to_string().contains(file.to_str().unwrap()));
+}
--- /dev/null
+++ b/crates/server/tests/watch_state.rs
@@ -0,0 +1,203 @@
+//! The watch's state machine: never lower, change of replica, restarts far behind.
+
+use corktack_core::identity::{GroupName, Incarnation, MemberName};
+use corktack_core::position::Term;
+use corktack_core::resources::PriorityClassSpec;
+use corktack_core::time::Timestamp;
+use corktack_core::view::{Delta, Revision, View, ViewChange};
+use corktack_protocol::control::{ControlMessage, MemberHealth, Observation, ProxyMessage};
+use corktack_server::watch_client::state::{
+    Action, Event, InForce, RevisionOnly, WatchSettings, WatchState,
+};
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const REPLICAS: u16 = 3;
+
+fn settings(seed: u64) -> WatchSettings {
+    WatchSettings {
+        proxy: "proxy-1".parse().unwrap(),
+        incarnation: Incarnation(7),
+        address: "127.0.0.1:7001".parse().unwrap(),
+        zone: "amba.a".parse().unwrap(),
+        replicas: (0..REPLICAS)
+            .map(|port| SocketAddr::from(([127, 0, 0, 1], 7100 + port)))
+            .collect(),
+        heartbeat_interval: Duration::from_secs(1),
+        silence_timeout: Duration::from_secs(3),
+        retry_minimum: Duration::from_millis(50),
+        retry_maximum: Duration::from_secs(2),
+        seed,
+    }
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn connected<C: InForce>(in_force: C) -> WatchState<C> {
+    let mut state = WatchState::new(settings(1), in_force, at(0));
+    assert!(matches!(state.handle(at(0), Event::Tick)[..], [Action::Connect(_)]));
+    let actions = state.handle(at(1), Event::Connected);
+    assert!(matches!(
+        actions[..],
+        [Action::Send(ProxyMessage::Hello { .. }), Action::Send(ProxyMessage::Heartbeat { .. })]
+    ));
+    state
+}
+
+fn delta(revision: u64) -> Event {
+    let class = PriorityClassSpec { priority: revision as u32, guaranteed_percent: 0 };
+    let changes = vec![ViewChange::PutClass("gold".parse().unwrap(), class)];
+    Event::Message(ControlMessage::Delta(Delta { revision: Revision(revision), changes }))
+}
+
+fn snapshot(revision: u64) -> Event {
+    let view = View { revision: Revision(revision), ..View::default() };
+    Event::Message(ControlMessage::Snapshot(Box::new(view)))
+}
+
+fn acknowledgement(sequence: u64, current: bool) -> Event {
+    Event::Message(ControlMessage::HeartbeatAck { sequence, current })
+}
+
+fn sent_heartbeat(actions: &[Action]) -> Option<(u64, Revision, bool, usize)> {
+    actions.iter().find_map(|action| match action {
+        Action::Send(ProxyMessage::Heartbeat { sequence, revision, draining, observations }) => {
+            Some((*sequence, *revision, *draining, observations.len()))
+        }
+        _ => None,
+    })
+}
+
+#[rstest]
+#[case(delta(9))]
+#[case(delta(10))]
+#[case(snapshot(9))]
+#[case(snapshot(10))]
+fn what_is_not_newer_is_dropped(#[case] old: Event) {
+    let mut state = connected(View::default());
+    assert_eq!(state.handle(at(2), delta(10)), [Action::Publish]);
+    let before = state.in_force().clone();
+    assert!(state.handle(at(3), old).is_empty());
+    assert_eq!(*state.in_force(), before);
+}
+
+#[test]
+fn a_revision_is_reported_once_it_is_on_disk() {
+    let mut state = connected(View::default());
+    let _ = state.handle(at(2), delta(10));
+    let before = sent_heartbeat(&state.handle(at(1_001), Event::Tick)).unwrap();
+    assert_eq!(before.1, Revision(0));
+    let _ = state.handle(at(1_500), Event::Synced(Revision(10)));
+    let after = sent_heartbeat(&state.handle(at(2_001), Event::Tick)).unwrap();
+    assert_eq!(after.1, Revision(10));
+}
+
+#[test]
+fn five_hundred_missed_changes_come_as_deltas_or_as_a_snapshot() {
+    let stored = View { revision: Revision(100), ..View::default() };
+    let mut by_delta = connected(stored.clone());
+    for revision in 101..=600 {
+        assert_eq!(by_delta.handle(at(2), delta(revision)), [Action::Publish]);
+    }
+    assert_eq!(by_delta.in_force().revision, Revision(600));
+    let mut by_snapshot = connected(stored);
+    assert_eq!(by_snapshot.handle(at(2), snapshot(599)), [Action::Publish]);
+    assert_eq!(by_snapshot.handle(at(2), delta(600)), [Action::Publish]);
+    assert_eq!(by_snapshot.in_force().revision, Revision(600));
+}
+
+#[test]
+fn the_hello_carries_the_stored_revision() {
+    let mut state = WatchState::new(settings(1), RevisionOnly(Revision(42)), at(0));
+    let _ = state.handle(at(0), Event::Tick);
+    let actions = state.handle(at(1), Event::Connected);
+    let Action::Send(ProxyMessage::Hello { revision, .. }) = &actions[0] else { panic!() };
+    assert_eq!(*revision, Revision(42));
+}
+
+#[rstest]
+#[case::silent(None)]
+#[case::cut_off(Some(false))]
+fn a_replica_without_proof_is_left(#[case] answer: Option<bool>) {
+    let mut state = connected(RevisionOnly::default());
+    for second in 1..3 {
+        let (sequence, ..) =
+            sent_heartbeat(&state.handle(at(second * 1_000 + 1), Event::Tick)).unwrap();
+        if let Some(current) = answer {
+            assert!(
+                state.handle(at(second * 1_000 + 2), acknowledgement(sequence, current)).is_empty()
+            );
+        }
+    }
+    assert_eq!(state.handle(at(3_001), Event::Tick), [Action::Disconnect]);
+    assert!(matches!(state.handle(at(3_100), Event::Tick)[..], [Action::Connect(_)]));
+}
+
+#[test]
+fn a_replica_with_proof_is_kept() {
+    let mut state = connected(RevisionOnly::default());
+    for second in 1..60 {
+        let actions = state.handle(at(second * 1_000 + 1), Event::Tick);
+        let (sequence, ..) = sent_heartbeat(&actions).unwrap();
+        let proof = state.handle(at(second * 1_000 + 2), acknowledgement(sequence, true));
+        assert_eq!(proof, [Action::Current]);
+    }
+}
+
+#[test]
+fn an_answer_to_an_earlier_connection_proves_nothing() {
+    let mut state = connected(RevisionOnly::default());
+    let _ = state.handle(at(10), Event::Disconnected);
+    let _ = state.handle(at(200), Event::Tick);
+    let _ = state.handle(at(201), Event::Connected);
+    assert!(state.handle(at(202), acknowledgement(1, true)).is_empty());
+    assert_eq!(state.handle(at(203), acknowledgement(2, true)), [Action::Current]);
+}
+
+#[rstest]
+fn every_replica_is_tried_with_rising_waits(#[values(1, 2, 3)] seed: u64) {
+    let mut state = WatchState::new(settings(seed), RevisionOnly::default(), at(0));
+    let mut now = at(0);
+    let mut tried = BTreeSet::new();
+    let mut waits = Vec::new();
+    for _ in 0..12 {
+        let Action::Connect(replica) = state.handle(now, Event::Tick)[0] else { panic!() };
+        tried.insert(replica);
+        assert!(state.handle(now, Event::Disconnected).is_empty());
+        waits.push(state.deadline() - now);
+        now = state.deadline();
+    }
+    assert_eq!(tried.len(), usize::from(REPLICAS));
+    assert!(waits[0] <= Duration::from_millis(50));
+    assert!(waits[11] >= Duration::from_secs(1) && waits[11] <= Duration::from_secs(2));
+}
+
+#[test]
+fn observations_are_sent_soon_and_again_after_a_new_connection() {
+    let observation = |member: &str| Observation {
+        group: GroupName::new("records").unwrap(),
+        member: MemberName::new(member).unwrap(),
+        health: MemberHealth::Primary(Term(3)),
+    };
+    let mut state = connected(RevisionOnly::default());
+    let observed = Event::Observed(vec![observation("a"), observation("b")]);
+    let sent = sent_heartbeat(&state.handle(at(100), observed)).unwrap();
+    assert_eq!(sent.3, 2);
+    let next = sent_heartbeat(&state.handle(at(1_100), Event::Tick)).unwrap();
+    assert_eq!(next.3, 0);
+    let _ = state.handle(at(1_200), Event::Disconnected);
+    let _ = state.handle(at(2_000), Event::Tick);
+    let again = sent_heartbeat(&state.handle(at(2_001), Event::Connected)).unwrap();
+    assert_eq!(again.3, 2);
+}
+
+#[test]
+fn draining_is_reported_at_once_and_from_then_on() {
+    let mut state = connected(RevisionOnly::default());
+    assert!(sent_heartbeat(&state.handle(at(10), Event::Draining)).unwrap().2);
+    assert!(sent_heartbeat(&state.handle(at(1_010), Event::Tick)).unwrap().2);
+}
