Owner: streams over leased server connections

Cause: nothing served a group yet. Change: core admission, routing, retry and reply tracker; the owner crate with links, streams, leases, barriers, probes and the outcome of lost connections.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,11 +6,15 @@
 //! so the same code runs in the server, in the simulator and in bulk inside
 //! hollow nodes.
 
+pub mod admission;
 pub mod backend;
 pub mod consensus;
 pub mod identity;
+pub mod pool;
 pub mod position;
 pub mod resources;
+pub mod retry;
+pub mod routing;
 pub mod state;
 pub mod time;
 pub mod view;
--- /dev/null
+++ b/crates/owner/src/barrier.rs
@@ -0,0 +1,108 @@
+//! Barriers: committed positions that a majority confirmed after a request arrived.
+//!
+//! One barrier is in flight at a time. A request that arrives after it was sent
+//! waits for the next one, since only that is confirmed after its arrival.
+
+use crate::connection::{ConnectionError, ServerConnection};
+use crate::context::lock;
+use crate::group::{CONTROL_APPLICATION_NAME, Group};
+use corktack_core::backend::SHOW_READ_INDEX;
+use corktack_core::identity::MemberName;
+use corktack_core::position::{Position, Term};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot};
+
+/// Longest wait for the primary's answer.
+const BARRIER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Requests that wait for the next barrier.
+#[derive(Debug, Default)]
+pub(crate) struct BarrierQueue {
+    waiting: Mutex<Vec<oneshot::Sender<Option<Position>>>>,
+    arrived: Notify,
+}
+
+impl BarrierQueue {
+    /// A position confirmed after this call; none when the primary gave none.
+    pub async fn confirmed_position(&self) -> Option<Position> {
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.waiting).push(sender);
+        self.arrived.notify_one();
+        receiver.await.ok().flatten()
+    }
+
+    fn take(&self) -> Vec<oneshot::Sender<Option<Position>>> {
+        std::mem::take(&mut *lock(&self.waiting))
+    }
+}
+
+/// Connection to the primary for barriers.
+struct BarrierConnection {
+    connection: ServerConnection,
+    primary: (MemberName, Term),
+}
+
+/// Answers the group's barriers; runs as long as the group is owned.
+pub(crate) async fn run(group: Arc<Group>) {
+    let mut connection = None;
+    loop {
+        group.barriers.arrived.notified().await;
+        // All that wait now arrived before the question below is sent.
+        let waiting = group.barriers.take();
+        if waiting.is_empty() {
+            continue;
+        }
+        let position = confirm(&group, &mut connection).await;
+        for sender in waiting {
+            // A waiter that is gone needs no answer.
+            let _ = sender.send(position);
+        }
+    }
+}
+
+async fn confirm(group: &Group, held: &mut Option<BarrierConnection>) -> Option<Position> {
+    let view = group.view();
+    let primary = (view.primary.clone()?, view.term);
+    let mut reuse = held.take().filter(|held| held.primary == primary);
+    if reuse.as_mut().is_some_and(|held| !held.connection.is_reusable()) {
+        reuse = None;
+    }
+    group.metrics.barriers.get_or_create(&group.label()).inc();
+    let mut changes = group.follow_view();
+    let replaced = changes.wait_for(|now| now.primary != view.primary || now.term != view.term);
+    tokio::select! {
+        _ = replaced => None,
+        answer = ask(group, reuse, primary) => {
+            let (position, connection) = answer.ok()?;
+            group.learn_position(&connection.primary.0, position);
+            *held = Some(connection);
+            Some(position)
+        }
+    }
+}
+
+async fn ask(
+    group: &Group,
+    reuse: Option<BarrierConnection>,
+    primary: (MemberName, Term),
+) -> Result<(Position, BarrierConnection), ConnectionError> {
+    let mut held = match reuse {
+        Some(held) => held,
+        None => open(group, primary).await?,
+    };
+    let rows = held.connection.query(SHOW_READ_INDEX, BARRIER_TIMEOUT).await?;
+    let text = rows.into_iter().next().and_then(|row| row.into_iter().next()).flatten();
+    let position = text.and_then(|text| text.parse().ok());
+    Ok((position.ok_or(ConnectionError::Closed)?, held))
+}
+
+async fn open(
+    group: &Group,
+    primary: (MemberName, Term),
+) -> Result<BarrierConnection, ConnectionError> {
+    let (address, login) = group.login(&primary.0, CONTROL_APPLICATION_NAME);
+    let address = address.ok_or(ConnectionError::Closed)?;
+    let connection = ServerConnection::connect(address, &login).await?;
+    Ok(BarrierConnection { connection, primary })
+}
--- /dev/null
+++ b/crates/owner/src/connection.rs
@@ -0,0 +1,279 @@
+//! One server connection.
+
+use crate::wire::{self, RawMessage, WireError};
+use bytes::{Buf, BytesMut};
+use corktack_core::pool::replies::{Disposition, Reply, ReplyTracker, Sent, UnexpectedReply, back};
+use pgwire::messages::Message;
+use pgwire::messages::cancel::CancelRequest;
+use pgwire::messages::simplequery::Query;
+use pgwire::messages::startup::{BackendKeyData, Startup};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::net::TcpStream;
+
+/// Longest wait for a new connection to be ready.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Room made for each read.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Why a server connection cannot be used any more.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ConnectionError {
+    /// The socket failed.
+    #[error("server connection failed")]
+    Io(#[from] std::io::Error),
+    /// The back end closed it.
+    #[error("server connection closed by the back end")]
+    Closed,
+    /// The back end sent bytes that are no message.
+    #[error("server connection broke the protocol")]
+    Wire(#[from] WireError),
+    /// The back end sent an answer to nothing.
+    #[error("server connection broke the order of answers")]
+    Unexpected(#[from] UnexpectedReply),
+    /// The back end answered with an error where none is expected.
+    #[error("back end answered SQLSTATE {sqlstate}")]
+    Refused {
+        /// The SQLSTATE.
+        sqlstate: String,
+    },
+    /// The back end's status row is malformed.
+    #[error("back end with a malformed status")]
+    Status(#[from] corktack_core::backend::StatusError),
+    /// No answer in time.
+    #[error("no answer from the back end in time")]
+    TimedOut,
+}
+
+/// One server connection with what is known of its session.
+#[derive(Debug)]
+pub(crate) struct ServerConnection {
+    socket: TcpStream,
+    address: SocketAddr,
+    input: BytesMut,
+    /// Bytes that wait to be sent.
+    pub output: BytesMut,
+    /// Answers that are due, and prepared statements.
+    pub tracker: ReplyTracker,
+    /// Bytes sent since the count was last reset.
+    pub sent_bytes: usize,
+    /// Whether session state may differ from that of a new connection.
+    pub session_changed: bool,
+    key: Option<BackendKeyData>,
+}
+
+/// Who connects to which database.
+#[derive(Clone, Debug)]
+pub(crate) struct Login {
+    pub user: String,
+    pub database: String,
+    pub application_name: &'static str,
+}
+
+impl ServerConnection {
+    /// Connects and waits until the back end is ready.
+    pub async fn connect(address: SocketAddr, login: &Login) -> Result<Self, ConnectionError> {
+        let attempt = Self::connect_unbounded(address, login);
+        let done = tokio::time::timeout(CONNECT_TIMEOUT, attempt).await;
+        done.unwrap_or(Err(ConnectionError::TimedOut))
+    }
+
+    async fn connect_unbounded(
+        address: SocketAddr,
+        login: &Login,
+    ) -> Result<Self, ConnectionError> {
+        let socket = TcpStream::connect(address).await?;
+        socket.set_nodelay(true)?;
+        let mut connection = Self {
+            socket,
+            address,
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+            tracker: ReplyTracker::default(),
+            sent_bytes: 0,
+            session_changed: false,
+            key: None,
+        };
+        connection.queue_startup(login)?;
+        connection.await_startup().await?;
+        Ok(connection)
+    }
+
+    fn queue_startup(&mut self, login: &Login) -> Result<(), ConnectionError> {
+        let mut startup = Startup::new();
+        let parameters = [
+            ("user", login.user.as_str()),
+            ("database", login.database.as_str()),
+            ("application_name", login.application_name),
+            ("client_encoding", "UTF8"),
+        ];
+        for (name, value) in parameters {
+            startup.parameters.insert(name.to_owned(), value.to_owned());
+        }
+        Ok(wire::encode(&startup, &mut self.output)?)
+    }
+
+    async fn await_startup(&mut self) -> Result<(), ConnectionError> {
+        loop {
+            while let Some(message) = wire::split_message(&mut self.input)? {
+                match message.tag {
+                    back::READY => return Ok(()),
+                    back::KEY_DATA => self.key = Some(wire::key_data(&message)?),
+                    back::ERROR => {
+                        return Err(ConnectionError::Refused {
+                            sqlstate: wire::sqlstate(&message)?,
+                        });
+                    }
+                    _ => {}
+                }
+            }
+            self.progress(true).await?;
+        }
+    }
+
+    /// Sends and receives what is possible, at least one of both. Waits for ever
+    /// when there is nothing to send and nothing may be read. Safe to cancel.
+    pub async fn progress(&mut self, may_read: bool) -> Result<(), ConnectionError> {
+        let interest = match (may_read, !self.output.is_empty()) {
+            (true, true) => Interest::READABLE | Interest::WRITABLE,
+            (true, false) => Interest::READABLE,
+            (false, true) => Interest::WRITABLE,
+            (false, false) => return std::future::pending().await,
+        };
+        let ready = self.socket.ready(interest).await?;
+        if ready.is_writable() && !self.output.is_empty() {
+            self.send_some()?;
+        }
+        if ready.is_readable() && may_read {
+            self.receive_some()?;
+        }
+        Ok(())
+    }
+
+    fn send_some(&mut self) -> Result<(), ConnectionError> {
+        match self.socket.try_write(&self.output) {
+            Ok(count) => {
+                self.output.advance(count);
+                self.sent_bytes += count;
+                Ok(())
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => Ok(()),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    fn receive_some(&mut self) -> Result<(), ConnectionError> {
+        self.input.reserve(READ_BYTES);
+        match self.socket.try_read_buf(&mut self.input) {
+            Ok(0) => Err(ConnectionError::Closed),
+            Ok(_) => Ok(()),
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => Ok(()),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// The next whole message received, placed among the answers due.
+    pub fn next_reply(&mut self) -> Result<Option<(RawMessage, Reply)>, ConnectionError> {
+        let Some(message) = wire::split_message(&mut self.input)? else {
+            return Ok(None);
+        };
+        let reply = self.tracker.received(message.tag)?;
+        Ok(Some((message, reply)))
+    }
+
+    /// Whether the connection, idle until now, is alive and quiet.
+    pub fn is_reusable(&mut self) -> bool {
+        let quiet = self.input.is_empty() && self.output.is_empty() && self.tracker.is_idle();
+        quiet && self.receive_some().is_ok() && self.input.is_empty()
+    }
+
+    /// Queues a simple query.
+    pub fn queue_query(&mut self, text: &str) -> Result<(), ConnectionError> {
+        wire::encode(&Query::new(text.to_owned()), &mut self.output)?;
+        self.tracker.sent(Sent::Query);
+        Ok(())
+    }
+
+    /// Runs a simple query of the owner's own and returns its rows as text.
+    pub async fn query(
+        &mut self,
+        text: &str,
+        timeout: Duration,
+    ) -> Result<Vec<Vec<Option<String>>>, ConnectionError> {
+        self.queue_query(text)?;
+        let done = tokio::time::timeout(timeout, self.query_answer()).await;
+        done.unwrap_or(Err(ConnectionError::TimedOut))
+    }
+
+    async fn query_answer(&mut self) -> Result<Vec<Vec<Option<String>>>, ConnectionError> {
+        let mut rows = Vec::new();
+        let mut refused = None;
+        loop {
+            while let Some((message, reply)) = self.next_reply()? {
+                match message.tag {
+                    back::DATA_ROW => rows.push(wire::row_columns(&message)?),
+                    back::ERROR => refused = Some(wire::sqlstate(&message)?),
+                    _ => {}
+                }
+                if reply.disposition == Disposition::Ready {
+                    return refused
+                        .map_or(Ok(rows), |sqlstate| Err(ConnectionError::Refused { sqlstate }));
+                }
+            }
+            self.progress(true).await?;
+        }
+    }
+
+    /// Waits until all that was sent is answered, and drops the answers. The
+    /// result tells whether the session is outside a transaction.
+    pub async fn settle(&mut self) -> Result<bool, ConnectionError> {
+        let mut idle = false;
+        loop {
+            while let Some((message, reply)) = self.next_reply()? {
+                if reply.disposition == Disposition::Ready {
+                    let status = wire::ready_status(&message)?;
+                    idle = status == pgwire::messages::response::TransactionStatus::Idle;
+                    if self.tracker.is_idle() {
+                        return Ok(idle);
+                    }
+                }
+            }
+            if self.tracker.is_idle() {
+                return Ok(idle);
+            }
+            self.progress(true).await?;
+        }
+    }
+
+    /// What it takes to cancel the statement that runs here.
+    pub fn cancel_target(&self) -> Option<CancelTarget> {
+        let key = self.key.as_ref()?;
+        let request = CancelRequest::new(key.pid, key.secret_key.clone());
+        Some(CancelTarget { address: self.address, request })
+    }
+}
+
+/// What it takes to cancel a statement.
+#[derive(Debug)]
+pub(crate) struct CancelTarget {
+    address: SocketAddr,
+    request: CancelRequest,
+}
+
+impl CancelTarget {
+    /// Sends the request and waits until the back end has taken it.
+    pub async fn send(self) -> Result<(), ConnectionError> {
+        let mut buffer = BytesMut::new();
+        self.request.encode(&mut buffer).map_err(WireError::from)?;
+        let exchange = async {
+            let mut socket = TcpStream::connect(self.address).await?;
+            socket.write_all(&buffer).await?;
+            // The back end closes without an answer.
+            socket.read_u8().await.ok();
+            Ok(())
+        };
+        let done = tokio::time::timeout(CONNECT_TIMEOUT, exchange).await;
+        done.unwrap_or(Err(ConnectionError::TimedOut))
+    }
+}
--- /dev/null
+++ b/crates/owner/src/context.rs
@@ -0,0 +1,169 @@
+//! What all tasks of an owner share.
+
+use crate::group::Group;
+use crate::metrics::Metrics;
+use crate::settings::OwnerSettings;
+use actix_rt::{Arbiter, ArbiterHandle};
+use corktack_core::identity::GroupName;
+use corktack_core::time::Timestamp;
+use corktack_core::view::View;
+use corktack_protocol::control::Observation;
+use prometheus_client::registry::Registry;
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+use tokio::sync::{mpsc, watch};
+
+/// Shards of the map of groups, each under its own lock.
+const GROUP_SHARDS: usize = 16;
+
+/// How far a stop has gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// New streams are served.
+    Serving,
+    /// New streams are refused, open ones finish.
+    Draining,
+    /// Links flush what is queued and close.
+    Closing,
+}
+
+/// Locks, also after a panic elsewhere: what the locks here protect is changed
+/// in steps that leave it usable.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// What all tasks of an owner share.
+#[derive(Debug)]
+pub(crate) struct Context {
+    pub settings: OwnerSettings,
+    pub view: watch::Receiver<Arc<View>>,
+    pub observations: mpsc::UnboundedSender<Observation>,
+    pub metrics: Metrics,
+    phase: watch::Sender<Phase>,
+    open_streams: watch::Sender<usize>,
+    open_links: watch::Sender<usize>,
+    groups: Vec<Mutex<HashMap<GroupName, Arc<Group>>>>,
+    arbiters: Vec<ArbiterHandle>,
+    next_arbiter: AtomicUsize,
+    origin: Instant,
+}
+
+impl Context {
+    pub fn new(
+        settings: OwnerSettings,
+        view: watch::Receiver<Arc<View>>,
+        observations: mpsc::UnboundedSender<Observation>,
+        registry: &mut Registry,
+    ) -> Self {
+        let arbiters = (0..settings.arbiters.max(1)).map(|_| Arbiter::new().handle()).collect();
+        Self {
+            settings,
+            view,
+            observations,
+            metrics: Metrics::register(registry),
+            phase: watch::Sender::new(Phase::Serving),
+            open_streams: watch::Sender::new(0),
+            open_links: watch::Sender::new(0),
+            groups: (0..GROUP_SHARDS).map(|_| Mutex::default()).collect(),
+            arbiters,
+            next_arbiter: AtomicUsize::new(0),
+            origin: Instant::now(),
+        }
+    }
+
+    /// The time now, on the clock that the core sees.
+    pub fn now(&self) -> Timestamp {
+        Timestamp::ZERO + self.origin.elapsed()
+    }
+
+    /// Runs a task on the next arbiter in turn.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let turn = self.next_arbiter.fetch_add(1, Ordering::Relaxed);
+        // A stopped arbiter drops the task, which is what a stop means.
+        self.arbiters[turn % self.arbiters.len()].spawn(task);
+    }
+
+    pub fn phase(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    pub fn is_draining(&self) -> bool {
+        *self.phase.borrow() >= Phase::Draining
+    }
+
+    pub fn begin_drain(&self) {
+        self.phase.send_replace(Phase::Draining);
+    }
+
+    /// Waits until no stream is open.
+    pub async fn streams_finished(&self) {
+        wait_for_zero(&self.open_streams).await;
+    }
+
+    /// Lets links send what is queued, and waits until they are closed.
+    pub async fn close_links(&self) {
+        self.phase.send_replace(Phase::Closing);
+        wait_for_zero(&self.open_links).await;
+    }
+
+    pub fn stop(&self) {
+        for arbiter in &self.arbiters {
+            arbiter.stop();
+        }
+    }
+
+    pub fn count_stream(&self) -> OpenCount {
+        OpenCount::new(&self.open_streams)
+    }
+
+    pub fn count_link(&self) -> OpenCount {
+        OpenCount::new(&self.open_links)
+    }
+
+    pub fn group(&self, name: &GroupName) -> Option<Arc<Group>> {
+        lock(self.shard(name)).get(name).cloned()
+    }
+
+    pub fn insert_group(&self, name: GroupName, group: Arc<Group>) {
+        lock(self.shard(&name)).insert(name, group);
+    }
+
+    pub fn remove_group(&self, name: &GroupName) -> Option<Arc<Group>> {
+        lock(self.shard(name)).remove(name)
+    }
+
+    fn shard(&self, name: &GroupName) -> &Mutex<HashMap<GroupName, Arc<Group>>> {
+        let mut hasher = DefaultHasher::new();
+        name.hash(&mut hasher);
+        &self.groups[hasher.finish() as usize % GROUP_SHARDS]
+    }
+}
+
+async fn wait_for_zero(count: &watch::Sender<usize>) {
+    let mut receiver = count.subscribe();
+    // The sender lives in the context that this call borrows.
+    let _ = receiver.wait_for(|count| *count == 0).await;
+}
+
+/// Counts something as open until it is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenCount {
+    count: watch::Sender<usize>,
+}
+
+impl OpenCount {
+    fn new(count: &watch::Sender<usize>) -> Self {
+        count.send_modify(|count| *count += 1);
+        Self { count: count.clone() }
+    }
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.count.send_modify(|count| *count -= 1);
+    }
+}
--- /dev/null
+++ b/crates/owner/src/link.rs
@@ -0,0 +1,182 @@
+//! Links from edges: frames in, frames out, streams told apart by their id.
+
+use crate::context::{Context, Phase};
+use crate::stream::{self, Outbound, StreamInput};
+use corktack_protocol::frame::{FrameCodec, FrameError};
+use corktack_protocol::peer::{EdgeMessage, OwnerMessage, StreamId};
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio_util::codec::Framed;
+
+type Frames = Framed<TcpStream, FrameCodec<OwnerMessage, EdgeMessage>>;
+
+/// Pause after a failed accept, so that a lack of file descriptors is not a busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a link was closed. All its streams are rolled back.
+#[derive(Debug, thiserror::Error)]
+enum LinkError {
+    /// A frame could not be read or written.
+    #[error("link failed")]
+    Frame(#[from] FrameError),
+    /// The edge closed it.
+    #[error("link closed by the edge")]
+    Closed,
+    /// The first message is not a hello, or a later one is.
+    #[error("link without a proper hello")]
+    Hello,
+    /// A stream id that does not rise.
+    #[error("stream {offered:?} does not rise above {last:?}")]
+    StreamId { offered: StreamId, last: StreamId },
+}
+
+/// Accepts links until the owner stops.
+pub(crate) async fn accept(context: Arc<Context>, listener: std::net::TcpListener) {
+    let listener = match TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!(error:% = error; "owner cannot listen");
+            return;
+        }
+    };
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                let _ = socket.set_nodelay(true);
+                context.spawn(serve(Arc::clone(&context), socket));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "owner cannot accept a link");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(context: Arc<Context>, socket: TcpStream) {
+    let _open = context.count_link();
+    let peer = socket.peer_addr().map(|address| address.to_string()).unwrap_or_default();
+    let frames: Frames = Framed::new(socket, FrameCodec::default());
+    let (sink, source) = frames.split();
+    let (outbound, queue) = mpsc::unbounded_channel();
+    let (ended, ends) = mpsc::unbounded_channel();
+    let hello = OwnerMessage::Hello {
+        proxy: context.settings.proxy.clone(),
+        incarnation: context.settings.incarnation,
+    };
+    // The queue's receiver is held below.
+    let _ = outbound.send(hello);
+    let phase = context.phase();
+    let link = Link { context, outbound, ended, streams: HashMap::new(), last: None };
+    let result = tokio::select! {
+        result = link.read(source, ends) => result,
+        result = write(sink, queue, phase) => result,
+    };
+    match result {
+        Ok(()) | Err(LinkError::Closed) => {}
+        Err(error) => log::warn!(peer:% = peer, error:? = error; "link closed"),
+    }
+}
+
+/// Sends what streams queue, and the word that the owner stops. Ends when the
+/// links are to close and nothing is left to send.
+async fn write(
+    mut sink: SplitSink<Frames, OwnerMessage>,
+    mut queue: mpsc::UnboundedReceiver<OwnerMessage>,
+    mut phase: watch::Receiver<Phase>,
+) -> Result<(), LinkError> {
+    let mut told = false;
+    loop {
+        let now = *phase.borrow_and_update();
+        if now >= Phase::Draining && !told {
+            told = true;
+            sink.feed(OwnerMessage::Stopping).await?;
+        }
+        while let Ok(message) = queue.try_recv() {
+            sink.feed(message).await?;
+        }
+        sink.flush().await?;
+        if now == Phase::Closing {
+            sink.close().await?;
+            return Ok(());
+        }
+        tokio::select! {
+            message = queue.recv() => match message {
+                Some(message) => sink.feed(message).await?,
+                None => return Ok(()),
+            },
+            // The sender lives in the context.
+            _ = phase.changed() => {}
+        }
+    }
+}
+
+struct Link {
+    context: Arc<Context>,
+    outbound: mpsc::UnboundedSender<OwnerMessage>,
+    ended: mpsc::UnboundedSender<StreamId>,
+    /// Open streams. Dropping the map tells all of them that the caller is gone.
+    streams: HashMap<StreamId, mpsc::UnboundedSender<StreamInput>>,
+    last: Option<StreamId>,
+}
+
+impl Link {
+    async fn read(
+        mut self,
+        mut source: SplitStream<Frames>,
+        mut ends: mpsc::UnboundedReceiver<StreamId>,
+    ) -> Result<(), LinkError> {
+        match source.next().await.ok_or(LinkError::Closed)?? {
+            EdgeMessage::Hello { .. } => {}
+            _ => return Err(LinkError::Hello),
+        }
+        loop {
+            tokio::select! {
+                message = source.next() => self.dispatch(message.ok_or(LinkError::Closed)??)?,
+                Some(stream) = ends.recv() => drop(self.streams.remove(&stream)),
+            }
+        }
+    }
+
+    fn dispatch(&mut self, message: EdgeMessage) -> Result<(), LinkError> {
+        match message {
+            EdgeMessage::Hello { .. } => return Err(LinkError::Hello),
+            EdgeMessage::Open { stream, request } => {
+                self.check_id(stream)?;
+                let (sender, input) = mpsc::unbounded_channel();
+                self.streams.insert(stream, sender);
+                let outbound = Outbound::new(stream, self.outbound.clone(), self.ended.clone());
+                let context = Arc::clone(&self.context);
+                let open = context.count_stream();
+                actix_rt::spawn(stream::run(context, *request, input, outbound, open));
+            }
+            EdgeMessage::Batch { stream, batch } => self.pass(stream, StreamInput::Batch(batch)),
+            EdgeMessage::Cancel { stream } => self.pass(stream, StreamInput::Cancel),
+            EdgeMessage::Close { stream } => drop(self.streams.remove(&stream)),
+            EdgeMessage::Window { stream, bytes } => self.pass(stream, StreamInput::Window(bytes)),
+        }
+        Ok(())
+    }
+
+    fn check_id(&mut self, offered: StreamId) -> Result<(), LinkError> {
+        match self.last {
+            Some(last) if offered <= last => Err(LinkError::StreamId { offered, last }),
+            _ => {
+                self.last = Some(offered);
+                Ok(())
+            }
+        }
+    }
+
+    /// A message for a stream that has ended crossed its end, and is dropped.
+    fn pass(&self, stream: StreamId, input: StreamInput) {
+        if let Some(sender) = self.streams.get(&stream) {
+            let _ = sender.send(input);
+        }
+    }
+}
--- /dev/null
+++ b/crates/owner/src/metrics.rs
@@ -0,0 +1,94 @@
+//! Metrics of the owner.
+
+use corktack_protocol::peer::{NotRunReason, ServedBy};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Label of a group.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct GroupLabel {
+    pub group: String,
+}
+
+/// Labels of a group and class.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ClassLabel {
+    pub group: String,
+    pub class: String,
+}
+
+/// Label of a group and who served.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ServerLabel {
+    pub group: String,
+    pub server: &'static str,
+}
+
+/// Label of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ReasonLabel {
+    pub group: String,
+    pub reason: String,
+}
+
+/// Metrics of the owner.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    pub queue_length: Family<GroupLabel, Gauge>,
+    pub queue_wait: Family<ClassLabel, Histogram, fn() -> Histogram>,
+    pub slots_in_use: Family<GroupLabel, Gauge>,
+    pub reads: Family<ServerLabel, Counter>,
+    pub barriers: Family<GroupLabel, Counter>,
+    pub retries: Family<GroupLabel, Counter>,
+    pub refusals: Family<ReasonLabel, Counter>,
+    pub discarded: Family<GroupLabel, Counter>,
+}
+
+fn wait_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.000_1, 2.0, 18))
+}
+
+impl Metrics {
+    pub fn register(registry: &mut Registry) -> Self {
+        let wait: fn() -> Histogram = wait_histogram;
+        let metrics = Self {
+            queue_length: Family::default(),
+            queue_wait: Family::new_with_constructor(wait),
+            slots_in_use: Family::default(),
+            reads: Family::default(),
+            barriers: Family::default(),
+            retries: Family::default(),
+            refusals: Family::default(),
+            discarded: Family::default(),
+        };
+        let all = metrics.clone();
+        let registry = registry.sub_registry_with_prefix("corktack_owner");
+        registry.register("queue_length", "Requests that wait for a slot", all.queue_length);
+        registry.register("queue_wait_seconds", "Wait for a slot by class", all.queue_wait);
+        registry.register("slots_in_use", "Transactions that hold a slot", all.slots_in_use);
+        registry.register("reads", "Read transactions by who served them", all.reads);
+        registry.register("barriers", "Read index questions to the primary", all.barriers);
+        registry.register("retries", "Attempts after the first", all.retries);
+        registry.register("refusals", "Requests refused as not run, by reason", all.refusals);
+        registry.register("discarded_connections", "Connections not reused", all.discarded);
+        metrics
+    }
+
+    pub fn read_served(&self, group: &str, served_by: ServedBy) {
+        let server = match served_by {
+            ServedBy::Primary => "primary",
+            ServedBy::Replica => "replica",
+        };
+        let label = ServerLabel { group: group.to_owned(), server };
+        self.reads.get_or_create(&label).inc();
+    }
+
+    pub fn refused(&self, group: &str, reason: NotRunReason) {
+        let label = ReasonLabel { group: group.to_owned(), reason: format!("{reason:?}") };
+        self.refusals.get_or_create(&label).inc();
+    }
+}
--- /dev/null
+++ b/crates/owner/src/probe.rs
@@ -0,0 +1,120 @@
+//! Probes of members: health for control, positions for routing.
+
+use crate::connection::{CONNECT_TIMEOUT, ConnectionError, Login, ServerConnection};
+use crate::group::Group;
+use corktack_core::backend::{MemberRole, MemberStatus, SHOW_STATUS};
+use corktack_core::identity::{GroupName, MemberName};
+use corktack_protocol::control::{MemberHealth, Observation};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval};
+
+/// One member to probe.
+#[derive(Clone, Debug)]
+pub(crate) struct ProbeTarget {
+    pub group: GroupName,
+    pub member: MemberName,
+    pub address: SocketAddr,
+    pub login: Login,
+    pub interval: Duration,
+    pub timeout: Duration,
+    /// The owned group that learns from the probe; none for a second observer.
+    pub learner: Option<Arc<Group>>,
+}
+
+/// Probes one member until the task is stopped.
+pub(crate) async fn run(target: ProbeTarget, observations: mpsc::UnboundedSender<Observation>) {
+    let mut connection = None;
+    let mut last = None;
+    let mut ticks = interval(target.interval);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let status = probe(&target, &mut connection).await.ok();
+        learn(&target, status.as_ref());
+        let health = health(status.as_ref());
+        if last != Some(health) {
+            last = Some(health);
+            let group = target.group.clone();
+            let member = target.member.clone();
+            // Without a receiver the proxy is stopping.
+            let _ = observations.send(Observation { group, member, health });
+        }
+    }
+}
+
+/// Asks once; a connection that broke since the last probe is replaced at once.
+async fn probe(
+    target: &ProbeTarget,
+    held: &mut Option<ServerConnection>,
+) -> Result<MemberStatus, ConnectionError> {
+    if let Some(mut connection) = held.take() {
+        match ask(&mut connection, target.timeout).await {
+            Ok(status) => {
+                *held = Some(connection);
+                return Ok(status);
+            }
+            Err(ConnectionError::TimedOut) => return Err(ConnectionError::TimedOut),
+            Err(_) => {}
+        }
+    }
+    let bound = target.timeout.min(CONNECT_TIMEOUT);
+    let connect = ServerConnection::connect(target.address, &target.login);
+    let connected = tokio::time::timeout(bound, connect).await;
+    let mut connection = connected.unwrap_or(Err(ConnectionError::TimedOut))?;
+    let status = ask(&mut connection, target.timeout).await?;
+    *held = Some(connection);
+    Ok(status)
+}
+
+async fn ask(
+    connection: &mut ServerConnection,
+    timeout: Duration,
+) -> Result<MemberStatus, ConnectionError> {
+    let rows = connection.query(SHOW_STATUS, timeout).await?;
+    let row = rows.into_iter().next().unwrap_or_default();
+    let columns: Vec<Option<&str>> = row.iter().map(Option::as_deref).collect();
+    Ok(MemberStatus::from_columns(&columns)?)
+}
+
+fn health(status: Option<&MemberStatus>) -> MemberHealth {
+    let Some(status) = status else {
+        return MemberHealth::Unreachable;
+    };
+    match status.role {
+        MemberRole::Primary => MemberHealth::Primary(status.promised_term),
+        MemberRole::Replica => MemberHealth::Replica(status.promised_term),
+        MemberRole::Fenced => MemberHealth::Fenced(status.promised_term),
+    }
+}
+
+fn learn(target: &ProbeTarget, status: Option<&MemberStatus>) {
+    let Some(group) = &target.learner else {
+        return;
+    };
+    let member = &target.member;
+    let view = group.view();
+    let is_primary = view.primary.as_ref() == Some(member);
+    let term = status.filter(|status| status.role == MemberRole::Primary);
+    let term = term.map(|status| status.promised_term);
+    let changed = group.with_state(|state| {
+        let before = state.routing.member(member).cloned().unwrap_or_default();
+        let position = status.map(|status| status.applied_position);
+        state.routing.set_reachable(member, status.is_some());
+        state.routing.set_primary_term(member, term);
+        if position.is_some() {
+            // A member that restarted may be behind what it once reported.
+            state.routing.reset_position(member, position);
+        }
+        if is_primary && term.is_some_and(|term| term >= view.term) {
+            state.primary_suspect = false;
+        }
+        before.reachable != status.is_some() || (position.is_some() && before.position != position)
+    });
+    if changed {
+        group.knowledge_changed();
+    }
+    group.grant_slots();
+}
--- /dev/null
+++ b/crates/owner/src/settings.rs
@@ -0,0 +1,49 @@
+//! Settings of the owner.
+
+use corktack_core::identity::{Incarnation, ProxyName, ZoneName};
+use std::time::Duration;
+
+/// Default time between two probes of a member.
+const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// Default time after which a probe counts as unanswered.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Default time that outcomes of idempotency keys are kept.
+const OUTCOME_RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// Settings of the owner.
+#[derive(Clone, Debug)]
+pub struct OwnerSettings {
+    /// Name of this proxy.
+    pub proxy: ProxyName,
+    /// Number of this life of the process.
+    pub incarnation: Incarnation,
+    /// Zone this proxy runs in.
+    pub zone: ZoneName,
+    /// Threads that serve links, streams and probes; at least one is started.
+    pub arbiters: usize,
+    /// Time between two probes of a member of an owned group.
+    pub probe_interval: Duration,
+    /// Time after which a probe counts as unanswered.
+    pub probe_timeout: Duration,
+    /// User name on server connections.
+    pub back_end_user: String,
+    /// How long the outcome of an idempotency key is kept; a repeat after it runs again.
+    pub outcome_retention: Duration,
+}
+
+impl OwnerSettings {
+    /// Settings with defaults for all but the proxy's identity.
+    #[must_use]
+    pub fn new(proxy: ProxyName, incarnation: Incarnation, zone: ZoneName) -> Self {
+        Self {
+            proxy,
+            incarnation,
+            zone,
+            arbiters: 2,
+            probe_interval: PROBE_INTERVAL,
+            probe_timeout: PROBE_TIMEOUT,
+            back_end_user: "corktack".to_owned(),
+            outcome_retention: OUTCOME_RETENTION,
+        }
+    }
+}
--- /dev/null
+++ b/crates/owner/src/wire.rs
@@ -0,0 +1,131 @@
+//! PostgreSQL messages as they pass through: split by their header, decoded by
+//! `pgwire` only where their content matters.
+
+use bytes::{Buf, BytesMut};
+use pgwire::error::PgWireError;
+use pgwire::messages::data::DataRow;
+use pgwire::messages::response::{ErrorResponse, ReadyForQuery, TransactionStatus as ReadyStatus};
+use pgwire::messages::startup::{BackendKeyData, ParameterStatus};
+use pgwire::messages::{DecodeContext, Message, ProtocolVersion};
+
+/// Bytes of a message's tag and length.
+const HEADER_BYTES: usize = 5;
+/// Bytes of the length, which counts itself.
+const LENGTH_BYTES: usize = 4;
+/// Largest message that is passed on.
+const MESSAGE_LIMIT: usize = 64 * 1024 * 1024;
+/// Field of an `ErrorResponse` that holds the SQLSTATE.
+const SQLSTATE_FIELD: u8 = b'C';
+
+/// Bytes that are no PostgreSQL message.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum WireError {
+    /// The length of a message breaks the limits.
+    #[error("message with tag {tag} and impossible length {length}")]
+    Length { tag: u8, length: usize },
+    /// The content of a message is malformed.
+    #[error("malformed message")]
+    Malformed(#[from] PgWireError),
+    /// A message ends early.
+    #[error("message with tag {tag} ends early")]
+    Truncated { tag: u8 },
+}
+
+/// One whole message with its header.
+#[derive(Clone, Debug)]
+pub(crate) struct RawMessage {
+    pub tag: u8,
+    pub bytes: BytesMut,
+}
+
+/// Takes the first whole message out of a buffer.
+pub(crate) fn split_message(buffer: &mut BytesMut) -> Result<Option<RawMessage>, WireError> {
+    if buffer.len() < HEADER_BYTES {
+        return Ok(None);
+    }
+    let tag = buffer[0];
+    let length = (&buffer[1..HEADER_BYTES]).get_u32() as usize;
+    if !(LENGTH_BYTES..=MESSAGE_LIMIT).contains(&length) {
+        return Err(WireError::Length { tag, length });
+    }
+    if buffer.len() < length + 1 {
+        buffer.reserve(length + 1 - buffer.len());
+        return Ok(None);
+    }
+    Ok(Some(RawMessage { tag, bytes: buffer.split_to(length + 1) }))
+}
+
+/// Decodes a message of a known type.
+pub(crate) fn decode<M: Message>(message: &RawMessage) -> Result<M, WireError> {
+    let mut context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+    context.awaiting_frontend_ssl = false;
+    context.awaiting_frontend_startup = false;
+    let mut bytes = message.bytes.clone();
+    M::decode(&mut bytes, &context)?.ok_or(WireError::Truncated { tag: message.tag })
+}
+
+/// Appends an encoded message to a buffer.
+pub(crate) fn encode<M: Message>(message: &M, buffer: &mut BytesMut) -> Result<(), WireError> {
+    Ok(message.encode(buffer)?)
+}
+
+/// SQLSTATE of an `ErrorResponse`; empty when it has none.
+pub(crate) fn sqlstate(message: &RawMessage) -> Result<String, WireError> {
+    let error: ErrorResponse = decode(message)?;
+    let code = error.fields.into_iter().find(|(field, _)| *field == SQLSTATE_FIELD);
+    Ok(code.map(|(_, value)| value).unwrap_or_default())
+}
+
+/// Name and value of a `ParameterStatus`.
+pub(crate) fn parameter(message: &RawMessage) -> Result<(String, String), WireError> {
+    let status: ParameterStatus = decode(message)?;
+    Ok((status.name, status.value))
+}
+
+/// Process number and secret of a `BackendKeyData`.
+pub(crate) fn key_data(message: &RawMessage) -> Result<BackendKeyData, WireError> {
+    decode(message)
+}
+
+/// Transaction status of a `ReadyForQuery`.
+pub(crate) fn ready_status(message: &RawMessage) -> Result<ReadyStatus, WireError> {
+    let ready: ReadyForQuery = decode(message)?;
+    Ok(ready.status)
+}
+
+/// Columns of a `DataRow` as text.
+pub(crate) fn row_columns(message: &RawMessage) -> Result<Vec<Option<String>>, WireError> {
+    let row: DataRow = decode(message)?;
+    let truncated = || WireError::Truncated { tag: message.tag };
+    let mut data = row.data;
+    let mut columns = Vec::new();
+    for _ in 0..row.field_count {
+        if data.len() < LENGTH_BYTES {
+            return Err(truncated());
+        }
+        let Ok(length) = usize::try_from(data.get_i32()) else {
+            columns.push(None);
+            continue;
+        };
+        if data.len() < length {
+            return Err(truncated());
+        }
+        let value = data.split_to(length);
+        columns.push(Some(String::from_utf8_lossy(&value).into_owned()));
+    }
+    Ok(columns)
+}
+
+/// An encoded `ErrorResponse`.
+pub(crate) fn error_response(sqlstate: &str, text: &str) -> Result<BytesMut, WireError> {
+    let field = |code: u8, value: &str| (code, value.to_owned());
+    let fields = vec![
+        field(b'S', "ERROR"),
+        field(b'V', "ERROR"),
+        field(SQLSTATE_FIELD, sqlstate),
+        field(b'M', text),
+    ];
+    let mut buffer = BytesMut::new();
+    encode(&ErrorResponse::new(fields), &mut buffer)?;
+    Ok(buffer)
+}
--- /dev/null
+++ b/crates/owner/tests/support/edge.rs
@@ -0,0 +1,194 @@
+//! The edge's side of a link.
+
+use super::GROUP;
+use bytes::BytesMut;
+use corktack_core::identity::{ClassName, GroupName, Incarnation, ProxyName};
+use corktack_core::position::Position;
+use corktack_protocol::frame::FrameCodec;
+use corktack_protocol::peer::{
+    Access, Batch, EdgeMessage, Failure, OpenRequest, OwnerMessage, PreparedStatement, ServedBy,
+    StreamId, TransactionStatus,
+};
+use futures_util::{SinkExt, StreamExt};
+use pgwire::messages::extendedquery::{Bind, Execute, Sync};
+use pgwire::messages::simplequery::Query;
+use pgwire::messages::{DecodeContext, Message, PgWireBackendMessage};
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+pub struct TestEdge {
+    frames: Framed<TcpStream, FrameCodec<EdgeMessage, OwnerMessage>>,
+    next: u64,
+    /// Messages of other streams, met while one was awaited.
+    waiting: Vec<OwnerMessage>,
+}
+
+/// The whole answer to one batch.
+#[derive(Debug, Default)]
+pub struct Answer {
+    pub rows: Vec<String>,
+    pub tags: Vec<String>,
+    /// SQLSTATE and text of errors.
+    pub errors: Vec<(String, String)>,
+    /// One letter for each message, `P` for a position.
+    pub order: String,
+    pub positions: Vec<Position>,
+    pub ready: Option<(TransactionStatus, ServedBy)>,
+    pub failure: Option<Failure>,
+}
+
+pub fn query(text: &str) -> Batch {
+    let mut messages = BytesMut::new();
+    Query::new(text.to_owned()).encode(&mut messages).unwrap();
+    Batch { prepared: Vec::new(), messages: messages.to_vec() }
+}
+
+/// Bind, Execute and Sync of a prepared statement.
+pub fn execute(name: &str, text: &str) -> Batch {
+    let mut messages = BytesMut::new();
+    let portal = || Some(String::new());
+    Bind::new(portal(), Some(name.to_owned()), vec![], vec![], vec![])
+        .encode(&mut messages)
+        .unwrap();
+    Execute::new(portal(), 0).encode(&mut messages).unwrap();
+    Sync::new().encode(&mut messages).unwrap();
+    let statement = PreparedStatement {
+        name: name.to_owned(),
+        query: text.to_owned(),
+        parameter_types: Vec::new(),
+    };
+    Batch { prepared: vec![statement], messages: messages.to_vec() }
+}
+
+pub fn request(access: Access, batch: Batch) -> OpenRequest {
+    OpenRequest {
+        group: GroupName::new(GROUP).unwrap(),
+        class: ClassName::new("gold").unwrap(),
+        access,
+        minimum: None,
+        timeout_ms: 5_000,
+        idempotency_key: None,
+        batch,
+    }
+}
+
+fn stream_of(message: &OwnerMessage) -> Option<StreamId> {
+    match message {
+        OwnerMessage::Data { stream, .. }
+        | OwnerMessage::Position { stream, .. }
+        | OwnerMessage::Ready { stream, .. }
+        | OwnerMessage::Failed { stream, .. } => Some(*stream),
+        OwnerMessage::Hello { .. } | OwnerMessage::Stopping => None,
+    }
+}
+
+impl TestEdge {
+    pub async fn connect(address: SocketAddr) -> Self {
+        let socket = TcpStream::connect(address).await.unwrap();
+        let frames = Framed::new(socket, FrameCodec::default());
+        let mut edge = Self { frames, next: 0, waiting: Vec::new() };
+        let proxy = ProxyName::new("proxy-2").unwrap();
+        edge.send(EdgeMessage::Hello { proxy, incarnation: Incarnation(3) }).await;
+        assert!(matches!(edge.receive().await, Some(OwnerMessage::Hello { .. })));
+        edge
+    }
+
+    pub async fn send(&mut self, message: EdgeMessage) {
+        self.frames.send(message).await.unwrap();
+    }
+
+    pub async fn send_raw(&mut self, bytes: &[u8]) {
+        use tokio::io::AsyncWriteExt;
+        self.frames.get_mut().write_all(bytes).await.unwrap();
+    }
+
+    /// The next message, none when the owner closed the link.
+    pub async fn receive(&mut self) -> Option<OwnerMessage> {
+        self.frames.next().await.and_then(Result::ok)
+    }
+
+    pub async fn open(&mut self, request: OpenRequest) -> StreamId {
+        self.next += 1;
+        let stream = StreamId(self.next);
+        self.send(EdgeMessage::Open { stream, request: Box::new(request) }).await;
+        stream
+    }
+
+    pub async fn write(&mut self, text: &str) -> StreamId {
+        self.open(request(Access::Write, query(text))).await
+    }
+
+    pub async fn read(&mut self, text: &str, minimum: Option<Position>) -> StreamId {
+        let mut request = request(Access::Read, query(text));
+        request.minimum = minimum;
+        self.open(request).await
+    }
+
+    pub async fn batch(&mut self, stream: StreamId, text: &str) {
+        self.send(EdgeMessage::Batch { stream, batch: query(text) }).await;
+    }
+
+    /// Waits for the end of the answer to a batch of a stream.
+    pub async fn answer(&mut self, stream: StreamId) -> Answer {
+        let mut answer = Answer::default();
+        while answer.ready.is_none() && answer.failure.is_none() {
+            match self.next_of(stream).await {
+                OwnerMessage::Data { messages, .. } => {
+                    let bytes = messages.len() as u32;
+                    answer.take_messages(messages);
+                    self.send(EdgeMessage::Window { stream, bytes }).await;
+                }
+                OwnerMessage::Position { position, .. } => {
+                    answer.positions.push(position);
+                    answer.order.push('P');
+                }
+                OwnerMessage::Ready { status, served_by, .. } => {
+                    answer.ready = Some((status, served_by));
+                }
+                OwnerMessage::Failed { failure, .. } => answer.failure = Some(failure),
+                OwnerMessage::Hello { .. } | OwnerMessage::Stopping => {}
+            }
+        }
+        answer
+    }
+
+    pub async fn next_of(&mut self, stream: StreamId) -> OwnerMessage {
+        let place = self.waiting.iter().position(|message| stream_of(message) == Some(stream));
+        if let Some(place) = place {
+            return self.waiting.remove(place);
+        }
+        loop {
+            let message = self.receive().await.expect("the link is open");
+            if stream_of(&message) == Some(stream) {
+                return message;
+            }
+            self.waiting.push(message);
+        }
+    }
+}
+
+impl Answer {
+    fn take_messages(&mut self, messages: Vec<u8>) {
+        let mut buffer = BytesMut::from(messages.as_slice());
+        let context = DecodeContext::default();
+        while !buffer.is_empty() {
+            self.order.push(char::from(buffer[0]));
+            match PgWireBackendMessage::decode(&mut buffer, &context).unwrap().unwrap() {
+                PgWireBackendMessage::DataRow(row) => {
+                    let text = String::from_utf8_lossy(&row.data[4..]).into_owned();
+                    self.rows.push(text);
+                }
+                PgWireBackendMessage::CommandComplete(done) => self.tags.push(done.tag),
+                PgWireBackendMessage::ErrorResponse(error) => {
+                    let field = |code| {
+                        let found = error.fields.iter().find(|(field, _)| *field == code);
+                        found.map(|(_, value)| value.clone()).unwrap_or_default()
+                    };
+                    self.errors.push((field(b'C'), field(b'M')));
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/owner/tests/support/mod.rs
@@ -0,0 +1,129 @@
+//! A scripted back end, an edge and a fleet of one owner for the tests.
+#![allow(dead_code, clippy::unwrap_used)]
+
+pub mod back_end;
+pub mod edge;
+
+use back_end::FakeMember;
+use corktack_core::identity::{ClassName, GroupName, Incarnation, MemberName, ProxyName, ZoneName};
+use corktack_core::position::Term;
+use corktack_core::resources::{DatabaseGroupSpec, MemberSpec, PriorityClassSpec};
+use corktack_core::view::{GroupView, Revision, View};
+use corktack_owner::{Owner, OwnerHandle, OwnerSettings};
+use corktack_protocol::control::Observation;
+use edge::TestEdge;
+use prometheus_client::registry::Registry;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+
+pub const GROUP: &str = "calls";
+
+/// One owner over scripted members.
+pub struct Fleet {
+    pub members: Vec<FakeMember>,
+    pub views: watch::Sender<Arc<View>>,
+    pub owner: OwnerHandle,
+    pub observations: mpsc::UnboundedReceiver<Observation>,
+    pub registry: Registry,
+}
+
+pub fn zone(name: &str) -> ZoneName {
+    ZoneName::new(name).unwrap()
+}
+
+fn classes() -> BTreeMap<ClassName, PriorityClassSpec> {
+    let class = |name: &str, priority, guaranteed_percent| {
+        (ClassName::new(name).unwrap(), PriorityClassSpec { priority, guaranteed_percent })
+    };
+    [class("gold", 10, 50), class("basic", 1, 10)].into_iter().collect()
+}
+
+fn member_spec(member: &FakeMember) -> MemberSpec {
+    let name = MemberName::new(member.name()).unwrap();
+    MemberSpec { name, address: member.address(), zone: zone("amba.a"), draining: false }
+}
+
+pub fn group_view(members: &[FakeMember], slots: u32, queue_limit: u32) -> GroupView {
+    GroupView {
+        spec: DatabaseGroupSpec {
+            database: GROUP.to_owned(),
+            members: members.iter().map(member_spec).collect(),
+            slots,
+            connections: slots * 6,
+            queue_limit,
+            queue_timeout_ms: 5_000,
+            replica_wait_ms: 20,
+        },
+        primary: Some(MemberName::new(members[0].name()).unwrap()),
+        term: Term(1),
+        owner: Some(ProxyName::new("proxy-1").unwrap()),
+        draining: BTreeSet::new(),
+    }
+}
+
+impl Fleet {
+    /// Three members, the first being primary of term 1.
+    pub async fn start(slots: u32, queue_limit: u32) -> Self {
+        let mut members = Vec::new();
+        for name in ["m1", "m2", "m3"] {
+            members.push(FakeMember::start(name).await);
+        }
+        members[0].set_primary(1);
+        let mut view = View { revision: Revision(1), classes: classes(), ..View::default() };
+        let group = group_view(&members, slots, queue_limit);
+        view.groups.insert(GroupName::new(GROUP).unwrap(), Arc::new(group));
+        let (views, receiver) = watch::channel(Arc::new(view));
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let name = ProxyName::new("proxy-1").unwrap();
+        let mut settings = OwnerSettings::new(name, Incarnation(7), zone("amba.a"));
+        settings.probe_interval = Duration::from_millis(5);
+        let (sender, observations) = mpsc::unbounded_channel();
+        let mut registry = Registry::default();
+        let owner = Owner::start(settings, listener, receiver, sender, &mut registry).unwrap();
+        Self { members, views, owner, observations, registry }
+    }
+
+    pub async fn edge(&self) -> TestEdge {
+        TestEdge::connect(self.owner.address()).await
+    }
+
+    /// Changes the group in the view.
+    pub fn change_group(&self, change: impl FnOnce(&mut GroupView)) {
+        let name = GroupName::new(GROUP).unwrap();
+        self.views.send_modify(|view| {
+            let mut next = View::clone(view);
+            next.revision.0 += 1;
+            let mut group = GroupView::clone(&next.groups[&name]);
+            change(&mut group);
+            next.groups.insert(name, Arc::new(group));
+            *view = Arc::new(next);
+        });
+    }
+
+    /// Makes another member primary of a term, in the back ends and in the view.
+    pub fn promote(&self, number: usize, term: u64) {
+        for member in &self.members {
+            member.set_replica(term);
+        }
+        self.members[number].set_primary(term);
+        let primary = MemberName::new(self.members[number].name()).unwrap();
+        self.change_group(|group| {
+            group.primary = Some(primary);
+            group.term = Term(term);
+        });
+    }
+
+    /// Waits until a metric's text holds a line.
+    pub async fn wait_for_metric(&self, line: &str) {
+        loop {
+            let mut text = String::new();
+            prometheus_client::encoding::text::encode(&mut text, &self.registry).unwrap();
+            if text.contains(line) {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+}
