--- /dev/null
+++ b/crates/core/src/failover/manager.rs
@@ -0,0 +1,160 @@
+//! All groups of one leader.
+
+use super::calls::{FailoverAction, FailoverEvent, ProposalId};
+use super::decide::{Look, Wanted};
+use super::monitor::Monitor;
+use super::settings::FailoverSettings;
+use crate::identity::GroupName;
+use crate::state::ControlState;
+use crate::state::command::{Command, FailoverStep, Outcome, Refusal};
+use crate::time::Timestamp;
+use crate::view::Revision;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time over which a new leader spreads its first looks, as each sends probes.
+const FIRST_LOOKS_SPREAD: Duration = Duration::from_millis(500);
+
+/// Steps of the spread.
+const FIRST_LOOKS_STEPS: u32 = 50;
+
+/// Outcome of one step of a batch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum StepResult {
+    Accepted,
+    Refused(Refusal),
+    Unknown,
+}
+
+/// Decides the primary of every group; see the [module](super).
+///
+/// The shell feeds events as they come, then calls [`FailoverManager::advance`]
+/// once for all that were waiting, and again at [`FailoverManager::next_deadline`].
+/// Decisions that fall together are one command.
+#[derive(Debug)]
+pub struct FailoverManager {
+    settings: FailoverSettings,
+    monitors: BTreeMap<GroupName, Monitor>,
+    proposals: BTreeMap<ProposalId, Vec<(GroupName, FailoverStep)>>,
+    next_proposal: u64,
+    followed: Option<Revision>,
+}
+
+impl FailoverManager {
+    /// A manager for a replica that just became leader.
+    #[must_use]
+    pub fn new(settings: FailoverSettings) -> Self {
+        Self {
+            settings,
+            monitors: BTreeMap::new(),
+            proposals: BTreeMap::new(),
+            next_proposal: 0,
+            followed: None,
+        }
+    }
+
+    /// Takes in what happened. Nothing is decided before the next [`FailoverManager::advance`].
+    pub fn handle(&mut self, now: Timestamp, event: FailoverEvent) {
+        match event {
+            FailoverEvent::Observed { proxy, group, member, health } => {
+                if let Some(monitor) = self.monitors.get_mut(&group) {
+                    monitor.observed(now, proxy, &member, health);
+                }
+            }
+            FailoverEvent::Probed { group, member, status } => {
+                if let Some(monitor) = self.monitors.get_mut(&group) {
+                    monitor.probed(now, &member, status.as_ref());
+                }
+            }
+            FailoverEvent::Fenced { group, member, term, result } => {
+                if let Some(monitor) = self.monitors.get_mut(&group) {
+                    monitor.fenced(now, member, term, result);
+                }
+            }
+            FailoverEvent::Promoted { group, member, term, result } => {
+                if let Some(monitor) = self.monitors.get_mut(&group) {
+                    monitor.promoted(now, &self.settings, &member, term, result);
+                }
+            }
+            FailoverEvent::Proposed { proposal, outcome } => {
+                self.proposed(now, proposal, outcome.as_ref());
+            }
+        }
+    }
+
+    fn proposed(&mut self, now: Timestamp, proposal: ProposalId, outcome: Option<&Outcome>) {
+        let steps = self.proposals.remove(&proposal).unwrap_or_default();
+        for (place, (group, step)) in steps.into_iter().enumerate() {
+            let Some(monitor) = self.monitors.get_mut(&group) else { continue };
+            monitor.proposed(now, &self.settings, &step, &step_result(place, outcome));
+        }
+    }
+
+    /// Decides what is due. `state` is the state applied so far.
+    pub fn advance(&mut self, now: Timestamp, state: &ControlState) -> Vec<FailoverAction> {
+        self.follow(now, state);
+        let mut wanted = Wanted::default();
+        for (name, monitor) in &mut self.monitors {
+            let Some(group) = state.group(name) else { continue };
+            if monitor.due <= now {
+                let settings = &self.settings;
+                let look = Look { now, settings, state, name, view: &group.view };
+                monitor.advance(look, &mut wanted);
+            }
+        }
+        let mut actions = wanted.calls;
+        if !wanted.steps.is_empty() {
+            actions.push(self.propose(wanted.steps));
+        }
+        actions
+    }
+
+    /// When [`FailoverManager::advance`] is due again if nothing happens.
+    #[must_use]
+    pub fn next_deadline(&self) -> Option<Timestamp> {
+        self.monitors.values().map(|monitor| monitor.due).min()
+    }
+
+    /// Takes up new groups and drops deleted ones.
+    fn follow(&mut self, now: Timestamp, state: &ControlState) {
+        let revision = state.view_revision();
+        if self.followed == Some(revision) {
+            return;
+        }
+        let first = self.followed.is_none();
+        self.followed = Some(revision);
+        self.monitors.retain(|name, _| state.group(name).is_some());
+        for (place, (name, group)) in (0..).zip(state.groups()) {
+            if let Some(monitor) = self.monitors.get_mut(name) {
+                monitor.follow(now, &self.settings, group);
+                continue;
+            }
+            let start = if first { now + first_look(place) } else { now };
+            let monitor = Monitor::new(now, start, &self.settings, group);
+            self.monitors.insert(name.clone(), monitor);
+        }
+    }
+
+    fn propose(&mut self, steps: Vec<(GroupName, FailoverStep)>) -> FailoverAction {
+        let proposal = ProposalId(self.next_proposal);
+        self.next_proposal += 1;
+        self.proposals.insert(proposal, steps.clone());
+        FailoverAction::Propose { proposal, command: Command::Failover(steps) }
+    }
+}
+
+/// When a new leader first looks at the group in this place.
+fn first_look(place: u32) -> Duration {
+    FIRST_LOOKS_SPREAD * (place % FIRST_LOOKS_STEPS) / FIRST_LOOKS_STEPS
+}
+
+fn step_result(place: usize, outcome: Option<&Outcome>) -> StepResult {
+    match outcome {
+        Some(Outcome::Batch { refused }) => {
+            let refusal = refused.iter().find(|(refused, _)| *refused == place);
+            refusal.map_or(StepResult::Accepted, |(_, why)| StepResult::Refused(why.clone()))
+        }
+        Some(Outcome::Refused(refusal)) => StepResult::Refused(refusal.clone()),
+        Some(Outcome::Accepted { .. }) | None => StepResult::Unknown,
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod admission;
 pub mod backend;
 pub mod consensus;
+pub mod failover;
 pub mod identity;
+pub mod membership;
 pub mod ownership;
 pub mod pool;
 pub mod position;
