--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -5,6 +5,7 @@
 //! to disk before any later [`Action::Send`] of the same batch leaves, because
 //! votes and acknowledgements promise what they say to survive a crash.
 
+mod accessors;
 mod election;
 mod error;
 mod follower;
@@ -14,6 +15,7 @@
 pub mod message;
 mod progress;
 mod read_index;
+mod recovery;
 mod replica;
 mod replication;
 mod transfer;
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -6,9 +6,10 @@
 use super::log::Log;
 use super::message::{Message, MessageBody};
 use super::read_index::ForwardedReads;
+use super::recovery::{append_first_cell, check_settings, recovered_hard_state};
 use super::{
-    Action, CellConfig, ConsensusError, ConsensusSettings, Entry, Event, HardState, Payload,
-    PersistedState, Rejection, RequestId, Role, Snapshot,
+    Action, CellConfig, ConsensusError, ConsensusSettings, Event, HardState, PersistedState,
+    Rejection, RequestId, Role, Snapshot,
 };
 use crate::identity::ReplicaId;
 use crate::position::Term;
@@ -315,127 +316,4 @@
         );
         Some(Action::RoleChanged { role, term, leader })
     }
-
-    pub(super) fn is_leader(&self) -> bool {
-        matches!(self.role, RoleState::Leader(_))
-    }
-
-    /// Whether this replica votes in the cell in force.
-    pub(super) fn is_voter(&self) -> bool {
-        self.log.cell().voters.iter().any(|member| member.id == self.settings.id)
-    }
-
-    /// This replica.
-    #[must_use]
-    pub fn id(&self) -> ReplicaId {
-        self.settings.id
-    }
-
-    /// Its role.
-    #[must_use]
-    pub fn role(&self) -> Role {
-        match &self.role {
-            RoleState::Follower if self.is_voter() => Role::Follower,
-            RoleState::Follower => Role::Learner,
-            RoleState::PreCandidate(_) => Role::PreCandidate,
-            RoleState::Candidate(_) => Role::Candidate,
-            RoleState::Leader(_) => Role::Leader,
-        }
-    }
-
-    /// The current term.
-    #[must_use]
-    pub fn term(&self) -> Term {
-        self.hard_state.term
-    }
-
-    /// The leader of the current term, where known.
-    #[must_use]
-    pub fn leader(&self) -> Option<ReplicaId> {
-        self.leader
-    }
-
-    /// The cell in force: the last one in the log, committed or not.
-    #[must_use]
-    pub fn cell(&self) -> &CellConfig {
-        self.log.cell()
-    }
-
-    /// Index of the last entry known to be committed.
-    #[must_use]
-    pub fn commit_index(&self) -> u64 {
-        self.hard_state.commit
-    }
-
-    /// Index of the last entry handed out for applying.
-    #[must_use]
-    pub fn applied_index(&self) -> u64 {
-        self.applied
-    }
-
-    /// Index of the last entry of the log.
-    #[must_use]
-    pub fn last_index(&self) -> u64 {
-        self.log.last_index()
-    }
-
-    /// Term and cell that a snapshot of the state at `index` has to carry; none
-    /// when the entry was not handed out for applying or is no longer held.
-    #[must_use]
-    pub fn snapshot_header(&self, index: u64) -> Option<(Term, CellConfig)> {
-        let term = self.log.term_at(index).filter(|_| index <= self.applied)?;
-        Some((term, self.log.cell_at(index)?.clone()))
-    }
-
-    /// When the replica next needs an [`Event::Tick`].
-    #[must_use]
-    pub fn next_deadline(&self) -> Timestamp {
-        let own = match &self.role {
-            RoleState::Leader(leader) => leader.next_deadline(),
-            _ => self.election_deadline,
-        };
-        self.forwarded.next_deadline(&self.settings).map_or(own, |reads| own.min(reads))
-    }
-}
-
-fn check_settings(settings: &ConsensusSettings) -> Result<(), ConsensusError> {
-    if settings.heartbeat_interval.is_zero() {
-        return Err(ConsensusError::Settings("heartbeat_interval"));
-    }
-    if settings.election_timeout <= settings.heartbeat_interval {
-        return Err(ConsensusError::Settings("election_timeout"));
-    }
-    if settings.snapshot_chunk_bytes == 0 {
-        return Err(ConsensusError::Settings("snapshot_chunk_bytes"));
-    }
-    Ok(())
-}
-
-/// Hard state to start from: never behind the log that was found with it.
-fn recovered_hard_state(found: HardState, log: &Log) -> Result<HardState, ConsensusError> {
-    let last = log.last();
-    if found.commit > last.index {
-        return Err(ConsensusError::CommittedLost { last_index: last.index, commit: found.commit });
-    }
-    let mut recovered = found;
-    recovered.commit = recovered.commit.max(log.snapshot_index());
-    if last.term > recovered.term {
-        // A snapshot is synced before the term it came with; no vote was given in
-        // that term, or the term would have been synced with the vote.
-        recovered.term = last.term;
-        recovered.vote = None;
-    }
-    Ok(recovered)
-}
-
-fn append_first_cell(
-    log: &mut Log,
-    cell: CellConfig,
-    own: ReplicaId,
-) -> Result<(), ConsensusError> {
-    if !cell.voters.iter().any(|member| member.id == own) {
-        return Err(ConsensusError::NotInFirstCell(own));
-    }
-    log.append(Entry { term: Term(0), index: 1, payload: Payload::Cell(cell) });
-    Ok(())
 }
