Edge: callers' sessions, statement classification, tokens and bindings

Cause: the proxy had no side that speaks to callers.

Ruled out: the server side of the wire library, whose handlers own the session loop and so cannot hold a batch back or pass raw answers on. Only its codec is used, behind a check of message bodies: it trusts inner lengths and decodes from the shared buffer.

Change: core decides (classification, tokens, statement names, binding to a class); the edge crate holds sockets: startup, SCRAM, batches, links to owners, retries under a budget, drain, metrics.

--- /dev/null
+++ b/crates/core/src/classify/mod.rs
@@ -0,0 +1,106 @@
+//! Decides from a statement's text where it may run.
+//!
+//! The decision is conservative: only what is surely a read is
+//! [`Classification::Read`]; a text that cannot be parsed is a write, so the
+//! primary sees it. Statements whose effect outlives their transaction cannot
+//! work on shared server connections and are refused before they run.
+
+mod cache;
+mod functions;
+mod local;
+mod read;
+mod refused;
+mod statements;
+
+pub use cache::ProfileCache;
+pub use local::{IDEMPOTENCY_KEY_SETTING, LocalStatement, TOKEN_SETTING};
+pub use refused::Unsupported;
+
+use statements::{Words, split_statements};
+
+/// Longest text that is parsed; a longer one is a write.
+pub const PARSED_TEXT_LIMIT: usize = 64 * 1024;
+
+/// What may be done with a text of one or more statements.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Classification {
+    /// Surely reads only; a replica may serve it.
+    Read,
+    /// Anything else; the primary serves it.
+    Write,
+    /// Answered by the edge.
+    Local(LocalStatement),
+    /// Refused before it runs.
+    Refused(Unsupported),
+}
+
+/// Classifies the text of a simple query or of a statement to prepare.
+#[must_use]
+pub fn classify(text: &str) -> Classification {
+    let Some(statements) = split_statements(text) else {
+        return Classification::Write;
+    };
+    if let Some(unsupported) = statements.iter().find_map(refused::unsupported) {
+        return Classification::Refused(unsupported);
+    }
+    match statements.as_slice() {
+        [] => Classification::Local(LocalStatement::Empty),
+        [statement] => classify_one(text, statement),
+        several => classify_several(text, several),
+    }
+}
+
+fn classify_one(text: &str, statement: &Words) -> Classification {
+    match local::local_statement(statement) {
+        Some(Ok(local)) => Classification::Local(local),
+        Some(Err(unsupported)) => Classification::Refused(unsupported),
+        None => by_reads(text, std::slice::from_ref(statement)),
+    }
+}
+
+fn classify_several(text: &str, statements: &[Words]) -> Classification {
+    if statements.iter().any(|statement| local::local_statement(statement).is_some()) {
+        return Classification::Refused(Unsupported::EdgeStatementAmongOthers);
+    }
+    by_reads(text, statements)
+}
+
+fn by_reads(text: &str, statements: &[Words]) -> Classification {
+    let reads = text.len() <= PARSED_TEXT_LIMIT
+        && statements.iter().all(read::reads_by_words)
+        && read::reads_by_syntax(text);
+    if reads { Classification::Read } else { Classification::Write }
+}
+
+/// What the proxy must know of a text before it runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatementProfile {
+    /// Where it may run.
+    pub classification: Classification,
+    /// Whether running it may commit a transaction that is open.
+    pub may_commit: bool,
+    /// Whether it only starts a transaction: running it twice harms nobody.
+    pub only_starts_transaction: bool,
+}
+
+impl StatementProfile {
+    /// The profile of a text.
+    #[must_use]
+    pub fn of(text: &str) -> Self {
+        let statements = split_statements(text);
+        Self {
+            classification: classify(text),
+            may_commit: statements.as_deref().is_none_or(|all| all.iter().any(commits)),
+            only_starts_transaction: statements
+                .is_some_and(|all| all.len() == 1 && all.iter().all(starts_transaction)),
+        }
+    }
+}
+
+fn commits(statement: &Words) -> bool {
+    statement.is_word(0, "commit") || statement.is_word(0, "end")
+}
+
+fn starts_transaction(statement: &Words) -> bool {
+    statement.is_word(0, "begin") || statement.starts_with(&["start", "transaction"])
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,10 +7,13 @@
 //! hollow nodes.
 
 pub mod backend;
+pub mod binding;
+pub mod classify;
 pub mod consensus;
 pub mod identity;
 pub mod position;
 pub mod resources;
+pub mod session;
 pub mod state;
 pub mod time;
 pub mod view;
--- /dev/null
+++ b/crates/edge/src/error.rs
@@ -0,0 +1,192 @@
+//! Errors of the edge itself and answers that it gives in place of a back end.
+
+use corktack_core::classify::Unsupported;
+use corktack_core::session::{StatementError, TokenError};
+use corktack_protocol::peer::NotRunReason;
+
+/// Why the edge could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum EdgeError {
+    /// The listener cannot be used.
+    #[error("the callers' listener cannot be used")]
+    Listener(#[from] std::io::Error),
+    /// The settings ask for no thread.
+    #[error("the edge needs at least one arbiter")]
+    NoArbiters,
+    /// A thread stopped before it took its work.
+    #[error("an arbiter of the edge stopped at its start")]
+    ArbiterStopped,
+}
+
+/// Why a session is over.
+#[derive(Debug, thiserror::Error)]
+pub enum SessionEnd {
+    /// The caller said so, or its connection is gone.
+    #[error("the caller is gone")]
+    CallerGone,
+    /// The connection failed.
+    #[error("the caller's connection failed")]
+    Io(#[from] std::io::Error),
+    /// The edge ends it; the caller is told.
+    #[error(transparent)]
+    Fatal(#[from] Rejection),
+}
+
+/// An answer of the edge in place of a back end's.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Rejection {
+    /// The startup message breaks the protocol.
+    #[error("malformed startup message")]
+    MalformedStartup,
+    /// A message breaks the protocol.
+    #[error("malformed message of type {0:?}")]
+    MalformedMessage(char),
+    /// A text is not UTF-8.
+    #[error("text that is not valid UTF-8")]
+    NotUtf8,
+    /// A message is too long.
+    #[error("message of {length} bytes, at most {limit} are allowed")]
+    MessageTooLarge {
+        /// Its length.
+        length: usize,
+        /// The limit.
+        limit: usize,
+    },
+    /// The protocol version is not served.
+    #[error("protocol version {0}.{1} is not supported")]
+    ProtocolVersion(u16, u16),
+    /// The startup message names no user.
+    #[error("no user name in the startup message")]
+    NoUser,
+    /// The encoding is not served.
+    #[error("client encoding {0:?} is not supported, use UTF8")]
+    Encoding(String),
+    /// No group serves the database.
+    #[error("database {0:?} does not exist")]
+    UnknownDatabase(String),
+    /// The connection limit is reached.
+    #[error("too many connections, not run")]
+    TooManyConnections,
+    /// The password is wrong, or the user is not known.
+    #[error("authentication failed for user {0:?}")]
+    Authentication(String),
+    /// The caller did not authenticate in time.
+    #[error("no authentication in time")]
+    StartupTimeout,
+    /// The proxy is stopping.
+    #[error("proxy is stopping, reconnect; a request that crossed this message was not run")]
+    Stopping,
+    /// The session's token is malformed.
+    #[error(transparent)]
+    Token(#[from] TokenError),
+    /// The statement cannot work through the proxy.
+    #[error("{0}; not run")]
+    Unsupported(#[from] Unsupported),
+    /// A prepared statement is missing or taken.
+    #[error(transparent)]
+    Statement(#[from] StatementError),
+    /// A portal is missing.
+    #[error("portal {0:?} does not exist")]
+    UnknownPortal(String),
+    /// The caller cancelled the request while it waited.
+    #[error("request was cancelled by its user, not run")]
+    Cancelled,
+    /// A batch is too long.
+    #[error("batch of more than {0} bytes before Sync, not run")]
+    BatchTooLarge(usize),
+    /// `Flush` after `Bind` or `Execute` outside a transaction.
+    #[error("Flush after Bind or Execute needs an open transaction, not run")]
+    FlushOutsideTransaction,
+    /// A batch mixes statements that the edge answers with others.
+    #[error("{}; not run", Unsupported::EdgeStatementAmongOthers)]
+    MixedBatch,
+    /// The request did not run.
+    #[error("request not run: {}", reason_text(*reason))]
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u32,
+    },
+    /// The request was sent and its outcome is not known.
+    #[error("outcome of the request is unknown: it may or may not have run")]
+    Unknown,
+    /// A read was given up on.
+    #[error("read was interrupted; it changed nothing")]
+    ReadInterrupted,
+    /// The open transaction is lost.
+    #[error("transaction is lost; nothing of it is committed")]
+    TransactionLost,
+}
+
+/// How bad it is for the session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Severity {
+    /// The session goes on.
+    Error,
+    /// The session is over.
+    Fatal,
+}
+
+/// Wait after which a caller whose connection was refused may come back.
+const CONNECTION_RETRY_MS: u32 = 1_000;
+
+fn reason_text(reason: NotRunReason) -> &'static str {
+    match reason {
+        NotRunReason::QueueFull => "the wait queue is full",
+        NotRunReason::QueueTimeout => "no server connection came free in time",
+        NotRunReason::NoBackEnd => "no back end may serve it",
+        NotRunReason::NotOwner => "the group's owner is changing",
+        NotRunReason::UnknownGroup => "the group is not known",
+        NotRunReason::Stopping => "the group's owner is stopping",
+        NotRunReason::OwnerUnreachable => "the group's owner cannot be reached",
+        NotRunReason::BackEndRefused => "the back end refused it",
+        NotRunReason::RetryBudget => "too many requests are being retried",
+    }
+}
+
+impl Rejection {
+    /// The SQLSTATE.
+    #[must_use]
+    pub fn sqlstate(&self) -> &'static str {
+        match self {
+            Self::MalformedStartup | Self::MalformedMessage(_) => "08P01",
+            Self::NotUtf8 => "22021",
+            Self::MessageTooLarge { .. } | Self::BatchTooLarge(_) => "54000",
+            Self::NoUser => "28000",
+            Self::UnknownDatabase(_) => "3D000",
+            Self::TooManyConnections => "53300",
+            Self::Authentication(_) => "28P01",
+            Self::StartupTimeout => "57P05",
+            Self::Stopping => "57P01",
+            Self::Token(_) => "22023",
+            Self::ProtocolVersion(..)
+            | Self::Encoding(_)
+            | Self::Unsupported(_)
+            | Self::FlushOutsideTransaction
+            | Self::MixedBatch => "0A000",
+            Self::Statement(StatementError::Duplicate(_)) => "42P05",
+            Self::Statement(StatementError::Unknown(_)) => "26000",
+            Self::Statement(StatementError::TooMany(_)) => "54000",
+            Self::NotRun { reason: NotRunReason::QueueFull, .. } => "53300",
+            Self::NotRun { reason: NotRunReason::QueueTimeout, .. } => "53400",
+            Self::NotRun { .. } => "57P03",
+            Self::Unknown => "08007",
+            Self::UnknownPortal(_) => "34000",
+            Self::ReadInterrupted | Self::Cancelled => "57014",
+            Self::TransactionLost => "40001",
+        }
+    }
+
+    /// The hint that tells when to come back, where there is one.
+    #[must_use]
+    pub fn hint(&self) -> Option<String> {
+        let retry_after_ms = match self {
+            Self::NotRun { retry_after_ms, .. } => *retry_after_ms,
+            Self::TooManyConnections => CONNECTION_RETRY_MS,
+            Self::Stopping => 0,
+            _ => return None,
+        };
+        Some(format!("retry_after_ms={retry_after_ms}"))
+    }
+}
--- /dev/null
+++ b/crates/edge/src/link/task.rs
@@ -0,0 +1,171 @@
+//! Reads and writes one connection to an owner.
+
+use super::{OwnerLife, OwnerLink, StreamEvent};
+use corktack_core::view::{ProxyState, View};
+use corktack_protocol::frame::{FrameCodec, FrameError};
+use corktack_protocol::peer::{EdgeMessage, OwnerMessage};
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+/// Longest wait for a connection to an owner.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without acknowledgement of sent bytes after which a connection is given up.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(4);
+
+type OwnerConnection = Framed<TcpStream, FrameCodec<EdgeMessage, OwnerMessage>>;
+
+/// Why a connection to an owner ended.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum LinkError {
+    /// No connection came about.
+    #[error("no connection to the owner in time")]
+    ConnectTimeout,
+    /// The socket failed.
+    #[error("the connection to the owner failed")]
+    Io(#[from] std::io::Error),
+    /// A frame broke the protocol, or the socket failed.
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    /// The owner closed the connection.
+    #[error("the owner closed the connection")]
+    Closed,
+    /// The owner did not say who it is first.
+    #[error("the owner's first message was not its name")]
+    NoHello,
+    /// Another process answered at the address.
+    #[error("another proxy, or another life of it, answered at the owner's address")]
+    WrongOwner,
+    /// The configuration in force says that this life of the owner is over.
+    #[error("the owner is down")]
+    OwnerDown,
+}
+
+/// What a connection task works with.
+pub(super) struct LinkTask {
+    pub(super) link: Rc<OwnerLink>,
+    pub(super) hello: EdgeMessage,
+    pub(super) owner: OwnerLife,
+    pub(super) address: SocketAddr,
+    pub(super) outgoing: mpsc::UnboundedReceiver<EdgeMessage>,
+    pub(super) view: watch::Receiver<Arc<View>>,
+}
+
+impl LinkTask {
+    /// Serves the connection until it fails, then tells its streams.
+    pub(super) async fn run(mut self) {
+        let link = self.link.clone();
+        let error = self.serve().await;
+        link.fail();
+        let proxy = self.owner.proxy.as_str();
+        log::warn!(owner = proxy, cause = error.to_string().as_str(); "connection to an owner ended");
+    }
+
+    async fn serve(&mut self) -> LinkError {
+        let mut view = self.view.clone();
+        let connection = tokio::select! {
+            connection = connect(self.address) => connection,
+            () = owner_down(&mut view, &self.owner) => return LinkError::OwnerDown,
+        };
+        let (sink, source) = match connection {
+            Ok(connection) => connection.split(),
+            Err(error) => return error,
+        };
+        let hello = self.hello.clone();
+        let result = tokio::select! {
+            result = write(&self.link, hello, &mut self.outgoing, sink) => result,
+            result = read(&self.link, &self.owner, source) => result,
+            () = owner_down(&mut view, &self.owner) => Err(LinkError::OwnerDown),
+        };
+        result.err().unwrap_or(LinkError::Closed)
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<OwnerConnection, LinkError> {
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = connecting.await.map_err(|_| LinkError::ConnectTimeout)??;
+    stream.set_nodelay(true)?;
+    let socket = socket2::SockRef::from(&stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+    Ok(Framed::new(stream, FrameCodec::default()))
+}
+
+async fn write(
+    link: &OwnerLink,
+    hello: EdgeMessage,
+    outgoing: &mut mpsc::UnboundedReceiver<EdgeMessage>,
+    mut sink: SplitSink<OwnerConnection, EdgeMessage>,
+) -> Result<(), LinkError> {
+    sink.feed(hello).await?;
+    sink.flush().await?;
+    while let Some(message) = outgoing.recv().await {
+        let mut next = Some(message);
+        while let Some(message) = next {
+            if link.begin_write(&message) {
+                sink.feed(message).await?;
+            }
+            next = outgoing.try_recv().ok();
+        }
+        sink.flush().await?;
+    }
+    Ok(())
+}
+
+async fn read(
+    link: &OwnerLink,
+    owner: &OwnerLife,
+    mut source: SplitStream<OwnerConnection>,
+) -> Result<(), LinkError> {
+    match source.next().await {
+        Some(Ok(OwnerMessage::Hello { proxy, incarnation })) => {
+            if (OwnerLife { proxy, incarnation }) != *owner {
+                return Err(LinkError::WrongOwner);
+            }
+        }
+        Some(Ok(_)) => return Err(LinkError::NoHello),
+        Some(Err(error)) => return Err(error.into()),
+        None => return Err(LinkError::Closed),
+    }
+    while let Some(message) = source.next().await {
+        dispatch(link, message?);
+    }
+    Err(LinkError::Closed)
+}
+
+fn dispatch(link: &OwnerLink, message: OwnerMessage) {
+    match message {
+        OwnerMessage::Hello { .. } => {}
+        OwnerMessage::Data { stream, messages } => {
+            link.deliver(stream, StreamEvent::Data(messages));
+        }
+        OwnerMessage::Position { stream, position } => {
+            link.deliver(stream, StreamEvent::Position(position));
+        }
+        OwnerMessage::Ready { stream, status, served_by } => {
+            link.deliver(stream, StreamEvent::Ready { status, served_by });
+        }
+        OwnerMessage::Failed { stream, failure } => {
+            link.deliver(stream, StreamEvent::Failed(failure));
+        }
+        OwnerMessage::Stopping => link.stopping.set(true),
+    }
+}
+
+/// Returns once the configuration in force says that this life of the owner is over.
+async fn owner_down(view: &mut watch::Receiver<Arc<View>>, owner: &OwnerLife) {
+    let over = |view: &Arc<View>| match view.proxies.get(&owner.proxy) {
+        Some(proxy) => proxy.incarnation != owner.incarnation || proxy.state == ProxyState::Down,
+        None => true,
+    };
+    if view.wait_for(over).await.is_err() {
+        // Nobody feeds the view any more: the process is ending.
+        std::future::pending::<()>().await;
+    }
+}
--- /dev/null
+++ b/crates/edge/src/session/answer_stream.rs
@@ -0,0 +1,143 @@
+//! Passes the owner's answer to one batch on to the caller.
+
+use super::{Loss, Progress, Session};
+use crate::answer;
+use crate::caller::WRITE_BYTES;
+use crate::error::SessionEnd;
+use crate::link::{OwnerStream, StreamEvent};
+use bytes::Buf;
+use corktack_core::classify::TOKEN_SETTING;
+use corktack_core::identity::GroupName;
+use corktack_protocol::peer::{Failure, ServedBy, TransactionStatus};
+use pgwire::messages::extendedquery::{
+    MESSAGE_TYPE_BYTE_CLOSE_COMPLETE, MESSAGE_TYPE_BYTE_PARSE_COMPLETE,
+};
+use pgwire::messages::response::MESSAGE_TYPE_BYTE_ERROR_RESPONSE;
+use tokio::time::Instant;
+
+/// Bytes of a message's type and length.
+const HEADER_BYTES: usize = 5;
+
+/// How the answer to a batch ended.
+pub(super) enum Answered {
+    /// The back end is ready.
+    Ready {
+        /// State of the transaction.
+        status: TransactionStatus,
+        /// Who served it.
+        served_by: ServedBy,
+        /// Whether the answer held an error.
+        failed: bool,
+    },
+    /// The answer is not whole.
+    Lost(Loss),
+}
+
+/// What comes next while an answer is under way.
+enum Next {
+    Event(StreamEvent),
+    Input(Result<(), SessionEnd>),
+    Cancelled,
+    TimedOut,
+}
+
+impl Session {
+    /// Passes one answer on; returns early with an error when the caller is gone.
+    pub(super) async fn pass_answer(
+        &mut self,
+        stream: &mut OwnerStream,
+        group: &GroupName,
+        progress: &mut Progress,
+    ) -> Result<Answered, SessionEnd> {
+        let mut failed = false;
+        loop {
+            let event = match stream.ready_event() {
+                Some(event) => event,
+                None => match self.next_event(stream).await? {
+                    Some(event) => event,
+                    None => return Ok(Answered::Lost(timed_out(stream))),
+                },
+            };
+            match event {
+                StreamEvent::Data(messages) => {
+                    let Some(contents) = self.note_messages(&messages) else {
+                        return Ok(Answered::Lost(Loss::Failed(Failure::Unknown)));
+                    };
+                    failed |= contents.holds_error;
+                    progress.answered = true;
+                    self.caller.output.extend_from_slice(&messages);
+                    if self.caller.output.len() >= WRITE_BYTES || stream.must_grant() {
+                        self.caller.flush().await?;
+                        stream.grant();
+                    }
+                }
+                StreamEvent::Position(position) => {
+                    self.token.advance(group, position);
+                    let token = self.token.to_string();
+                    answer::put_parameter(&mut self.caller.output, TOKEN_SETTING, &token);
+                }
+                StreamEvent::Ready { status, served_by } => {
+                    return Ok(Answered::Ready { status, served_by, failed });
+                }
+                StreamEvent::Failed(failure) => return Ok(Answered::Lost(Loss::Failed(failure))),
+                StreamEvent::LinkLost { sent } => {
+                    return Ok(Answered::Lost(Loss::Link { sent }));
+                }
+            }
+        }
+    }
+
+    /// The next event, or nothing when none comes in time.
+    async fn next_event(
+        &mut self,
+        stream: &mut OwnerStream,
+    ) -> Result<Option<StreamEvent>, SessionEnd> {
+        self.caller.flush().await?;
+        stream.grant();
+        let deadline = Instant::now() + self.context.settings.request_timeout;
+        loop {
+            let read_ahead = self.caller.may_read_ahead();
+            let next = tokio::select! {
+                biased;
+                event = stream.event() => Next::Event(event),
+                Ok(()) = self.registration.cancelled.changed() => Next::Cancelled,
+                result = self.caller.read_more(), if read_ahead => Next::Input(result),
+                () = tokio::time::sleep_until(deadline) => Next::TimedOut,
+            };
+            match next {
+                Next::Event(event) => return Ok(Some(event)),
+                Next::Input(result) => result?,
+                Next::Cancelled => stream.cancel(),
+                Next::TimedOut => return Ok(None),
+            }
+        }
+    }
+
+    /// Notes what the messages say of prepared statements; nothing is returned
+    /// when they are not whole messages.
+    fn note_messages(&mut self, messages: &[u8]) -> Option<Contents> {
+        let mut contents = Contents { holds_error: false };
+        let mut rest = messages;
+        while !rest.is_empty() {
+            let length = rest.get(1..HEADER_BYTES)?.get_u32() as usize;
+            match rest[0] {
+                MESSAGE_TYPE_BYTE_PARSE_COMPLETE | MESSAGE_TYPE_BYTE_CLOSE_COMPLETE => {
+                    self.statements.confirm();
+                }
+                MESSAGE_TYPE_BYTE_ERROR_RESPONSE => contents.holds_error = true,
+                _ => {}
+            }
+            rest = rest.get(1 + length..).filter(|_| length >= HEADER_BYTES - 1)?;
+        }
+        Some(contents)
+    }
+}
+
+/// What was found in messages of an answer.
+struct Contents {
+    holds_error: bool,
+}
+
+fn timed_out(stream: &OwnerStream) -> Loss {
+    Loss::TimedOut { sent: stream.was_sent() }
+}
--- /dev/null
+++ b/crates/edge/src/session/local.rs
@@ -0,0 +1,161 @@
+//! Answers batches whose statements the edge itself answers.
+
+use super::Session;
+use crate::answer;
+use crate::error::{Rejection, Severity};
+use bytes::BytesMut;
+use corktack_core::classify::{Classification, LocalStatement, StatementProfile, TOKEN_SETTING};
+use corktack_core::session::{SessionStatement, SessionToken, StatementError, shared_name};
+use pgwire::messages::PgWireBackendMessage as Answer;
+use pgwire::messages::PgWireFrontendMessage as Message;
+use pgwire::messages::extendedquery::{
+    BindComplete, CloseComplete, Parse, ParseComplete, TARGET_TYPE_BYTE_STATEMENT,
+};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Answers a batch; after an error its later messages are skipped. Tells whether
+/// all went well.
+pub(super) fn answer_locally(session: &mut Session, messages: &[Message]) -> bool {
+    let mut portals = HashMap::new();
+    for message in messages {
+        if let Err(rejection) = answer_message(session, message, &mut portals) {
+            answer::put_rejection(&mut session.caller.output, &rejection, Severity::Error);
+            return false;
+        }
+    }
+    true
+}
+
+type Portals = HashMap<String, Arc<StatementProfile>>;
+
+fn answer_message(
+    session: &mut Session,
+    message: &Message,
+    portals: &mut Portals,
+) -> Result<(), Rejection> {
+    match message {
+        Message::Query(query) => {
+            let profile = session.context.profile(&query.query);
+            describe(&mut session.caller.output, &profile, Described::Query);
+            execute(session, &profile)
+        }
+        Message::Parse(parse) => define(session, parse),
+        Message::Bind(bind) => {
+            let name = bind.statement_name.as_deref().unwrap_or_default();
+            let profile = profile_of(session, name)?;
+            portals.insert(bind.portal_name.clone().unwrap_or_default(), profile);
+            put(session, Answer::BindComplete(BindComplete::new()));
+            Ok(())
+        }
+        Message::Describe(target) => {
+            let name = target.name.as_deref().unwrap_or_default();
+            let is_statement = target.target_type == TARGET_TYPE_BYTE_STATEMENT;
+            let (profile, described) = if is_statement {
+                (profile_of(session, name)?, Described::Statement)
+            } else {
+                (portal(portals, name)?, Described::Portal)
+            };
+            describe(&mut session.caller.output, &profile, described);
+            Ok(())
+        }
+        Message::Execute(target) => {
+            let profile = portal(portals, target.name.as_deref().unwrap_or_default())?;
+            execute(session, &profile)
+        }
+        Message::Close(target) => {
+            if target.target_type == TARGET_TYPE_BYTE_STATEMENT {
+                session.statements.forget(target.name.as_deref().unwrap_or_default());
+                session.statements.confirm();
+            }
+            put(session, Answer::CloseComplete(CloseComplete::new()));
+            Ok(())
+        }
+        _ => Ok(()),
+    }
+}
+
+fn put(session: &mut Session, message: Answer) {
+    answer::put(&mut session.caller.output, &message);
+}
+
+fn define(session: &mut Session, parse: &Parse) -> Result<(), Rejection> {
+    let statement = SessionStatement {
+        shared_name: shared_name(&parse.query, &parse.type_oids),
+        query: parse.query.clone(),
+        parameter_types: parse.type_oids.clone(),
+        profile: session.context.profile(&parse.query),
+    };
+    session.statements.define(parse.name.as_deref().unwrap_or_default(), statement)?;
+    session.statements.confirm();
+    put(session, Answer::ParseComplete(ParseComplete::new()));
+    Ok(())
+}
+
+fn profile_of(session: &Session, name: &str) -> Result<Arc<StatementProfile>, Rejection> {
+    let found = session.statements.find(name).map(|statement| statement.profile.clone());
+    Ok(found.ok_or_else(|| StatementError::Unknown(name.to_owned()))?)
+}
+
+fn portal(portals: &Portals, name: &str) -> Result<Arc<StatementProfile>, Rejection> {
+    portals.get(name).cloned().ok_or_else(|| Rejection::UnknownPortal(name.to_owned()))
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Described {
+    Query,
+    Statement,
+    Portal,
+}
+
+fn describe(output: &mut BytesMut, profile: &StatementProfile, described: Described) {
+    if described == Described::Statement {
+        answer::put_no_parameters(output);
+    }
+    if profile.classification == Classification::Local(LocalStatement::ShowToken) {
+        answer::put_text_column(output, TOKEN_SETTING);
+    } else if described != Described::Query {
+        answer::put_no_data(output);
+    }
+}
+
+fn execute(session: &mut Session, profile: &StatementProfile) -> Result<(), Rejection> {
+    let Classification::Local(statement) = &profile.classification else {
+        return Ok(());
+    };
+    let tag = match statement {
+        LocalStatement::Empty => {
+            answer::put_empty(&mut session.caller.output);
+            return Ok(());
+        }
+        LocalStatement::ShowToken => {
+            let token = session.token.to_string();
+            answer::put_text_row(&mut session.caller.output, &token);
+            "SHOW"
+        }
+        LocalStatement::SetToken(text) => {
+            session.token.merge(&text.parse::<SessionToken>()?);
+            "SET"
+        }
+        LocalStatement::SetIdempotencyKey(key) => {
+            session.idempotency_key = (!key.is_empty()).then(|| key.clone());
+            "SET"
+        }
+        LocalStatement::SetApplicationName(name) => {
+            session.identity.application_name.clone_from(name);
+            answer::put_parameter(&mut session.caller.output, "application_name", name);
+            "SET"
+        }
+        LocalStatement::SetIgnored => "SET",
+        LocalStatement::DiscardAll => {
+            session.statements.clear();
+            "DISCARD ALL"
+        }
+        LocalStatement::DeallocateAll => {
+            session.statements.clear();
+            "DEALLOCATE ALL"
+        }
+    };
+    answer::put_complete(&mut session.caller.output, tag);
+    Ok(())
+}
--- /dev/null
+++ b/crates/edge/src/startup.rs
@@ -0,0 +1,163 @@
+//! From a fresh connection to a session: startup message, authentication, greeting.
+
+mod options;
+mod scram;
+
+use crate::answer;
+use crate::caller::CallerSocket;
+use crate::codec::FirstMessage;
+use crate::context::ArbiterContext;
+use crate::error::{Rejection, SessionEnd};
+use crate::route::group_of_database;
+use crate::session::Session;
+use crate::sessions::{CancelKey, Registration};
+use crate::settings::Authentication;
+use corktack_core::binding::CallerIdentity;
+use corktack_core::classify::TOKEN_SETTING;
+use corktack_core::session::SessionToken;
+use corktack_protocol::peer::TransactionStatus;
+use pgwire::messages::PgWireBackendMessage as Answer;
+use pgwire::messages::cancel::CancelRequest;
+use pgwire::messages::startup::{
+    Authentication as AuthenticationMessage, BackendKeyData, NegotiateProtocolVersion, SecretKey,
+    Startup,
+};
+use std::net::IpAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Answer to a request for encryption: there is none.
+const NO_ENCRYPTION: u8 = b'N';
+/// Requests for encryption that a caller may make.
+const ENCRYPTION_REQUESTS: usize = 2;
+/// Parameters that every session starts with.
+const FIXED_PARAMETERS: [(&str, &str); 8] = [
+    ("server_version", "16.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("IntervalStyle", "postgres"),
+    ("TimeZone", "UTC"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+];
+/// Names of the encoding that is served, in lower case.
+const ENCODINGS: [&str; 3] = ["utf8", "utf-8", "unicode"];
+
+/// What the startup message asks for.
+#[derive(Debug)]
+struct StartupRequest {
+    identity: CallerIdentity,
+    token: SessionToken,
+    newer_protocol: bool,
+}
+
+/// Serves a fresh connection until its end.
+pub async fn serve_connection(context: Rc<ArbiterContext>, stream: TcpStream, source: IpAddr) {
+    let _ = stream.set_nodelay(true);
+    let limit = context.settings.startup_timeout;
+    let mut caller = CallerSocket::new(stream, context.settings.request_timeout);
+    let started = timeout(limit, start(&context, &mut caller, source)).await;
+    match started.unwrap_or(Err(Rejection::StartupTimeout.into())) {
+        Ok(Some((identity, token, registration))) => {
+            Session::new(context, caller, identity, registration, token).run().await;
+        }
+        Ok(None) | Err(SessionEnd::CallerGone | SessionEnd::Io(_)) => {}
+        Err(SessionEnd::Fatal(rejection)) => caller.finish(&rejection).await,
+    }
+}
+
+/// Lets a caller in, or nothing when the connection only carried a cancel request.
+async fn start(
+    context: &ArbiterContext,
+    caller: &mut CallerSocket,
+    source: IpAddr,
+) -> Result<Option<(CallerIdentity, SessionToken, Registration)>, SessionEnd> {
+    let startup = match first_message(context, caller).await? {
+        FirstMessage::Startup(startup) => startup,
+        FirstMessage::Cancel(request) => {
+            cancel(context, &request);
+            return Ok(None);
+        }
+        FirstMessage::Encryption => return Err(Rejection::MalformedStartup.into()),
+    };
+    if context.is_draining() {
+        return Err(Rejection::Stopping.into());
+    }
+    let request = read_startup(&startup, source)?;
+    if request.newer_protocol {
+        let negotiate = NegotiateProtocolVersion::new(0, Vec::new());
+        answer::put(&mut caller.output, &Answer::NegotiateProtocolVersion(negotiate));
+    }
+    if let Authentication::ScramSha256 { users } = &context.settings.authentication {
+        let limit = context.settings.startup_message_limit;
+        scram::authenticate(caller, users, &request.identity.user, limit).await?;
+    }
+    // Only a caller that is let in learns which databases exist.
+    if group_of_database(&context.view_now(), &request.identity.database).is_none() {
+        return Err(Rejection::UnknownDatabase(request.identity.database).into());
+    }
+    let registration = context.sessions.register();
+    greet(caller, &request, registration.key);
+    caller.flush().await?;
+    Ok(Some((request.identity, request.token, registration)))
+}
+
+async fn first_message(
+    context: &ArbiterContext,
+    caller: &mut CallerSocket,
+) -> Result<FirstMessage, SessionEnd> {
+    let limit = context.settings.startup_message_limit;
+    for _ in 0..ENCRYPTION_REQUESTS {
+        match caller.first_message(limit).await? {
+            FirstMessage::Encryption => caller.decline_encryption(NO_ENCRYPTION).await?,
+            message => return Ok(message),
+        }
+    }
+    caller.first_message(limit).await
+}
+
+fn cancel(context: &ArbiterContext, request: &CancelRequest) {
+    if let Some(secret) = request.secret_key.as_i32() {
+        context.sessions.cancel(CancelKey { process_id: request.pid, secret });
+    }
+}
+
+fn read_startup(startup: &Startup, source: IpAddr) -> Result<StartupRequest, Rejection> {
+    let parameter = |name: &str| startup.parameters.get(name).filter(|value| !value.is_empty());
+    let user = parameter("user").ok_or(Rejection::NoUser)?.clone();
+    let database = parameter("database").unwrap_or(&user).clone();
+    if let Some(encoding) = parameter("client_encoding") {
+        let plain = encoding.trim_matches(['"', '\'']).to_ascii_lowercase();
+        if !ENCODINGS.contains(&plain.as_str()) {
+            return Err(Rejection::Encoding(encoding.clone()));
+        }
+    }
+    let options = parameter("options").map(|text| options::parse(text)).unwrap_or_default();
+    let mut token = SessionToken::default();
+    let given = parameter(TOKEN_SETTING).or_else(|| options.get(TOKEN_SETTING));
+    if let Some(text) = given {
+        token.merge(&text.parse()?);
+    }
+    let application_name =
+        parameter("application_name").or_else(|| options.get("application_name"));
+    let application_name = application_name.cloned().unwrap_or_default();
+    let identity = CallerIdentity { user, database, application_name, source };
+    Ok(StartupRequest { identity, token, newer_protocol: startup.protocol_number_minor > 0 })
+}
+
+fn greet(caller: &mut CallerSocket, request: &StartupRequest, key: CancelKey) {
+    let output = &mut caller.output;
+    answer::put(output, &Answer::Authentication(AuthenticationMessage::Ok));
+    for (name, value) in FIXED_PARAMETERS {
+        answer::put_parameter(output, name, value);
+    }
+    answer::put_parameter(output, "session_authorization", &request.identity.user);
+    answer::put_parameter(output, "application_name", &request.identity.application_name);
+    answer::put_parameter(output, TOKEN_SETTING, &request.token.to_string());
+    let secret = SecretKey::I32(key.secret);
+    let key_data = BackendKeyData::new(key.process_id, secret);
+    answer::put(output, &Answer::BackendKeyData(key_data));
+    answer::put_ready(output, TransactionStatus::Idle);
+}
--- /dev/null
+++ b/crates/edge/src/startup/options.rs
@@ -0,0 +1,37 @@
+//! The `options` parameter of a startup message: `-c name=value` and `--name=value`.
+
+use std::collections::BTreeMap;
+
+/// The settings named in the options; anything else in them is ignored.
+pub(super) fn parse(text: &str) -> BTreeMap<String, String> {
+    let mut settings = BTreeMap::new();
+    let mut words = split_words(text).into_iter();
+    while let Some(word) = words.next() {
+        let assignment = match word.strip_prefix("-c").or_else(|| word.strip_prefix("--")) {
+            Some("") => words.next(),
+            Some(rest) => Some(rest.to_owned()),
+            None => None,
+        };
+        if let Some((name, value)) = assignment.as_deref().and_then(|text| text.split_once('=')) {
+            settings.insert(name.to_ascii_lowercase(), value.to_owned());
+        }
+    }
+    settings
+}
+
+/// Splits at white space; a backslash keeps the character after it.
+fn split_words(text: &str) -> Vec<String> {
+    let mut words = Vec::new();
+    let mut word = String::new();
+    let mut characters = text.chars();
+    while let Some(character) = characters.next() {
+        match character {
+            '\\' => word.extend(characters.next()),
+            space if space.is_whitespace() => words.push(std::mem::take(&mut word)),
+            other => word.push(other),
+        }
+    }
+    words.push(word);
+    words.retain(|word| !word.is_empty());
+    words
+}
--- /dev/null
+++ b/crates/edge/tests/support/owner.rs
@@ -0,0 +1,172 @@
+//! A scripted owner.
+
+use super::wire;
+use corktack_core::identity::{Incarnation, ProxyName};
+use corktack_core::position::Position;
+use corktack_protocol::frame::FrameCodec;
+use corktack_protocol::peer::{
+    Batch, EdgeMessage, Failure, OpenRequest, OwnerMessage, ServedBy, StreamId, TransactionStatus,
+};
+use futures_util::{SinkExt, StreamExt};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio_util::codec::Framed;
+
+enum Command {
+    Send(OwnerMessage),
+    Raw(Vec<u8>),
+    Cut,
+}
+
+type Connections = Rc<RefCell<Vec<mpsc::UnboundedSender<Command>>>>;
+
+/// An owner whose answers the test writes.
+pub struct FakeOwner {
+    pub address: SocketAddr,
+    received: mpsc::UnboundedReceiver<EdgeMessage>,
+    connections: Connections,
+}
+
+impl FakeOwner {
+    pub async fn start(name: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (events, received) = mpsc::unbounded_channel();
+        let connections = Connections::default();
+        let hello = OwnerMessage::Hello {
+            proxy: ProxyName::new(name).unwrap(),
+            incarnation: Incarnation(7),
+        };
+        let accepted = connections.clone();
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (commands, queue) = mpsc::unbounded_channel();
+                commands.send(Command::Send(hello.clone())).unwrap_or_default();
+                accepted.borrow_mut().push(commands);
+                actix_rt::spawn(serve(stream, queue, events.clone()));
+            }
+        });
+        Self { address, received, connections }
+    }
+
+    /// The next message, other than `Hello` and `Window`.
+    pub async fn next(&mut self) -> EdgeMessage {
+        loop {
+            match self.received.recv().await.unwrap() {
+                EdgeMessage::Hello { .. } | EdgeMessage::Window { .. } => {}
+                message => return message,
+            }
+        }
+    }
+
+    /// The next message, `Window` included.
+    pub async fn next_with_windows(&mut self) -> EdgeMessage {
+        loop {
+            match self.received.recv().await.unwrap() {
+                EdgeMessage::Hello { .. } => {}
+                message => return message,
+            }
+        }
+    }
+
+    pub fn nothing_more(&mut self) -> bool {
+        self.received.try_recv().is_err()
+    }
+
+    pub async fn open(&mut self) -> (StreamId, OpenRequest) {
+        match self.next().await {
+            EdgeMessage::Open { stream, request } => (stream, *request),
+            other => panic!("expected Open, got {other:?}"),
+        }
+    }
+
+    pub async fn batch(&mut self) -> (StreamId, Batch) {
+        match self.next().await {
+            EdgeMessage::Batch { stream, batch } => (stream, batch),
+            other => panic!("expected Batch, got {other:?}"),
+        }
+    }
+
+    pub fn connection_count(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
+    fn command(&self, command: Command) {
+        let connections = self.connections.borrow();
+        connections.last().unwrap().send(command).unwrap_or_default();
+    }
+
+    pub fn send(&self, message: OwnerMessage) {
+        self.command(Command::Send(message));
+    }
+
+    pub fn send_raw(&self, bytes: &[u8]) {
+        self.command(Command::Raw(bytes.to_vec()));
+    }
+
+    pub fn cut(&self) {
+        self.command(Command::Cut);
+    }
+
+    pub fn data(&self, stream: StreamId, messages: Vec<u8>) {
+        self.send(OwnerMessage::Data { stream, messages });
+    }
+
+    pub fn position(&self, stream: StreamId, position: Position) {
+        self.send(OwnerMessage::Position { stream, position });
+    }
+
+    pub fn ready(&self, stream: StreamId, status: TransactionStatus) {
+        self.send(OwnerMessage::Ready { stream, status, served_by: ServedBy::Primary });
+    }
+
+    pub fn fail(&self, stream: StreamId, failure: Failure) {
+        self.send(OwnerMessage::Failed { stream, failure });
+    }
+
+    /// Answers every message of the batch; rows hold `value`.
+    pub fn answer(&self, stream: StreamId, batch: &Batch, value: &str, status: TransactionStatus) {
+        self.data(stream, wire::answers(batch, value));
+        self.ready(stream, status);
+    }
+
+    /// Takes the next new transaction and answers its first batch.
+    pub async fn serve_one(&mut self, value: &str) -> OpenRequest {
+        let (stream, request) = self.open().await;
+        self.answer(stream, &request.batch, value, TransactionStatus::Idle);
+        request
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    mut commands: mpsc::UnboundedReceiver<Command>,
+    events: mpsc::UnboundedSender<EdgeMessage>,
+) {
+    let mut framed = Framed::new(stream, FrameCodec::<OwnerMessage, EdgeMessage>::default());
+    loop {
+        tokio::select! {
+            command = commands.recv() => match command {
+                Some(Command::Send(message)) => {
+                    if framed.send(message).await.is_err() {
+                        return;
+                    }
+                }
+                Some(Command::Raw(bytes)) => {
+                    if framed.get_mut().write_all(&bytes).await.is_err() {
+                        return;
+                    }
+                }
+                Some(Command::Cut) | None => return,
+            },
+            message = framed.next() => match message {
+                Some(Ok(message)) => drop(events.send(message)),
+                _ => return,
+            },
+        }
+    }
+}
