--- /dev/null
+++ b/crates/core/src/ownership.rs
@@ -0,0 +1,252 @@
+//! Which proxy owns which group.
+//!
+//! Owners are chosen by rendezvous (highest random weight) hashing over the live
+//! proxies, nearest to the group's primary first, with capped load: see [`Rank`].
+//! A group keeps its owner while that proxy is live, also when its primary moves
+//! to another zone. Only a proxy that registers takes groups from others, at most
+//! [`MOVES_PER_REGISTRATION`] at a time: first those it owned before it went, then
+//! those that rank it above their owner. So a proxy that was away gets its groups
+//! back, and a fleet that restarts one by one stays balanced.
+
+use crate::identity::{GroupName, ProxyName, ZoneName};
+use siphasher::sip::SipHasher13;
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+
+/// Most groups that move to one proxy because it registered.
+pub const MOVES_PER_REGISTRATION: usize = 64;
+
+/// A proxy may own this many quarters of the mean.
+const CAPACITY_QUARTERS: usize = 5;
+
+/// A proxy in the primary's region may own this many times the capacity before
+/// one in another region is chosen: a busier owner costs less than a far one.
+const NEAR_OVERLOAD: usize = 2;
+
+/// Fixed keys: every replica, of any build, must choose the same owner.
+const HASH_KEYS: (u64, u64) = (0x636f_726b_7461_636b, 0x6f77_6e65_7273_6869);
+
+/// Keeps the two names apart in the hashed bytes; no name holds it.
+const NAME_SEPARATOR: u8 = 0;
+
+/// Separates the region from the rest in the name of a zone.
+const REGION_SEPARATOR: char = '.';
+
+/// How near a proxy is to a primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Proximity {
+    /// Another region, or no primary is known.
+    Far,
+    /// The same region.
+    Region,
+    /// The same zone.
+    Zone,
+}
+
+/// How well a proxy suits a group; the highest wins, then the highest weight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// It is full.
+    Full,
+    /// Another region, below capacity.
+    Far,
+    /// The primary's region, over capacity and below twice that.
+    BusyRegion,
+    /// The primary's zone, over capacity and below twice that.
+    BusyZone,
+    /// The primary's region, below capacity.
+    Region,
+    /// The primary's zone, below capacity.
+    Zone,
+}
+
+/// Region of a zone: the text before the first `.`.
+#[must_use]
+pub fn region(zone: &ZoneName) -> &str {
+    let text = zone.as_str();
+    text.split_once(REGION_SEPARATOR).map_or(text, |(region, _)| region)
+}
+
+/// How near two zones are.
+#[must_use]
+pub fn proximity(one: &ZoneName, other: &ZoneName) -> Proximity {
+    if one == other {
+        return Proximity::Zone;
+    }
+    if region(one) == region(other) {
+        return Proximity::Region;
+    }
+    Proximity::Far
+}
+
+/// Most groups given to one proxy: five quarters of the mean, rounded up.
+#[must_use]
+pub const fn capacity(groups: usize, proxies: usize) -> usize {
+    if proxies == 0 {
+        return 0;
+    }
+    (groups * CAPACITY_QUARTERS).div_ceil(proxies * 4)
+}
+
+/// A group that needs an owner.
+#[derive(Clone, Copy, Debug)]
+pub struct Placement<'a> {
+    /// The group.
+    pub group: &'a GroupName,
+    /// Zone of its primary, where known.
+    pub zone: Option<&'a ZoneName>,
+}
+
+impl Placement<'_> {
+    fn proximity(&self, zone: &ZoneName) -> Proximity {
+        self.zone.map_or(Proximity::Far, |primary| proximity(primary, zone))
+    }
+}
+
+fn weight(group: &GroupName, proxy: &ProxyName) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(HASH_KEYS.0, HASH_KEYS.1);
+    hasher.write(group.as_str().as_bytes());
+    hasher.write_u8(NAME_SEPARATOR);
+    hasher.write(proxy.as_str().as_bytes());
+    hasher.finish()
+}
+
+#[derive(Debug)]
+struct Seat<'a> {
+    zone: &'a ZoneName,
+    groups: usize,
+}
+
+/// The live proxies and how many groups each owns, while owners are chosen.
+#[derive(Debug)]
+pub struct Balancer<'a> {
+    seats: BTreeMap<&'a ProxyName, Seat<'a>>,
+    capacity: usize,
+}
+
+impl<'a> Balancer<'a> {
+    /// Counts the groups of each live proxy. Owners that are not live are left out.
+    pub fn new<'b>(
+        live: impl Iterator<Item = (&'a ProxyName, &'a ZoneName)>,
+        owners: impl Iterator<Item = Option<&'b ProxyName>>,
+    ) -> Self {
+        let mut seats: BTreeMap<_, _> =
+            live.map(|(proxy, zone)| (proxy, Seat { zone, groups: 0 })).collect();
+        let mut groups = 0;
+        for owner in owners {
+            groups += 1;
+            let seat = owner.and_then(|owner| seats.get_mut(owner));
+            seat.into_iter().for_each(|seat| seat.groups += 1);
+        }
+        let capacity = capacity(groups, seats.len());
+        Self { seats, capacity }
+    }
+
+    /// Whether the proxy is live.
+    #[must_use]
+    pub fn is_live(&self, proxy: &ProxyName) -> bool {
+        self.seats.contains_key(proxy)
+    }
+
+    /// Gives the group to the proxy that suits it best, none when no proxy is live.
+    pub fn assign(&mut self, placement: Placement<'_>) -> Option<ProxyName> {
+        let limit = self.capacity;
+        let (proxy, seat) = self.seats.iter_mut().max_by_key(|(proxy, seat)| {
+            let rank = rank(placement.proximity(seat.zone), seat.groups, limit);
+            (rank, weight(placement.group, proxy))
+        })?;
+        seat.groups += 1;
+        Some((*proxy).clone())
+    }
+
+    /// Takes a group away from its owner, before it is assigned again.
+    pub fn release(&mut self, owner: &ProxyName) {
+        if let Some(seat) = self.seats.get_mut(owner) {
+            seat.groups = seat.groups.saturating_sub(1);
+        }
+    }
+
+    /// Moves groups to a proxy that registered and names them.
+    pub fn attract<'b>(
+        &mut self,
+        newcomer: &ProxyName,
+        groups: impl Iterator<Item = Owned<'b>>,
+    ) -> Vec<GroupName> {
+        let foreign = groups.filter(|group| group.owner != newcomer);
+        let mut wishes: Vec<_> = foreign.filter_map(|group| self.wish(newcomer, group)).collect();
+        wishes.sort_by(|one, other| other.order().cmp(&one.order()));
+        let mut moved = Vec::new();
+        for wish in wishes {
+            if moved.len() == MOVES_PER_REGISTRATION {
+                break;
+            }
+            // Loads changed since the wish was made: it must still hold.
+            if self.wish(newcomer, wish.group).is_none() {
+                continue;
+            }
+            self.release(wish.group.owner);
+            self.seats.get_mut(newcomer).into_iter().for_each(|seat| seat.groups += 1);
+            moved.push(wish.group.placement.group.clone());
+        }
+        moved
+    }
+
+    /// Tells whether the group would rather have the newcomer.
+    fn wish<'b>(&self, newcomer: &ProxyName, group: Owned<'b>) -> Option<Wish<'b>> {
+        let offered = self.suitability(newcomer, group.placement, 0)?;
+        let present = self.suitability(group.owner, group.placement, 1)?;
+        let returning = group.former_owner == Some(newcomer) && offered.0 > Rank::Full;
+        (returning || offered > present).then_some(Wish { returning, offered, group })
+    }
+
+    /// Rank and weight of a proxy that owns `counted` groups which do not count.
+    fn suitability(
+        &self,
+        proxy: &ProxyName,
+        placement: Placement<'_>,
+        counted: usize,
+    ) -> Option<(Rank, u64)> {
+        let seat = self.seats.get(proxy)?;
+        let groups = seat.groups.saturating_sub(counted);
+        let rank = rank(placement.proximity(seat.zone), groups, self.capacity);
+        Some((rank, weight(placement.group, proxy)))
+    }
+}
+
+fn rank(proximity: Proximity, groups: usize, capacity: usize) -> Rank {
+    let free = groups < capacity;
+    let bearable = groups < capacity * NEAR_OVERLOAD;
+    match proximity {
+        Proximity::Zone if free => Rank::Zone,
+        Proximity::Zone if bearable => Rank::BusyZone,
+        Proximity::Region if free => Rank::Region,
+        Proximity::Region if bearable => Rank::BusyRegion,
+        Proximity::Far if free => Rank::Far,
+        _ => Rank::Full,
+    }
+}
+
+/// A group with its owner.
+#[derive(Clone, Copy, Debug)]
+pub struct Owned<'a> {
+    /// The group.
+    pub placement: Placement<'a>,
+    /// Its owner.
+    pub owner: &'a ProxyName,
+    /// The proxy that owned it last and went.
+    pub former_owner: Option<&'a ProxyName>,
+}
+
+/// A group that should move to a proxy that registered.
+#[derive(Debug)]
+struct Wish<'b> {
+    returning: bool,
+    offered: (Rank, u64),
+    group: Owned<'b>,
+}
+
+impl Wish<'_> {
+    fn order(&self) -> (bool, (Rank, u64), &GroupName) {
+        (self.returning, self.offered, self.group.placement.group)
+    }
+}
