--- /dev/null
+++ b/crates/cli/src/commands/error.rs
@@ -0,0 +1,41 @@
+//! Why a command of an operator failed.
+
+use crate::kind::KindError;
+use crate::output::OutputError;
+use corktack_core::identity::NameError;
+use corktack_server::client::ClientError;
+use corktack_server::manifest::ManifestError;
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum CommandError {
+    /// The servers did not answer, or refused.
+    #[error(transparent)]
+    Client(#[from] ClientError),
+    /// Output could not be written.
+    #[error(transparent)]
+    Output(#[from] OutputError),
+    /// The kind is not known.
+    #[error(transparent)]
+    Kind(#[from] KindError),
+    /// A name is not valid.
+    #[error("name {name:?}")]
+    Name {
+        /// The name.
+        name: String,
+        /// What is wrong with it.
+        source: NameError,
+    },
+    /// A manifest is refused.
+    #[error(transparent)]
+    Manifest(#[from] ManifestError),
+    /// A resource has no JSON form.
+    #[error("a resource has no JSON form")]
+    Encode(#[source] serde_json::Error),
+    /// A line of the watch is not understood.
+    #[error("a line of the watch is not understood")]
+    WatchLine(#[source] serde_json::Error),
+    /// No file was named.
+    #[error("name at least one file or folder with -f")]
+    NoFiles,
+}
--- /dev/null
+++ b/crates/cli/src/commands/get.rs
@@ -0,0 +1,127 @@
+//! `corktack get`: shows resources.
+
+use super::CommandError;
+use crate::exit::Exit;
+use crate::flags::Get;
+use crate::kind::parse_kind;
+use crate::output::{Format, Output};
+use crate::table::{Table, or_dash};
+use corktack_control::api::{AnyManifest, ResourceList};
+use corktack_core::resources::{CallerMatch, Kind, ResourceKey};
+use corktack_server::client::{ApiClient, Request, kind_segment, resource_path};
+use corktack_server::manifest::resource_key;
+
+pub(crate) async fn run(
+    client: ApiClient,
+    command: Get,
+    output: &mut Output<'_>,
+) -> Result<Exit, CommandError> {
+    let kind = parse_kind(&command.kind)?;
+    match command.name {
+        Some(name) => one(&client, kind, &name, output).await?,
+        None => all(&client, kind, output).await?,
+    }
+    Ok(Exit::Done)
+}
+
+async fn one(
+    client: &ApiClient,
+    kind: Kind,
+    name: &str,
+    output: &mut Output<'_>,
+) -> Result<(), CommandError> {
+    let path = resource_path(&key(kind, name)?);
+    let manifest: AnyManifest = client.request(Request::get(path)).await?;
+    output.value(&manifest, |manifest| table(kind, std::slice::from_ref(manifest)))?;
+    Ok(())
+}
+
+async fn all(client: &ApiClient, kind: Kind, output: &mut Output<'_>) -> Result<(), CommandError> {
+    let path = format!("/v1/{}", kind_segment(kind));
+    let list: ResourceList = client.request(Request::get(path)).await?;
+    // A stream of documents can be applied again.
+    if output.format() == Format::Yaml {
+        for manifest in &list.items {
+            output.document(manifest)?;
+        }
+        return Ok(());
+    }
+    output.value(&list, |list| table(kind, &list.items))?;
+    Ok(())
+}
+
+/// Kind and name as given on the command line.
+pub(super) fn key(kind: Kind, name: &str) -> Result<ResourceKey, CommandError> {
+    let key = resource_key(kind, name);
+    key.map_err(|source| CommandError::Name { name: name.to_owned(), source })
+}
+
+fn table(kind: Kind, manifests: &[AnyManifest]) -> Table {
+    let mut table = Table::new(match kind {
+        Kind::DatabaseGroup => &[
+            "NAME",
+            "DATABASE",
+            "PRIMARY",
+            "TERM",
+            "OWNER",
+            "MEMBERS",
+            "DRAINING",
+            "SLOTS",
+            "CONNECTIONS",
+            "VERSION",
+        ],
+        Kind::PriorityClass => &["NAME", "PRIORITY", "GUARANTEED", "VERSION"],
+        Kind::Binding => &["NAME", "CLASS", "ORDER", "MATCH", "VERSION"],
+    });
+    for manifest in manifests {
+        add_row(&mut table, manifest);
+    }
+    table
+}
+
+fn add_row(table: &mut Table, manifest: &AnyManifest) {
+    let metadata = manifest.metadata();
+    let name = metadata.name.clone();
+    let version = or_dash(metadata.resource_version.map(|version| version.0));
+    match manifest {
+        AnyManifest::Group(group) => {
+            let status = group.status.clone().unwrap_or_default();
+            let draining: Vec<&str> = status.draining.iter().map(|name| name.as_str()).collect();
+            table.row([
+                name,
+                group.spec.database.clone(),
+                or_dash(status.primary),
+                status.term.to_string(),
+                or_dash(status.owner),
+                group.spec.members.len().to_string(),
+                or_dash(Some(draining.join(",")).filter(|text| !text.is_empty())),
+                group.spec.slots.to_string(),
+                group.spec.connections.to_string(),
+                version,
+            ]);
+        }
+        AnyManifest::Class(class) => {
+            let guaranteed = format!("{}%", class.spec.guaranteed_percent);
+            table.row([name, class.spec.priority.to_string(), guaranteed, version]);
+        }
+        AnyManifest::Binding(binding) => {
+            let callers = callers(&binding.spec.callers);
+            let spec = &binding.spec;
+            table.row([name, spec.class.to_string(), spec.order.to_string(), callers, version]);
+        }
+    }
+}
+
+fn callers(callers: &CallerMatch) -> String {
+    let fields = [
+        ("user", &callers.user),
+        ("database", &callers.database),
+        ("application", &callers.application_name),
+        ("network", &callers.source_network),
+    ];
+    let named = fields
+        .iter()
+        .filter_map(|(key, value)| value.as_ref().map(|value| format!("{key}={value}")));
+    let named: Vec<String> = named.collect();
+    if named.is_empty() { "all".to_owned() } else { named.join(",") }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,2 +1,9 @@
-//! Command line of corktack.
-fn main() {}
+//! The `corktack` program: parses the command line and starts what it asks for.
+
+use std::process::ExitCode;
+
+fn main() -> eyre::Result<ExitCode> {
+    let arguments = std::env::args_os().skip(1).collect();
+    let environment = corktack_cli::Environment::from_process();
+    corktack_cli::run(arguments, &environment, &mut std::io::stdout())
+}
--- /dev/null
+++ b/crates/server/src/dev/manifests.rs
@@ -0,0 +1,62 @@
+//! The built-in resources of `dev`.
+
+use super::{DEMO_GROUP, DEMO_USER, DevError};
+use crate::client::Request;
+use corktack_core::identity::{BindingName, ClassName, GroupName, ZoneName};
+use corktack_core::resources::{
+    BindingSpec, CallerMatch, DatabaseGroupSpec, MemberSpec, PriorityClassSpec, ResourceKey,
+    ResourceSpec,
+};
+use corktack_standin::Group;
+
+/// Classes with their priority and guaranteed share, highest first.
+const CLASSES: [(&str, u32, u8); 3] = [("gold", 30, 50), ("silver", 20, 20), ("bronze", 10, 10)];
+/// Class of callers whom no binding covers.
+pub(super) const DEFAULT_CLASS: &str = "bronze";
+/// Class of the demo user.
+const DEMO_CLASS: &str = "gold";
+/// Slots of the group.
+const SLOTS: u32 = 5;
+/// Server connections of the group.
+const CONNECTIONS: u32 = 30;
+/// Zone of everything in `dev`.
+pub(super) const ZONE: &str = "local.a";
+
+/// The writes that declare the demo group, its classes and a binding, in the order they
+/// refer to each other. They replace what an earlier run declared: members have new ports.
+pub(super) fn requests(group: &Group) -> Result<Vec<Request>, DevError> {
+    let mut requests = Vec::new();
+    for (name, priority, guaranteed_percent) in CLASSES {
+        let key = ResourceKey::PriorityClass(ClassName::new(name)?);
+        let spec = PriorityClassSpec { priority, guaranteed_percent };
+        requests.push(Request::put(&key, &ResourceSpec::PriorityClass(spec), None)?);
+    }
+    let key = ResourceKey::DatabaseGroup(GroupName::new(DEMO_GROUP)?);
+    let spec = ResourceSpec::DatabaseGroup(group_spec(group)?);
+    requests.push(Request::put(&key, &spec, None)?);
+    let key = ResourceKey::Binding(BindingName::new(DEMO_USER)?);
+    let callers = CallerMatch { user: Some(DEMO_USER.to_owned()), ..CallerMatch::default() };
+    let spec = BindingSpec { callers, class: ClassName::new(DEMO_CLASS)?, order: 0 };
+    requests.push(Request::put(&key, &ResourceSpec::Binding(spec), None)?);
+    Ok(requests)
+}
+
+fn group_spec(group: &Group) -> Result<DatabaseGroupSpec, DevError> {
+    let zone = ZoneName::new(ZONE)?;
+    let members = group.peers().iter().zip(group.postgres_addresses());
+    let members = members.map(|(peer, address)| MemberSpec {
+        name: peer.name.clone(),
+        address: *address,
+        zone: zone.clone(),
+        draining: false,
+    });
+    Ok(DatabaseGroupSpec {
+        database: DEMO_GROUP.to_owned(),
+        members: members.collect(),
+        slots: SLOTS,
+        connections: CONNECTIONS,
+        queue_limit: 1_000,
+        queue_timeout_ms: 5_000,
+        replica_wait_ms: 20,
+    })
+}
--- a/crates/server/src/manifest/mod.rs
+++ b/crates/server/src/manifest/mod.rs
@@ -1,7 +1,7 @@
 //! Manifests: resources as YAML documents, as operators keep them under version control.
 //!
 //! A file holds any number of documents of the form `{apiVersion, kind, metadata, spec}`.
-//! Unknown keys are refused. Errors name the file, the document's place in it, and the
+//! Unknown keys are refused; `status` and `metadata.generation`, which `get` shows, are not used. Errors name the file, the document's place in it, and the
 //! key and value.
 
 mod check;
@@ -26,6 +26,9 @@
     /// Version the change was made from; zero: must not exist; absent: whatever is stored.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub resource_version: Option<ResourceVersion>,
+    /// What `get` shows as the number of changes; ignored, so that what was read can be applied.
+    #[serde(default, skip_serializing)]
+    pub generation: Option<u64>,
 }
 
 /// One document of a file.
@@ -53,6 +56,9 @@
     _metadata: serde::de::IgnoredAny,
     #[serde(rename = "spec")]
     _spec: serde::de::IgnoredAny,
+    /// What `get` shows as decided by the system; ignored, so that what was read can be applied.
+    #[serde(rename = "status", default)]
+    _status: serde::de::IgnoredAny,
 }
 
 #[derive(Deserialize)]
@@ -64,6 +70,8 @@
     _kind: serde::de::IgnoredAny,
     metadata: Metadata,
     spec: Spec,
+    #[serde(rename = "status", default)]
+    _status: serde::de::IgnoredAny,
 }
 
 /// Reads manifests from a file, or from every `.yaml` and `.yml` file of a folder in
--- /dev/null
+++ b/crates/server/src/proxy/wiring.rs
@@ -0,0 +1,68 @@
+//! The settings of a proxy's parts, made from the proxy's.
+
+use crate::settings::ProxySettings;
+use crate::settings::proxy::{AuthenticationMode, millis};
+use crate::watch_client::WatchSettings;
+use corktack_core::identity::Incarnation;
+use corktack_edge::{Authentication, EdgeSettings, UserSecret};
+use corktack_owner::OwnerSettings;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub(super) fn watch_settings(
+    settings: &ProxySettings,
+    peers: SocketAddr,
+    incarnation: Incarnation,
+) -> WatchSettings {
+    let control = &settings.control;
+    WatchSettings {
+        proxy: settings.name.clone(),
+        incarnation,
+        address: settings.addresses.peers_announced.unwrap_or(peers),
+        zone: settings.zone.clone(),
+        replicas: control.replicas.clone(),
+        heartbeat_interval: millis(control.heartbeat_interval_ms),
+        silence_timeout: millis(control.silence_timeout_ms),
+        retry_minimum: millis(control.retry_minimum_ms),
+        retry_maximum: millis(control.retry_maximum_ms),
+        seed: rand::random(),
+    }
+}
+
+pub(super) fn owner_settings(settings: &ProxySettings, incarnation: Incarnation) -> OwnerSettings {
+    let (name, zone) = (settings.name.clone(), settings.zone.clone());
+    let timeouts = &settings.timeouts;
+    let mut owner = OwnerSettings::new(name, incarnation, zone);
+    owner.arbiters = settings.limits.owner_arbiters as usize;
+    owner.back_end_user.clone_from(&settings.back_end_user);
+    owner.probe_interval = millis(timeouts.probe_interval_ms);
+    owner.probe_timeout = millis(timeouts.probe_ms);
+    owner.outcome_retention = Duration::from_secs(timeouts.outcome_retention_s.into());
+    owner
+}
+
+pub(super) fn edge_settings(settings: &ProxySettings, incarnation: Incarnation) -> EdgeSettings {
+    let class = settings.default_class.clone();
+    let (limits, timeouts) = (&settings.limits, &settings.timeouts);
+    let mut edge = EdgeSettings::new(settings.name.clone(), incarnation, class);
+    edge.arbiters = limits.edge_arbiters as usize;
+    edge.connection_limit = limits.callers as usize;
+    edge.message_limit = limits.message_bytes as usize;
+    edge.startup_timeout = millis(timeouts.authentication_ms);
+    edge.request_timeout = millis(timeouts.request_ms);
+    edge.drain_timeout = millis(timeouts.drain_ms);
+    edge.authentication = authentication(settings);
+    edge
+}
+
+fn authentication(settings: &ProxySettings) -> Authentication {
+    let users = settings.authentication.users.iter();
+    match settings.authentication.mode {
+        AuthenticationMode::Trust => Authentication::Trust,
+        AuthenticationMode::Scram => Authentication::ScramSha256 {
+            users: users
+                .map(|user| (user.name.clone(), UserSecret::Password(user.password.clone())))
+                .collect(),
+        },
+    }
+}
--- a/crates/server/src/settings/control.rs
+++ b/crates/server/src/settings/control.rs
@@ -74,10 +74,8 @@
     pub cell: SocketAddr,
     /// IP and port for proxies. No default. Keep it on a private network.
     pub proxies: SocketAddr,
-    /// IP and port for operators (HTTP). No default.
+    /// IP and port for operators (HTTP), and for metrics, liveness and readiness. No default.
     pub operators: SocketAddr,
-    /// IP and port for metrics, liveness and readiness. Default none.
-    pub telemetry: Option<SocketAddr>,
 }
 
 /// A replica of the cell.
@@ -176,8 +174,6 @@
     pub proxies: Option<SocketAddr>,
     /// Over `addresses.operators`.
     pub operators: Option<SocketAddr>,
-    /// Over `addresses.telemetry`.
-    pub telemetry: Option<SocketAddr>,
 }
 
 impl ControlSettings {
@@ -197,7 +193,6 @@
         replace(&mut self.addresses.cell, overrides.cell);
         replace(&mut self.addresses.proxies, overrides.proxies);
         replace(&mut self.addresses.operators, overrides.operators);
-        self.addresses.telemetry = overrides.telemetry.or(self.addresses.telemetry);
     }
 
     /// Checks every value; `file` is named in the errors.
@@ -215,13 +210,11 @@
     }
 
     fn check_addresses(&self, check: &Check<'_>) -> Result<(), SettingsError> {
-        let mut listeners = vec![
+        check.distinct(&[
             ("addresses.cell", self.addresses.cell),
             ("addresses.proxies", self.addresses.proxies),
             ("addresses.operators", self.addresses.operators),
-        ];
-        listeners.extend(self.addresses.telemetry.map(|a| ("addresses.telemetry", a)));
-        check.distinct(&listeners)
+        ])
     }
 
     fn check_token(&self, check: &Check<'_>) -> Result<(), SettingsError> {
--- a/crates/server/src/settings/mod.rs
+++ b/crates/server/src/settings/mod.rs
@@ -37,3 +37,15 @@
     let line = text.as_bytes()[..start].iter().filter(|byte| **byte == b'\n').count();
     (line + 1, text.lines().nth(line).unwrap_or_default().trim())
 }
+
+/// Checks a settings file of either role; one with the key `replica` is a control replica's.
+///
+/// # Errors
+/// A [`SettingsError`] that names the file, key and value.
+pub fn check_file(file: &Path) -> Result<(), SettingsError> {
+    let keys: toml::Table = parse_file(file)?;
+    if keys.contains_key("replica") {
+        return ControlSettings::load(file, ControlOverrides::default()).map(drop);
+    }
+    ProxySettings::load(file, ProxyOverrides::default()).map(drop)
+}
--- a/crates/server/src/settings/proxy.rs
+++ b/crates/server/src/settings/proxy.rs
@@ -1,7 +1,7 @@
 //! Settings of a proxy.
 
 use super::error::{Check, SettingsError, ValueProblem};
-use corktack_core::identity::{ProxyName, ZoneName};
+use corktack_core::identity::{ClassName, ProxyName, ZoneName};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -13,6 +13,8 @@
 const TIMEOUT_MAXIMUM_MS: u64 = 3_600_000;
 /// Largest number of callers of one proxy.
 const CALLERS_MAXIMUM: u64 = 1_000_000;
+/// Largest message of a caller, in bytes; it must fit a frame between proxies.
+const MESSAGE_MAXIMUM: u64 = 7 * 1024 * 1024;
 /// What to do about an address that others can reach.
 const SCRAM_REMEDY: &str = "set authentication.mode = \"scram\" and name users";
 
@@ -26,6 +28,12 @@
     pub zone: ZoneName,
     /// Folder for the last configuration and the written-out event logs. No default.
     pub data_folder: PathBuf,
+    /// Priority class of callers whom no binding covers. Default `default`.
+    #[serde(default = "default_class")]
+    pub default_class: ClassName,
+    /// User name on server connections. Default `corktack`.
+    #[serde(default = "default_back_end_user")]
+    pub back_end_user: String,
     /// Addresses it listens on.
     pub addresses: ProxyAddresses,
     /// How it reaches the control replicas.
@@ -41,6 +49,21 @@
     pub timeouts: ProxyTimeouts,
 }
 
+/// Class of callers whom no binding covers, unless the file names another.
+const DEFAULT_CLASS: &str = "default";
+
+fn default_class() -> ClassName {
+    // The constant is a valid name, so the conversion cannot fail; a test holds it so.
+    match ClassName::new(DEFAULT_CLASS) {
+        Ok(name) => name,
+        Err(error) => unreachable!("{DEFAULT_CLASS:?}: {error}"),
+    }
+}
+
+fn default_back_end_user() -> String {
+    "corktack".to_owned()
+}
+
 /// Addresses a proxy listens on.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -100,6 +123,21 @@
     2_000
 }
 
+impl ControlConnection {
+    /// The defaults for these replicas.
+    #[must_use]
+    pub const fn new(replicas: Vec<SocketAddr>) -> Self {
+        Self {
+            replicas,
+            heartbeat_interval_ms: default_heartbeat_interval_ms(),
+            silence_timeout_ms: default_silence_timeout_ms(),
+            connect_timeout_ms: default_connect_timeout_ms(),
+            retry_minimum_ms: default_retry_minimum_ms(),
+            retry_maximum_ms: default_retry_maximum_ms(),
+        }
+    }
+}
+
 /// How callers prove who they are.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -149,13 +187,21 @@
     pub edge_arbiters: u32,
     /// Event loops (threads) for owned groups. Default 2.
     pub owner_arbiters: u32,
+    /// Longest message, and longest batch, of a caller, in bytes. Default 4194304.
+    pub message_bytes: u32,
     /// Log records kept in memory. Default 4096.
     pub event_records: u32,
 }
 
 impl Default for ProxyLimits {
     fn default() -> Self {
-        Self { callers: 10_000, edge_arbiters: 2, owner_arbiters: 2, event_records: 4_096 }
+        Self {
+            callers: 10_000,
+            edge_arbiters: 2,
+            owner_arbiters: 2,
+            message_bytes: 4 * 1024 * 1024,
+            event_records: 4_096,
+        }
     }
 }
 
@@ -171,11 +217,32 @@
     pub handover_ms: u32,
     /// Longest wait of a planned stop for requests in flight, in milliseconds. Default 60000.
     pub drain_ms: u32,
+    /// Longest time until a caller has authenticated, in milliseconds. Default 10000.
+    pub authentication_ms: u32,
+    /// Longest wait until a request starts, and for any message of its answer, in
+    /// milliseconds. Default 30000.
+    pub request_ms: u32,
+    /// Time between two probes of a member of an owned group, in milliseconds. Default 50.
+    pub probe_interval_ms: u32,
+    /// Time after which a probe counts as unanswered, in milliseconds. Default 200.
+    pub probe_ms: u32,
+    /// How long the outcome of an idempotency key is kept, in seconds; a repeat after it
+    /// runs again. Default 86400.
+    pub outcome_retention_s: u32,
 }
 
 impl Default for ProxyTimeouts {
     fn default() -> Self {
-        Self { startup_ms: 5_000, handover_ms: 10_000, drain_ms: 60_000 }
+        Self {
+            startup_ms: 5_000,
+            handover_ms: 10_000,
+            drain_ms: 60_000,
+            authentication_ms: 10_000,
+            request_ms: 30_000,
+            probe_interval_ms: 50,
+            probe_ms: 200,
+            outcome_retention_s: 86_400,
+        }
     }
 }
 
@@ -292,6 +359,7 @@
         check.range("limits.callers", self.limits.callers, 1..=CALLERS_MAXIMUM)?;
         check.range("limits.edge_arbiters", self.limits.edge_arbiters, 1..=ARBITERS_MAXIMUM)?;
         check.range("limits.owner_arbiters", self.limits.owner_arbiters, 1..=ARBITERS_MAXIMUM)?;
+        check.range("limits.message_bytes", self.limits.message_bytes, 1_024..=MESSAGE_MAXIMUM)?;
         check.range("limits.event_records", self.limits.event_records, 1..=1_000_000)
     }
 
@@ -299,7 +367,13 @@
         let range = |key, value: u32| check.range(key, value, 1..=TIMEOUT_MAXIMUM_MS);
         range("timeouts.startup_ms", self.timeouts.startup_ms)?;
         range("timeouts.handover_ms", self.timeouts.handover_ms)?;
-        range("timeouts.drain_ms", self.timeouts.drain_ms)
+        range("timeouts.drain_ms", self.timeouts.drain_ms)?;
+        range("timeouts.authentication_ms", self.timeouts.authentication_ms)?;
+        range("timeouts.request_ms", self.timeouts.request_ms)?;
+        range("timeouts.probe_interval_ms", self.timeouts.probe_interval_ms)?;
+        range("timeouts.probe_ms", self.timeouts.probe_ms)?;
+        let retention = self.timeouts.outcome_retention_s;
+        check.range("timeouts.outcome_retention_s", retention, 1..=u64::from(u32::MAX))
     }
 }
 
--- a/crates/server/src/telemetry/http.rs
+++ b/crates/server/src/telemetry/http.rs
@@ -4,14 +4,22 @@
 use actix_web::{App, HttpResponse, HttpServer, web};
 use prometheus_client::registry::Registry;
 use std::net::TcpListener;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
 
 /// Media type of the metrics.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Seconds that open requests may take at a stop.
 const SHUTDOWN_SECONDS: u64 = 1;
 
+/// Metrics of a process; its parts add theirs as they start.
+pub type SharedRegistry = Arc<RwLock<Registry>>;
+
+/// Lets a part of the process add its metrics.
+pub fn with_registry<T>(registry: &SharedRegistry, add: impl FnOnce(&mut Registry) -> T) -> T {
+    add(&mut registry.write().unwrap_or_else(PoisonError::into_inner))
+}
+
 /// Whether a process may be sent new work. Starts as "not ready".
 #[derive(Clone, Debug, Default)]
 pub struct Readiness(Arc<AtomicBool>);
@@ -35,7 +43,7 @@
 /// What the listener reports.
 pub fn serve(
     listener: TcpListener,
-    registry: Arc<Registry>,
+    registry: SharedRegistry,
     readiness: Readiness,
 ) -> std::io::Result<ServerHandle> {
     let registry = web::Data::from(registry);
@@ -55,8 +63,9 @@
     Ok(handle)
 }
 
-async fn metrics(registry: web::Data<Registry>) -> HttpResponse {
+async fn metrics(registry: web::Data<RwLock<Registry>>) -> HttpResponse {
     let mut text = String::new();
+    let registry = registry.read().unwrap_or_else(PoisonError::into_inner);
     match prometheus_client::encoding::text::encode(&mut text, &registry) {
         Ok(()) => HttpResponse::Ok().content_type(METRICS_TYPE).body(text),
         Err(_) => HttpResponse::InternalServerError().finish(),
--- a/crates/server/src/watch_client/mod.rs
+++ b/crates/server/src/watch_client/mod.rs
@@ -72,8 +72,15 @@
         let _ = self.requests.send(Request::Drain);
     }
 
-    /// Ends the watch and its thread.
+    /// Ends the watch and its thread, as dropping the handle does.
     pub fn stop(self) {
+        drop(self);
+    }
+}
+
+impl Drop for WatchHandle {
+    fn drop(&mut self) {
+        // Both fail only when the watch has ended already.
         let _ = self.requests.send(Request::Stop);
         self.arbiter.stop();
     }
