--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,8 +9,10 @@
 pub mod backend;
 pub mod consensus;
 pub mod identity;
+pub mod ownership;
 pub mod position;
 pub mod resources;
 pub mod state;
 pub mod time;
 pub mod view;
+pub mod watch;
