--- a/crates/server/src/manifest/check.rs
+++ b/crates/server/src/manifest/check.rs
@@ -6,7 +6,6 @@
     BindingSpec, DatabaseGroupSpec, Kind, PriorityClassSpec, ResourceKey, ResourceSpec,
 };
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::IpAddr;
 
 /// All of a server's grants, in percent.
 const WHOLE_PERCENT: u32 = 100;
@@ -17,6 +16,7 @@
     let mut checker = Checker { index: Index::new(manifests), errors: Vec::new() };
     for manifest in manifests {
         checker.check_duplicate(manifest);
+        checker.check_alone(manifest);
         match &manifest.spec {
             ResourceSpec::DatabaseGroup(group) => checker.check_group(manifest, group),
             ResourceSpec::PriorityClass(class) => checker.check_class(manifest, class),
@@ -91,45 +91,27 @@
         self.refuse(manifest, "metadata.name", key_parts(&manifest.key).1, problem);
     }
 
-    fn check_group(&mut self, manifest: &Manifest, group: &DatabaseGroupSpec) {
-        if group.database.is_empty() {
-            self.refuse(manifest, "spec.database", "\"\"", ReferenceProblem::Empty);
+    /// What can be told of one document without the others.
+    fn check_alone(&mut self, manifest: &Manifest) {
+        if let Err(error) = manifest.spec.validate() {
+            let key = error.field();
+            let value = value_at(&manifest.spec, &key);
+            self.refuse(manifest, key, value, ReferenceProblem::Spec(error));
         }
+    }
+
+    fn check_group(&mut self, manifest: &Manifest, group: &DatabaseGroupSpec) {
         let serves = self.index.databases.get(group.database.as_str()).copied();
         let other = serves.filter(|name| *name != key_parts(&manifest.key).1);
         if let Some(other) = other {
             let problem = ReferenceProblem::SameDatabase(other.to_owned());
             self.refuse(manifest, "spec.database", &group.database, problem);
         }
-        if group.slots == 0 {
-            self.refuse(manifest, "spec.slots", group.slots, ReferenceProblem::Below(1));
-        }
-        if group.connections < group.slots {
-            let problem = ReferenceProblem::Below(group.slots.into());
-            self.refuse(manifest, "spec.connections", group.connections, problem);
-        }
-        self.check_members(manifest, group);
-    }
-
-    fn check_members(&mut self, manifest: &Manifest, group: &DatabaseGroupSpec) {
-        if group.members.is_empty() {
-            self.refuse(manifest, "spec.members", "[]", ReferenceProblem::Empty);
-        }
-        for (place, member) in group.members.iter().enumerate() {
-            let earlier = &group.members[..place];
-            if earlier.iter().any(|other| other.name == member.name) {
-                let key = format!("spec.members[{place}].name");
-                self.refuse(manifest, key, &member.name, ReferenceProblem::Duplicate);
-            }
-            if earlier.iter().any(|other| other.address == member.address) {
-                let key = format!("spec.members[{place}].address");
-                self.refuse(manifest, key, member.address, ReferenceProblem::Duplicate);
-            }
-        }
     }
 
     fn check_class(&mut self, manifest: &Manifest, class: &PriorityClassSpec) {
-        if self.index.shares > WHOLE_PERCENT && class.guaranteed_percent > 0 {
+        let alone = u32::from(class.guaranteed_percent);
+        if self.index.shares > WHOLE_PERCENT && (1..=WHOLE_PERCENT).contains(&alone) {
             let problem = ReferenceProblem::SharesOverWhole(self.index.shares);
             self.refuse(manifest, "spec.guaranteedPercent", class.guaranteed_percent, problem);
         }
@@ -140,25 +122,27 @@
             let problem = ReferenceProblem::Unresolved(Kind::PriorityClass);
             self.refuse(manifest, "spec.class", &binding.class, problem);
         }
-        let callers = &binding.callers;
-        if let Some(database) = &callers.database
+        if let Some(database) = &binding.callers.database
             && !self.index.databases.contains_key(database.as_str())
         {
             let problem = ReferenceProblem::NoSuchDatabase;
             self.refuse(manifest, "spec.match.database", database, problem);
         }
-        if let Some(network) = callers.source_network.as_deref().filter(|text| !is_network(text)) {
-            let problem = ReferenceProblem::Network;
-            self.refuse(manifest, "spec.match.sourceNetwork", network, problem);
-        }
     }
 }
 
-/// Whether a text is ADDRESS/PREFIX with a prefix that fits the address.
-fn is_network(text: &str) -> bool {
-    let Some((address, prefix)) = text.split_once('/') else { return false };
-    let (Ok(address), Ok(prefix)) = (address.parse::<IpAddr>(), prefix.parse::<u8>()) else {
-        return false;
+/// The value at a path like `spec.members[1].name`; empty where there is none.
+fn value_at(spec: &ResourceSpec, path: &str) -> String {
+    let spec = match spec {
+        ResourceSpec::DatabaseGroup(spec) => serde_json::to_value(spec),
+        ResourceSpec::PriorityClass(spec) => serde_json::to_value(spec),
+        ResourceSpec::Binding(spec) => serde_json::to_value(spec),
     };
-    prefix <= if address.is_ipv4() { 32 } else { 128 }
+    let path = path.trim_start_matches("spec").replace(['.', '['], "/").replace(']', "");
+    let value = spec.ok().and_then(|spec| spec.pointer(&path).cloned());
+    match value {
+        Some(serde_json::Value::String(text)) => text,
+        Some(other) => other.to_string(),
+        None => String::new(),
+    }
 }
--- a/crates/server/src/manifest/error.rs
+++ b/crates/server/src/manifest/error.rs
@@ -1,7 +1,7 @@
 //! Why a manifest is refused.
 
 use corktack_core::identity::NameError;
-use corktack_core::resources::{API_VERSION, Kind};
+use corktack_core::resources::{API_VERSION, Kind, SpecError};
 use std::path::{Path, PathBuf};
 
 /// Why a manifest was refused.
@@ -88,21 +88,12 @@
     /// Another group serves the database.
     #[error("is also served by DatabaseGroup {0}")]
     SameDatabase(String),
-    /// A list is empty.
-    #[error("must name at least one")]
-    Empty,
-    /// A name or address stands twice in a group.
-    #[error("stands twice")]
-    Duplicate,
-    /// A number is below its minimum.
-    #[error("must be at least {0}")]
-    Below(u64),
+    /// The value is not allowed by itself.
+    #[error(transparent)]
+    Spec(#[from] SpecError),
     /// The guaranteed shares add up to more than all.
     #[error("the guaranteed shares of all classes add up to {0} percent, at most 100 are allowed")]
     SharesOverWhole(u32),
-    /// A network is not of the form ADDRESS/PREFIX.
-    #[error("must be a network of the form ADDRESS/PREFIX")]
-    Network,
 }
 
 /// Where a document stands.
--- /dev/null
+++ b/crates/server/tests/watch_client.rs
@@ -0,0 +1,153 @@
+//! The watch over sockets, against control replicas played by the test.
+
+use corktack_core::identity::Incarnation;
+use corktack_core::resources::PriorityClassSpec;
+use corktack_core::view::{Delta, Revision, View, ViewChange};
+use corktack_protocol::control::{ControlMessage, ProxyMessage};
+use corktack_protocol::frame::FrameCodec;
+use corktack_server::watch_client::{self, ViewFile, ViewStore, WatchHandle, WatchSettings};
+use futures_util::{SinkExt, StreamExt};
+use prometheus_client::registry::Registry;
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+/// Bound on every wait of these tests.
+const LIMIT: Duration = Duration::from_secs(20);
+
+type Proxy = Framed<TcpStream, FrameCodec<ControlMessage, ProxyMessage>>;
+
+fn start(folder: &Path, replicas: Vec<SocketAddr>) -> WatchHandle {
+    let settings = WatchSettings {
+        proxy: "proxy-1".parse().unwrap(),
+        incarnation: Incarnation(1),
+        address: "127.0.0.1:7001".parse().unwrap(),
+        zone: "amba.a".parse().unwrap(),
+        replicas,
+        heartbeat_interval: Duration::from_millis(20),
+        silence_timeout: Duration::from_millis(100),
+        retry_minimum: Duration::from_millis(5),
+        retry_maximum: Duration::from_millis(20),
+        seed: 1,
+    };
+    let (_, observations) = mpsc::unbounded_channel();
+    let store = Box::new(ViewFile::new(folder));
+    let mut registry = Registry::default();
+    watch_client::start(settings, LIMIT, store, observations, &mut registry).unwrap()
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// Takes a connection; returns it with the revision of its hello.
+async fn accept(listener: &TcpListener) -> (Proxy, Revision) {
+    let (stream, _) = timeout(LIMIT, listener.accept()).await.unwrap().unwrap();
+    let mut proxy = Framed::new(stream, FrameCodec::default());
+    let hello = timeout(LIMIT, proxy.next()).await.unwrap().unwrap().unwrap();
+    let ProxyMessage::Hello { revision, .. } = hello else { panic!("{hello:?}") };
+    (proxy, revision)
+}
+
+/// Answers heartbeats until one reports the revision.
+async fn acknowledge_until(proxy: &mut Proxy, expected: Revision) {
+    let answer = async {
+        loop {
+            let message = proxy.next().await.unwrap().unwrap();
+            let ProxyMessage::Heartbeat { sequence, revision, .. } = message else { panic!() };
+            let acknowledgement = ControlMessage::HeartbeatAck { sequence, current: true };
+            proxy.send(acknowledgement).await.unwrap();
+            if revision == expected {
+                return;
+            }
+        }
+    };
+    timeout(LIMIT, answer).await.unwrap();
+}
+
+async fn wait_for_revision(watch: &WatchHandle, revision: Revision) {
+    let mut views = watch.views();
+    timeout(LIMIT, views.wait_for(|view| view.revision == revision)).await.unwrap().unwrap();
+}
+
+fn delta(revision: u64) -> ControlMessage {
+    let class = PriorityClassSpec { priority: 1, guaranteed_percent: 0 };
+    let name = format!("class-{revision}").parse().unwrap();
+    let changes = vec![ViewChange::PutClass(name, class)];
+    ControlMessage::Delta(Delta { revision: Revision(revision), changes })
+}
+
+#[actix_rt::test]
+async fn a_configuration_is_published_and_reported_once_on_disk() {
+    let folder = tempfile::tempdir().unwrap();
+    let (listener, address) = listen().await;
+    let watch = start(folder.path(), vec![address]);
+    let (mut proxy, revision) = accept(&listener).await;
+    assert_eq!(revision, Revision(0));
+    for revision in 1..=500 {
+        proxy.send(delta(revision)).await.unwrap();
+    }
+    wait_for_revision(&watch, Revision(500)).await;
+    acknowledge_until(&mut proxy, Revision(500)).await;
+    let stored = ViewFile::new(folder.path()).load().unwrap().unwrap();
+    assert_eq!(stored, **watch.views().borrow());
+    assert_eq!(stored.classes.len(), 500);
+    timeout(LIMIT, watch.current().wait_for(|current| *current)).await.unwrap().unwrap();
+}
+
+#[actix_rt::test]
+async fn a_restarted_proxy_goes_on_from_the_stored_configuration() {
+    let folder = tempfile::tempdir().unwrap();
+    let stored = View { revision: Revision(7), ..View::default() };
+    ViewFile::new(folder.path()).save(&stored).unwrap();
+    let (listener, address) = listen().await;
+    let watch = start(folder.path(), vec![address]);
+    assert_eq!(watch.views().borrow().revision, Revision(7));
+    assert!(!*watch.current().borrow());
+    let (_, revision) = accept(&listener).await;
+    assert_eq!(revision, Revision(7));
+}
+
+#[rstest]
+#[case::cut(|bytes: &mut Vec<u8>| bytes.truncate(bytes.len() / 2))]
+#[case::changed(|bytes: &mut Vec<u8>| bytes[6] ^= 1)]
+#[case::empty(|bytes: &mut Vec<u8>| bytes.clear())]
+fn a_damaged_file_is_not_used(#[case] damage: fn(&mut Vec<u8>)) {
+    let folder = tempfile::tempdir().unwrap();
+    let mut file = ViewFile::new(folder.path());
+    file.save(&View { revision: Revision(7), ..View::default() }).unwrap();
+    let mut bytes = std::fs::read(file.path()).unwrap();
+    damage(&mut bytes);
+    std::fs::write(file.path(), bytes).unwrap();
+    assert_eq!(file.load().unwrap(), None);
+}
+
+#[actix_rt::test]
+async fn a_silent_replica_is_left_for_another_one_and_nothing_reverts() {
+    let folder = tempfile::tempdir().unwrap();
+    let (first, first_address) = listen().await;
+    let (second, second_address) = listen().await;
+    let watch = start(folder.path(), vec![first_address, second_address]);
+    let (silent, other) = tokio::select! {
+        accepted = accept(&first) => (accepted, &second),
+        accepted = accept(&second) => (accepted, &first),
+    };
+    let mut silent = silent.0;
+    silent.send(delta(3)).await.unwrap();
+    wait_for_revision(&watch, Revision(3)).await;
+    // The silent one keeps its connection open and proves nothing.
+    let (mut proxy, revision) = accept(other).await;
+    assert_eq!(revision, Revision(3));
+    let old = View { revision: Revision(2), ..View::default() };
+    proxy.send(ControlMessage::Snapshot(Box::new(old))).await.unwrap();
+    proxy.send(delta(4)).await.unwrap();
+    wait_for_revision(&watch, Revision(4)).await;
+    assert_eq!(watch.views().borrow().classes.len(), 2);
+}
