--- a/crates/core/src/failover/manager.rs
+++ b/crates/core/src/failover/manager.rs
@@ -102,12 +102,6 @@
             let settings = &self.settings;
             let look = Look { now, settings, state, name, view: &group.view };
             monitor.advance(look, &mut wanted);
-            let Some(group) = state.group(name) else { continue };
-            if monitor.due <= now {
-                let settings = &self.settings;
-                let look = Look { now, settings, state, name, view: &group.view };
-                monitor.advance(look, &mut wanted);
-            }
         }
         let mut actions = wanted.calls;
         if !wanted.steps.is_empty() {
--- a/crates/core/src/failover/monitor.rs
+++ b/crates/core/src/failover/monitor.rs
@@ -242,8 +242,6 @@
                 if self.attempts > 0 {
                     self.count_failover(now, settings);
                 }
-            (FailoverStep::Complete { .. }, StepResult::Accepted) => {
-                self.count_failover(now, settings);
                 self.phase = self.resting_phase(now, settings);
             }
             // Whatever became of it, the state and the members tell how to go on.
--- a/crates/core/src/membership/tracker.rs
+++ b/crates/core/src/membership/tracker.rs
@@ -70,12 +70,6 @@
         stored.incarnation != self.incarnation
             || stored.address != self.address
             || stored.zone != self.zone
-    fn is_news(&self, stored: Option<&ProxyView>) -> bool {
-        let Some(stored) = stored else { return true };
-        stored.incarnation != self.incarnation
-            || stored.address != self.address
-            || stored.zone != self.zone
-            || stored.state == ProxyState::Down
     }
 }
 
@@ -200,10 +194,6 @@
                 stored.state == ProxyState::Live || stored.incarnation != heartbeat.incarnation
             });
             if heartbeat.draining && owns && !self.is_silent(now, heard) {
-            let told = stored.is_some_and(|stored| {
-                stored.state == ProxyState::Draining && stored.incarnation == heartbeat.incarnation
-            });
-            if heartbeat.draining && !told && !self.is_silent(now, heard) {
                 draining.insert((heartbeat.proxy.clone(), heartbeat.incarnation));
             }
         }
