--- /dev/null
+++ b/crates/server/src/manifest/check.rs
@@ -0,0 +1,148 @@
+//! Checks of manifests that need no server: values, and references between the given files.
+
+use super::{Manifest, ManifestError, ReferenceProblem, key_parts};
+use corktack_core::identity::ClassName;
+use corktack_core::resources::{
+    BindingSpec, DatabaseGroupSpec, Kind, PriorityClassSpec, ResourceKey, ResourceSpec,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// All of a server's grants, in percent.
+const WHOLE_PERCENT: u32 = 100;
+
+/// Checks values and references. Every error found is returned, in the order of the documents.
+#[must_use]
+pub fn check(manifests: &[Manifest]) -> Vec<ManifestError> {
+    let mut checker = Checker { index: Index::new(manifests), errors: Vec::new() };
+    for manifest in manifests {
+        checker.check_duplicate(manifest);
+        checker.check_alone(manifest);
+        match &manifest.spec {
+            ResourceSpec::DatabaseGroup(group) => checker.check_group(manifest, group),
+            ResourceSpec::PriorityClass(class) => checker.check_class(manifest, class),
+            ResourceSpec::Binding(binding) => checker.check_binding(manifest, binding),
+        }
+    }
+    checker.errors
+}
+
+/// What the documents declare, for look-ups.
+struct Index<'a> {
+    first: BTreeMap<&'a ResourceKey, &'a Manifest>,
+    classes: BTreeSet<&'a ClassName>,
+    databases: BTreeMap<&'a str, &'a str>,
+    shares: u32,
+}
+
+impl<'a> Index<'a> {
+    fn new(manifests: &'a [Manifest]) -> Self {
+        let mut index = Self {
+            first: BTreeMap::new(),
+            classes: BTreeSet::new(),
+            databases: BTreeMap::new(),
+            shares: 0,
+        };
+        for manifest in manifests {
+            index.first.entry(&manifest.key).or_insert(manifest);
+            match (&manifest.key, &manifest.spec) {
+                (ResourceKey::PriorityClass(name), ResourceSpec::PriorityClass(class)) => {
+                    index.classes.insert(name);
+                    index.shares += u32::from(class.guaranteed_percent);
+                }
+                (ResourceKey::DatabaseGroup(name), ResourceSpec::DatabaseGroup(group)) => {
+                    index.databases.entry(&group.database).or_insert(name.as_str());
+                }
+                _ => {}
+            }
+        }
+        index
+    }
+}
+
+struct Checker<'a> {
+    index: Index<'a>,
+    errors: Vec<ManifestError>,
+}
+
+impl Checker<'_> {
+    fn refuse(
+        &mut self,
+        manifest: &Manifest,
+        key: impl Into<String>,
+        value: impl ToString,
+        problem: ReferenceProblem,
+    ) {
+        self.errors.push(ManifestError::Value {
+            file: manifest.file.clone(),
+            document: manifest.document,
+            key: key.into(),
+            value: value.to_string(),
+            problem,
+        });
+    }
+
+    fn check_duplicate(&mut self, manifest: &Manifest) {
+        let Some(first) = self.index.first.get(&manifest.key) else { return };
+        if std::ptr::eq(*first, manifest) {
+            return;
+        }
+        let problem =
+            ReferenceProblem::DeclaredTwice { file: first.file.clone(), document: first.document };
+        self.refuse(manifest, "metadata.name", key_parts(&manifest.key).1, problem);
+    }
+
+    /// What can be told of one document without the others.
+    fn check_alone(&mut self, manifest: &Manifest) {
+        if let Err(error) = manifest.spec.validate() {
+            let key = error.field();
+            let value = value_at(&manifest.spec, &key);
+            self.refuse(manifest, key, value, ReferenceProblem::Spec(error));
+        }
+    }
+
+    fn check_group(&mut self, manifest: &Manifest, group: &DatabaseGroupSpec) {
+        let serves = self.index.databases.get(group.database.as_str()).copied();
+        let other = serves.filter(|name| *name != key_parts(&manifest.key).1);
+        if let Some(other) = other {
+            let problem = ReferenceProblem::SameDatabase(other.to_owned());
+            self.refuse(manifest, "spec.database", &group.database, problem);
+        }
+    }
+
+    fn check_class(&mut self, manifest: &Manifest, class: &PriorityClassSpec) {
+        let alone = u32::from(class.guaranteed_percent);
+        if self.index.shares > WHOLE_PERCENT && (1..=WHOLE_PERCENT).contains(&alone) {
+            let problem = ReferenceProblem::SharesOverWhole(self.index.shares);
+            self.refuse(manifest, "spec.guaranteedPercent", class.guaranteed_percent, problem);
+        }
+    }
+
+    fn check_binding(&mut self, manifest: &Manifest, binding: &BindingSpec) {
+        if !self.index.classes.contains(&binding.class) {
+            let problem = ReferenceProblem::Unresolved(Kind::PriorityClass);
+            self.refuse(manifest, "spec.class", &binding.class, problem);
+        }
+        if let Some(database) = &binding.callers.database
+            && !self.index.databases.contains_key(database.as_str())
+        {
+            let problem = ReferenceProblem::NoSuchDatabase;
+            self.refuse(manifest, "spec.match.database", database, problem);
+        }
+    }
+}
+
+/// The value at a path like `spec.members[1].name`; empty where there is none.
+fn value_at(spec: &ResourceSpec, path: &str) -> String {
+    let spec = match spec {
+        ResourceSpec::DatabaseGroup(spec) => serde_json::to_value(spec),
+        ResourceSpec::PriorityClass(spec) => serde_json::to_value(spec),
+        ResourceSpec::Binding(spec) => serde_json::to_value(spec),
+    };
+    let path = path.trim_start_matches("spec").replace(['.', '['], "/").replace(']', "");
+    let value = spec.ok().and_then(|spec| spec.pointer(&path).cloned());
+    match value {
+        Some(serde_json::Value::String(text)) => text,
+        Some(other) => other.to_string(),
+        None => String::new(),
+    }
+}
