Consensus: strangers, impossible terms and arbitrary messages are harmless

A message with a term near the largest number would have been taken over and the next election would overflow; such terms are ignored now. Tests: strangers' messages of every kind against a live leader, a rejoining replica, a replica of a higher term, and 2,000 random sequences of events.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -9,6 +9,9 @@
 use crate::time::Timestamp;
 use std::collections::BTreeMap;
 
+/// No cell gets here by elections; a message that names a higher term is not one of ours.
+const TERM_LIMIT: Term = Term(1 << 62);
+
 /// Answers to a request for votes or pre-votes.
 #[derive(Debug, Default)]
 pub(super) struct Votes {
@@ -54,6 +57,9 @@
         from: ReplicaId,
         message: &Message,
     ) -> bool {
+        if message.term > TERM_LIMIT {
+            return false;
+        }
         match &message.body {
             // Their terms are questions, not facts.
             MessageBody::PreVoteRequest(_) | MessageBody::PreVoteResponse { granted: true } => true,
--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -25,7 +25,7 @@
 fn well_formed(request: &AppendRequest) -> bool {
     let mut before = request.previous;
     request.entries.iter().all(|entry| {
-        let follows = entry.index == before.index + 1 && entry.term >= before.term;
+        let follows = before.index.checked_add(1) == Some(entry.index) && entry.term >= before.term;
         before = LogEnd { index: entry.index, term: entry.term };
         follows
     })
--- a/crates/core/src/consensus/progress.rs
+++ b/crates/core/src/consensus/progress.rs
@@ -46,6 +46,7 @@
             self.rewind_to(received);
         }
         self.acknowledged = received;
+        self.sent = self.sent.max(received);
     }
 
     fn rewind_to(&mut self, offset: u64) {
@@ -133,7 +134,7 @@
     /// Whether a rejection of an append after `previous_index` tells something new.
     pub(super) fn expects_rejection(&self, previous_index: u64) -> bool {
         match &self.state {
-            ProgressState::Probe { .. } => previous_index + 1 == self.next_index,
+            ProgressState::Probe { .. } => previous_index == self.next_index - 1,
             ProgressState::Replicate { .. } => {
                 previous_index > self.match_index && previous_index < self.next_index
             }
@@ -155,7 +156,7 @@
         if let ProgressState::Snapshot(transfer) = &mut self.state
             && transfer.snapshot.index == index
         {
-            transfer.acknowledge(received);
+            transfer.acknowledge(received.min(transfer.snapshot.data.len() as u64));
         }
     }
 
--- a/crates/core/tests/consensus/main.rs
+++ b/crates/core/tests/consensus/main.rs
@@ -2,6 +2,7 @@
 
 mod elections;
 mod faults;
+mod hostile;
 mod membership;
 mod network;
 mod oracle;
