Consensus: refuse a change of the cell that leaves no answering majority

Removing the one voter that still answers beside the leader was accepted and could never be committed, nor anything after it (seen failing in a_voter_without_which_no_majority_answers_is_not_removed).

--- a/crates/core/src/consensus/membership.rs
+++ b/crates/core/src/consensus/membership.rs
@@ -59,7 +59,8 @@
             return;
         }
         let allowed = self.may_change_cell(now, change);
-        match changed_cell(self.log.cell(), change).filter(|_| allowed) {
+        let changed = changed_cell(self.log.cell(), change).filter(|_| allowed);
+        match changed.filter(|cell| self.hears_majority_of(now, cell)) {
             Some(cell) => {
                 self.append_proposal(request, Payload::Cell(cell));
                 self.follow_cell(now);
@@ -85,13 +86,26 @@
         let RoleState::Leader(leader) = &self.role else { return false };
         leader.progress.get(&id).is_some_and(|progress| {
             let lag = self.hard_state.commit.saturating_sub(progress.match_index);
-            let silence = now.saturating_since(progress.last_heard);
             progress.is_replicating()
                 && lag <= PROMOTION_LAG_LIMIT
-                && silence <= self.settings.election_timeout
+                && progress.answered_within(self.settings.election_timeout, now)
         })
     }
 
+    /// Whether a majority of a cell's voters answers. A change to a cell that has
+    /// none could not be committed, nor could anything after it.
+    fn hears_majority_of(&self, now: Timestamp, cell: &CellConfig) -> bool {
+        let RoleState::Leader(leader) = &self.role else { return false };
+        let answers = |id: ReplicaId| {
+            let timeout = self.settings.election_timeout;
+            let other = leader.progress.get(&id);
+            id == self.settings.id
+                || other.is_some_and(|progress| progress.answered_within(timeout, now))
+        };
+        let answering = cell.voters.iter().filter(|member| answers(member.id)).count();
+        answering > cell.voters.len() / 2
+    }
+
     fn follow_cell(&mut self, now: Timestamp) {
         if let RoleState::Leader(leader) = &mut self.role {
             leader.follow_cell(&self.log, self.settings.id, now);
--- a/crates/core/src/consensus/progress.rs
+++ b/crates/core/src/consensus/progress.rs
@@ -4,6 +4,7 @@
 use crate::time::Timestamp;
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Appends with entries that may be under way to one follower.
 const APPEND_WINDOW: usize = 32;
@@ -214,6 +215,11 @@
         }
     }
 
+    /// Whether the follower answered in the last `timeout`.
+    pub(super) fn answered_within(&self, timeout: Duration, now: Timestamp) -> bool {
+        now.saturating_since(self.last_heard) <= timeout
+    }
+
     /// Whether the follower receives new entries as they come.
     pub(super) fn is_replicating(&self) -> bool {
         matches!(self.state, ProgressState::Replicate { .. })
--- a/crates/core/tests/consensus/membership.rs
+++ b/crates/core/tests/consensus/membership.rs
@@ -74,6 +74,20 @@
     assert_eq!(network.answers[&request], REFUSED);
 }
 
+#[test]
+fn a_voter_without_which_no_majority_answers_is_not_removed() {
+    let mut network = Network::start(3, 29);
+    let leader = network.expect_leader();
+    let mut others = (1..=3).filter(|id| *id != leader);
+    let (silent, needed) = (others.next().expect("one"), others.next().expect("two"));
+    network.crash(silent);
+    network.run_for(ELECTION_TIMEOUT * 2);
+    let refused = network.propose_cell(leader, CellChange::Remove(ReplicaId(needed)));
+    assert_eq!(network.answers[&refused], REFUSED);
+    network.change_cell(&CellChange::Remove(ReplicaId(silent)));
+    network.commit(b"by two");
+}
+
 #[test]
 fn a_new_leader_refuses_changes_until_an_entry_of_its_term_is_committed() {
     let mut network = Network::start(3, 25);
