--- a/crates/core/src/consensus/progress.rs
+++ b/crates/core/src/consensus/progress.rs
@@ -4,6 +4,7 @@
 use crate::time::Timestamp;
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Appends with entries that may be under way to one follower.
 const APPEND_WINDOW: usize = 32;
@@ -46,6 +47,7 @@
             self.rewind_to(received);
         }
         self.acknowledged = received;
+        self.sent = self.sent.max(received);
     }
 
     fn rewind_to(&mut self, offset: u64) {
@@ -133,7 +135,7 @@
     /// Whether a rejection of an append after `previous_index` tells something new.
     pub(super) fn expects_rejection(&self, previous_index: u64) -> bool {
         match &self.state {
-            ProgressState::Probe { .. } => previous_index + 1 == self.next_index,
+            ProgressState::Probe { .. } => previous_index == self.next_index - 1,
             ProgressState::Replicate { .. } => {
                 previous_index > self.match_index && previous_index < self.next_index
             }
@@ -155,7 +157,7 @@
         if let ProgressState::Snapshot(transfer) = &mut self.state
             && transfer.snapshot.index == index
         {
-            transfer.acknowledge(received);
+            transfer.acknowledge(received.min(transfer.snapshot.data.len() as u64));
         }
     }
 
@@ -213,6 +215,11 @@
         }
     }
 
+    /// Whether the follower answered in the last `timeout`.
+    pub(super) fn answered_within(&self, timeout: Duration, now: Timestamp) -> bool {
+        now.saturating_since(self.last_heard) <= timeout
+    }
+
     /// Whether the follower receives new entries as they come.
     pub(super) fn is_replicating(&self) -> bool {
         matches!(self.state, ProgressState::Replicate { .. })
