Owner: tests of queue, routing, replies, streams, reads and failover

Change: property tests of the wait queue, cases of the reply tracker and routing, and streams against scripted members. Proptest runs from a fixed seed. Ruled out: counting retries to know that no write is in flight at a fenced primary; how many are sent before the first refusal is not fixed. The test waits for the queue's length instead.

--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,161 @@
+//! The wait queue: order, shares, bounds and deadlines.
+#![allow(clippy::unwrap_used)]
+
+use corktack_core::admission::{AdmissionError, AdmissionLimits, AdmissionQueue, Lane, Ticket};
+use corktack_core::identity::ClassName;
+use corktack_core::resources::PriorityClassSpec;
+use corktack_core::time::Timestamp;
+use proptest::prelude::*;
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const FAR: Timestamp = Timestamp::from_millis(1_000_000);
+const NOW: Timestamp = Timestamp::from_millis(1_000);
+const SERVICE: Duration = Duration::from_millis(8);
+
+fn class(name: &str) -> ClassName {
+    ClassName::new(name).unwrap()
+}
+
+fn queue(slots: u32, queue_limit: u32, classes: &[(&str, u32, u8)]) -> AdmissionQueue {
+    let mut queue = AdmissionQueue::new(AdmissionLimits { slots, queue_limit });
+    let spec = |priority, guaranteed_percent| PriorityClassSpec { priority, guaranteed_percent };
+    let classes = classes.iter().map(|(name, p, g)| (class(name), spec(*p, *g)));
+    queue.set_classes(&classes.collect::<BTreeMap<_, _>>());
+    queue
+}
+
+fn enqueue(queue: &mut AdmissionQueue, name: &str) -> Ticket {
+    queue.enqueue(&class(name), Lane::Primary, FAR).unwrap()
+}
+
+#[rstest]
+fn higher_classes_first_then_arrival() {
+    let mut queue = queue(1, 10, &[("gold", 10, 0), ("basic", 1, 0)]);
+    let tickets = ["basic", "gold", "basic", "gold"].map(|name| enqueue(&mut queue, name));
+    let mut order = Vec::new();
+    for _ in 0..4 {
+        order.extend(queue.grant(NOW, true));
+        queue.release(SERVICE);
+    }
+    assert_eq!(order, [tickets[1], tickets[3], tickets[0], tickets[2]]);
+}
+
+#[rstest]
+fn a_full_queue_refuses_and_tells_when_to_come_back() {
+    let mut queue = queue(1, 2, &[]);
+    enqueue(&mut queue, "basic");
+    assert_eq!(queue.grant(NOW, true).len(), 1);
+    enqueue(&mut queue, "basic");
+    enqueue(&mut queue, "basic");
+    let refused = queue.enqueue(&class("basic"), Lane::Primary, FAR);
+    let Err(AdmissionError::QueueFull { retry_after_ms }) = refused else {
+        panic!("the queue is full");
+    };
+    assert!(retry_after_ms > 0);
+    assert_eq!(queue.length(), 2);
+}
+
+#[rstest]
+fn a_free_slot_is_not_refused_for_a_queue_limit_of_zero() {
+    let mut queue = queue(1, 0, &[]);
+    enqueue(&mut queue, "basic");
+    assert_eq!(queue.grant(NOW, true).len(), 1);
+    assert!(queue.enqueue(&class("basic"), Lane::Primary, FAR).is_err());
+}
+
+#[rstest]
+fn an_expired_request_gets_no_slot() {
+    let mut queue = queue(1, 10, &[]);
+    let late = queue.enqueue(&class("basic"), Lane::Primary, NOW).unwrap();
+    let good = enqueue(&mut queue, "basic");
+    assert_eq!(queue.grant(NOW, true), [good]);
+    assert!(!queue.remove(late));
+    assert_eq!(queue.in_use(), 1);
+}
+
+#[rstest]
+fn expire_takes_out_what_is_late() {
+    let mut queue = queue(0, 10, &[]);
+    let late = queue.enqueue(&class("basic"), Lane::Primary, NOW).unwrap();
+    enqueue(&mut queue, "basic");
+    assert_eq!(queue.expire(NOW), [late]);
+    assert_eq!(queue.length(), 1);
+}
+
+#[rstest]
+fn reads_from_replicas_pass_writes_that_wait_for_a_primary() {
+    let mut queue = queue(2, 10, &[("gold", 10, 0), ("basic", 1, 0)]);
+    let write = enqueue(&mut queue, "gold");
+    let read = queue.enqueue(&class("basic"), Lane::Replica, FAR).unwrap();
+    assert_eq!(queue.grant(NOW, false), [read]);
+    assert_eq!(queue.grant(NOW, true), [write]);
+}
+
+fn fixed_cases() -> ProptestConfig {
+    let rng_seed = proptest::test_runner::RngSeed::Fixed(0x00c0_ffee);
+    ProptestConfig { cases: 128, failure_persistence: None, rng_seed, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(fixed_cases())]
+
+    /// While all classes wait, each gets its share, up to one grant a class.
+    #[test]
+    fn guaranteed_shares_hold_under_contention(
+        shares in proptest::collection::vec(0_u8..=25, 1..=4),
+        grants in 20_u64..300,
+    ) {
+        let names = ["a", "b", "c", "d"];
+        let spec: Vec<_> =
+            shares.iter().enumerate().map(|(i, share)| (names[i], 10 + i as u32, *share)).collect();
+        let mut queue = queue(1, 10_000, &spec);
+        let mut owner_of = BTreeMap::new();
+        for (index, _) in shares.iter().enumerate() {
+            for _ in 0..grants {
+                owner_of.insert(enqueue(&mut queue, names[index]), index);
+            }
+        }
+        let mut served = vec![0_u64; shares.len()];
+        for _ in 0..grants {
+            let granted = queue.grant(NOW, true);
+            prop_assert_eq!(granted.len(), 1);
+            served[owner_of[&granted[0]]] += 1;
+            queue.release(SERVICE);
+        }
+        for (index, share) in shares.iter().enumerate() {
+            let due = grants * u64::from(*share) / 100;
+            prop_assert!(served[index] + shares.len() as u64 >= due, "{served:?} of {shares:?}");
+        }
+    }
+
+    /// Slots and queue stay in their limits, and no ticket is granted twice.
+    #[test]
+    fn limits_hold_and_tickets_are_granted_once(
+        steps in proptest::collection::vec((0_u8..5, 0_u64..50), 1..300),
+    ) {
+        let mut queue = queue(3, 6, &[("gold", 10, 50), ("basic", 1, 10)]);
+        let mut waiting = Vec::new();
+        let mut granted = std::collections::BTreeSet::new();
+        let mut now = Timestamp::ZERO;
+        for (step, value) in steps {
+            now = now + Duration::from_millis(value);
+            match step {
+                0 | 1 => {
+                    let name = if step == 0 { "gold" } else { "basic" };
+                    let deadline = now + Duration::from_millis(20);
+                    waiting.extend(queue.enqueue(&class(name), Lane::Primary, deadline));
+                }
+                2 => for ticket in queue.grant(now, value % 2 == 0) {
+                    prop_assert!(granted.insert(ticket));
+                    prop_assert!(waiting.contains(&ticket));
+                },
+                3 if queue.in_use() > 0 => queue.release(SERVICE),
+                _ => drop(queue.expire(now)),
+            }
+            prop_assert!(queue.in_use() <= 3);
+            prop_assert!(queue.length() <= 6);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/replies.rs
@@ -0,0 +1,99 @@
+//! The reply tracker: which answers are the caller's.
+
+use corktack_core::pool::replies::{Disposition, ReplyTracker, Sent};
+use corktack_core::pool::statements::{may_change_session, may_commit, only_begins};
+use rstest::rstest;
+use std::collections::BTreeSet;
+
+fn placed(tracker: &mut ReplyTracker, tags: &str) -> String {
+    let mut text = String::new();
+    for tag in tags.bytes() {
+        match tracker.received(tag) {
+            Ok(reply) => {
+                text.push_str(&"+".repeat(reply.synthesized));
+                text.push(match reply.disposition {
+                    Disposition::Forward => char::from(tag),
+                    Disposition::Swallow => '-',
+                    Disposition::Ready => '!',
+                });
+            }
+            Err(_) => text.push('?'),
+        }
+    }
+    text
+}
+
+fn name(text: &str) -> String {
+    text.to_owned()
+}
+
+#[rstest]
+#[case::simple(vec![Sent::Query], "TDDCZ", "TDDC!")]
+#[case::simple_error(vec![Sent::Query], "CEZ", "CE!")]
+#[case::extended(
+    vec![Sent::Bind, Sent::Describe, Sent::Execute, Sent::Sync], "2TDDCZ", "2TDDC!")]
+#[case::injected(
+    vec![Sent::InjectedParse(name("a")), Sent::Bind, Sent::Execute, Sent::Sync], "12CZ", "-2C!")]
+#[case::skipped(
+    vec![Sent::SkippedParse, Sent::Bind, Sent::Execute, Sent::Sync], "2CZ", "+2C!")]
+#[case::skipped_last(vec![Sent::Bind, Sent::SkippedParse, Sent::Sync], "2Z", "2+!")]
+#[case::error_skips_to_sync(
+    vec![Sent::Bind, Sent::SkippedParse, Sent::Execute, Sent::Sync, Sent::Query], "EZCZ", "E!C!")]
+#[case::notices_and_parameters(vec![Sent::Execute, Sent::Sync], "NSDSCZ", "NSDSC!")]
+#[case::unexpected(vec![Sent::Bind], "1", "?")]
+#[case::nothing_sent(vec![], "C", "?")]
+fn answers_are_placed(#[case] sent: Vec<Sent>, #[case] tags: &str, #[case] expected: &str) {
+    let mut tracker = ReplyTracker::default();
+    sent.into_iter().for_each(|message| tracker.sent(message));
+    assert_eq!(placed(&mut tracker, tags), expected);
+}
+
+#[rstest]
+fn a_statement_exists_only_after_its_completion() {
+    let mut tracker = ReplyTracker::default();
+    tracker.sent(Sent::InjectedParse(name("a")));
+    tracker.sent(Sent::Sync);
+    assert!(tracker.has_statement("a"));
+    assert_eq!(placed(&mut tracker, "EZ"), "E!");
+    assert!(!tracker.has_statement("a"));
+    tracker.sent(Sent::Parse(name("a")));
+    tracker.sent(Sent::Close(Some(name("a"))));
+    assert!(!tracker.has_statement("a"));
+    assert_eq!(placed(&mut tracker, "1"), "1");
+    tracker.sent(Sent::Sync);
+    assert_eq!(placed(&mut tracker, "3Z"), "3!");
+    assert!(!tracker.has_statement("a") && tracker.is_idle());
+}
+
+#[rstest]
+fn the_statement_used_longest_ago_is_closed_first() {
+    let mut tracker = ReplyTracker::default();
+    for statement in ["a", "b", "c"] {
+        tracker.sent(Sent::Parse(name(statement)));
+    }
+    assert_eq!(placed(&mut tracker, "111"), "111");
+    tracker.touch_statement("a");
+    assert_eq!(tracker.statements_to_close(3, &BTreeSet::new()), ["b"]);
+    assert_eq!(tracker.statements_to_close(3, &BTreeSet::from(["b"])), ["c"]);
+    assert!(tracker.statements_to_close(4, &BTreeSet::new()).is_empty());
+}
+
+#[rstest]
+#[case("SET search_path = a", true)]
+#[case("select 1; set x = 1", true)]
+#[case("UPDATE t SET a = 1", false)]
+#[case("SELECT pg_advisory_lock(1)", true)]
+#[case("CREATE TEMP TABLE t (a int)", true)]
+#[case("SELECT a FROM offset_table", false)]
+fn session_changes(#[case] text: &str, #[case] changes: bool) {
+    assert_eq!(may_change_session(text), changes);
+}
+
+#[rstest]
+fn transaction_words() {
+    assert!(may_commit("insert into t values (1); COMMIT"));
+    assert!(!may_commit("insert into t values (1)"));
+    assert!(only_begins("BEGIN ISOLATION LEVEL SERIALIZABLE"));
+    assert!(!only_begins("BEGIN; insert into t values (1)"));
+    assert!(!only_begins("select 1"));
+}
--- a/crates/owner/tests/support/back_end.rs
+++ b/crates/owner/tests/support/back_end.rs
@@ -2,7 +2,7 @@
 //!
 //! `write X` records X at the next position; `read` answers the member's name;
 //! `big N` answers N rows; `hold` waits for [`FakeMember::open_gate`] or a cancel;
-//! `die` cuts the connection; `fail` is an error.
+//! `die` cuts the connection once after [`Script::die_once`] was set; `fail` is an error.
 
 use bytes::BytesMut;
 use pgwire::messages::data::DataRow;
@@ -27,8 +27,8 @@
     pub index: u64,
     /// Position reported with reads, if it is to differ from `index`.
     pub read_index: Option<u64>,
-    /// Probes and barriers go unanswered.
-    pub frozen: bool,
+    /// The next `die` cuts the connection once after [`Script::die_once`] was set; later ones complete.
+    pub die_once: bool,
     pub barriers: usize,
     /// Values written and committed.
     pub written: Vec<String>,
@@ -45,6 +45,8 @@
     name: String,
     script: Mutex<Script>,
     gate: watch::Sender<bool>,
+    /// Probes and barriers wait while set.
+    frozen: watch::Sender<bool>,
     cancelled: watch::Sender<i32>,
     /// Rises with each statement.
     seen: watch::Sender<usize>,
@@ -64,6 +66,7 @@
             name: name.to_owned(),
             script: Mutex::default(),
             gate: watch::Sender::new(false),
+            frozen: watch::Sender::new(false),
             cancelled: watch::Sender::new(0),
             seen: watch::Sender::new(0),
         });
@@ -102,6 +105,18 @@
         script.term = term;
     }
 
+    pub fn freeze(&self, frozen: bool) {
+        self.shared.frozen.send_replace(frozen);
+    }
+
+    /// Waits until this many barriers were asked for.
+    pub async fn wait_for_barriers(&self, count: usize) {
+        let mut seen = self.shared.seen.subscribe();
+        while self.script().barriers < count {
+            seen.changed().await.unwrap();
+        }
+    }
+
     pub fn open_gate(&self) {
         self.shared.gate.send_replace(true);
     }
@@ -260,7 +275,10 @@
             "read" => self.read(),
             "big" => self.big(argument.parse().unwrap()),
             "hold" => self.hold().await,
-            "die" => return Err(std::io::ErrorKind::ConnectionAborted.into()),
+            "die" if std::mem::take(&mut self.script().die_once) => {
+                return Err(std::io::ErrorKind::ConnectionAborted.into());
+            }
+            "die" => self.finish_read(),
             "fail" => self.error("22012", "as scripted"),
             "BEGIN" => {
                 self.in_transaction = true;
@@ -306,9 +324,12 @@
     }
 
     async fn show(&mut self, what: &str) {
-        if self.script().frozen {
-            std::future::pending::<()>().await;
+        if what == "replication.read_index" {
+            self.script().barriers += 1;
+            self.shared.seen.send_modify(|count| *count += 1);
         }
+        let mut frozen = self.shared.frozen.subscribe();
+        drop(frozen.wait_for(|frozen| !*frozen).await);
         let (primary, term, index) = {
             let script = self.script();
             (script.primary, script.term.to_string(), script.index)
@@ -323,7 +344,6 @@
         if !primary {
             return self.error("25006", "not the primary");
         }
-        self.script().barriers += 1;
         self.row(&[&position]);
         self.complete("SHOW");
     }
--- a/crates/owner/tests/support/edge.rs
+++ b/crates/owner/tests/support/edge.rs
@@ -125,6 +125,13 @@
         self.open(request).await
     }
 
+    /// Opens a stream that is refused at once.
+    pub async fn open_unknown_group(&mut self) -> StreamId {
+        let mut request = request(Access::Write, query("write never"));
+        request.group = GroupName::new("unknown").unwrap();
+        self.open(request).await
+    }
+
     pub async fn batch(&mut self, stream: StreamId, text: &str) {
         self.send(EdgeMessage::Batch { stream, batch: query(text) }).await;
     }
@@ -153,6 +160,11 @@
         answer
     }
 
+    /// Whether messages of a stream came while others were awaited.
+    pub fn has_waiting(&self, stream: StreamId) -> bool {
+        self.waiting.iter().any(|message| stream_of(message) == Some(stream))
+    }
+
     pub async fn next_of(&mut self, stream: StreamId) -> OwnerMessage {
         let place = self.waiting.iter().position(|message| stream_of(message) == Some(stream));
         if let Some(place) = place {
--- a/crates/owner/tests/support/mod.rs
+++ b/crates/owner/tests/support/mod.rs
@@ -11,6 +11,7 @@
 use corktack_core::view::{GroupView, Revision, View};
 use corktack_owner::{Owner, OwnerHandle, OwnerSettings};
 use corktack_protocol::control::Observation;
+use corktack_protocol::peer::{Access, Failure, NotRunReason};
 use edge::TestEdge;
 use prometheus_client::registry::Registry;
 use std::collections::{BTreeMap, BTreeSet};
@@ -115,7 +116,7 @@
         });
     }
 
-    /// Waits until a metric's text holds a line.
+    /// Waits until the metrics hold a text.
     pub async fn wait_for_metric(&self, line: &str) {
         loop {
             let mut text = String::new();
@@ -126,4 +127,36 @@
             tokio::task::yield_now().await;
         }
     }
+
+    /// Waits until the owner reported the health of all members, and so knows them.
+    pub async fn wait_for_replicas(&mut self) {
+        for _ in &self.members {
+            self.observations.recv().await.unwrap();
+        }
+    }
+
+    /// Waits until the owner has the view in force: it first has a group added
+    /// after it, whose streams it refuses for another reason than before.
+    pub async fn wait_for_view(&self, edge: &mut TestEdge) {
+        let marker = GroupName::new("marker").unwrap();
+        self.views.send_modify(|view| {
+            let mut next = View::clone(view);
+            next.revision.0 += 1;
+            let mut group = GroupView::clone(&next.groups[&GroupName::new(GROUP).unwrap()]);
+            group.owner = Some(ProxyName::new("proxy-1").unwrap());
+            group.spec.queue_timeout_ms = 1;
+            group.primary = None;
+            next.groups.insert(marker.clone(), Arc::new(group));
+            *view = Arc::new(next);
+        });
+        loop {
+            let mut probe = edge::request(Access::Write, edge::query("write never"));
+            probe.group = marker.clone();
+            let stream = edge.open(probe).await;
+            let failure = edge.answer(stream).await.failure.unwrap();
+            if matches!(failure, Failure::NotRun { reason: NotRunReason::NoBackEnd, .. }) {
+                return;
+            }
+        }
+    }
 }
