--- a/crates/server/src/control.rs
+++ b/crates/server/src/control.rs
@@ -1,6 +1,5 @@
 //! Runs a control replica.
 
-use crate::data_folder::{DataFolder, DataFolderError};
 use crate::listeners::{ListenError, bind, bound_address};
 use crate::proxy::draw_incarnation;
 use crate::settings::ControlSettings;
@@ -14,18 +13,19 @@
 use corktack_core::identity::ReplicaId;
 use corktack_protocol::cell::CellName;
 use prometheus_client::registry::Registry;
+use std::fs::DirEntry;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 /// Folder of the log and snapshots inside the data folder.
 const LOG_FOLDER: &str = "log";
 
+/// The only file that a replica which has promised nothing leaves in it.
+const LOCK_FILE: &str = "LOCK";
+
 /// Why a control replica could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum ControlProcessError {
-    /// The data folder cannot be used.
-    #[error(transparent)]
-    DataFolder(#[from] DataFolderError),
     /// The data folder holds no log, and nobody said that the cell is new.
     #[error(
         "data_folder = {}: holds no log. A new cell is founded with --bootstrap, once; a replica \
@@ -75,7 +75,6 @@
 pub struct ControlProcess {
     handle: ControlHandle,
     addresses: ControlBound,
-    _folder: DataFolder,
 }
 
 impl ControlProcess {
@@ -131,8 +130,7 @@
     listeners: ControlListeners,
     bootstrap: Bootstrap,
 ) -> Result<ControlProcess, ControlProcessError> {
-    let folder = DataFolder::open(&settings.data_folder)?;
-    let log_folder = folder.path().join(LOG_FOLDER);
+    let log_folder = settings.data_folder.join(LOG_FOLDER);
     if bootstrap == Bootstrap::Refuse && !settings.join && is_empty(&log_folder) {
         return Err(ControlProcessError::Empty { folder: settings.data_folder });
     }
@@ -145,13 +143,17 @@
     let replica = replica_settings(settings, log_folder);
     // The replica serves its metrics itself, on the operators' address.
     let handle = ControlReplica::start(replica, listeners, &mut Registry::default())?;
-    Ok(ControlProcess { handle, addresses, _folder: folder })
+    Ok(ControlProcess { handle, addresses })
 }
 
-/// Whether the folder is absent or holds nothing. What cannot be read is not taken for empty.
+/// Whether the folder is absent or holds no more than its lock. What cannot be read is not
+/// taken for empty.
 fn is_empty(folder: &Path) -> bool {
+    let is_lock = |entry: std::io::Result<DirEntry>| {
+        entry.is_ok_and(|entry| entry.file_name() == LOCK_FILE)
+    };
     match std::fs::read_dir(folder) {
-        Ok(mut entries) => entries.next().is_none(),
+        Ok(mut entries) => entries.all(is_lock),
         Err(error) => error.kind() == std::io::ErrorKind::NotFound,
     }
 }
@@ -200,9 +202,6 @@
     settings: ControlSettings,
     bootstrap: Bootstrap,
 ) -> Result<(), ControlProcessError> {
-    std::fs::create_dir_all(&settings.data_folder).map_err(|source| {
-        DataFolderError::Unwritable { folder: settings.data_folder.clone(), source }
-    })?;
     let events = install(&settings.data_folder, settings.limits.event_records as usize)?;
     actix_rt::System::new().block_on(async {
         write_events_on_signal(events).map_err(ControlProcessError::Signals)?;
--- a/crates/server/src/dev/mod.rs
+++ b/crates/server/src/dev/mod.rs
@@ -13,7 +13,7 @@
 use corktack_standin::{Group, MemberError};
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 use tempfile::TempDir;
 use tokio::time::timeout;
@@ -221,7 +221,6 @@
     announce: impl FnOnce(&Ready),
 ) -> Result<(), DevError> {
     let (folder, temporary) = open_folder(&settings)?;
-    make_folder(&folder)?;
     let events = install(&folder, EVENT_RECORDS)?;
     let settings = DevSettings { data_folder: Some(folder), ..settings };
     actix_rt::System::new().block_on(async {
@@ -239,8 +238,3 @@
     drop(temporary);
     Ok(())
 }
-
-fn make_folder(folder: &Path) -> Result<(), DevError> {
-    let made = std::fs::create_dir_all(folder);
-    made.map_err(|source| DevError::Folder { folder: folder.to_owned(), source })
-}
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -2,7 +2,6 @@
 
 pub mod client;
 pub mod control;
-pub mod data_folder;
 pub mod dev;
 pub mod listeners;
 pub mod manifest;
--- a/crates/server/src/proxy/mod.rs
+++ b/crates/server/src/proxy/mod.rs
@@ -2,7 +2,6 @@
 
 mod wiring;
 
-use crate::data_folder::{DataFolder, DataFolderError};
 use crate::listeners::{ListenError, bind, bound_address};
 use crate::settings::ProxySettings;
 use crate::settings::proxy::millis;
@@ -14,6 +13,7 @@
 use corktack_core::identity::{Incarnation, ProxyName};
 use corktack_core::view::{ProxyState, Revision, View};
 use corktack_edge::{Edge, EdgeError, EdgeHandle};
+use corktack_storage::{DataFolder, StorageError};
 use corktack_owner::{Owner, OwnerError, OwnerHandle};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -25,8 +25,8 @@
 #[derive(Debug, thiserror::Error)]
 pub enum ProxyError {
     /// The data folder cannot be used.
-    #[error(transparent)]
-    DataFolder(#[from] DataFolderError),
+    #[error("data_folder")]
+    DataFolder(#[from] StorageError),
     /// An address cannot be listened on.
     #[error(transparent)]
     Listen(#[from] ListenError),
@@ -100,7 +100,7 @@
     let (observations, observed) = mpsc::unbounded_channel();
     let watch_settings = wiring::watch_settings(&settings, addresses.peers, incarnation);
     let connect_limit = millis(settings.control.connect_timeout_ms);
-    let store = Box::new(ViewFile::new(folder.path()));
+    let store = Box::new(ViewFile::open(&folder)?);
     let watch = with_registry(&registry, |registry| {
         watch_client::start(watch_settings, connect_limit, store, observed, registry)
     })?;
@@ -219,9 +219,6 @@
 /// # Errors
 /// [`ProxyError`] when it cannot start.
 pub fn run_until_stopped(settings: ProxySettings) -> Result<(), ProxyError> {
-    std::fs::create_dir_all(&settings.data_folder).map_err(|source| {
-        DataFolderError::Unwritable { folder: settings.data_folder.clone(), source }
-    })?;
     let events = install(&settings.data_folder, settings.limits.event_records as usize)?;
     actix_rt::System::new().block_on(async {
         write_events_on_signal(events).map_err(ProxyError::Signals)?;
--- a/crates/server/src/telemetry/mod.rs
+++ b/crates/server/src/telemetry/mod.rs
@@ -8,7 +8,7 @@
 pub use ring::{EventRecord, EventRing};
 
 use log::{LevelFilter, Log, Metadata, Record};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::mpsc::{SyncSender, sync_channel};
 
@@ -21,6 +21,14 @@
     /// The process has a logger already.
     #[error("the process has a logger already")]
     Installed(#[from] log::SetLoggerError),
+    /// The folder for event logs cannot be made.
+    #[error("data_folder = {}: cannot be made", folder.display())]
+    Folder {
+        /// The folder.
+        folder: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
     /// The thread that writes event logs could not be started.
     #[error("the thread that writes event logs cannot be started")]
     Thread(#[source] std::io::Error),
@@ -79,10 +87,13 @@
 
 /// Installs the process's log: warnings and above are printed (or what `RUST_LOG` says), all
 /// levels are kept in a ring of `records`, which is written to `folder` on errors and panics.
+/// The folder is made where it is absent.
 ///
 /// # Errors
 /// [`TelemetryError`] when the process has a logger already.
 pub fn install(folder: &Path, records: usize) -> Result<Arc<EventLog>, TelemetryError> {
+    let made = std::fs::create_dir_all(folder);
+    made.map_err(|source| TelemetryError::Folder { folder: folder.to_owned(), source })?;
     let environment = env_logger::Env::default().default_filter_or("warn");
     let printer = env_logger::Builder::from_env(environment).build();
     let events = EventLog::new(folder, records);
--- a/crates/server/src/watch_client/mod.rs
+++ b/crates/server/src/watch_client/mod.rs
@@ -13,11 +13,12 @@
 
 pub use metrics::WatchMetrics;
 pub use state::WatchSettings;
-pub use store::{StoreError, ViewStore};
+pub use store::ViewStore;
 pub use view_file::ViewFile;
 
 use corktack_core::view::View;
 use corktack_protocol::control::Observation;
+use corktack_storage::StorageError;
 use prometheus_client::registry::Registry;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,8 +29,8 @@
 #[derive(Debug, thiserror::Error)]
 pub enum WatchError {
     /// The stored configuration cannot be read.
-    #[error(transparent)]
-    Store(#[from] StoreError),
+    #[error("the stored configuration cannot be read")]
+    Store(#[from] StorageError),
     /// A thread could not be started.
     #[error("the thread that stores configurations cannot be started")]
     Thread(#[source] std::io::Error),
--- a/crates/server/src/watch_client/store.rs
+++ b/crates/server/src/watch_client/store.rs
@@ -2,49 +2,25 @@
 
 use super::metrics::WatchMetrics;
 use corktack_core::view::{Revision, View};
-use std::path::PathBuf;
+use corktack_storage::StorageError;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use tokio::sync::mpsc;
 
-/// Why a configuration could not be kept or read.
-#[derive(Debug, thiserror::Error)]
-pub enum StoreError {
-    /// The file could not be read.
-    #[error("stored configuration {}: cannot be read", file.display())]
-    Read {
-        /// The file.
-        file: PathBuf,
-        /// Why.
-        source: std::io::Error,
-    },
-    /// The file could not be written and synced.
-    #[error("stored configuration {}: cannot be written", file.display())]
-    Write {
-        /// The file.
-        file: PathBuf,
-        /// Why.
-        source: std::io::Error,
-    },
-    /// The configuration has no encoding.
-    #[error("a configuration cannot be encoded")]
-    Encode(#[from] corktack_protocol::frame::FrameError),
-}
-
 /// Keeps the last configuration in force.
 pub trait ViewStore: Send {
     /// What was kept last; none when nothing was, or when it is damaged: the proxy then starts
     /// like a fresh one, and waits for control.
     ///
     /// # Errors
-    /// [`StoreError::Read`].
-    fn load(&self) -> Result<Option<View>, StoreError>;
+    /// [`StorageError::Io`].
+    fn load(&self) -> Result<Option<View>, StorageError>;
 
     /// Keeps a configuration; it is synced when this returns.
     ///
     /// # Errors
-    /// [`StoreError::Write`].
-    fn save(&mut self, view: &View) -> Result<(), StoreError>;
+    /// [`StorageError::Io`].
+    fn save(&mut self, view: &View) -> Result<(), StorageError>;
 }
 
 /// Writes configurations on a thread of its own, so that no event loop waits for the disk.
