--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,8 @@
 
 pub mod admission;
 pub mod backend;
+pub mod binding;
+pub mod classify;
 pub mod consensus;
 pub mod failover;
 pub mod identity;
@@ -18,6 +20,7 @@
 pub mod resources;
 pub mod retry;
 pub mod routing;
+pub mod session;
 pub mod state;
 pub mod time;
 pub mod view;
