Lab: fleets of processes, load, failover and scale experiments

Cause: the whole path has to be run as separate processes and measured. Change: fleet of control replicas, proxies and stand-in members behind links, both profiles beside a baseline, the failover gap, hollow nodes against real control replicas.

--- /dev/null
+++ b/crates/lab/src/experiment/mod.rs
@@ -0,0 +1,4 @@
+//! Experiments: what is run, measured and written down together.
+
+pub mod failover;
+pub mod profile_load;
--- /dev/null
+++ b/crates/lab/src/fleet/ready.rs
@@ -0,0 +1,94 @@
+//! Waits until the processes of a fleet serve.
+
+use super::{Fleet, FleetError};
+use crate::load::schema;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio_postgres::{Client, NoTls};
+
+/// Longest wait for a fleet's control state, or for its callers to be served.
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time between two looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+impl Fleet {
+    pub(super) async fn wait_for_control(&self) -> Result<(), FleetError> {
+        let control = || async { self.corktack(&["get", "groups"]).ok() };
+        wait_for("control", control).await
+    }
+
+    pub(super) async fn wait_until_served(&self) -> Result<(), FleetError> {
+        for (database, callers) in self.targets() {
+            for address in callers {
+                let what = format!("{database} at {address}");
+                wait_for(&what, || async {
+                    let client = connect(address, &database, "lab").await.ok()?;
+                    client.simple_query("SELECT 1").await.ok()
+                })
+                .await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Creates the tables of the workloads through the first proxy.
+    ///
+    /// # Errors
+    /// [`FleetError::NotReady`] when a group does not take them in time.
+    pub async fn create_tables(&self) -> Result<(), FleetError> {
+        for (database, callers) in self.targets() {
+            wait_for(&format!("tables of {database}"), || async {
+                let client = connect(callers[0], &database, "lab").await.ok()?;
+                schema::create(&client).await.ok()
+            })
+            .await?;
+        }
+        Ok(())
+    }
+}
+
+/// Connects as a plain client.
+///
+/// # Errors
+/// The client's error.
+pub async fn connect(
+    address: SocketAddr,
+    database: &str,
+    user: &str,
+) -> Result<Client, tokio_postgres::Error> {
+    let mut config = tokio_postgres::Config::new();
+    config.host(address.ip().to_string()).port(address.port()).user(user).dbname(database);
+    let (client, connection) = config.connect(NoTls).await?;
+    tokio::spawn(connection);
+    Ok(client)
+}
+
+async fn wait_for<T, F: Future<Output = Option<T>>>(
+    what: &str,
+    mut look: impl FnMut() -> F,
+) -> Result<(), FleetError> {
+    let deadline = Instant::now() + READY_TIMEOUT;
+    while Instant::now() < deadline {
+        if look().await.is_some() {
+            return Ok(());
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+    Err(FleetError::NotReady { what: what.to_owned(), waited: READY_TIMEOUT })
+}
+
+impl Fleet {
+    /// Place of the leading control replica among [`Fleet::controls`].
+    ///
+    /// # Errors
+    /// [`FleetError::NotReady`] when none says who leads.
+    pub async fn control_leader(&self) -> Result<usize, FleetError> {
+        let status = self.corktack(&["status", "-o", "json"])?;
+        let status: serde_json::Value = serde_json::from_str(&status).unwrap_or_default();
+        let leader = status.get("leader").and_then(serde_json::Value::as_u64);
+        let place = self.plan.controls.iter().position(|control| Some(control.id) == leader);
+        let what = "a leading control replica".to_owned();
+        place.ok_or(FleetError::NotReady { what, waited: Duration::ZERO })
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,2 +1,128 @@
-//! Command line of corktack.
-fn main() {}
+//! `corktack-lab`: fleets, load, faults and scale runs on this machine's loopback.
+
+use corktack_lab::experiment::failover::{FailoverSettings, Fault, run_failovers};
+use corktack_lab::experiment::profile_load::{ProfileLoadSettings, run_profile};
+use corktack_lab::profile::Profile;
+use corktack_lab::scale::run::{ScaleSettings, run as run_scale};
+use eyre::eyre;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Runs fleets of corktack on loopback and measures them.
+        cmd corktack-lab {
+            /// Runs a profile's load through a fleet, beside callers straight to the primary.
+            cmd load {
+                /// Profile: carte or huts; both when absent.
+                optional --profile name: String
+                /// Seconds of arrivals.
+                optional --seconds seconds: u64
+                /// Factor on the profile's arrivals.
+                optional --rate factor: f64
+                /// Seed of arrivals and choices.
+                optional --seed seed: u64
+                /// Folder of the processes and the report.
+                optional --folder folder: PathBuf
+            }
+            /// Measures the failover gap.
+            cmd failover {
+                /// How the primary is lost: kill, freeze or cut.
+                required --fault fault: String
+                /// Kill the leading control replica in the same moment.
+                optional --with-control-leader
+                /// Profile: carte or huts.
+                optional --profile name: String
+                /// Runs, each on a fresh fleet.
+                optional --runs count: u32
+                /// Folder of the processes and the report.
+                optional --folder folder: PathBuf
+            }
+            /// Measures what control costs with hollow nodes.
+            cmd scale {
+                /// Numbers of nodes, separated by commas.
+                optional --sizes sizes: String
+                /// Control replicas.
+                optional --controls count: u64
+                /// Seconds measured without changes.
+                optional --quiet seconds: u64
+                /// Changes measured.
+                optional --changes count: u32
+                /// Folder of the processes and the report.
+                optional --folder folder: PathBuf
+            }
+        }
+    }
+}
+
+fn main() -> eyre::Result<()> {
+    env_logger::init();
+    let flags = flags::CorktackLab::from_env_or_exit();
+    actix_rt::System::new().block_on(async {
+        match flags.subcommand {
+            flags::CorktackLabCmd::Load(load) => run_load(load).await,
+            flags::CorktackLabCmd::Failover(failover) => run_failover(failover).await,
+            flags::CorktackLabCmd::Scale(scale) => run_scale_sizes(scale).await,
+        }
+    })
+}
+
+async fn run_load(flags: flags::Load) -> eyre::Result<()> {
+    let profiles = match &flags.profile {
+        Some(name) => vec![profile(name)?],
+        None => vec![Profile::carte(), Profile::huts()],
+    };
+    for profile in profiles {
+        let settings = ProfileLoadSettings {
+            profile,
+            controls: 3,
+            proxies: 3,
+            duration: Duration::from_secs(flags.seconds.unwrap_or(20)),
+            rate: flags.rate.unwrap_or(1.0),
+            seed: flags.seed.unwrap_or(1),
+            folder: folder(flags.folder.as_deref())?,
+        };
+        run_profile(&settings).await?;
+    }
+    Ok(())
+}
+
+async fn run_failover(flags: flags::Failover) -> eyre::Result<()> {
+    let settings = FailoverSettings {
+        profile: profile(flags.profile.as_deref().unwrap_or("carte"))?,
+        fault: flags.fault.parse::<Fault>()?,
+        with_control_leader: flags.with_control_leader,
+        runs: flags.runs.unwrap_or(5),
+        folder: folder(flags.folder.as_deref())?,
+    };
+    run_failovers(&settings).await
+}
+
+async fn run_scale_sizes(flags: flags::Scale) -> eyre::Result<()> {
+    let sizes = flags.sizes.as_deref().unwrap_or("275,550,1100");
+    let sizes: Result<Vec<u32>, _> = sizes.split(',').map(str::parse).collect();
+    let settings = ScaleSettings {
+        sizes: sizes?,
+        controls: flags.controls.unwrap_or(9),
+        quiet: Duration::from_secs(flags.quiet.unwrap_or(20)),
+        changes: flags.changes.unwrap_or(20),
+        threads: 4,
+        folder: folder(flags.folder.as_deref())?,
+        back_end_port: 6_001,
+    };
+    run_scale(&settings).await
+}
+
+fn profile(name: &str) -> eyre::Result<Profile> {
+    Profile::by_name(name).ok_or_else(|| eyre!("{name:?} is not carte or huts"))
+}
+
+/// The folder asked for, or a new one among the system's temporary files.
+fn folder(asked: Option<&Path>) -> eyre::Result<PathBuf> {
+    let temporary = || std::env::temp_dir().join(format!("corktack-lab-{}", std::process::id()));
+    let folder = asked.map_or_else(temporary, Path::to_owned);
+    std::fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
--- a/crates/server/src/control.rs
+++ b/crates/server/src/control.rs
@@ -182,7 +182,7 @@
     replica.request_timeout = millis(timeouts.request_ms);
     replica.back_end_timeout = millis(timeouts.back_end_ms);
     replica.snapshot_entries = limits.snapshot_entries;
-    replica.watch_revisions = limits.watch_revisions as usize;
+    replica.watch_changes = limits.watch_revisions as usize;
     replica.workers = limits.workers as usize;
     replica.operator_token = settings.operator_token;
     replica.platform = settings.platform.map(|platform| PlatformSource {
--- a/crates/server/src/dev/mod.rs
+++ b/crates/server/src/dev/mod.rs
@@ -228,7 +228,7 @@
         let mut stop = StopSignals::listen().map_err(DevError::Signals)?;
         let dev = tokio::select! {
             started = Dev::start(settings) => started?,
-            () = stop.received() => return Ok(()),
+            () = stop.received() => return Ok::<(), DevError>(()),
         };
         announce(dev.ready());
         stop.received().await;
