--- a/crates/cli/src/commands/watch.rs
+++ b/crates/cli/src/commands/watch.rs
@@ -5,7 +5,7 @@
 use crate::flags::Watch;
 use crate::kind::parse_kind;
 use crate::output::{Format, Output};
-use corktack_control::api::{ErrorCode, ResourceList, WatchEvent, WatchLine};
+use corktack_control::api::{ErrorCode, ResourceList, WatchEvent, WatchEventType, WatchLine};
 use corktack_core::resources::Kind;
 use corktack_core::view::Revision;
 use corktack_server::client::{ApiClient, LostAnswer, Request, kind_segment};
@@ -122,15 +122,15 @@
 }
 
 fn event_line(revision: Revision, event: &WatchEvent) -> String {
-    let revision = revision.0;
-    match event {
-        WatchEvent::Put { object } => {
-            let (kind, name) = (object.kind(), &object.metadata().name);
-            let version = object.metadata().resource_version.unwrap_or_default().0;
-            format!("{revision} put {kind:?}/{name} version={version}{}", group_status(object))
-        }
-        WatchEvent::Delete { kind, name } => format!("{revision} delete {kind:?}/{name}"),
-    }
+    let (revision, object) = (revision.0, &event.object);
+    let (kind, name) = (object.kind(), &object.metadata().name);
+    let action = match event.event_type {
+        WatchEventType::Added => "added",
+        WatchEventType::Modified => "modified",
+        WatchEventType::Deleted => return format!("{revision} deleted {kind:?}/{name}"),
+    };
+    let version = object.metadata().resource_version.unwrap_or_default().0;
+    format!("{revision} {action} {kind:?}/{name} version={version}{}", group_status(object))
 }
 
 fn group_status(object: &corktack_control::api::AnyManifest) -> String {
