Lab: a fleet founds its control cell once; the wait tells what it last saw

Ruled out: ports (the processes never got to bind). Change: the first start of a replica founds the cell, later starts never do; a wait that runs out reports the last error. Before: no fleet served.

--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -13,6 +13,9 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// Option that lets a control replica found the cell on an empty folder.
+const BOOTSTRAP: &str = "--bootstrap";
+
 /// Why a fleet could not be started or used.
 #[derive(Debug, thiserror::Error)]
 pub enum FleetError {
@@ -37,12 +40,14 @@
     #[error(transparent)]
     Link(#[from] LinkError),
     /// Something did not become ready in time.
-    #[error("{what} was not ready within {waited:?}")]
+    #[error("{what} was not ready within {waited:?}; the last look gave: {last}")]
     NotReady {
         /// What was waited for.
         what: String,
         /// How long.
         waited: Duration,
+        /// What the last look gave.
+        last: String,
     },
     /// A command of the product failed.
     #[error("{command} ended with {status}: {output}")]
@@ -211,8 +216,12 @@
     let name = format!("control-{}", control.id);
     let settings = plan.folder.join(format!("{name}.toml"));
     write_file(&settings, &plan.control_file(control, &plan.folder.join(&name))?)?;
-    let arguments = ["control", "--settings", &settings.to_string_lossy()].map(str::to_owned);
-    Ok(Process::start(&name, &programs.corktack, arguments.to_vec(), &plan.folder)?)
+    let arguments =
+        ["control", "--settings", &settings.to_string_lossy(), BOOTSTRAP].map(str::to_owned);
+    let mut process = Process::start(&name, &programs.corktack, arguments.to_vec(), &plan.folder)?;
+    // Only an empty folder of the first start may found the cell: a wiped one must not.
+    process.drop_argument(BOOTSTRAP);
+    Ok(process)
 }
 
 async fn start_proxy(
--- a/crates/lab/src/fleet/ready.rs
+++ b/crates/lab/src/fleet/ready.rs
@@ -14,7 +14,7 @@
 
 impl Fleet {
     pub(super) async fn wait_for_control(&self) -> Result<(), FleetError> {
-        let control = || async { self.corktack(&["get", "groups"]).ok() };
+        let control = || async { Ok(self.corktack(&["get", "groups"])?) };
         wait_for("control", control).await
     }
 
@@ -23,8 +23,8 @@
             for address in callers {
                 let what = format!("{database} at {address}");
                 wait_for(&what, || async {
-                    let client = connect(address, &database, "lab").await.ok()?;
-                    client.simple_query("SELECT 1").await.ok()
+                    let client = connect(address, &database, "lab").await?;
+                    Ok(client.simple_query("SELECT 1").await?)
                 })
                 .await?;
             }
@@ -39,8 +39,8 @@
     pub async fn create_tables(&self) -> Result<(), FleetError> {
         for (database, callers) in self.targets() {
             wait_for(&format!("tables of {database}"), || async {
-                let client = connect(callers[0], &database, "lab").await.ok()?;
-                schema::create(&client).await.ok()
+                let client = connect(callers[0], &database, "lab").await?;
+                Ok(schema::create(&client).await?)
             })
             .await?;
         }
@@ -64,18 +64,19 @@
     Ok(client)
 }
 
-async fn wait_for<T, F: Future<Output = Option<T>>>(
+async fn wait_for<T, F: Future<Output = eyre::Result<T>>>(
     what: &str,
     mut look: impl FnMut() -> F,
 ) -> Result<(), FleetError> {
     let deadline = Instant::now() + READY_TIMEOUT;
-    while Instant::now() < deadline {
-        if look().await.is_some() {
-            return Ok(());
+    loop {
+        let Err(last) = look().await else { return Ok(()) };
+        if Instant::now() >= deadline {
+            let (what, last) = (what.to_owned(), format!("{last:?}"));
+            return Err(FleetError::NotReady { what, waited: READY_TIMEOUT, last });
         }
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
-    Err(FleetError::NotReady { what: what.to_owned(), waited: READY_TIMEOUT })
 }
 
 impl Fleet {
@@ -89,6 +90,7 @@
         let leader = status.get("leader").and_then(serde_json::Value::as_u64);
         let place = self.plan.controls.iter().position(|control| Some(control.id) == leader);
         let what = "a leading control replica".to_owned();
-        place.ok_or(FleetError::NotReady { what, waited: Duration::ZERO })
+        let last = status.to_string();
+        place.ok_or(FleetError::NotReady { what, waited: Duration::ZERO, last })
     }
 }
--- a/crates/lab/src/fleet/verify.rs
+++ b/crates/lab/src/fleet/verify.rs
@@ -74,7 +74,8 @@
             tokio::time::sleep(PRIMARY_INTERVAL).await;
         }
         let waited = PRIMARY_INTERVAL * PRIMARY_ATTEMPTS;
-        Err(FleetError::NotReady { what: format!("a primary of {group}"), waited })
+        let last = "no member says that it is the primary".to_owned();
+        Err(FleetError::NotReady { what: format!("a primary of {group}"), waited, last })
     }
 }
 
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -61,6 +61,11 @@
         Ok(Self { name: name.to_owned(), program: program.to_owned(), arguments, log, child })
     }
 
+    /// Leaves an argument that only the first start needs out of later ones.
+    pub fn drop_argument(&mut self, argument: &str) {
+        self.arguments.retain(|it| it != argument);
+    }
+
     /// Name in the fleet.
     #[must_use]
     pub fn name(&self) -> &str {
