Lab: ports of their own, callers that end with the run, a fair baseline

Causes, each from a run that failed: ports drawn by the system were taken by outgoing connections before the process listened (addresses.peers: address already in use); a folder of an earlier fleet let control replicas go on with members that were gone; callers still waiting at the end were dropped with their writes, so 'checked 0 writes' and a gap of the whole run were reported; callers straight to the primary paid no latency between regions while those through the fleet did.

--- a/crates/lab/src/experiment/profile_load.rs
+++ b/crates/lab/src/experiment/profile_load.rs
@@ -73,8 +73,9 @@
     eprintln!("{}: fleet of {} processes serves", profile.name, fleet.process_ids().len());
 
     let baseline_links = baseline_links(&fleet).await?;
+    let addresses = |links: &Vec<Link>| links.iter().map(Link::address).collect();
     let targets = baseline_links.iter();
-    let targets = targets.map(|(name, link)| (name.clone(), vec![link.address()])).collect();
+    let targets = targets.map(|(name, links)| (name.clone(), addresses(links))).collect();
     let baseline = run(load(settings, "straight", targets, false)).await;
     let through = run(load(settings, "fleet", fleet.targets(), true)).await;
 
@@ -119,14 +120,21 @@
     }
 }
 
-/// Links from callers straight to each group's primary, with the callers' latency.
-async fn baseline_links(fleet: &Fleet) -> eyre::Result<Vec<(String, Link)>> {
+/// Links from callers in each region straight to each group's primary: the callers'
+/// latency and that between their region and the primary's, as through the proxies.
+async fn baseline_links(fleet: &Fleet) -> eyre::Result<Vec<(String, Vec<Link>)>> {
+    let profile = &fleet.plan.profile;
     let mut links = Vec::new();
-    for (group, members) in fleet.plan.groups.iter().zip(&fleet.groups) {
+    for (number, (group, members)) in fleet.plan.groups.iter().zip(&fleet.groups).enumerate() {
         let (_, primary) = fleet.find_primary(&group.name, members).await?;
-        let latency = fleet.plan.profile.caller_latency + fleet.plan.profile.zone_latency;
-        let link = Link::start(primary.plan.sql, LinkState::delayed(latency)).await?;
-        links.push((group.name.clone(), link));
+        let mut by_region = Vec::new();
+        for region in 0..profile.regions.len() {
+            let near = region == number % profile.regions.len();
+            let between = if near { profile.zone_latency } else { profile.region_latency };
+            let state = LinkState::delayed(profile.caller_latency + between);
+            by_region.push(Link::start(primary.plan.sql, state).await?);
+        }
+        links.push((group.name.clone(), by_region));
     }
     Ok(links)
 }
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -27,6 +27,9 @@
         /// Why.
         source: std::io::Error,
     },
+    /// The folder holds files already, perhaps those of an earlier fleet.
+    #[error("{0} is not empty; give each run a folder of its own")]
+    FolderInUse(PathBuf),
     /// A settings file could not be written.
     #[error("settings cannot be encoded")]
     Settings(#[from] toml::ser::Error),
@@ -140,7 +143,7 @@
     /// # Errors
     /// The first [`FleetError`]; what was started is killed.
     pub async fn start(plan: FleetPlan, programs: Programs) -> Result<Self, FleetError> {
-        create_folder(&plan.folder)?;
+        create_empty_folder(&plan.folder)?;
         let controls = start_controls(&plan, &programs)?;
         let mut groups = Vec::new();
         for group in &plan.groups {
@@ -308,9 +311,15 @@
     arguments
 }
 
-fn create_folder(path: &Path) -> Result<(), FleetError> {
-    std::fs::create_dir_all(path)
-        .map_err(|source| FleetError::File { path: path.to_owned(), source })
+/// Makes the folder of a fleet. One that holds an earlier fleet is refused: its control
+/// replicas would go on with members that are no longer there.
+fn create_empty_folder(path: &Path) -> Result<(), FleetError> {
+    let failed = |source| FleetError::File { path: path.to_owned(), source };
+    std::fs::create_dir_all(path).map_err(failed)?;
+    if std::fs::read_dir(path).map_err(failed)?.next().is_some() {
+        return Err(FleetError::FolderInUse(path.to_owned()));
+    }
+    Ok(())
 }
 
 fn write_file(path: &Path, text: &str) -> Result<(), FleetError> {
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -1,6 +1,6 @@
 //! Names, addresses and files of a fleet before it is started.
 
-use super::ports::free_addresses;
+use super::ports::free_address;
 use crate::profile::Profile;
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -91,19 +91,18 @@
 }
 
 fn plan_control(id: u64) -> std::io::Result<ControlPlan> {
-    let addresses = free_addresses(3)?;
-    Ok(ControlPlan { id, cell: addresses[0], proxies: addresses[1], operators: addresses[2] })
+    let (cell, proxies, operators) = (free_address()?, free_address()?, free_address()?);
+    Ok(ControlPlan { id, cell, proxies, operators })
 }
 
 fn plan_proxy(profile: &Profile, number: usize) -> std::io::Result<ProxyPlan> {
-    let addresses = free_addresses(3)?;
     let region = &profile.regions[number % profile.regions.len()];
     Ok(ProxyPlan {
         name: format!("proxy-{}", number + 1),
         zone: format!("{region}.1"),
-        callers: addresses[0],
-        peers: addresses[1],
-        telemetry: addresses[2],
+        callers: free_address()?,
+        peers: free_address()?,
+        telemetry: free_address()?,
     })
 }
 
@@ -111,12 +110,11 @@
     let region = &profile.regions[number % profile.regions.len()];
     let name = format!("{}-{}", profile.name, number + 1);
     let members = (1..=profile.members).map(|member| {
-        let addresses = free_addresses(2)?;
         Ok(MemberPlan {
             name: format!("{name}-m{member}"),
             zone: format!("{region}.{member}"),
-            sql: addresses[0],
-            replication: addresses[1],
+            sql: free_address()?,
+            replication: free_address()?,
         })
     });
     let members = members.collect::<std::io::Result<_>>()?;
--- a/crates/lab/src/load/caller.rs
+++ b/crates/lab/src/load/caller.rs
@@ -53,6 +53,8 @@
     Failed,
     /// The connection was lost or could not be made.
     Closed,
+    /// No answer when the run ended.
+    Unanswered,
 }
 
 /// A caller and what it saw.
@@ -65,6 +67,7 @@
     token: Arc<Mutex<Option<String>>>,
     sequence: i64,
     acknowledged: i64,
+    in_flight: Option<Write>,
     /// Its writes and what it was told.
     pub writes: Vec<Write>,
     /// Rules that were broken.
@@ -95,6 +98,7 @@
             token: Arc::default(),
             sequence: 0,
             acknowledged: 0,
+            in_flight: None,
             writes: Vec::new(),
             violations: Vec::new(),
             acknowledged_at: Vec::new(),
@@ -165,6 +169,20 @@
         }
     }
 
+    /// Counts a write that was given up on while it ran as one of unknown outcome.
+    pub fn abandon(&mut self) {
+        self.writes.extend(self.in_flight.take());
+    }
+
+    fn begin_write(&mut self, kind: WriteKind, id: &str) {
+        self.in_flight = Some(Write { kind, id: id.to_owned(), told: Told::Unknown });
+    }
+
+    fn end_write(&mut self, kind: WriteKind, id: String, told: Told) {
+        self.in_flight = None;
+        self.writes.push(Write { kind, id, told });
+    }
+
     async fn lookup(&mut self) -> Ended {
         let Some(session) = &self.session else { return Ended::Closed };
         let line = self.random.random_range(0..RECORDS);
@@ -199,10 +217,11 @@
     }
 
     async fn write_flag(&mut self) -> Ended {
-        let Some(session) = &self.session else { return Ended::Closed };
         self.sequence += 1;
         let sequence = self.sequence;
         let id = format!("{}-{sequence}", self.settings.name);
+        self.begin_write(WriteKind::Flag, &id);
+        let Some(session) = &self.session else { return Ended::Closed };
         let parameters: [&(dyn tokio_postgres::types::ToSql + Sync); 3] =
             [&id, &self.settings.name, &sequence];
         let result = session.client.execute(&session.flag, &parameters).await;
@@ -213,15 +232,16 @@
     }
 
     async fn write_booking(&mut self) -> Ended {
-        let Some(session) = &mut self.session else { return Ended::Closed };
         self.sequence += 1;
         let id = format!("{}-b{}", self.settings.name, self.sequence);
+        self.begin_write(WriteKind::Booking, &id);
+        let Some(session) = &mut self.session else { return Ended::Closed };
         let (result, committing) = run_booking(&mut session.client, &id).await;
         let Err(error) = result else { return self.finish_write(WriteKind::Booking, id, Ok(())) };
         // What breaks before COMMIT was sent cannot have committed.
         let verdict = verdict(&error);
         if !committing && verdict == Verdict::Closed {
-            self.writes.push(Write { kind: WriteKind::Booking, id, told: Told::NotRun });
+            self.end_write(WriteKind::Booking, id, Told::NotRun);
             return Ended::Closed;
         }
         self.finish_write(WriteKind::Booking, id, Err(error))
@@ -234,6 +254,7 @@
         }
         self.sequence += 1;
         let id = format!("{}-c{}", self.settings.name, self.sequence);
+        self.begin_write(WriteKind::Charge, &id);
         let mut maybe_ran = false;
         for _ in 0..KEYED_ATTEMPTS {
             let error = match self.send_charge(&id).await {
@@ -254,7 +275,7 @@
             tokio::time::sleep(pause).await;
         }
         let told = if maybe_ran { Told::Unknown } else { Told::NotRun };
-        self.writes.push(Write { kind: WriteKind::Charge, id, told });
+        self.end_write(WriteKind::Charge, id, told);
         if maybe_ran { Ended::Unknown } else { Ended::Failed }
     }
 
@@ -288,7 +309,7 @@
                 (told, ended)
             }
         };
-        self.writes.push(Write { kind, id, told });
+        self.end_write(kind, id, told);
         ended
     }
 
--- a/crates/lab/src/load/run.rs
+++ b/crates/lab/src/load/run.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 /// Highest latency that a histogram tells apart, in microseconds.
@@ -130,6 +130,7 @@
     let result = Arc::new(Mutex::new(LoadResult::default()));
     let progress = Arc::new(Progress::default());
     let start = Instant::now();
+    let (closing, closed) = watch::channel(false);
     let mut callers = Vec::new();
     let mut arrivals = Vec::new();
     for number in 0..settings.targets.len() {
@@ -137,8 +138,8 @@
         let receiver = Arc::new(tokio::sync::Mutex::new(receiver));
         for (caller, class) in group_callers(&settings, number) {
             let sums = (Arc::clone(&result), Arc::clone(&progress));
-            let database = settings.targets[number].0.clone();
-            let work = serve(caller, class, database, Arc::clone(&receiver), sums, start);
+            let place = Place { class, database: settings.targets[number].0.clone(), start };
+            let work = serve(caller, place, Arc::clone(&receiver), sums, closed.clone());
             callers.push(tokio::spawn(work));
         }
         arrivals.push(tokio::spawn(arrive(settings.clone(), number, start, sender)));
@@ -148,9 +149,14 @@
         let _ = arrival.await;
     }
     let deadline = Instant::now() + LAST_ANSWERS;
-    for caller in callers {
+    for caller in &mut callers {
         let _ = tokio::time::timeout_at(deadline, caller).await;
     }
+    // Those still waiting give up, so that what they wrote is counted too.
+    let _ = closing.send(true);
+    for caller in callers.into_iter().filter(|caller| !caller.is_finished()) {
+        let _ = caller.await;
+    }
     shown.abort();
     let mut result = std::mem::take(&mut *result.lock().unwrap_or_else(PoisonError::into_inner));
     result.duration = settings.duration;
@@ -214,33 +220,49 @@
 
 type Sums = (Arc<Mutex<LoadResult>>, Arc<Progress>);
 
-async fn serve(
-    mut caller: Caller,
+/// Where a caller belongs and when the run began.
+struct Place {
     class: String,
     database: String,
+    start: Instant,
+}
+
+async fn serve(
+    mut caller: Caller,
+    place: Place,
     arrivals: Arc<tokio::sync::Mutex<mpsc::UnboundedReceiver<Arrival>>>,
     (result, progress): Sums,
-    start: Instant,
+    mut closing: watch::Receiver<bool>,
 ) {
     let _ = caller.ensure_connected().await;
     loop {
-        let arrival = arrivals.lock().await.recv().await;
+        let arrival = tokio::select! {
+            arrival = async { arrivals.lock().await.recv().await } => arrival,
+            _ = closing.changed() => None,
+        };
         let Some(arrival) = arrival else { break };
         if arrival.roam {
             caller.roam();
         }
-        let ended = caller.run(arrival.operation).await;
+        let ended = tokio::select! {
+            ended = caller.run(arrival.operation) => ended,
+            _ = closing.changed() => Ended::Unanswered,
+        };
         let latency = arrival.at.elapsed();
         let counter = if ended == Ended::Done { &progress.done } else { &progress.not_done };
         counter.fetch_add(1, Ordering::Relaxed);
         let mut result = result.lock().unwrap_or_else(PoisonError::into_inner);
-        record(&mut result, &class, arrival.operation, ended, latency);
+        record(&mut result, &place.class, arrival.operation, ended, latency);
+        if ended == Ended::Unanswered {
+            break;
+        }
     }
+    caller.abandon();
     let mut result = result.lock().unwrap_or_else(PoisonError::into_inner);
     result.violations.append(&mut caller.violations);
-    let micros = caller.acknowledged_at.iter().map(|at| (*at - start).as_micros() as u64);
-    result.acknowledged_micros.entry(database.clone()).or_default().extend(micros);
-    result.written.entry(database).or_default().append(&mut caller.writes);
+    let micros = caller.acknowledged_at.iter().map(|at| (*at - place.start).as_micros() as u64);
+    result.acknowledged_micros.entry(place.database.clone()).or_default().extend(micros);
+    result.written.entry(place.database).or_default().append(&mut caller.writes);
 }
 
 fn record(
