Stand-in tests: a caller whose connection ended no longer waits for ever

The Connection owns the senders of the answers it owes and the receiver of new requests, so the request waited for ever. `an_open_transaction_ends_when_its_primary_is_fenced` met it whenever the member's FATAL error was read before the COMMIT was written: a race, so machine and load decided.

Ruled out: the member. In a hung run all threads of the three members idled in epoll_wait or in tokio's idle blocking workers; no statement, lock or sync was running. Bounded polls (`eventually`) end in a panic, not in a hang.

New test: a caller of a stopped member gets an error, twice (this member's sockets are closed before the request is made, so the order is fixed).

--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -46,9 +46,12 @@
 /// A client whose connection is driven by its own calls, so that parameters can be read.
 pub struct Caller {
     pub client: Client,
-    connection: Connection<tokio_postgres::Socket, NoTlsStream>,
+    connection: Option<CallerConnection>,
+    position: Option<Position>,
 }
 
+type CallerConnection = Connection<tokio_postgres::Socket, NoTlsStream>;
+
 pub fn config(address: SocketAddr) -> Config {
     let mut config = Config::new();
     config.host(address.ip().to_string()).port(address.port()).user("clerk").dbname("cdr");
@@ -62,12 +65,15 @@
 
     pub async fn connect_with(config: &Config) -> Result<Self, Error> {
         let (client, connection) = config.connect(NoTls).await?;
-        Ok(Self { client, connection })
+        Ok(Self { client, connection: Some(connection), position: None })
     }
 
     pub async fn simple(&mut self, sql: &str) -> Result<Vec<Vec<Option<String>>>, Error> {
         let request = self.client.simple_query(sql);
-        let messages = drive(&mut self.connection, request).await?;
+        let result = drive(&mut self.connection, request).await;
+        let reported = self.connection.as_ref().and_then(|open| open.parameter(POSITION_PARAMETER));
+        self.position = reported.and_then(|text| text.parse().ok()).or(self.position);
+        let messages = result?;
         Ok(messages.iter().filter_map(row_texts).collect())
     }
 
@@ -79,21 +85,28 @@
 
     /// The position the member reported last.
     pub fn position(&self) -> Option<Position> {
-        self.connection.parameter(POSITION_PARAMETER)?.parse().ok()
+        self.position
     }
 }
 
 /// Waits for a request while its connection is driven.
-pub async fn drive<T>(
-    connection: &mut Connection<tokio_postgres::Socket, NoTlsStream>,
+///
+/// A connection that ended is dropped at once: it owns the senders of the answers
+/// it still owed, and a request waits for ever while one of them lives.
+async fn drive<T>(
+    connection: &mut Option<CallerConnection>,
     request: impl Future<Output = Result<T, Error>>,
 ) -> Result<T, Error> {
     tokio::pin!(request);
-    tokio::select! {
-        biased;
-        result = &mut request => result,
-        _ = connection => request.await,
+    if let Some(open) = connection {
+        tokio::select! {
+            biased;
+            result = &mut request => return result,
+            _ = open => {}
+        }
     }
+    drop(connection.take());
+    request.await
 }
 
 fn row_texts(message: &SimpleQueryMessage) -> Option<Vec<Option<String>>> {
--- a/crates/standin/tests/replication.rs
+++ b/crates/standin/tests/replication.rs
@@ -71,6 +71,19 @@
     assert_eq!(sqlstate(&error), "25006");
 }
 
+#[rstest]
+#[tokio::test]
+async fn a_caller_of_a_stopped_member_gets_an_error() {
+    let mut test = start_group();
+    let mut primary = test.caller(0).await;
+    primary.simple("SELECT 1").await.unwrap();
+    test.group.stop_member(0);
+    for _ in 0..2 {
+        let error = primary.simple("SELECT 1").await.unwrap_err();
+        assert_eq!(sqlstate(&error), "closed");
+    }
+}
+
 #[rstest]
 #[tokio::test]
 async fn the_read_index_needs_a_majority() {
