Stand-in: damaged logs, bad frames and members that lack writes are refused

Cause, found by reading and shown by tests: - A damaged record in the middle of the log was taken for a torn tail, and every acknowledged entry behind it was cut silently. - Decoders had no bound: ten bytes of a frame or a file could claim a text of 2^46 bytes, which aborts the process (seen: 'memory allocation of bytes failed', SIGABRT). - A member that lacked committed entries could be promoted: it appended the entry of its term at once, so its log looked the most advanced from then on. Nothing but the caller's good choice kept acknowledged writes. - A promotion that was fenced at a higher term waited for ever for its entry.

Ruled out: a count of synced bytes in a file of its own (a second sync for each write); election by votes in a message of its own (the append request carries all).

Change: each record tells how much of the file was synced when it was written; a bad record before such a mark is DurableError::Corrupt, else a torn tail. One codec module decodes with a limit in proportion to the input. A request carries the last entry that the primary had when its term began; a member with more refuses a term that no majority opened, and the entry that opens a term is appended only after a majority accepted it.

Limits: damage to what was synced last cannot be told from a torn write. A member whose whole data folder is lost while it is primary of term 1 starts as a fresh primary of term 1; that is as before, and open.

--- a/crates/standin/src/error.rs
+++ b/crates/standin/src/error.rs
@@ -47,12 +47,27 @@
     /// The promise file is damaged.
     #[error("the promise file {0} is damaged")]
     Promise(PathBuf),
+    /// A synced part of the log is damaged; cutting it would lose acknowledged writes.
+    #[error("the log {path} is damaged at byte {offset}, before records that follow it")]
+    Corrupt {
+        /// The log.
+        path: PathBuf,
+        /// Offset of the first damaged record.
+        offset: u64,
+    },
+    /// A transaction is too large for one record.
+    #[error("a record of {0} bytes is too large")]
+    TooLarge(usize),
     /// An index outside the log was asked for.
     #[error("index {0} is not in the log")]
     Index(u64),
 }
 
 impl DurableError {
+    pub(crate) fn corrupt(path: &std::path::Path) -> impl FnOnce(u64) -> Self + '_ {
+        move |offset| Self::Corrupt { path: path.to_owned(), offset }
+    }
+
     pub(crate) fn file(path: &std::path::Path) -> impl FnOnce(io::Error) -> Self + '_ {
         move |source| Self::File { path: path.to_owned(), source }
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! under a term before a commit is acknowledged.
 
 mod applier;
+pub mod codec;
 mod engine;
 mod entry;
 mod error;
@@ -27,4 +28,6 @@
     DEFAULT_CONNECTION_COST, DEFAULT_CONNECTION_LIMIT, FIRST_TERM, Member, MemberHandle,
     MemberSettings, Peer, bind_loopback,
 };
+pub use promise::Promise;
+pub use replication::message::{AppendOutcome, AppendRequest, AppendResponse};
 pub use replication::{ReplicationStatus, Role};
--- a/crates/standin/src/log_file.rs
+++ b/crates/standin/src/log_file.rs
@@ -1,5 +1,11 @@
 //! Durable log of a member: checksummed records in one file, synced before they count.
+//!
+//! Each record tells how much of the file was synced when it was written. A bad
+//! record is a torn tail, and is cut, unless a good record behind it tells that
+//! the bad one had been synced: then the log is damaged, and is refused. Damage
+//! to what was synced last cannot be told from a torn write.
 
+use crate::codec;
 use crate::entry::LogEntry;
 use crate::error::DurableError;
 use corktack_core::position::{Position, Term};
@@ -11,8 +17,9 @@
 /// Name of the log file inside a member's data folder.
 pub const LOG_FILE_NAME: &str = "replication.log";
 
-const HEADER_BYTES: usize = 8;
-const CODEC: bincode::config::Configuration = bincode::config::standard();
+/// Length and checksum of what follows, then the offset up to which the file was synced.
+const HEADER_BYTES: usize = 16;
+const CHECKED_FROM: usize = 8;
 
 /// An open log with its entries in memory.
 pub struct DurableLog {
@@ -33,11 +40,11 @@
     /// Opens or creates the log of a data folder and cuts a torn tail.
     ///
     /// # Errors
-    /// The file cannot be read, cut or synced.
+    /// The file cannot be read, cut or synced, or a synced part of it is damaged.
     pub fn open(data_folder: &Path) -> Result<Self, DurableError> {
         let path = data_folder.join(LOG_FILE_NAME);
         let bytes = read_if_exists(&path)?;
-        let Scan { entries, ends } = scan(&bytes);
+        let Scan { entries, ends } = scan(&bytes).map_err(DurableError::corrupt(&path))?;
         let file = OpenOptions::new().create(true).append(true).open(&path);
         let file = file.map_err(DurableError::file(&path))?;
         let valid = ends.last().copied().unwrap_or(0);
@@ -79,6 +86,16 @@
         self.entries.iter().skip(skip).take(limit).cloned().collect()
     }
 
+    /// Entries from an index on, until `limit` of them or `size` bytes are reached.
+    #[must_use]
+    pub fn batch(&self, first: u64, limit: usize, size: u64) -> Vec<Arc<LogEntry>> {
+        let skip = usize::try_from(first.saturating_sub(1)).unwrap_or(usize::MAX);
+        let start = skip.checked_sub(1).and_then(|slot| self.ends.get(slot)).copied();
+        let full = start.unwrap_or(0).saturating_add(size);
+        let fitting = self.ends.iter().skip(skip).take_while(|end| **end < full).count();
+        self.range(first, limit.min(fitting + 1))
+    }
+
     /// Appends entries and syncs them.
     ///
     /// # Errors
@@ -92,7 +109,7 @@
         let mut bytes = Vec::new();
         let mut ends = Vec::with_capacity(entries.len());
         for entry in &entries {
-            encode_record(entry, &mut bytes)?;
+            encode_record(entry, start, &mut bytes)?;
             ends.push(start + bytes.len() as u64);
         }
         let written = self.file.write_all(&bytes).and_then(|()| self.file.sync_data());
@@ -128,10 +145,12 @@
 /// Reads the log of a data folder without changing it.
 ///
 /// # Errors
-/// The file cannot be read.
+/// The file cannot be read, or a synced part of it is damaged.
 pub fn read_log(data_folder: &Path) -> Result<Vec<LogEntry>, DurableError> {
-    let bytes = read_if_exists(&data_folder.join(LOG_FILE_NAME))?;
-    Ok(scan(&bytes).entries.iter().map(|entry| LogEntry::clone(entry)).collect())
+    let path = data_folder.join(LOG_FILE_NAME);
+    let bytes = read_if_exists(&path)?;
+    let found = scan(&bytes).map_err(DurableError::corrupt(&path))?;
+    Ok(found.entries.iter().map(|entry| LogEntry::clone(entry)).collect())
 }
 
 /// Syncs a folder, so that new names in it last.
@@ -150,37 +169,72 @@
     Ok(bytes)
 }
 
-fn encode_record(entry: &LogEntry, bytes: &mut Vec<u8>) -> Result<(), DurableError> {
-    let payload = bincode::serde::encode_to_vec(entry, CODEC)?;
+fn encode_record(entry: &LogEntry, synced: u64, bytes: &mut Vec<u8>) -> Result<(), DurableError> {
+    let payload = codec::encode(entry)?;
+    if payload.len() > codec::ENTRY_LIMIT {
+        return Err(DurableError::TooLarge(payload.len()));
+    }
+    let synced = synced.to_le_bytes();
     bytes.extend_from_slice(&(payload.len() as u32).to_le_bytes());
-    bytes.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
+    bytes.extend_from_slice(&checksum(&synced, &payload).to_le_bytes());
+    bytes.extend_from_slice(&synced);
     bytes.extend_from_slice(&payload);
     Ok(())
 }
 
-fn scan(bytes: &[u8]) -> Scan {
+fn checksum(synced: &[u8], payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(synced);
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+/// Reads records up to a torn tail; the offset of damage that is none is an error.
+fn scan(bytes: &[u8]) -> Result<Scan, u64> {
     let mut found = Scan { entries: Vec::new(), ends: Vec::new() };
     let mut offset = 0;
-    while let Some((entry, end)) = decode_record(bytes, offset) {
+    while let Some(Record { entry, end }) = decode_record(bytes, offset) {
         if entry.index != found.entries.len() as u64 + 1 {
-            break;
+            return Err(offset as u64);
         }
         found.entries.push(Arc::new(entry));
         found.ends.push(end as u64);
         offset = end;
     }
-    found
+    if was_synced(bytes, offset) { Err(offset as u64) } else { Ok(found) }
+}
+
+/// Whether a record behind the offset tells that the byte there had been synced.
+fn was_synced(bytes: &[u8], offset: usize) -> bool {
+    let later = offset.saturating_add(1)..bytes.len();
+    let tells = |place: &usize| {
+        let synced = synced_before(bytes, *place).unwrap_or(0);
+        synced > offset as u64 && synced <= *place as u64
+    };
+    later.filter(tells).any(|place| decode_record(bytes, place).is_some())
+}
+
+/// What a record at the offset, if there is one, says was synced before it.
+fn synced_before(bytes: &[u8], offset: usize) -> Option<u64> {
+    let field = bytes.get(offset + CHECKED_FROM..offset + HEADER_BYTES)?;
+    Some(u64::from_le_bytes(field.try_into().ok()?))
+}
+
+/// A decoded record and the offset behind it.
+struct Record {
+    entry: LogEntry,
+    end: usize,
 }
 
-fn decode_record(bytes: &[u8], offset: usize) -> Option<(LogEntry, usize)> {
+fn decode_record(bytes: &[u8], offset: usize) -> Option<Record> {
     let header = bytes.get(offset..offset + HEADER_BYTES)?;
     let length = u32::from_le_bytes(header[..4].try_into().ok()?) as usize;
-    let checksum = u32::from_le_bytes(header[4..].try_into().ok()?);
-    let end = offset + HEADER_BYTES + length;
-    let payload = bytes.get(offset + HEADER_BYTES..end)?;
-    if crc32fast::hash(payload) != checksum {
+    let expected = u32::from_le_bytes(header[4..CHECKED_FROM].try_into().ok()?);
+    let start = offset + HEADER_BYTES;
+    let end = start + length;
+    let payload = bytes.get(start..end)?;
+    if checksum(&header[CHECKED_FROM..], payload) != expected {
         return None;
     }
-    let (entry, _) = bincode::serde::decode_from_slice(payload, CODEC).ok()?;
-    Some((entry, end))
+    Some(Record { entry: codec::decode(payload).ok()?, end })
 }
--- a/crates/standin/src/promise.rs
+++ b/crates/standin/src/promise.rs
@@ -1,5 +1,6 @@
 //! The term a member promised, kept in a file that is replaced atomically.
 
+use crate::codec;
 use crate::error::DurableError;
 use crate::log_file::sync_folder;
 use corktack_core::identity::MemberName;
@@ -12,7 +13,6 @@
 const PROMISE_FILE_NAME: &str = "promise";
 const TEMPORARY_FILE_NAME: &str = "promise.new";
 const CHECKSUM_BYTES: usize = 4;
-const CODEC: bincode::config::Configuration = bincode::config::standard();
 
 /// The highest promised term and the primary accepted for it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -74,7 +74,7 @@
 }
 
 fn encode(promise: &Promise) -> Result<Vec<u8>, DurableError> {
-    let payload = bincode::serde::encode_to_vec(promise, CODEC)?;
+    let payload = codec::encode(promise)?;
     let mut bytes = crc32fast::hash(&payload).to_le_bytes().to_vec();
     bytes.extend_from_slice(&payload);
     Ok(bytes)
@@ -86,5 +86,5 @@
     if crc32fast::hash(payload) != checksum {
         return None;
     }
-    Some(bincode::serde::decode_from_slice(payload, CODEC).ok()?.0)
+    codec::decode(payload).ok()
 }
--- a/crates/standin/src/replication/link.rs
+++ b/crates/standin/src/replication/link.rs
@@ -1,5 +1,7 @@
 //! Frames of the replication protocol over TCP.
 
+use super::steps::BATCH_BYTES;
+use crate::codec::{self, CodecError};
 use futures_util::{SinkExt, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -7,9 +9,8 @@
 use tokio_util::bytes::Bytes;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// Largest frame accepted, in bytes.
-const FRAME_LIMIT: usize = 256 * 1024 * 1024;
-const CODEC: bincode::config::Configuration = bincode::config::standard();
+/// Largest frame accepted, in bytes: a largest entry behind a full batch, and the rest of a request.
+const FRAME_LIMIT: usize = codec::ENTRY_LIMIT + 2 * BATCH_BYTES;
 
 /// Why a replication connection ended.
 #[derive(Debug, thiserror::Error)]
@@ -28,7 +29,7 @@
     Encode(#[from] bincode::error::EncodeError),
     /// A message could not be decoded.
     #[error("a replication message cannot be decoded: {0}")]
-    Decode(#[from] bincode::error::DecodeError),
+    Decode(#[from] CodecError),
 }
 
 /// A connection between two members that carries typed messages.
@@ -52,7 +53,7 @@
     /// # Errors
     /// The message cannot be encoded or the connection broke.
     pub async fn send<M: Serialize>(&mut self, message: &M) -> Result<(), LinkError> {
-        let bytes = bincode::serde::encode_to_vec(message, CODEC)?;
+        let bytes = codec::encode(message)?;
         Ok(self.frames.send(Bytes::from(bytes)).await?)
     }
 
@@ -62,7 +63,6 @@
     /// The connection ended or the message cannot be decoded.
     pub async fn receive<M: DeserializeOwned>(&mut self) -> Result<M, LinkError> {
         let frame = self.frames.next().await.ok_or(LinkError::Closed)??;
-        let (message, _) = bincode::serde::decode_from_slice(&frame, CODEC)?;
-        Ok(message)
+        Ok(codec::decode(&frame)?)
     }
 }
--- a/crates/standin/src/replication/message.rs
+++ b/crates/standin/src/replication/message.rs
@@ -13,6 +13,8 @@
     pub term: Term,
     /// The primary of that term.
     pub primary: MemberName,
+    /// Last entry of the primary's log when its term began.
+    pub term_start: Position,
     /// Term and index of the entry before the first one sent.
     pub previous: Position,
     /// Entries that follow.
@@ -41,6 +43,8 @@
     Matched(u64),
     /// The entry before the first one is missing or differs; try from this index.
     Mismatch(u64),
+    /// The receiver has entries that the sender lacked when its term began.
+    Ahead,
     /// A higher term was promised, or another primary for this term.
     Refused,
 }
--- a/crates/standin/src/replication/mod.rs
+++ b/crates/standin/src/replication/mod.rs
@@ -6,5 +6,6 @@
 pub mod sender;
 pub mod server;
 pub mod state;
+mod steps;
 
 pub use state::{Replication, ReplicationError, ReplicationStatus, Role};
--- a/crates/standin/src/replication/progress.rs
+++ b/crates/standin/src/replication/progress.rs
@@ -12,6 +12,14 @@
     pub match_index: u64,
     /// Highest confirmation round the peer answered.
     pub confirmed_round: u64,
+    /// Whether the peer refused the term because its log holds more.
+    pub refused: bool,
+}
+
+impl PeerProgress {
+    fn from(next_index: u64) -> Self {
+        Self { next_index, match_index: 0, confirmed_round: 0, refused: false }
+    }
 }
 
 /// Progress of all peers of a group.
@@ -21,14 +29,14 @@
 
 impl GroupProgress {
     pub fn new(peers: impl IntoIterator<Item = MemberName>) -> Self {
-        let blank = PeerProgress { next_index: 1, match_index: 0, confirmed_round: 0 };
+        let blank = PeerProgress::from(1);
         Self { peers: peers.into_iter().map(|name| (name, blank)).collect() }
     }
 
     /// Forgets everything at the start of a term.
     pub fn reset(&mut self, next_index: u64) {
         for progress in self.peers.values_mut() {
-            *progress = PeerProgress { next_index, match_index: 0, confirmed_round: 0 };
+            *progress = PeerProgress::from(next_index);
         }
     }
 
@@ -50,6 +58,13 @@
         self.majority(own, |progress| progress.confirmed_round)
     }
 
+    /// Whether so many peers refused the term that no majority can accept it.
+    pub fn majority_refused(&self) -> bool {
+        let refused = self.peers.values().filter(|progress| progress.refused).count();
+        let accepting = self.peers.len() + 1 - refused;
+        accepting <= self.peers.len().div_ceil(2)
+    }
+
     fn majority(&self, own: u64, of_peer: impl Fn(&PeerProgress) -> u64) -> u64 {
         let mut values: Vec<u64> = self.peers.values().map(of_peer).collect();
         values.push(own);
--- a/crates/standin/src/session/admin.rs
+++ b/crates/standin/src/session/admin.rs
@@ -2,7 +2,7 @@
 
 use super::{Reply, Session};
 use crate::entry::Value;
-use crate::replication::ReplicationStatus;
+use crate::replication::{ReplicationError, ReplicationStatus};
 use crate::shared::public_role;
 use crate::sql::run::{Column, Description, RowSet};
 use crate::sql::{ColumnType, Command, SqlError};
@@ -179,7 +179,14 @@
             let leads = now.promised_term == term && now.is_leading();
             now.commit_index >= index || !leads
         };
-        status.wait_for(settled).await.map_err(|_| SqlError::NotPrimary)?;
+        let now = status.wait_for(settled).await.map_err(|_| SqlError::NotPrimary)?.clone();
+        if !now.is_leading() && now.promised_term == term {
+            return Err(SqlError::of_term(ReplicationError::Behind));
+        }
+        if now.promised_term != term {
+            let refused = ReplicationError::Term { requested: term, promised: now.promised_term };
+            return Err(SqlError::of_term(refused));
+        }
         self.wait_applied(index).await?;
         self.shared.replication.finish_promotion(term).map_err(SqlError::of_term)?;
         let position = Position { term, index }.to_string();
--- a/crates/standin/src/session/commit.rs
+++ b/crates/standin/src/session/commit.rs
@@ -3,6 +3,7 @@
 use super::Session;
 use super::block::{Holder, WriteTransaction};
 use crate::engine::Engine;
+use crate::error::DurableError;
 use crate::replication::{ReplicationError, ReplicationStatus};
 use crate::sql::SqlError;
 use corktack_core::position::{Position, Term};
@@ -126,6 +127,7 @@
 
 fn append_error(error: ReplicationError) -> SqlError {
     match error {
+        ReplicationError::Durable(DurableError::TooLarge(size)) => SqlError::TooLarge(size),
         ReplicationError::Durable(error) => SqlError::Durable(error),
         _ => SqlError::NotPrimary,
     }
--- a/crates/standin/src/sql/error.rs
+++ b/crates/standin/src/sql/error.rs
@@ -74,6 +74,9 @@
     /// The engine refused the statement.
     #[error("{}", engine_message(.0))]
     Engine(#[from] rusqlite::Error),
+    /// The transaction is too large for one record of the log; it did not run.
+    #[error("a transaction of {0} bytes is too large")]
+    TooLarge(usize),
     /// The log could not be made durable; the outcome is not known.
     #[error("the log cannot be made durable: {0}")]
     Durable(#[source] DurableError),
@@ -105,6 +108,7 @@
             Self::Cancelled => "57014",
             Self::TooManyConnections => backend::TOO_MANY_CONNECTIONS,
             Self::Engine(error) => engine_sqlstate(error),
+            Self::TooLarge(_) => "54000",
             Self::Worker => "XX000",
         }
     }
