--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -69,12 +69,16 @@
     }
 
     pub async fn simple(&mut self, sql: &str) -> Result<Vec<Vec<Option<String>>>, Error> {
+        let messages = self.messages(sql).await?;
+        Ok(messages.iter().filter_map(row_texts).collect())
+    }
+
+    pub async fn messages(&mut self, sql: &str) -> Result<Vec<SimpleQueryMessage>, Error> {
         let request = self.client.simple_query(sql);
         let result = drive(&mut self.connection, request).await;
         let reported = self.connection.as_ref().and_then(|open| open.parameter(POSITION_PARAMETER));
         self.position = reported.and_then(|text| text.parse().ok()).or(self.position);
-        let messages = result?;
-        Ok(messages.iter().filter_map(row_texts).collect())
+        result
     }
 
     pub async fn status(&mut self) -> MemberStatus {
--- a/crates/standin/tests/durability.rs
+++ b/crates/standin/tests/durability.rs
@@ -20,10 +20,10 @@
     test.group.member_folder(place).expect("the place exists").join(LOG_FILE_NAME)
 }
 
-/// Removes what the engine had not moved to its main file, which it never syncs by itself.
+/// Removes the engine's files: only the log is synced before a write is acknowledged.
 fn lose_unsynced_bytes(test: &TestGroup, place: usize) {
     let folder = test.group.member_folder(place).expect("the place exists");
-    for name in ["state.sqlite-wal", "state.sqlite-shm"] {
+    for name in ["state.sqlite", "state.sqlite-wal", "state.sqlite-shm"] {
         match fs::remove_file(folder.join(name)) {
             Err(error) if error.kind() != std::io::ErrorKind::NotFound => panic!("{error}"),
             _ => {}
--- a/crates/standin/tests/sql.rs
+++ b/crates/standin/tests/sql.rs
@@ -5,7 +5,9 @@
 mod common;
 
 use common::{Caller, client, config, eventually, sqlstate, start_group, start_group_with};
+use corktack_standin::DEFAULT_CONNECTION_COST;
 use rstest::rstest;
+use std::time::Duration;
 use tokio_postgres::NoTls;
 
 #[rstest]
@@ -146,6 +148,48 @@
     watcher.simple("INSERT INTO naps VALUES ('short')").await.unwrap();
 }
 
+#[rstest]
+#[tokio::test]
+async fn a_write_that_waits_for_another_transaction_can_be_cancelled() {
+    let test = start_group();
+    let mut holder = test.caller(0).await;
+    holder.simple("CREATE TABLE naps (nap TEXT)").await.expect("a majority runs");
+    holder.simple("BEGIN; INSERT INTO naps VALUES ('long')").await.expect("nobody else writes");
+    let waiter = client(test.group.postgres_addresses()[0]).await;
+    let token = waiter.cancel_token();
+    let waiting =
+        tokio::spawn(async move { waiter.simple_query("INSERT INTO naps VALUES ('b')").await });
+    eventually(|| async {
+        token.cancel_query(NoTls).await.expect("the member listens");
+        waiting.is_finished()
+    })
+    .await;
+    let error = waiting.await.expect("the caller does not panic").expect_err("it was cancelled");
+    assert_eq!(sqlstate(&error), "57014");
+    holder.simple("COMMIT").await.expect("a majority runs");
+    assert_eq!(holder.simple("SELECT * FROM naps").await.expect("it is there").len(), 1);
+}
+
+#[rstest]
+#[tokio::test]
+async fn the_cost_of_a_connection_is_a_setting() {
+    assert_eq!(DEFAULT_CONNECTION_COST, Duration::from_millis(10));
+    let costly = start_group_with(|settings| settings.connection_cost = Duration::from_secs(3600));
+    let address = costly.group.postgres_addresses()[0];
+    let connecting = tokio::spawn(async move { Caller::connect(address).await.map(|_| ()) });
+    // Control is spared; it is served again and again while the caller still waits.
+    let mut control = config(address);
+    control.application_name("corktack-control");
+    for _ in 0..20 {
+        let mut control = Caller::connect_with(&control).await.expect("control is spared");
+        control.status().await;
+    }
+    assert!(!connecting.is_finished());
+    let free = start_group_with(|settings| settings.connection_cost = Duration::ZERO);
+    free.caller(0).await.simple("SELECT 1").await.expect("it is served");
+    connecting.abort();
+}
+
 #[rstest]
 #[tokio::test]
 async fn session_commands_take_effect() {
