End-to-end tests of dev: callers, errors, sessions, operators, starts

Cause: nothing drove the whole of corktack by a real client and by the built program, so faults between crates could stay unseen.

Change: crates/cli/tests/end_to_end starts dev in-process on free ports and uses tokio-postgres as the client and the built program as the operator: simple and extended queries, prepared statements of one name in two sessions, commit and rollback, a caller that leaves, 20 callers at two proxies, errors of the back end with every field, refusal of what cannot be pooled, unknown database, SCRAM users, malformed tokens, cancel, read-your-writes on another proxy with lagging replicas, the token; apply, get, watch, delete, status, conflicts; bad settings and manifests, folders in use or unwritable, taken ports, a restart of dev on its data.

Found and mended: check of a control file whose key replica is mistyped took it for a proxy's file and blamed another key. Cause: that one key told the role. Now any key that only a control replica has tells it. Seen failing: bad_settings_name_file_key_and_value::case_1_unknown_key.

--- /dev/null
+++ b/crates/cli/tests/end_to_end/main.rs
@@ -0,0 +1,9 @@
+//! The whole of corktack as `dev` runs it, used by a real client and by the program itself.
+
+mod authentication;
+mod callers;
+mod errors;
+mod operators;
+mod processes;
+mod sessions;
+mod support;
--- a/crates/server/src/dev/mod.rs
+++ b/crates/server/src/dev/mod.rs
@@ -164,6 +164,12 @@
         &self.ready
     }
 
+    /// The control replicas, for further proxies to join.
+    #[must_use]
+    pub fn control(&self) -> &[ControlProcess] {
+        &self.control
+    }
+
     /// The stand-in group, to stop and restart its members.
     pub const fn group(&mut self) -> &mut Group {
         &mut self.group
--- a/crates/server/src/settings/mod.rs
+++ b/crates/server/src/settings/mod.rs
@@ -38,14 +38,28 @@
     (line + 1, text.lines().nth(line).unwrap_or_default().trim())
 }
 
-/// Checks a settings file of either role; one with the key `replica` is a control replica's.
+/// Keys that only a control replica's file has.
+const CONTROL_KEYS: [&str; 4] = ["replica", "members", "cell", "join"];
+/// The same inside its section `addresses`.
+const CONTROL_ADDRESSES: [&str; 3] = ["cell", "proxies", "operators"];
+
+/// Checks a settings file of either role. Its keys tell the role, and one of them is enough,
+/// so that a mistyped key is reported against the right role.
 ///
 /// # Errors
 /// A [`SettingsError`] that names the file, key and value.
 pub fn check_file(file: &Path) -> Result<(), SettingsError> {
     let keys: toml::Table = parse_file(file)?;
-    if keys.contains_key("replica") {
+    if is_control(&keys) {
         return ControlSettings::load(file, ControlOverrides::default()).map(drop);
     }
     ProxySettings::load(file, ProxyOverrides::default()).map(drop)
 }
+
+fn is_control(keys: &toml::Table) -> bool {
+    let addresses = keys.get("addresses").and_then(toml::Value::as_table);
+    CONTROL_KEYS.iter().any(|key| keys.contains_key(*key))
+        || addresses.is_some_and(|addresses| {
+            CONTROL_ADDRESSES.iter().any(|key| addresses.contains_key(*key))
+        })
+}
