--- a/crates/cli/tests/end_to_end/operators.rs
+++ b/crates/cli/tests/end_to_end/operators.rs
@@ -3,6 +3,8 @@
 use crate::support::{Finished, LIMIT, program, start_dev};
 use corktack_server::dev::Dev;
 use serde_json::Value;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use tempfile::TempDir;
 use tokio::time::timeout;
@@ -181,3 +183,43 @@
     assert!(help.output.contains("apply"), "{help:?}");
     dev.stop().await;
 }
+
+/// The text of a page over HTTP.
+async fn page(address: SocketAddr, path: &str) -> String {
+    let client = awc::Client::default();
+    let answer = timeout(LIMIT, client.get(format!("http://{address}{path}")).send()).await;
+    let mut answer = answer.expect("an answer in time").expect("an answer");
+    assert!(answer.status().is_success(), "{path}: {}", answer.status());
+    let body = timeout(LIMIT, answer.body()).await.expect("a body in time").expect("a body");
+    String::from_utf8(body.to_vec()).expect("UTF-8 text")
+}
+
+#[actix_rt::test]
+async fn every_metric_that_is_served_is_described() {
+    let dev = start_dev().await;
+    let caller = crate::support::caller(&dev, 0).await;
+    caller.batch_execute("CREATE TABLE beds (id INT)").await.expect("table made");
+    assert_eq!(caller.value("SELECT count(*) FROM beds").await, "0");
+    let proxies = dev.proxies().iter().map(|proxy| proxy.addresses().telemetry);
+    let served: Vec<SocketAddr> = proxies.chain([dev.ready().operators[0]]).collect();
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
+    let described = std::fs::read_to_string(file).expect("the page");
+    let mut found = BTreeSet::new();
+    for address in served {
+        for path in ["/live", "/ready"] {
+            page(address, path).await;
+        }
+        for line in page(address, "/metrics").await.lines() {
+            let Some(metric) = line.strip_prefix("# TYPE ") else { continue };
+            let (name, kind) = metric.split_once(' ').expect("name and type");
+            let total = if kind == "counter" { "_total" } else { "" };
+            let described_as = format!("| `{name}{total}` |");
+            assert!(described.contains(&described_as), "{described_as} is not described");
+            found.insert(name.to_owned());
+        }
+    }
+    for part in ["corktack_edge_", "corktack_owner_", "corktack_watch_", "corktack_control_"] {
+        assert!(found.iter().any(|name| name.starts_with(part)), "{part}: {found:?}");
+    }
+    dev.stop().await;
+}
--- a/crates/server/src/dev/mod.rs
+++ b/crates/server/src/dev/mod.rs
@@ -170,6 +170,12 @@
         &self.control
     }
 
+    /// The proxies, to look at and to reach.
+    #[must_use]
+    pub fn proxies(&self) -> &[ProxyHandle] {
+        &self.proxies
+    }
+
     /// The stand-in group, to stop and restart its members.
     pub const fn group(&mut self) -> &mut Group {
         &mut self.group
