--- a/crates/server/src/settings/mod.rs
+++ b/crates/server/src/settings/mod.rs
@@ -2,15 +2,21 @@
 
 pub mod control;
 mod error;
+pub mod failover;
 pub mod proxy;
 
 pub use control::{ControlOverrides, ControlSettings};
-pub use error::{SettingsError, ValueProblem};
+pub use error::{SettingsError, SettingsValueError, ValueProblem};
+pub use failover::FailoverTimes;
 pub use proxy::{ProxyOverrides, ProxySettings};
 
 use serde::de::DeserializeOwned;
 use std::ops::Range;
 use std::path::Path;
+use std::time::Duration;
+
+/// Largest time-out, in milliseconds.
+const TIMEOUT_MAXIMUM_MS: u64 = 3_600_000;
 
 /// Reads a file's text and parses it, without a check of the values.
 fn parse_file<T: DeserializeOwned>(file: &Path) -> Result<T, SettingsError> {
@@ -38,14 +44,41 @@
     (line + 1, text.lines().nth(line).unwrap_or_default().trim())
 }
 
-/// Checks a settings file of either role; one with the key `replica` is a control replica's.
+/// Keys that only a control replica's file has.
+const CONTROL_KEYS: [&str; 4] = ["replica", "members", "cell", "join"];
+/// The same inside its section `addresses`.
+const CONTROL_ADDRESSES: [&str; 3] = ["cell", "proxies", "operators"];
+
+/// Checks a settings file of either role. Its keys tell the role, and one of them is enough,
+/// so that a mistyped key is reported against the right role.
 ///
 /// # Errors
 /// A [`SettingsError`] that names the file, key and value.
 pub fn check_file(file: &Path) -> Result<(), SettingsError> {
     let keys: toml::Table = parse_file(file)?;
-    if keys.contains_key("replica") {
+    if is_control(&keys) {
         return ControlSettings::load(file, ControlOverrides::default()).map(drop);
     }
     ProxySettings::load(file, ProxyOverrides::default()).map(drop)
 }
+
+fn is_control(keys: &toml::Table) -> bool {
+    let addresses = keys.get("addresses").and_then(toml::Value::as_table);
+    CONTROL_KEYS.iter().any(|key| keys.contains_key(*key))
+        || addresses.is_some_and(|addresses| {
+            CONTROL_ADDRESSES.iter().any(|key| addresses.contains_key(*key))
+        })
+}
+
+/// A setting in milliseconds as a duration.
+#[must_use]
+pub fn millis(value: u32) -> Duration {
+    Duration::from_millis(u64::from(value))
+}
+
+/// Puts a value given on the command line over the file's.
+fn replace<T>(value: &mut T, by: Option<T>) {
+    if let Some(by) = by {
+        *value = by;
+    }
+}
