Edge: statements, transaction blocks and startup judged as a caller meets them

DISCARD of anything forgot prepared statements; DISCARD ALL kept the idempotency key, which the next user of a pooled connection would have got. - An error that the edge itself found left the transaction open, so a pipelined COMMIT committed the rest. - After a lost transaction the session was idle at once: statements pipelined behind it, meant for the transaction, ran and committed on their own. The same behind a refused BEGIN. - A cancel request was refused at the connection limit, just when it is needed. Ruled out: failing the back end's transaction by a statement that it cannot parse (savepoints could recover, but what another back end does with it is not known); ending the connection (the caller loses its answer). Refused connections have their first message read. New callers of a draining edge get 57P03; the listener stays open until the drain is over (proved with the drain). Not proved: ROLLBACK TO SAVEPOINT after an error of the edge (answered 25P02); a text that the tokenizer cannot read is a write and is not searched for refused statements; input behind a refused BEGIN that had not reached the socket when the refusal was written.

--- a/crates/core/src/classify/local.rs
+++ b/crates/core/src/classify/local.rs
@@ -21,6 +21,8 @@
     SetIgnored,
     /// `DISCARD ALL`: forgets the session's prepared statements.
     DiscardAll,
+    /// `DISCARD` of what no session has here; the command's tag.
+    DiscardNothing(&'static str),
     /// `DEALLOCATE ALL`: the same.
     DeallocateAll,
 }
@@ -54,7 +56,7 @@
         return (name == TOKEN_SETTING).then_some(Ok(LocalStatement::ShowToken));
     }
     if statement.is_word(0, "discard") {
-        return Some(Ok(LocalStatement::DiscardAll));
+        return discard_statement(statement).map(Ok);
     }
     if statement.is_word(0, "deallocate") {
         return Some(Ok(LocalStatement::DeallocateAll));
@@ -62,6 +64,20 @@
     None
 }
 
+/// Sessions have no temporary tables, and neither plans nor sequences of their own.
+fn discard_statement(statement: &Words) -> Option<LocalStatement> {
+    let nothing = |place: &str, tag| {
+        statement.is_word(1, place).then_some(LocalStatement::DiscardNothing(tag))
+    };
+    if statement.is_word(1, "all") {
+        return Some(LocalStatement::DiscardAll);
+    }
+    nothing("plans", "DISCARD PLANS")
+        .or_else(|| nothing("sequences", "DISCARD SEQUENCES"))
+        .or_else(|| nothing("temp", "DISCARD TEMP"))
+        .or_else(|| nothing("temporary", "DISCARD TEMP"))
+}
+
 fn set_statement(statement: &Words) -> Option<Result<LocalStatement, Unsupported>> {
     let passes = ["local", "transaction", "constraints"];
     if passes.iter().any(|word| statement.is_word(1, word)) {
--- a/crates/core/src/classify/mod.rs
+++ b/crates/core/src/classify/mod.rs
@@ -72,6 +72,26 @@
     if reads { Classification::Read } else { Classification::Write }
 }
 
+/// What a text that has run leaves behind of a transaction block.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BlockEffect {
+    /// The block there was, or none.
+    #[default]
+    None,
+    /// An open block.
+    Opens,
+    /// No block.
+    Ends,
+}
+
+impl BlockEffect {
+    /// The effect of this text and then another.
+    #[must_use]
+    pub fn then(self, later: Self) -> Self {
+        if later == Self::None { self } else { later }
+    }
+}
+
 /// What the proxy must know of a text before it runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StatementProfile {
@@ -81,6 +101,10 @@
     pub may_commit: bool,
     /// Whether it only starts a transaction: running it twice harms nobody.
     pub only_starts_transaction: bool,
+    /// Whether it only ends a transaction block.
+    pub only_ends_transaction: bool,
+    /// What it leaves behind of a transaction block.
+    pub block: BlockEffect,
 }
 
 impl StatementProfile {
@@ -92,7 +116,12 @@
             classification: classify(text),
             may_commit: statements.as_deref().is_none_or(|all| all.iter().any(commits)),
             only_starts_transaction: statements
+                .as_deref()
                 .is_some_and(|all| all.len() == 1 && all.iter().all(starts_transaction)),
+            only_ends_transaction: statements
+                .as_deref()
+                .is_some_and(|all| all.len() == 1 && block_effect(all) == BlockEffect::Ends),
+            block: statements.as_deref().map_or(BlockEffect::None, block_effect),
         }
     }
 }
@@ -104,3 +133,19 @@
 fn starts_transaction(statement: &Words) -> bool {
     statement.is_word(0, "begin") || statement.starts_with(&["start", "transaction"])
 }
+
+fn block_effect(statements: &[Words]) -> BlockEffect {
+    statements.iter().map(effect_of_one).fold(BlockEffect::None, BlockEffect::then)
+}
+
+fn effect_of_one(statement: &Words) -> BlockEffect {
+    let ends = ["commit", "end", "rollback", "abort"].iter().any(|word| statement.is_word(0, word));
+    let of_prepared = statement.is_word(1, "prepared");
+    if starts_transaction(statement) || (ends && statement.contains(&["and", "chain"])) {
+        BlockEffect::Opens
+    } else if ends && !of_prepared && !statement.contains(&["to"]) {
+        BlockEffect::Ends
+    } else {
+        BlockEffect::None
+    }
+}
--- a/crates/core/src/classify/statements.rs
+++ b/crates/core/src/classify/statements.rs
@@ -50,6 +50,17 @@
         self.tokens.iter().filter_map(word).any(|found| is_one_of(&found.value, names))
     }
 
+    /// The texts between quotes, of every form that may hold a block's body.
+    pub(super) fn texts(&self) -> impl Iterator<Item = &str> {
+        self.tokens.iter().filter_map(|token| match token {
+            Token::SingleQuotedString(text) | Token::EscapedStringLiteral(text) => {
+                Some(text.as_str())
+            }
+            Token::DollarQuotedString(text) => Some(text.value.as_str()),
+            _ => None,
+        })
+    }
+
     /// Whether any unquoted word is one of these.
     pub(super) fn has_any(&self, words: &[&str]) -> bool {
         self.tokens
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -88,6 +88,15 @@
         self.input.is_empty()
     }
 
+    /// Whether anything of a further message is here or can be read at once.
+    pub fn has_more_input(&mut self) -> bool {
+        if self.input.is_empty() {
+            // An error, as for want of input, is found again by the next read.
+            let _ = self.stream.try_read_buf(&mut self.input);
+        }
+        !self.input.is_empty()
+    }
+
     /// Whether more may be read ahead while an answer is under way.
     #[must_use]
     pub fn may_read_ahead(&self) -> bool {
--- a/crates/edge/src/error.rs
+++ b/crates/edge/src/error.rs
@@ -76,6 +76,12 @@
     /// The proxy is stopping.
     #[error("proxy is stopping, reconnect; a request that crossed this message was not run")]
     Stopping,
+    /// A new caller came while the proxy is stopping.
+    #[error("proxy is stopping and takes no new callers, not run")]
+    Draining,
+    /// The transaction block failed, and waits for its end.
+    #[error("current transaction is aborted, commands ignored until end of transaction block")]
+    TransactionAborted,
     /// The session's token is malformed.
     #[error(transparent)]
     Token(#[from] TokenError),
@@ -175,6 +181,8 @@
             Self::UnknownPortal(_) => "34000",
             Self::ReadInterrupted | Self::Cancelled => "57014",
             Self::TransactionLost => "40001",
+            Self::TransactionAborted => "25P02",
+            Self::Draining => "57P03",
         }
     }
 
@@ -184,7 +192,7 @@
         let retry_after_ms = match self {
             Self::NotRun { retry_after_ms, .. } => *retry_after_ms,
             Self::TooManyConnections => CONNECTION_RETRY_MS,
-            Self::Stopping => 0,
+            Self::Stopping | Self::Draining => 0,
             _ => return None,
         };
         Some(format!("retry_after_ms={retry_after_ms}"))
--- a/crates/edge/src/handle.rs
+++ b/crates/edge/src/handle.rs
@@ -1,6 +1,5 @@
 //! Starts and stops the edge.
 
-use crate::caller::CallerSocket;
 use crate::context::{ArbiterContext, DrainPhase};
 use crate::error::{EdgeError, Rejection};
 use crate::link::{LinkPool, OwnerLife};
@@ -8,10 +7,11 @@
 use crate::retry::RetryBudget;
 use crate::sessions::SessionTable;
 use crate::settings::EdgeSettings;
-use crate::startup::serve_connection;
+use crate::startup::{refuse_connection, serve_connection};
 use actix_rt::Arbiter;
 use corktack_core::classify::ProfileCache;
 use corktack_core::view::View;
+use futures_util::FutureExt;
 use prometheus_client::registry::Registry;
 use std::cell::RefCell;
 use std::net::{SocketAddr, TcpListener as StdListener};
@@ -41,6 +41,8 @@
     phase: watch::Sender<DrainPhase>,
     /// Closes once no session and no accept loop is left.
     working: mpsc::Receiver<()>,
+    /// Closes once no caller is being refused and nobody listens.
+    refusing: mpsc::Receiver<()>,
     arbiters: Vec<Arbiter>,
 }
 
@@ -62,6 +64,7 @@
         let address = listener.local_addr()?;
         let (phase, drain) = watch::channel(DrainPhase::Running);
         let (worker, working) = mpsc::channel(1);
+        let (refuser, refusing) = mpsc::channel(1);
         let drain_timeout = settings.drain_timeout;
         let shared = Shared {
             sessions: SessionTable::new(settings.connection_limit),
@@ -70,12 +73,13 @@
             view,
             drain,
             worker,
+            refuser,
         };
         let mut arbiters = Vec::new();
         for _ in 0..shared.settings.arbiters {
             arbiters.push(start_arbiter(shared.clone(), listener.try_clone()?)?);
         }
-        Ok(EdgeHandle { address, drain_timeout, phase, working, arbiters })
+        Ok(EdgeHandle { address, drain_timeout, phase, working, refusing, arbiters })
     }
 }
 
@@ -86,7 +90,7 @@
         self.address
     }
 
-    /// Takes no new callers, lets transactions in flight finish, tells idle callers
+    /// Refuses new callers, lets transactions in flight finish, tells idle callers
     /// to reconnect, and returns when no session is left. Transactions that are
     /// still open after the drain timeout are lost.
     pub async fn drain(mut self) {
@@ -96,6 +100,8 @@
             self.phase.send_replace(DrainPhase::Ending);
             let _ = timeout(ENDING_LIMIT, self.working.recv()).await;
         }
+        self.phase.send_replace(DrainPhase::Ending);
+        let _ = timeout(ENDING_LIMIT, self.refusing.recv()).await;
         for arbiter in &self.arbiters {
             arbiter.stop();
         }
@@ -111,6 +117,7 @@
     metrics: EdgeMetrics,
     drain: watch::Receiver<DrainPhase>,
     worker: mpsc::Sender<()>,
+    refuser: mpsc::Sender<()>,
 }
 
 fn start_arbiter(shared: Shared, listener: StdListener) -> Result<Arbiter, EdgeError> {
@@ -141,16 +148,39 @@
     })
 }
 
+/// Serves new callers until the edge drains, then refuses them until it ends.
 async fn accept(shared: Shared, listener: TcpListener) {
     let context = context(&shared);
-    let mut drain = shared.drain.clone();
+    let Shared { mut drain, worker, refuser, .. } = shared;
+    while let Some((stream, source)) =
+        next_caller(&listener, &mut drain, DrainPhase::Draining).await
+    {
+        admit(&worker, &refuser, &context, stream, source);
+    }
+    drop(worker);
+    while let Some((stream, _)) = next_caller(&listener, &mut drain, DrainPhase::Ending).await {
+        refuse(&refuser, &context, stream, Rejection::Draining);
+    }
+    // Those who were connected before the listener closes get an answer as well.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        refuse(&refuser, &context, stream, Rejection::Draining);
+    }
+}
+
+/// The next caller, or nothing once the edge has come to the phase.
+async fn next_caller(
+    listener: &TcpListener,
+    drain: &mut watch::Receiver<DrainPhase>,
+    last: DrainPhase,
+) -> Option<(TcpStream, SocketAddr)> {
     loop {
         let accepted = tokio::select! {
+            biased;
+            _ = drain.wait_for(|phase| *phase >= last) => return None,
             accepted = listener.accept() => accepted,
-            _ = drain.wait_for(|phase| *phase != DrainPhase::Running) => return,
         };
         match accepted {
-            Ok((stream, source)) => admit(&shared, &context, stream, source),
+            Ok(accepted) => return Some(accepted),
             Err(error) => {
                 log::warn!(cause = error.to_string().as_str(); "caller was not accepted");
                 actix_rt::time::sleep(ACCEPT_PAUSE).await;
@@ -159,17 +189,18 @@
     }
 }
 
-fn admit(shared: &Shared, context: &Rc<ArbiterContext>, stream: TcpStream, source: SocketAddr) {
-    let worker = shared.worker.clone();
-    let context = context.clone();
-    let Some(permit) = shared.sessions.admit() else {
-        actix_rt::spawn(async move {
-            let caller = CallerSocket::new(stream, context.settings.startup_timeout);
-            caller.finish(&Rejection::TooManyConnections).await;
-            drop(worker);
-        });
+fn admit(
+    worker: &mpsc::Sender<()>,
+    refuser: &mpsc::Sender<()>,
+    context: &Rc<ArbiterContext>,
+    stream: TcpStream,
+    source: SocketAddr,
+) {
+    let Some(permit) = context.sessions.admit() else {
+        refuse(refuser, context, stream, Rejection::TooManyConnections);
         return;
     };
+    let (worker, context) = (worker.clone(), context.clone());
     actix_rt::spawn(async move {
         context.metrics.connections.inc();
         serve_connection(context.clone(), stream, source.ip()).await;
@@ -177,3 +208,16 @@
         drop((permit, worker));
     });
 }
+
+fn refuse(
+    refuser: &mpsc::Sender<()>,
+    context: &Rc<ArbiterContext>,
+    stream: TcpStream,
+    rejection: Rejection,
+) {
+    let (refuser, context) = (refuser.clone(), context.clone());
+    actix_rt::spawn(async move {
+        refuse_connection(&context, stream, &rejection).await;
+        drop(refuser);
+    });
+}
--- a/crates/edge/src/session/forward.rs
+++ b/crates/edge/src/session/forward.rs
@@ -10,6 +10,7 @@
 use crate::retry::backoff;
 use crate::route::{OwnerRoute, group_of_database, owner_of};
 use corktack_core::binding::choose_class;
+use corktack_core::classify::BlockEffect;
 use corktack_core::identity::GroupName;
 use corktack_core::view::View;
 use corktack_protocol::peer::{
@@ -43,7 +44,15 @@
         self.registration.cancelled.mark_unchanged();
         match self.transaction.take() {
             Some(transaction) => self.continue_transaction(transaction, plan).await,
-            None => self.open_transaction(plan).await,
+            None => {
+                let opens = plan.block == BlockEffect::Opens;
+                let (outcome, failed) = self.open_transaction(plan).await?;
+                // What the caller wrote behind its BEGIN must not run on its own.
+                if opens && outcome != Outcome::Done && self.caller.has_more_input() {
+                    self.abandon_transaction();
+                }
+                Ok((outcome, failed))
+            }
         }
     }
 
@@ -53,6 +62,7 @@
         plan: ForwardPlan,
     ) -> Result<BatchOutcome, SessionEnd> {
         let OpenTransaction { mut stream, group, access } = transaction;
+        let ends = plan.block == BlockEffect::Ends;
         let mut progress = Progress {
             access,
             first_batch: false,
@@ -68,7 +78,11 @@
             }
             Answered::Lost(loss) => {
                 let (Verdict::Retry(rejection) | Verdict::Final(rejection)) = judge(loss, progress);
-                Ok(self.give_up(&rejection))
+                let outcome = self.give_up(&rejection);
+                if !ends {
+                    self.abandon_transaction();
+                }
+                Ok(outcome)
             }
         }
     }
--- a/crates/edge/src/session/local.rs
+++ b/crates/edge/src/session/local.rs
@@ -37,6 +37,7 @@
     match message {
         Message::Query(query) => {
             let profile = session.context.profile(&query.query);
+            check(session, &profile)?;
             describe(&mut session.caller.output, &profile, Described::Query);
             execute(session, &profile)
         }
@@ -44,6 +45,7 @@
         Message::Bind(bind) => {
             let name = bind.statement_name.as_deref().unwrap_or_default();
             let profile = profile_of(session, name)?;
+            check(session, &profile)?;
             portals.insert(bind.portal_name.clone().unwrap_or_default(), profile);
             put(session, Answer::BindComplete(BindComplete::new()));
             Ok(())
@@ -75,6 +77,19 @@
     }
 }
 
+/// Whether the edge may answer the statement. In a lost transaction block that is
+/// its end, or no statement at all.
+fn check(session: &Session, profile: &StatementProfile) -> Result<(), Rejection> {
+    let empty = profile.classification == Classification::Local(LocalStatement::Empty);
+    let local = matches!(profile.classification, Classification::Local(_));
+    match session.abandoned {
+        true if empty || profile.only_ends_transaction => Ok(()),
+        true => Err(Rejection::TransactionAborted),
+        false if local => Ok(()),
+        false => Err(Rejection::MixedBatch),
+    }
+}
+
 fn put(session: &mut Session, message: Answer) {
     answer::put(&mut session.caller.output, &message);
 }
@@ -86,6 +101,7 @@
         parameter_types: parse.type_oids.clone(),
         profile: session.context.profile(&parse.query),
     };
+    check(session, &statement.profile)?;
     session.statements.define(parse.name.as_deref().unwrap_or_default(), statement)?;
     session.statements.confirm();
     put(session, Answer::ParseComplete(ParseComplete::new()));
@@ -121,6 +137,9 @@
 
 fn execute(session: &mut Session, profile: &StatementProfile) -> Result<(), Rejection> {
     let Classification::Local(statement) = &profile.classification else {
+        check(session, profile)?;
+        session.end_abandoned();
+        answer::put_complete(&mut session.caller.output, "ROLLBACK");
         return Ok(());
     };
     let tag = match statement {
@@ -147,8 +166,10 @@
             "SET"
         }
         LocalStatement::SetIgnored => "SET",
+        LocalStatement::DiscardNothing(tag) => tag,
         LocalStatement::DiscardAll => {
             session.statements.clear();
+            session.idempotency_key = None;
             "DISCARD ALL"
         }
         LocalStatement::DeallocateAll => {
--- a/crates/edge/src/session/mod.rs
+++ b/crates/edge/src/session/mod.rs
@@ -47,6 +47,8 @@
     idempotency_key: Option<String>,
     transaction: Option<OpenTransaction>,
     status: TransactionStatus,
+    /// Whether the caller's transaction block is lost and the caller has not ended it.
+    abandoned: bool,
     collector: BatchCollector,
 }
 
@@ -71,6 +73,7 @@
             idempotency_key: None,
             transaction: None,
             status: TransactionStatus::Idle,
+            abandoned: false,
             collector,
         }
     }
@@ -124,36 +127,63 @@
         let start = Instant::now();
         let end = batch.end;
         let counts = !batch.messages.is_empty() || batch.rejection.is_some();
+        let (outcome, failed) = self.run_batch(batch).await?;
+        self.statements.end_batch();
+        if counts {
+            self.context.metrics.count(outcome);
+            self.context.metrics.latency.observe(start.elapsed().as_secs_f64());
+        }
+        match end {
+            BatchEnd::Ready => answer::put_ready(&mut self.caller.output, self.status),
+            BatchEnd::Flush if failed => self.collector.discard_until_sync(),
+            BatchEnd::Flush => {}
+        }
+        self.caller.flush().await
+    }
+
+    /// How a batch ended, and whether its answer holds an error.
+    async fn run_batch(&mut self, batch: CallerBatch) -> Result<(Outcome, bool), SessionEnd> {
         let plan = {
             let mut profiles = self.context.profiles.borrow_mut();
             let in_transaction = self.transaction.is_some();
-            plan::plan(batch, in_transaction, &mut self.statements, &mut profiles)
-        };
-        let (outcome, failed) = match plan {
-            Ok(Plan::Local(messages)) => {
-                let all_well = local::answer_locally(self, &messages);
-                (Outcome::Local, !all_well)
+            if self.abandoned {
+                batch.rejection.map_or(Ok(Plan::Local(batch.messages)), Err)
+            } else {
+                plan::plan(batch, in_transaction, &mut self.statements, &mut profiles)
             }
+        };
+        let outcome = match plan {
+            Ok(Plan::Local(messages)) => match local::answer_locally(self, &messages) {
+                true => return Ok((Outcome::Local, false)),
+                false => Outcome::Local,
+            },
             Ok(Plan::Forward(plan)) => {
                 let forwarded = self.forward(plan).await;
-                forwarded.inspect_err(|_| self.context.metrics.count(Outcome::CallerGone))?
+                return forwarded.inspect_err(|_| self.context.metrics.count(Outcome::CallerGone));
             }
             Err(rejection) => {
                 self.reject(&rejection);
-                (Outcome::NotRun, true)
+                Outcome::NotRun
             }
         };
-        self.statements.end_batch();
-        if counts {
-            self.context.metrics.count(outcome);
-            self.context.metrics.latency.observe(start.elapsed().as_secs_f64());
+        // An error fails an open transaction, whoever found it.
+        if self.status == TransactionStatus::Open {
+            self.abandon_transaction();
         }
-        match end {
-            BatchEnd::Ready => answer::put_ready(&mut self.caller.output, self.status),
-            BatchEnd::Flush if failed => self.collector.discard_until_sync(),
-            BatchEnd::Flush => {}
-        }
-        self.caller.flush().await
+        Ok((outcome, true))
+    }
+
+    /// Has the owner roll back; nothing of the caller's transaction block runs any more.
+    fn abandon_transaction(&mut self) {
+        self.transaction = None;
+        self.abandoned = true;
+        self.status = TransactionStatus::Failed;
+    }
+
+    /// The caller has ended its lost transaction block.
+    fn end_abandoned(&mut self) {
+        self.abandoned = false;
+        self.status = TransactionStatus::Idle;
     }
 
     fn reject(&mut self, rejection: &Rejection) {
--- a/crates/edge/src/session/plan.rs
+++ b/crates/edge/src/session/plan.rs
@@ -3,7 +3,7 @@
 use crate::batch::{BatchEnd, CallerBatch};
 use crate::error::Rejection;
 use bytes::BytesMut;
-use corktack_core::classify::{Classification, ProfileCache, StatementProfile};
+use corktack_core::classify::{BlockEffect, Classification, ProfileCache, StatementProfile};
 use corktack_core::session::{
     MISSING_STATEMENT, SessionStatement, SessionStatements, StatementError, shared_name,
 };
@@ -36,6 +36,8 @@
     pub may_commit: bool,
     /// Whether running it twice harms nobody.
     pub repeatable: bool,
+    /// What it leaves behind of a transaction block.
+    pub block: BlockEffect,
 }
 
 /// Plans a batch. Its effects on `statements` stay pending.
@@ -87,6 +89,7 @@
     may_commit: bool,
     /// Whether everything that runs only starts a transaction.
     repeatable: bool,
+    block: BlockEffect,
 }
 
 impl<'a> Planner<'a> {
@@ -103,6 +106,7 @@
             writes: false,
             may_commit: false,
             repeatable: true,
+            block: BlockEffect::None,
         }
     }
 
@@ -113,7 +117,11 @@
             Message::Bind(bind) => self.take_bind(bind),
             Message::Describe(describe) => self.take_describe(describe),
             Message::Execute(execute) => {
-                self.use_portal(execute.name.as_deref().unwrap_or_default());
+                let name = execute.name.as_deref().unwrap_or_default();
+                self.use_portal(name);
+                if let Some(statement) = self.portals.get(name) {
+                    self.block = self.block.then(statement.profile.block);
+                }
                 self.put(message)
             }
             Message::Close(close) => self.take_close(close, in_transaction),
@@ -124,6 +132,7 @@
     fn take_query(&mut self, query: &Query) -> Result<(), Rejection> {
         let profile = self.cache.profile(&query.query);
         self.use_text(&profile)?;
+        self.block = self.block.then(profile.block);
         self.put(&Message::Query(Query::new(query.query.clone())))
     }
 
@@ -237,6 +246,7 @@
             access: if self.writes { Access::Write } else { Access::Read },
             may_commit: self.may_commit,
             repeatable: self.repeatable,
+            block: self.block,
         }
     }
 }
--- a/crates/edge/src/startup.rs
+++ b/crates/edge/src/startup.rs
@@ -6,7 +6,7 @@
 use crate::answer;
 use crate::caller::CallerSocket;
 use crate::codec::FirstMessage;
-use crate::context::ArbiterContext;
+use crate::context::{ArbiterContext, DrainPhase};
 use crate::error::{Rejection, SessionEnd};
 use crate::route::group_of_database;
 use crate::session::Session;
@@ -24,11 +24,14 @@
 };
 use std::net::IpAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// Answer to a request for encryption: there is none.
 const NO_ENCRYPTION: u8 = b'N';
+/// Longest wait for the first message of a caller that is refused.
+const REFUSAL_WAIT: Duration = Duration::from_secs(1);
 /// Requests for encryption that a caller may make.
 const ENCRYPTION_REQUESTS: usize = 2;
 /// Parameters that every session starts with.
@@ -58,8 +61,13 @@
     let _ = stream.set_nodelay(true);
     let limit = context.settings.startup_timeout;
     let mut caller = CallerSocket::new(stream, context.settings.request_timeout);
-    let started = timeout(limit, start(&context, &mut caller, source)).await;
-    match started.unwrap_or(Err(Rejection::StartupTimeout.into())) {
+    let started = tokio::select! {
+        started = timeout(limit, start(&context, &mut caller, source)) => {
+            started.unwrap_or(Err(Rejection::StartupTimeout.into()))
+        }
+        () = drain_of_newcomers(&context) => Err(Rejection::Draining.into()),
+    };
+    match started {
         Ok(Some((identity, token, registration))) => {
             Session::new(context, caller, identity, registration, token).run().await;
         }
@@ -68,6 +76,25 @@
     }
 }
 
+/// Refuses a fresh connection, unless it only carries a cancel request.
+pub async fn refuse_connection(context: &ArbiterContext, stream: TcpStream, rejection: &Rejection) {
+    let mut caller = CallerSocket::new(stream, REFUSAL_WAIT);
+    match timeout(REFUSAL_WAIT, first_message(context, &mut caller)).await {
+        Ok(Ok(FirstMessage::Cancel(request))) => cancel(context, &request),
+        Ok(Err(SessionEnd::CallerGone | SessionEnd::Io(_))) => {}
+        _ => caller.finish(rejection).await,
+    }
+}
+
+/// Returns when a caller that has not started its session is to be told of the drain.
+async fn drain_of_newcomers(context: &ArbiterContext) {
+    let mut drain = context.drain.clone();
+    if drain.wait_for(|phase| *phase != DrainPhase::Running).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+    tokio::time::sleep(REFUSAL_WAIT).await;
+}
+
 /// Lets a caller in, or nothing when the connection only carried a cancel request.
 async fn start(
     context: &ArbiterContext,
@@ -83,7 +110,7 @@
         FirstMessage::Encryption => return Err(Rejection::MalformedStartup.into()),
     };
     if context.is_draining() {
-        return Err(Rejection::Stopping.into());
+        return Err(Rejection::Draining.into());
     }
     let request = read_startup(&startup, source)?;
     if request.newer_protocol {
--- /dev/null
+++ b/crates/edge/tests/callers/main.rs
@@ -0,0 +1,9 @@
+//! What callers of an edge meet, by concern.
+#![allow(clippy::unwrap_used)]
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod protocol;
+mod refused;
+mod startup;
--- /dev/null
+++ b/crates/edge/tests/callers/protocol.rs
@@ -0,0 +1,267 @@
+//! The simple and the extended protocol, transactions and pipelines.
+
+use crate::support::Fixture;
+use crate::support::wire::{self, RawCaller};
+use corktack_protocol::peer::{
+    Access, Batch, EdgeMessage, Failure, NotRunReason, StreamId, TransactionStatus,
+};
+use pgwire::messages::PgWireFrontendMessage as Message;
+use rstest::rstest;
+
+fn parse(name: &str, text: &str) -> Vec<u8> {
+    wire::message('P', format!("{name}\0{text}\0\0\0").as_bytes())
+}
+
+fn bind(portal: &str, statement: &str) -> Vec<u8> {
+    wire::message('B', format!("{portal}\0{statement}\0\0\0\0\0\0\0").as_bytes())
+}
+
+fn execute(portal: &str, rows: u8) -> Vec<u8> {
+    let mut body = format!("{portal}\0\0\0\0").into_bytes();
+    body.push(rows);
+    wire::message('E', &body)
+}
+
+fn target(kind: char, target: char, name: &str) -> Vec<u8> {
+    wire::message(kind, format!("{target}{name}\0").as_bytes())
+}
+
+fn sync() -> Vec<u8> {
+    wire::message('S', &[])
+}
+
+fn flush() -> Vec<u8> {
+    wire::message('H', &[])
+}
+
+/// Opens a transaction of the caller.
+async fn begin(fixture: &mut Fixture, caller: &mut RawCaller) -> StreamId {
+    caller.send(&wire::query("BEGIN")).await;
+    let (stream, _) = fixture.owner.open().await;
+    fixture.owner.data(stream, wire::encode(&[wire::complete("BEGIN")]));
+    fixture.owner.ready(stream, TransactionStatus::Open);
+    assert_eq!(caller.ready().await, 'T');
+    stream
+}
+
+fn kinds(batch: &Batch) -> String {
+    let kind = |message: &Message| match message {
+        Message::Query(_) => 'Q',
+        Message::Parse(_) => 'P',
+        Message::Bind(_) => 'B',
+        Message::Describe(_) => 'D',
+        Message::Execute(_) => 'E',
+        Message::Close(_) => 'C',
+        Message::Sync(_) => 'S',
+        _ => '?',
+    };
+    wire::decode(batch).iter().map(kind).collect()
+}
+
+#[actix_rt::test]
+async fn failed_transaction_is_told_and_ends_with_its_rollback() {
+    let mut fixture = Fixture::start().await;
+    let mut caller = RawCaller::start(fixture.edge.address()).await;
+    let opened = begin(&mut fixture, &mut caller).await;
+    caller.send(&wire::query("INSERT INTO t VALUES (1)")).await;
+    fixture.owner.batch().await;
+    fixture.owner.data(opened, wire::encode(&[wire::error("23505", "duplicate key")]));
+    fixture.owner.ready(opened, TransactionStatus::Failed);
+    assert_eq!(caller.error_code().await, "23505");
+    assert_eq!(caller.ready().await, 'E');
+    caller.send(&wire::query("ROLLBACK")).await;
+    let (stream, _) = fixture.owner.batch().await;
+    assert_eq!(stream, opened);
+    fixture.owner.data(stream, wire::encode(&[wire::complete("ROLLBACK")]));
+    fixture.owner.ready(stream, TransactionStatus::Idle);
+    assert_eq!(caller.ready().await, 'I');
+}
+
+#[actix_rt::test]
+async fn portal_is_executed_in_parts_over_batches() {
+    let mut fixture = Fixture::start().await;
+    let mut caller = RawCaller::start(fixture.edge.address()).await;
+    let opened = begin(&mut fixture, &mut caller).await;
+    let first = [parse("s", "SELECT 1"), bind("p", "s"), execute("p", 1), sync()].concat();
+    let second = [execute("p", 1), target('C', 'P', "p"), target('C', 'S', "s"), sync()].concat();
+    for (bytes, expected, answered) in [(first, "PBES", "12DCZ"), (second, "ECCS", "DC33Z")] {
+        caller.send(&bytes).await;
+        let (stream, batch) = fixture.owner.batch().await;
+        assert_eq!((stream, kinds(&batch).as_str()), (opened, expected));
+        fixture.owner.answer(stream, &batch, "1", TransactionStatus::Open);
+        assert_eq!(caller.read_until_ready().await, answered);
+    }
+    caller.send(&[bind("", "s"), sync()].concat()).await;
+    assert_eq!(caller.error_code().await, "26000");
+}
+
+#[actix_rt::test]
+async fn pipelined_extended_batches_run_one_after_another() {
+    let mut fixture = Fixture::start().await;
+    let mut caller = RawCaller::start(fixture.edge.address()).await;
+    let one = [parse("a", "SELECT 1"), bind("", "a"), execute("", 0), sync()].concat();
+    let two = [bind("", "a"), target('D', 'P', ""), execute("", 0), sync()].concat();
+    caller.send(&[one, two].concat()).await;
+    let (stream, request) = fixture.owner.open().await;
+    assert!(fixture.owner.nothing_more(), "the second waits for the first");
+    fixture.owner.answer(stream, &request.batch, "1", TransactionStatus::Idle);
+    let request = fixture.owner.serve_one("2").await;
+    assert_eq!(kinds(&request.batch), "BDES");
+    assert_eq!(request.batch.prepared.len(), 1);
+    assert_eq!(caller.read_until_ready().await, "12DCZ");
+    assert_eq!(caller.read_until_ready().await, "2TDCZ");
+}
+
+#[actix_rt::test]
+async fn statement_whose_parse_failed_does_not_exist() {
+    let mut fixture = Fixture::start().await;
+    let mut caller = RawCaller::start(fixture.edge.address()).await;
+    caller
+        .send(&[parse("s", "SELECT nothing"), bind("", "s"), execute("", 0), sync()].concat())
+        .await;
+    let (stream, _) = fixture.owner.open().await;
+    fixture.owner.data(stream, wire::encode(&[wire::error("42703", "no such column")]));
+    fixture.owner.ready(stream, TransactionStatus::Idle);
+    assert_eq!(caller.read_until_ready().await, "EZ");
+    caller.send(&[bind("", "s"), execute("", 0), sync()].concat()).await;
+    assert_eq!(caller.error_code().await, "26000");
+    assert_eq!(caller.ready().await, 'I');
+    assert!(fixture.owner.nothing_more());
+}
+
+#[rstest]
+#[case::duplicate([parse("s", "SELECT 1"), parse("s", "SELECT 2"), sync()].concat(), "42P05")]
+#[case::unknown([target('D', 'S', "s"), sync()].concat(), "26000")]
+#[case::local_and_remote([parse("", "SHOW corktack.token"), parse("", "SELECT 1"), sync()].concat(), "0A000")]
+#[case::flush_outside([parse("", "SELECT 1"), bind("", ""), execute("", 0), flush(), sync()].concat(), "0A000")]
+#[actix_rt::test]
+async fn batch_that_cannot_run_is_refused_whole(#[case] bytes: Vec<u8>, #[case] code: &str) {
+    let mut fixture = Fixture::start().await;
+    let mut caller = RawCaller::start(fixture.edge.address()).await;
+    caller.send(&bytes).await;
+    assert_eq!(caller.error_code().await, code);
+    assert_eq!(caller.ready().await, 'I');
+    assert!(fixture.owner.nothing_more());
+}
+
+#[actix_rt::test]
+async fn flush_in_a_transaction_is_answered_without_ready() {
+    let mut fixture = Fixture::start().await;
+    let mut caller = RawCaller::start(fixture.edge.address()).await;
+    begin(&mut fixture, &mut caller).await;
+    caller.send(&[parse("", "SELECT 1"), target('D', 'S', ""), flush()].concat()).await;
+    let (stream, batch) = fixture.owner.batch().await;
+    fixture.owner.answer(stream, &batch, "", TransactionStatus::Open);
+    let kinds: Vec<char> =
+        [caller.read().await.0, caller.read().await.0, caller.read().await.0].into();
+    assert_eq!(kinds, ['1', 't', 'T']);
+    caller.send(&[bind("", ""), execute("", 0), sync()].concat()).await;
+    let (stream, batch) = fixture.owner.batch().await;
+    fixture.owner.answer(stream, &batch, "1", TransactionStatus::Open);
+    assert_eq!(caller.read_until_ready().await, "2DCZ");
+}
+
+#[actix_rt::test]
+async fn caller_that_dies_in_a_transaction_has_it_rolled_back() {
+    let mut fixture = Fixture::start().await;
+    let mut caller = RawCaller::start(fixture.edge.address()).await;
+    let stream = begin(&mut fixture, &mut caller).await;
+    drop(caller);
+    assert_eq!(fixture.owner.next().await, EdgeMessage::Close { stream });
+}
+
+#[rstest]
+#[case::refused_statement(wire::query("LISTEN flags"), "0A000")]
+#[case::unknown_statement([bind("", "missing"), sync()].concat(), "26000")]
+#[case::local_error(wire::query("SET corktack.token = 'x'"), "22023")]
+#[actix_rt::test]
+async fn error_of_the_edge_fails_the_open_transaction(#[case] bytes: Vec<u8>, #[case] code: &str) {
+    let mut fixture = Fixture::start().await;
+    let mut caller = RawCaller::start(fixture.edge.address()).await;
+    let opened = begin(&mut fixture, &mut caller).await;
+    caller
+        .send(&[bytes, wire::query("INSERT INTO t VALUES (1)"), wire::query("COMMIT")].concat())
+        .await;
+    assert_eq!(caller.error_code().await, code);
+    assert_eq!(caller.ready().await, 'E', "the transaction failed");
+    assert_eq!(fixture.owner.next().await, EdgeMessage::Close { stream: opened });
+    assert_eq!(caller.error_code().await, "25P02");
+    assert_eq!(caller.ready().await, 'E');
+    assert_eq!(caller.read().await, ('C', b"ROLLBACK\0".to_vec()), "nothing was committed");
+    assert_eq!(caller.ready().await, 'I');
+    assert!(fixture.owner.nothing_more());
+}
+
+#[rstest]
+#[case::rollback("ROLLBACK", "ROLLBACK")]
+#[case::commit("COMMIT", "ROLLBACK")]
+#[actix_rt::test]
+async fn lost_transaction_runs_nothing_until_its_end(#[case] end: &str, #[case] tag: &str) {
+    let mut fixture = Fixture::start().await;
+    let mut caller = RawCaller::start(fixture.edge.address()).await;
+    let stream = begin(&mut fixture, &mut caller).await;
+    let texts = ["INSERT INTO a VALUES (1)", "INSERT INTO b VALUES (1)", end, "SELECT 1"];
+    caller.send(&texts.map(wire::query).concat()).await;
+    fixture.owner.batch().await;
+    fixture.owner.fail(stream, Failure::TransactionLost);
+    assert_eq!(caller.error_code().await, "40001");
+    assert_eq!(caller.ready().await, 'E');
+    assert_eq!(caller.error_code().await, "25P02", "no part of it runs alone");
+    assert_eq!(caller.ready().await, 'E');
+    assert_eq!(caller.read().await, ('C', format!("{tag}\0").into_bytes()));
+    assert_eq!(caller.ready().await, 'I');
+    let request = fixture.owner.serve_one("1").await;
+    assert_eq!(wire::query_text(&request.batch), "SELECT 1");
+    assert_eq!(request.access, Access::Read);
+    assert_eq!(caller.read_until_ready().await, "TDCZ");
+}
+
+#[actix_rt::test]
+async fn lost_transaction_ends_by_the_extended_protocol_too() {
+    let mut fixture = Fixture::start().await;
+    let mut caller = RawCaller::start(fixture.edge.address()).await;
+    let stream = begin(&mut fixture, &mut caller).await;
+    caller.send(&wire::query("INSERT INTO a VALUES (1)")).await;
+    fixture.owner.batch().await;
+    fixture.owner.fail(stream, Failure::TransactionLost);
+    assert_eq!(caller.read_until_ready().await, "EZ");
+    let rollback =
+        [parse("", "ROLLBACK"), bind("", ""), target('D', 'P', ""), execute("", 0), sync()];
+    caller.send(&rollback.concat()).await;
+    assert_eq!(caller.read_until_ready().await, "12nCZ");
+    caller.send(&wire::query("SELECT 1")).await;
+    fixture.owner.serve_one("1").await;
+    assert_eq!(caller.read_until_ready().await, "TDCZ");
+}
+
+#[actix_rt::test]
+async fn pipeline_behind_a_refused_begin_does_not_run() {
+    let mut fixture = Fixture::start().await;
+    let mut caller = RawCaller::start(fixture.edge.address()).await;
+    let texts = ["BEGIN", "INSERT INTO a VALUES (1)", "COMMIT", "SELECT 1"];
+    caller.send(&texts.map(wire::query).concat()).await;
+    let (stream, _) = fixture.owner.open().await;
+    let refused = Failure::NotRun { reason: NotRunReason::QueueFull, retry_after_ms: 40 };
+    fixture.owner.fail(stream, refused);
+    assert_eq!(caller.error_code().await, "53300");
+    assert_eq!(caller.ready().await, 'E');
+    assert_eq!(caller.error_code().await, "25P02", "the insert was meant for the transaction");
+    assert_eq!(caller.ready().await, 'E');
+    assert_eq!(caller.read().await, ('C', b"ROLLBACK\0".to_vec()));
+    assert_eq!(caller.ready().await, 'I');
+    fixture.owner.serve_one("1").await;
+    assert_eq!(caller.read_until_ready().await, "TDCZ");
+}
+
+#[actix_rt::test]
+async fn caller_that_saw_its_begin_refused_goes_on() {
+    let mut fixture = Fixture::start().await;
+    let mut caller = RawCaller::start(fixture.edge.address()).await;
+    caller.send(&wire::query("BEGIN")).await;
+    let (stream, _) = fixture.owner.open().await;
+    let refused = Failure::NotRun { reason: NotRunReason::QueueFull, retry_after_ms: 40 };
+    fixture.owner.fail(stream, refused);
+    assert_eq!(caller.error_code().await, "53300");
+    assert_eq!(caller.ready().await, 'I');
+    begin(&mut fixture, &mut caller).await;
+}
--- a/crates/edge/tests/support/wire.rs
+++ b/crates/edge/tests/support/wire.rs
@@ -104,6 +104,21 @@
         caller
     }
 
+    /// Connects and starts a session; with it, the message that cancels what it runs.
+    pub async fn start_with_cancel(address: SocketAddr) -> (Self, Vec<u8>) {
+        let mut caller = Self::connect(address).await;
+        caller.send(&startup(&[("user", "clerk"), ("database", "cdr")])).await;
+        let mut key = Vec::new();
+        loop {
+            match caller.read().await {
+                ('K', body) => key = body,
+                ('Z', _) => break,
+                _ => {}
+            }
+        }
+        (caller, first_message(80_877_102, &key))
+    }
+
     pub async fn send(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).await.unwrap();
     }
@@ -117,6 +132,32 @@
         (char::from(kind), body)
     }
 
+    /// Exactly these bytes.
+    pub async fn read_bytes(&mut self, bytes: &mut [u8]) {
+        self.stream.read_exact(bytes).await.unwrap();
+    }
+
+    /// The next `ErrorResponse`'s SQLSTATE; other messages are passed over.
+    pub async fn error_code(&mut self) -> String {
+        loop {
+            let (kind, body) = self.read().await;
+            if kind == 'E' {
+                let text = String::from_utf8(body).unwrap();
+                let code = text.split('\0').find_map(|field| field.strip_prefix('C'));
+                return code.unwrap().to_owned();
+            }
+        }
+    }
+
+    /// The state in the next `ReadyForQuery`; other messages are passed over.
+    pub async fn ready(&mut self) -> char {
+        loop {
+            if let ('Z', body) = self.read().await {
+                return char::from(body[0]);
+            }
+        }
+    }
+
     /// Types of the messages up to `ReadyForQuery`.
     pub async fn read_until_ready(&mut self) -> String {
         let mut kinds = String::new();
@@ -134,6 +175,12 @@
     }
 }
 
+/// A first message with this code and rest.
+pub fn first_message(code: u32, rest: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(rest.len() + 8).unwrap();
+    [&length.to_be_bytes()[..], &code.to_be_bytes(), rest].concat()
+}
+
 pub fn startup(parameters: &[(&str, &str)]) -> Vec<u8> {
     let mut body = BytesMut::new();
     body.put_u32(196_608);
