Edge: planned stops carry streams over, retries are bounded by group

Cause (each seen failing by its test first): - A request that met a stopping owner was retried out of the arbiter's one retry budget: of 80 callers those beyond 50 saw 57P03 in a planned hand-over. The same when the next owner had not yet seen the hand-over. - One budget served all groups: a failing group used up the others' retries, and their traffic paid for its own. - Waits before a retry came from an unseeded source. - A write under an idempotency key whose outcome was unknown was answered 08007 and not sent again. - When the drain timed out, a request that still ran had its connection cut without an answer. Ruled out: a free retry for every refusal (a stuck view would be hammered): Stopping is free because an owner's life is asked no more after it, NotOwner is free once a request. Change: stopping lives of owners are remembered beyond their connection; find_owner waits for the next one; corktack_core::retry gives the budget (one a group) and the seeded backoff, the edge's own copy is gone; keyed writes whose answer has not begun are resent; an edge that ends gives requests in flight their final answer. Not proved: a stop of a real owner process under load (here the owner is scripted).

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -49,19 +49,27 @@
 #[derive(Debug)]
 pub struct Backoff {
     random: ChaCha8Rng,
+    base: Duration,
+    longest: Duration,
 }
 
 impl Backoff {
     /// A source of delays that depends only on the seed.
     #[must_use]
     pub fn new(seed: u64) -> Self {
-        Self { random: ChaCha8Rng::seed_from_u64(seed) }
+        Self::between(seed, BASE_BACKOFF, LONGEST_BACKOFF)
+    }
+
+    /// The same with bounds of the caller's own: those of the first and of the longest delay.
+    #[must_use]
+    pub fn between(seed: u64, base: Duration, longest: Duration) -> Self {
+        Self { random: ChaCha8Rng::seed_from_u64(seed), base, longest }
     }
 
     /// Delay before the retry with this number, the first being 0.
     pub fn delay(&mut self, attempt: u32) -> Duration {
         let factor = 1_u32.checked_shl(attempt.min(16)).unwrap_or(u32::MAX);
-        let ceiling = BASE_BACKOFF.saturating_mul(factor).min(LONGEST_BACKOFF);
+        let ceiling = self.base.saturating_mul(factor).min(self.longest);
         let micros = ceiling.as_micros() as u64;
         Duration::from_micros(self.random.random_range(micros / 2..=micros))
     }
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -2,7 +2,7 @@
 
 use crate::link::LinkPool;
 use crate::metrics::EdgeMetrics;
-use crate::retry::RetryBudget;
+use crate::retry::Retries;
 use crate::sessions::SessionTable;
 use crate::settings::EdgeSettings;
 use corktack_core::classify::{ProfileCache, StatementProfile};
@@ -40,7 +40,7 @@
     /// Profiles of recent texts.
     pub profiles: RefCell<ProfileCache>,
     /// Retries that are left.
-    pub retries: RefCell<RetryBudget>,
+    pub retries: RefCell<Retries>,
 }
 
 impl ArbiterContext {
--- a/crates/edge/src/error.rs
+++ b/crates/edge/src/error.rs
@@ -76,8 +76,8 @@
     /// The proxy is stopping.
     #[error("proxy is stopping, reconnect; a request that crossed this message was not run")]
     Stopping,
-    /// A new caller came while the proxy is stopping.
-    #[error("proxy is stopping and takes no new callers, not run")]
+    /// A new caller, or a request that still waits, meets a proxy that is stopping.
+    #[error("proxy is stopping, not run")]
     Draining,
     /// The transaction block failed, and waits for its end.
     #[error("current transaction is aborted, commands ignored until end of transaction block")]
--- a/crates/edge/src/handle.rs
+++ b/crates/edge/src/handle.rs
@@ -4,7 +4,7 @@
 use crate::error::{EdgeError, Rejection};
 use crate::link::{LinkPool, OwnerLife};
 use crate::metrics::EdgeMetrics;
-use crate::retry::RetryBudget;
+use crate::retry::Retries;
 use crate::sessions::SessionTable;
 use crate::settings::EdgeSettings;
 use crate::startup::{refuse_connection, serve_connection};
@@ -76,8 +76,8 @@
             refuser,
         };
         let mut arbiters = Vec::new();
-        for _ in 0..shared.settings.arbiters {
-            arbiters.push(start_arbiter(shared.clone(), listener.try_clone()?)?);
+        for number in 0..shared.settings.arbiters {
+            arbiters.push(start_arbiter(number, shared.clone(), listener.try_clone()?)?);
         }
         Ok(EdgeHandle { address, drain_timeout, phase, working, refusing, arbiters })
     }
@@ -120,10 +120,14 @@
     refuser: mpsc::Sender<()>,
 }
 
-fn start_arbiter(shared: Shared, listener: StdListener) -> Result<Arbiter, EdgeError> {
+fn start_arbiter(
+    number: usize,
+    shared: Shared,
+    listener: StdListener,
+) -> Result<Arbiter, EdgeError> {
     let arbiter = Arbiter::new();
     let started = arbiter.spawn_fn(move || match TcpListener::from_std(listener) {
-        Ok(listener) => drop(actix_rt::spawn(accept(shared, listener))),
+        Ok(listener) => drop(actix_rt::spawn(accept(number, shared, listener))),
         Err(error) => {
             log::error!(cause = error.to_string().as_str(); "callers' listener cannot be used");
         }
@@ -131,11 +135,12 @@
     if started { Ok(arbiter) } else { Err(EdgeError::ArbiterStopped) }
 }
 
-fn context(shared: &Shared) -> Rc<ArbiterContext> {
+fn context(number: usize, shared: &Shared) -> Rc<ArbiterContext> {
     let identity = OwnerLife {
         proxy: shared.settings.proxy.clone(),
         incarnation: shared.settings.incarnation,
     };
+    let retry_seed = shared.settings.retry_seed.wrapping_add(number as u64);
     Rc::new(ArbiterContext {
         settings: shared.settings.clone(),
         view: shared.view.clone(),
@@ -144,13 +149,13 @@
         sessions: shared.sessions.clone(),
         drain: shared.drain.clone(),
         profiles: RefCell::new(ProfileCache::new(PROFILE_LIMIT)),
-        retries: RefCell::new(RetryBudget::default()),
+        retries: RefCell::new(Retries::new(retry_seed)),
     })
 }
 
 /// Serves new callers until the edge drains, then refuses them until it ends.
-async fn accept(shared: Shared, listener: TcpListener) {
-    let context = context(&shared);
+async fn accept(number: usize, shared: Shared, listener: TcpListener) {
+    let context = context(number, &shared);
     let Shared { mut drain, worker, refuser, .. } = shared;
     while let Some((stream, source)) =
         next_caller(&listener, &mut drain, DrainPhase::Draining).await
--- a/crates/edge/src/link/pool.rs
+++ b/crates/edge/src/link/pool.rs
@@ -5,7 +5,7 @@
 use corktack_core::view::View;
 use corktack_protocol::peer::EdgeMessage;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -17,23 +17,50 @@
     identity: OwnerLife,
     view: watch::Receiver<Arc<View>>,
     links: RefCell<HashMap<OwnerLife, Rc<OwnerLink>>>,
+    /// Owners that said that they stop and whose connection is gone: no life of an
+    /// owner takes streams again after that.
+    stopped: RefCell<HashSet<OwnerLife>>,
 }
 
 impl LinkPool {
     /// No connections yet.
     #[must_use]
     pub fn new(identity: OwnerLife, view: watch::Receiver<Arc<View>>) -> Self {
-        Self { identity, view, links: RefCell::default() }
+        Self { identity, view, links: RefCell::default(), stopped: RefCell::default() }
     }
 
     /// The connection to an owner; a new one when there is none or it has failed.
     #[must_use]
     pub fn link(&self, owner: &OwnerLife, address: SocketAddr) -> Rc<OwnerLink> {
         let mut links = self.links.borrow_mut();
-        links.retain(|_, link| !link.is_closed());
+        links.retain(|life, link| {
+            if link.is_closed() && link.is_stopping() {
+                self.stopped.borrow_mut().insert(life.clone());
+            }
+            !link.is_closed()
+        });
         links.entry(owner.clone()).or_insert_with(|| self.connect(owner, address)).clone()
     }
 
+    /// Whether this life of an owner takes no new streams.
+    #[must_use]
+    pub fn is_stopping(&self, owner: &OwnerLife) -> bool {
+        if self.links.borrow().get(owner).is_some_and(|link| link.is_stopping()) {
+            return true;
+        }
+        let mut stopped = self.stopped.borrow_mut();
+        if stopped.is_empty() {
+            return false;
+        }
+        let view = self.view.borrow();
+        let is_in_force = |life: &OwnerLife| {
+            let known = view.proxies.get(&life.proxy);
+            known.is_some_and(|proxy| proxy.incarnation == life.incarnation)
+        };
+        stopped.retain(is_in_force);
+        stopped.contains(owner)
+    }
+
     fn connect(&self, owner: &OwnerLife, address: SocketAddr) -> Rc<OwnerLink> {
         let (sender, outgoing) = mpsc::unbounded_channel();
         let link = Rc::new(OwnerLink::new(sender));
--- a/crates/edge/src/link/task.rs
+++ b/crates/edge/src/link/task.rs
@@ -3,7 +3,7 @@
 use super::{OwnerLife, OwnerLink, StreamEvent};
 use corktack_core::view::{ProxyState, View};
 use corktack_protocol::frame::{FrameCodec, FrameError};
-use corktack_protocol::peer::{EdgeMessage, OwnerMessage};
+use corktack_protocol::peer::{EdgeMessage, Failure, NotRunReason, OwnerMessage};
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
@@ -152,6 +152,9 @@
             link.deliver(stream, StreamEvent::Ready { status, served_by });
         }
         OwnerMessage::Failed { stream, failure } => {
+            if let Failure::NotRun { reason: NotRunReason::Stopping, .. } = failure {
+                link.stopping.set(true);
+            }
             link.deliver(stream, StreamEvent::Failed(failure));
         }
         OwnerMessage::Stopping => link.stopping.set(true),
--- a/crates/edge/src/retry.rs
+++ b/crates/edge/src/retry.rs
@@ -1,50 +1,49 @@
-//! Bounds how many requests are sent again, and when.
+//! Bounds how many requests are sent again, for each group on its own, and when.
 
-use rand::Rng;
+use corktack_core::identity::GroupName;
+use corktack_core::retry::{Backoff, RetryBudget};
+use corktack_core::view::View;
+use std::collections::HashMap;
 use std::time::Duration;
 
-/// Share of a retry that each request earns: retries are at most a fifth of requests.
-const EARNED_PER_REQUEST: f64 = 0.2;
-/// Retries that may be saved up.
-const BUDGET_LIMIT: f64 = 50.0;
 /// Bound of the wait before a request is sent again for the first time.
 const FIRST_BACKOFF: Duration = Duration::from_millis(10);
 /// Largest bound of the wait.
 const LAST_BACKOFF: Duration = Duration::from_millis(500);
-/// Doublings after which the wait no longer grows.
-const BACKOFF_DOUBLINGS: u32 = 6;
 
-/// Token bucket of retries.
+/// The retries of one arbiter. A group that fails uses up its own budget only, and
+/// requests to other groups earn it nothing.
 #[derive(Debug)]
-pub struct RetryBudget {
-    tokens: f64,
+pub struct Retries {
+    budgets: HashMap<GroupName, RetryBudget>,
+    backoff: Backoff,
 }
 
-impl Default for RetryBudget {
-    fn default() -> Self {
-        Self { tokens: BUDGET_LIMIT }
+impl Retries {
+    /// Full budgets; the waits depend only on the seed.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        let backoff = Backoff::between(seed, FIRST_BACKOFF, LAST_BACKOFF);
+        Self { budgets: HashMap::new(), backoff }
     }
-}
 
-impl RetryBudget {
-    /// Counts a request: it earns a part of a retry.
-    pub fn earn(&mut self) {
-        self.tokens = (self.tokens + EARNED_PER_REQUEST).min(BUDGET_LIMIT);
+    /// Counts a request to the group: it earns a part of a retry.
+    pub fn request(&mut self, group: &GroupName, view: &View) {
+        if let Some(budget) = self.budgets.get_mut(group) {
+            budget.request();
+            return;
+        }
+        self.budgets.retain(|known, _| view.groups.contains_key(known));
+        self.budgets.entry(group.clone()).or_default().request();
     }
 
-    /// Takes a retry out of the budget, if it has one.
-    pub fn spend(&mut self) -> bool {
-        let affordable = self.tokens >= 1.0;
-        if affordable {
-            self.tokens -= 1.0;
-        }
-        affordable
+    /// Takes a retry out of the group's budget, if it has one.
+    pub fn try_retry(&mut self, group: &GroupName) -> bool {
+        self.budgets.get_mut(group).is_some_and(RetryBudget::try_retry)
     }
-}
 
-/// A wait drawn at random below a bound that doubles with each attempt.
-pub fn backoff(attempt: u32, random: &mut impl Rng) -> Duration {
-    let doubled = FIRST_BACKOFF * 2_u32.pow(attempt.min(BACKOFF_DOUBLINGS));
-    let bound = doubled.min(LAST_BACKOFF);
-    bound.mul_f64(random.random_range(0.5..=1.0))
+    /// The wait before the retry with this number, the first being 0.
+    pub fn delay(&mut self, attempt: u32) -> Duration {
+        self.backoff.delay(attempt)
+    }
 }
--- a/crates/edge/src/session/answer_stream.rs
+++ b/crates/edge/src/session/answer_stream.rs
@@ -3,6 +3,7 @@
 use super::{Loss, Progress, Session};
 use crate::answer;
 use crate::caller::WRITE_BYTES;
+use crate::context::DrainPhase;
 use crate::error::SessionEnd;
 use crate::link::{OwnerStream, StreamEvent};
 use bytes::Buf;
@@ -38,7 +39,8 @@
     Event(StreamEvent),
     Input(Result<(), SessionEnd>),
     Cancelled,
-    TimedOut,
+    /// No longer waited for: the time is over, or the edge ends.
+    GivenUp,
 }
 
 impl Session {
@@ -95,6 +97,7 @@
         self.caller.flush().await?;
         stream.grant();
         let deadline = Instant::now() + self.context.settings.request_timeout;
+        let mut drain = self.context.drain.clone();
         loop {
             let read_ahead = self.caller.may_read_ahead();
             let next = tokio::select! {
@@ -102,13 +105,14 @@
                 event = stream.event() => Next::Event(event),
                 Ok(()) = self.registration.cancelled.changed() => Next::Cancelled,
                 result = self.caller.read_more(), if read_ahead => Next::Input(result),
-                () = tokio::time::sleep_until(deadline) => Next::TimedOut,
+                () = tokio::time::sleep_until(deadline) => Next::GivenUp,
+                _ = drain.wait_for(|phase| *phase == DrainPhase::Ending) => Next::GivenUp,
             };
             match next {
                 Next::Event(event) => return Ok(Some(event)),
                 Next::Input(result) => result?,
                 Next::Cancelled => stream.cancel(),
-                Next::TimedOut => return Ok(None),
+                Next::GivenUp => return Ok(None),
             }
         }
     }
--- a/crates/edge/src/session/forward.rs
+++ b/crates/edge/src/session/forward.rs
@@ -1,40 +1,19 @@
 //! Sends a batch to the group's owner, and again where that is safe.
 
 use super::answer_stream::Answered;
-use super::outcome::{OWNER_RETRY_MS, outcome_of};
+use super::outcome::outcome_of;
+use super::owner_wait::{Lost, NoOwner};
 use super::plan::ForwardPlan;
 use super::{Loss, OpenTransaction, Progress, Session, Verdict, judge};
 use crate::error::{Rejection, SessionEnd};
 use crate::link::OwnerStream;
 use crate::metrics::Outcome;
-use crate::retry::backoff;
-use crate::route::{OwnerRoute, group_of_database, owner_of};
 use corktack_core::binding::choose_class;
 use corktack_core::classify::BlockEffect;
 use corktack_core::identity::GroupName;
-use corktack_core::view::View;
-use corktack_protocol::peer::{
-    Access, Failure, NotRunReason, OpenRequest, ServedBy, TransactionStatus,
-};
-use std::sync::Arc;
-use std::time::Duration;
-use tokio::sync::watch;
+use corktack_protocol::peer::{Access, OpenRequest, ServedBy, TransactionStatus};
 use tokio::time::Instant;
 
-/// Why no owner was found in time.
-enum NoOwner {
-    /// The caller gets this answer.
-    Rejected(Rejection),
-    /// The session is over.
-    Ended(SessionEnd),
-}
-
-impl From<SessionEnd> for NoOwner {
-    fn from(end: SessionEnd) -> Self {
-        Self::Ended(end)
-    }
-}
-
 /// How a batch ended, and whether the answer held an error.
 type BatchOutcome = (Outcome, bool);
 
@@ -69,6 +48,7 @@
             answered: false,
             may_commit: plan.may_commit,
             repeatable: false,
+            keyed: false,
         };
         stream.send(plan.batch);
         match self.pass_answer(&mut stream, &group, &mut progress).await? {
@@ -91,7 +71,6 @@
         let deadline = Instant::now() + self.context.settings.request_timeout;
         let writes = plan.access == Access::Write;
         let key = if writes { self.idempotency_key.take() } else { None };
-        self.context.retries.borrow_mut().earn();
         let mut view = self.context.view.clone();
         let mut attempt = 0;
         loop {
@@ -100,41 +79,51 @@
                 Err(NoOwner::Rejected(rejection)) => return Ok(self.give_up(&rejection)),
                 Err(NoOwner::Ended(end)) => return Err(end),
             };
-            let request = self.open_request(&plan, &group, key.clone(), deadline);
-            let mut progress = Progress {
-                access: plan.access,
-                first_batch: true,
-                answered: false,
-                may_commit: plan.may_commit,
-                repeatable: plan.repeatable,
-            };
-            let loss = match self.open_stream(&route, request) {
-                Ok(mut stream) => {
-                    match self.pass_answer(&mut stream, &group, &mut progress).await? {
-                        Answered::Ready { status, served_by, failed } => {
-                            self.end_of_batch(stream, &group, plan.access, status, served_by);
-                            return Ok((Outcome::Done, failed));
-                        }
-                        Answered::Lost(loss) => loss,
-                    }
-                }
-                Err(loss) => loss,
-            };
-            let rejection = match judge(loss, progress) {
-                Verdict::Final(rejection) => return Ok(self.give_up(&rejection)),
-                Verdict::Retry(rejection) => rejection,
-            };
-            let wait = backoff(attempt, &mut rand::rng());
-            if let Some(rejection) = self.cannot_retry(rejection, wait, deadline) {
-                return Ok(self.give_up(&rejection));
+            if attempt == 0 {
+                self.context.retries.borrow_mut().request(&group, &self.context.view_now());
             }
-            if let Some(rejection) = self.pause(&mut view, wait).await? {
+            let request = self.open_request(&plan, &group, key.clone(), deadline);
+            let link = self.context.links.link(&route.owner, route.address);
+            let loss =
+                match self.first_answer(&plan, link.open(request), &group, key.is_some()).await? {
+                    Ok(outcome) => return Ok(outcome),
+                    Err((loss, progress)) => match judge(loss, progress) {
+                        Verdict::Final(rejection) => return Ok(self.give_up(&rejection)),
+                        Verdict::Retry(rejection) => Lost { loss, rejection, attempt },
+                    },
+                };
+            if let Some(rejection) = self.prepare_retry(loss, &group, &mut view, deadline).await? {
                 return Ok(self.give_up(&rejection));
             }
             attempt += 1;
         }
     }
 
+    /// Passes on the answer to the batch that opens a transaction.
+    async fn first_answer(
+        &mut self,
+        plan: &ForwardPlan,
+        mut stream: OwnerStream,
+        group: &GroupName,
+        keyed: bool,
+    ) -> Result<Result<BatchOutcome, (Loss, Progress)>, SessionEnd> {
+        let mut progress = Progress {
+            access: plan.access,
+            first_batch: true,
+            answered: false,
+            may_commit: plan.may_commit,
+            repeatable: plan.repeatable,
+            keyed,
+        };
+        Ok(match self.pass_answer(&mut stream, group, &mut progress).await? {
+            Answered::Ready { status, served_by, failed } => {
+                self.end_of_batch(stream, group, plan.access, status, served_by);
+                Ok((Outcome::Done, failed))
+            }
+            Answered::Lost(loss) => Err((loss, progress)),
+        })
+    }
+
     fn open_request(
         &self,
         plan: &ForwardPlan,
@@ -155,83 +144,6 @@
         }
     }
 
-    fn open_stream(&self, route: &OwnerRoute, request: OpenRequest) -> Result<OwnerStream, Loss> {
-        let link = self.context.links.link(&route.owner, route.address);
-        if link.is_stopping() {
-            let reason = NotRunReason::Stopping;
-            return Err(Loss::Failed(Failure::NotRun { reason, retry_after_ms: OWNER_RETRY_MS }));
-        }
-        Ok(link.open(request))
-    }
-
-    /// The group of the session's database and its owner; waits for an owner.
-    async fn find_owner(
-        &mut self,
-        view: &mut watch::Receiver<Arc<View>>,
-        deadline: Instant,
-    ) -> Result<(GroupName, OwnerRoute), NoOwner> {
-        loop {
-            let now = view.borrow_and_update().clone();
-            let Some((name, group)) = group_of_database(&now, &self.identity.database) else {
-                return Err(NoOwner::Rejected(not_run(NotRunReason::UnknownGroup)));
-            };
-            let reason = match owner_of(&now, group) {
-                Ok(route) => return Ok((name.clone(), route)),
-                Err(reason) => reason,
-            };
-            let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return Err(NoOwner::Rejected(not_run(reason)));
-            }
-            if let Some(rejection) = self.pause(view, left).await? {
-                return Err(NoOwner::Rejected(rejection));
-            }
-        }
-    }
-
-    /// The final answer when a request must not be sent again.
-    fn cannot_retry(
-        &self,
-        rejection: Rejection,
-        wait: Duration,
-        deadline: Instant,
-    ) -> Option<Rejection> {
-        if Instant::now() + wait >= deadline {
-            return Some(rejection);
-        }
-        if self.context.retries.borrow_mut().spend() {
-            self.context.metrics.retries.inc();
-            return None;
-        }
-        match rejection {
-            Rejection::NotRun { retry_after_ms, .. } => {
-                Some(Rejection::NotRun { reason: NotRunReason::RetryBudget, retry_after_ms })
-            }
-            other => Some(other),
-        }
-    }
-
-    /// Waits, at most until the configuration in force is another than the one last
-    /// seen. Something is returned when the caller cancels.
-    async fn pause(
-        &mut self,
-        view: &mut watch::Receiver<Arc<View>>,
-        wait: Duration,
-    ) -> Result<Option<Rejection>, SessionEnd> {
-        let wake = Instant::now() + wait;
-        loop {
-            let read_ahead = self.caller.may_read_ahead();
-            tokio::select! {
-                () = tokio::time::sleep_until(wake) => return Ok(None),
-                Ok(()) = view.changed() => return Ok(None),
-                Ok(()) = self.registration.cancelled.changed() => {
-                    return Ok(Some(Rejection::Cancelled));
-                }
-                result = self.caller.read_more(), if read_ahead => result?,
-            }
-        }
-    }
-
     fn end_of_batch(
         &mut self,
         stream: OwnerStream,
@@ -255,7 +167,3 @@
         (outcome_of(rejection), true)
     }
 }
-
-fn not_run(reason: NotRunReason) -> Rejection {
-    Rejection::NotRun { reason, retry_after_ms: OWNER_RETRY_MS }
-}
--- a/crates/edge/src/session/mod.rs
+++ b/crates/edge/src/session/mod.rs
@@ -4,6 +4,7 @@
 mod forward;
 mod local;
 mod outcome;
+mod owner_wait;
 mod plan;
 
 pub use outcome::{Loss, Progress, Verdict, judge};
@@ -98,6 +99,9 @@
     /// The next batch, or nothing when the caller ends the session.
     async fn next_batch(&mut self) -> Result<Option<CallerBatch>, SessionEnd> {
         loop {
+            if *self.context.drain.borrow() == DrainPhase::Ending {
+                return Err(Rejection::Stopping.into());
+            }
             let limit = self.context.settings.message_limit;
             while let Some((message, bytes)) = self.caller.buffered_message(limit)? {
                 match self.collector.push(message, bytes)? {
--- a/crates/edge/src/session/outcome.rs
+++ b/crates/edge/src/session/outcome.rs
@@ -37,6 +37,8 @@
     pub may_commit: bool,
     /// Whether running the batch twice harms nobody.
     pub repeatable: bool,
+    /// Whether an idempotency key lets the batch run once at most.
+    pub keyed: bool,
 }
 
 /// What the request comes to.
@@ -80,7 +82,7 @@
 
 fn judge_sent(progress: Progress) -> Verdict {
     let rejection = lost_after_sending(progress);
-    let harmless = progress.access == Access::Read || progress.repeatable;
+    let harmless = progress.access == Access::Read || progress.repeatable || progress.keyed;
     if harmless && !progress.answered {
         Verdict::Retry(rejection)
     } else {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -62,6 +62,8 @@
     pub authentication: Authentication,
     /// Longest wait until a request starts, and for any message of its answer.
     pub request_timeout: Duration,
+    /// Seed of the waits before a request is sent again.
+    pub retry_seed: u64,
     /// Longest wait of a drain for transactions in flight.
     pub drain_timeout: Duration,
 }
@@ -81,6 +83,7 @@
             default_class,
             authentication: Authentication::Trust,
             request_timeout: Duration::from_secs(30),
+            retry_seed: rand::random(),
             drain_timeout: Duration::from_secs(60),
         }
     }
--- a/crates/edge/tests/callers/main.rs
+++ b/crates/edge/tests/callers/main.rs
@@ -4,6 +4,8 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod drain;
 mod protocol;
 mod refused;
+mod retries;
 mod startup;
