Edge: bounded tokens, texts and windows; owners prove their name before a request

Cause (each seen failing by its test first): - Requests were written before the owner's name was read. Sent to another process at the address they counted as sent: a write that had run nowhere was answered 08007. - A draining owner says Stopping before its name; the edge took that for a broken protocol and connected again and again. - A request whose batch or prepared statements did not fit into a frame closed the connection that all callers of an arbiter share: one caller cut everybody's transactions. - An owner that ignored the window filled the edge's memory when a caller did not read. - Tokens grew by every SET corktack.token, prepared statements by any text (10,000 of 4 MB each), idempotency keys to the longest message; a token in the startup options was dropped beside one in the parameters. Ruled out: bounding the queue of outgoing messages: each session has one batch in it, which is bounded itself. Change: the names are exchanged within the time for connecting; Stopping may come first; requests over a frame are refused with 54000; a stream holds its window and one frame (WindowOverrun closes the link); tokens of 1,024 groups, 32 MiB of prepared text, keys of 256 bytes. EdgeSettings::local_owner is the address of the owner in the same process and life. A message's header alone no longer reserves the message's length. Not proved: the server does not set local_owner yet; that memory stays bounded is shown by the link that is closed, not by a measurement.

--- a/crates/core/src/session/mod.rs
+++ b/crates/core/src/session/mod.rs
@@ -5,6 +5,6 @@
 
 pub use statements::{
     MISSING_STATEMENT, SessionStatement, SessionStatements, StatementEffect, StatementError,
-    shared_name,
+    TEXT_LIMIT, shared_name,
 };
 pub use token::{SessionToken, TOKEN_GROUP_LIMIT, TokenError};
--- a/crates/core/src/session/statements.rs
+++ b/crates/core/src/session/statements.rs
@@ -9,6 +9,9 @@
 /// Name that no shared statement ever has: closing it does nothing.
 pub const MISSING_STATEMENT: &str = "ct_none";
 
+/// Most bytes of text that the prepared statements of a session hold.
+pub const TEXT_LIMIT: usize = 32 * 1024 * 1024;
+
 /// Keys of the hash behind shared names: fixed, so that all proxies agree.
 const HASH_KEYS: (u64, u64) = (0x636f_726b_7461_636b, 0x7374_6174_656d_656e);
 
@@ -46,6 +49,9 @@
     /// The session has too many statements.
     #[error("a session may have {0} prepared statements")]
     TooMany(usize),
+    /// The session's statements are too long together.
+    #[error("the prepared statements of a session may have {0} bytes of text")]
+    TooMuchText(usize),
 }
 
 /// What a message will do to the session's statements once the back end has done it.
@@ -67,6 +73,8 @@
 pub struct SessionStatements {
     limit: usize,
     lasting: HashMap<String, Arc<SessionStatement>>,
+    /// Bytes of text of the lasting ones.
+    bytes: usize,
     pending: VecDeque<StatementEffect>,
 }
 
@@ -74,7 +82,7 @@
     /// No statements yet; at most this many.
     #[must_use]
     pub fn new(limit: usize) -> Self {
-        Self { limit, lasting: HashMap::new(), pending: VecDeque::new() }
+        Self { limit, lasting: HashMap::new(), bytes: 0, pending: VecDeque::new() }
     }
 
     /// The statement of this name, as the next message of the batch sees it.
@@ -93,6 +101,7 @@
     }
 
     /// Notes a `Parse`; the unnamed statement may be parsed again, a named one not.
+    /// Texts that are still pending do not count: a batch is bounded itself.
     ///
     /// # Errors
     /// [`StatementError`] when the name is taken or the session has too many.
@@ -107,6 +116,10 @@
         if self.lasting.len() + self.pending.len() >= self.limit {
             return Err(StatementError::TooMany(self.limit));
         }
+        let replaced = self.lasting.get(name).map_or(0, |known| known.query.len());
+        if self.bytes - replaced + statement.query.len() > TEXT_LIMIT {
+            return Err(StatementError::TooMuchText(TEXT_LIMIT));
+        }
         self.pending.push_back(StatementEffect::Define(name.to_owned(), Arc::new(statement)));
         Ok(())
     }
@@ -125,15 +138,21 @@
     pub fn confirm(&mut self) {
         match self.pending.pop_front() {
             Some(StatementEffect::Define(name, statement)) => {
+                self.remove(&name);
+                self.bytes += statement.query.len();
                 self.lasting.insert(name, statement);
             }
-            Some(StatementEffect::Forget(name)) => {
-                self.lasting.remove(&name);
-            }
+            Some(StatementEffect::Forget(name)) => self.remove(&name),
             Some(StatementEffect::ClosePortal) | None => {}
         }
     }
 
+    fn remove(&mut self, name: &str) {
+        if let Some(removed) = self.lasting.remove(name) {
+            self.bytes -= removed.query.len();
+        }
+    }
+
     /// The batch is over: what was not confirmed did not happen.
     pub fn end_batch(&mut self) {
         self.pending.clear();
@@ -142,6 +161,7 @@
     /// Forgets everything.
     pub fn clear(&mut self) {
         self.lasting.clear();
+        self.bytes = 0;
         self.pending.clear();
     }
 }
--- a/crates/core/src/session/token.rs
+++ b/crates/core/src/session/token.rs
@@ -47,11 +47,19 @@
         *seen = seen.merge(position);
     }
 
-    /// Adds everything that another token has seen.
-    pub fn merge(&mut self, other: &Self) {
+    /// Adds everything that another token has seen, or nothing.
+    ///
+    /// # Errors
+    /// [`TokenError::TooManyGroups`] when both together name too many groups.
+    pub fn merge(&mut self, other: &Self) -> Result<(), TokenError> {
+        let added = other.positions.keys().filter(|group| !self.positions.contains_key(*group));
+        if self.positions.len() + added.count() > TOKEN_GROUP_LIMIT {
+            return Err(TokenError::TooManyGroups);
+        }
         for (group, position) in &other.positions {
             self.advance(group, *position);
         }
+        Ok(())
     }
 }
 
--- a/crates/edge/src/codec.rs
+++ b/crates/edge/src/codec.rs
@@ -15,6 +15,8 @@
 const LENGTH_BYTES: usize = 4;
 /// Bytes of a message's type and length.
 const HEADER_BYTES: usize = 5;
+/// Most bytes set aside for a message that has not come.
+const RESERVED_BYTES: usize = 64 * 1024;
 /// Shortest first message: length and code.
 const FIRST_MESSAGE_BYTES: usize = 8;
 
@@ -97,7 +99,8 @@
         return Err(Rejection::MessageTooLarge { length, limit });
     }
     if buffer.len() < 1 + length {
-        buffer.reserve(1 + length - buffer.len());
+        // More is taken as it comes: a header alone costs no memory.
+        buffer.reserve((1 + length - buffer.len()).min(RESERVED_BYTES));
         return Ok(None);
     }
     let mut frame = buffer.split_to(1 + length);
--- a/crates/edge/src/error.rs
+++ b/crates/edge/src/error.rs
@@ -61,6 +61,12 @@
     /// The encoding is not served.
     #[error("client encoding {0:?} is not supported, use UTF8")]
     Encoding(String),
+    /// A request does not fit into a frame to the owner.
+    #[error("request with its prepared statements is over {0} bytes, not run")]
+    RequestTooLarge(usize),
+    /// An idempotency key is too long.
+    #[error("idempotency key of more than {0} bytes")]
+    KeyTooLong(usize),
     /// No group serves the database.
     #[error("database {0:?} does not exist")]
     UnknownDatabase(String),
@@ -158,14 +164,16 @@
         match self {
             Self::MalformedStartup | Self::MalformedMessage(_) => "08P01",
             Self::NotUtf8 => "22021",
-            Self::MessageTooLarge { .. } | Self::BatchTooLarge(_) => "54000",
+            Self::MessageTooLarge { .. } | Self::BatchTooLarge(_) | Self::RequestTooLarge(_) => {
+                "54000"
+            }
             Self::NoUser => "28000",
             Self::UnknownDatabase(_) => "3D000",
             Self::TooManyConnections => "53300",
             Self::Authentication(_) => "28P01",
             Self::StartupTimeout => "57P05",
             Self::Stopping => "57P01",
-            Self::Token(_) => "22023",
+            Self::Token(_) | Self::KeyTooLong(_) => "22023",
             Self::ProtocolVersion(..)
             | Self::Encoding(_)
             | Self::Unsupported(_)
@@ -173,7 +181,7 @@
             | Self::MixedBatch => "0A000",
             Self::Statement(StatementError::Duplicate(_)) => "42P05",
             Self::Statement(StatementError::Unknown(_)) => "26000",
-            Self::Statement(StatementError::TooMany(_)) => "54000",
+            Self::Statement(StatementError::TooMany(_) | StatementError::TooMuchText(_)) => "54000",
             Self::NotRun { reason: NotRunReason::QueueFull, .. } => "53300",
             Self::NotRun { reason: NotRunReason::QueueTimeout, .. } => "53400",
             Self::NotRun { .. } => "57P03",
--- a/crates/edge/src/link/mod.rs
+++ b/crates/edge/src/link/mod.rs
@@ -8,12 +8,17 @@
 pub use stream::{OwnerStream, StreamEvent};
 
 use corktack_core::identity::{Incarnation, ProxyName};
-use corktack_protocol::peer::{Batch, EdgeMessage, OpenRequest, StreamId};
+use corktack_protocol::frame::PAYLOAD_LIMIT;
+use corktack_protocol::peer::{Batch, EdgeMessage, INITIAL_WINDOW_BYTES, OpenRequest, StreamId};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use task::LinkError;
 use tokio::sync::mpsc;
 
+/// Most bytes of answers that a stream holds for its caller.
+const UNTAKEN_LIMIT: usize = INITIAL_WINDOW_BYTES as usize + PAYLOAD_LIMIT;
+
 /// One life of an owner proxy.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct OwnerLife {
@@ -30,6 +35,8 @@
     opened: bool,
     /// Whether the last batch may have reached the owner.
     sent: bool,
+    /// Bytes of answers that the caller has not taken.
+    untaken: usize,
 }
 
 /// A connection to one life of an owner proxy.
@@ -71,7 +78,9 @@
         let id = StreamId(self.last_stream.get() + 1);
         self.last_stream.set(id.0);
         let (events, received) = mpsc::unbounded_channel();
-        self.streams.borrow_mut().insert(id, StreamEntry { events, opened: false, sent: false });
+        self.streams
+            .borrow_mut()
+            .insert(id, StreamEntry { events, opened: false, sent: false, untaken: 0 });
         self.send(EdgeMessage::Open { stream: id, request: Box::new(request) });
         OwnerStream::new(self.clone(), id, received)
     }
@@ -118,6 +127,27 @@
         }
     }
 
+    /// Grants the owner bytes that the caller has taken.
+    fn grant(&self, stream: StreamId, bytes: u32) {
+        if let Some(entry) = self.streams.borrow_mut().get_mut(&stream) {
+            entry.untaken = entry.untaken.saturating_sub(bytes as usize);
+        }
+        self.send(EdgeMessage::Window { stream, bytes });
+    }
+
+    /// Hands messages to their stream. An owner ends one frame past its window at most;
+    /// more than that is not kept.
+    fn deliver_data(&self, stream: StreamId, messages: Vec<u8>) -> Result<(), LinkError> {
+        if let Some(entry) = self.streams.borrow_mut().get_mut(&stream) {
+            entry.untaken += messages.len();
+            if entry.untaken > UNTAKEN_LIMIT {
+                return Err(LinkError::WindowOverrun(stream));
+            }
+        }
+        self.deliver(stream, StreamEvent::Data(messages));
+        Ok(())
+    }
+
     /// Hands an event to its stream; a late one finds none and is dropped.
     fn deliver(&self, stream: StreamId, event: StreamEvent) {
         let ends = event.ends_stream();
--- a/crates/edge/src/link/stream.rs
+++ b/crates/edge/src/link/stream.rs
@@ -96,7 +96,7 @@
     /// Notes that the caller has taken everything so far.
     pub fn grant(&mut self) {
         if self.ungranted > 0 && !self.ended {
-            self.link.send(EdgeMessage::Window { stream: self.id, bytes: self.ungranted });
+            self.link.grant(self.id, self.ungranted);
             self.ungranted = 0;
         }
     }
--- a/crates/edge/src/link/task.rs
+++ b/crates/edge/src/link/task.rs
@@ -3,7 +3,7 @@
 use super::{OwnerLife, OwnerLink, StreamEvent};
 use corktack_core::view::{ProxyState, View};
 use corktack_protocol::frame::{FrameCodec, FrameError};
-use corktack_protocol::peer::{EdgeMessage, Failure, NotRunReason, OwnerMessage};
+use corktack_protocol::peer::{EdgeMessage, Failure, NotRunReason, OwnerMessage, StreamId};
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
-/// Longest wait for a connection to an owner.
+/// Longest wait for a connection to an owner and its name.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time without acknowledgement of sent bytes after which a connection is given up.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(4);
@@ -43,6 +43,9 @@
     /// Another process answered at the address.
     #[error("another proxy, or another life of it, answered at the owner's address")]
     WrongOwner,
+    /// The owner sent more than its window and one frame on a stream.
+    #[error("the owner sent past the window of stream {}", .0.0)]
+    WindowOverrun(StreamId),
     /// The configuration in force says that this life of the owner is over.
     #[error("the owner is down")]
     OwnerDown,
@@ -71,26 +74,50 @@
     async fn serve(&mut self) -> LinkError {
         let mut view = self.view.clone();
         let connection = tokio::select! {
-            connection = connect(self.address) => connection,
+            connection = self.connect() => connection,
             () = owner_down(&mut view, &self.owner) => return LinkError::OwnerDown,
         };
         let (sink, source) = match connection {
             Ok(connection) => connection.split(),
             Err(error) => return error,
         };
-        let hello = self.hello.clone();
         let result = tokio::select! {
-            result = write(&self.link, hello, &mut self.outgoing, sink) => result,
-            result = read(&self.link, &self.owner, source) => result,
+            result = write(&self.link, &mut self.outgoing, sink) => result,
+            result = read(&self.link, source) => result,
             () = owner_down(&mut view, &self.owner) => Err(LinkError::OwnerDown),
         };
         result.err().unwrap_or(LinkError::Closed)
     }
+
+    /// Connects and makes sure of who answers, before any request is written: what
+    /// another process was not sent it cannot have run.
+    async fn connect(&self) -> Result<OwnerConnection, LinkError> {
+        let greeted = async {
+            let mut connection = connect(self.address).await?;
+            connection.send(self.hello.clone()).await?;
+            self.read_hello(&mut connection).await?;
+            Ok(connection)
+        };
+        timeout(CONNECT_TIMEOUT, greeted).await.unwrap_or(Err(LinkError::ConnectTimeout))
+    }
+
+    /// An owner that is stopping may say so before its name.
+    async fn read_hello(&self, connection: &mut OwnerConnection) -> Result<(), LinkError> {
+        loop {
+            match connection.next().await.ok_or(LinkError::Closed)?? {
+                OwnerMessage::Stopping => self.link.stopping.set(true),
+                OwnerMessage::Hello { proxy, incarnation } => {
+                    let is_owner = OwnerLife { proxy, incarnation } == self.owner;
+                    return if is_owner { Ok(()) } else { Err(LinkError::WrongOwner) };
+                }
+                _ => return Err(LinkError::NoHello),
+            }
+        }
+    }
 }
 
 async fn connect(address: SocketAddr) -> Result<OwnerConnection, LinkError> {
-    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let stream = connecting.await.map_err(|_| LinkError::ConnectTimeout)??;
+    let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(&stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
@@ -99,12 +126,9 @@
 
 async fn write(
     link: &OwnerLink,
-    hello: EdgeMessage,
     outgoing: &mut mpsc::UnboundedReceiver<EdgeMessage>,
     mut sink: SplitSink<OwnerConnection, EdgeMessage>,
 ) -> Result<(), LinkError> {
-    sink.feed(hello).await?;
-    sink.flush().await?;
     while let Some(message) = outgoing.recv().await {
         let mut next = Some(message);
         while let Some(message) = next {
@@ -118,32 +142,18 @@
     Ok(())
 }
 
-async fn read(
-    link: &OwnerLink,
-    owner: &OwnerLife,
-    mut source: SplitStream<OwnerConnection>,
-) -> Result<(), LinkError> {
-    match source.next().await {
-        Some(Ok(OwnerMessage::Hello { proxy, incarnation })) => {
-            if (OwnerLife { proxy, incarnation }) != *owner {
-                return Err(LinkError::WrongOwner);
-            }
-        }
-        Some(Ok(_)) => return Err(LinkError::NoHello),
-        Some(Err(error)) => return Err(error.into()),
-        None => return Err(LinkError::Closed),
-    }
+async fn read(link: &OwnerLink, mut source: SplitStream<OwnerConnection>) -> Result<(), LinkError> {
     while let Some(message) = source.next().await {
-        dispatch(link, message?);
+        dispatch(link, message?)?;
     }
     Err(LinkError::Closed)
 }
 
-fn dispatch(link: &OwnerLink, message: OwnerMessage) {
+fn dispatch(link: &OwnerLink, message: OwnerMessage) -> Result<(), LinkError> {
     match message {
         OwnerMessage::Hello { .. } => {}
         OwnerMessage::Data { stream, messages } => {
-            link.deliver(stream, StreamEvent::Data(messages));
+            link.deliver_data(stream, messages)?;
         }
         OwnerMessage::Position { stream, position } => {
             link.deliver(stream, StreamEvent::Position(position));
@@ -159,6 +169,7 @@
         }
         OwnerMessage::Stopping => link.stopping.set(true),
     }
+    Ok(())
 }
 
 /// Returns once the configuration in force says that this life of the owner is over.
--- a/crates/edge/src/session/local.rs
+++ b/crates/edge/src/session/local.rs
@@ -14,6 +14,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+/// Longest idempotency key, in bytes.
+const KEY_LIMIT: usize = 256;
+
 /// Answers a batch; after an error its later messages are skipped. Tells whether
 /// all went well.
 pub(super) fn answer_locally(session: &mut Session, messages: &[Message]) -> bool {
@@ -153,9 +156,12 @@
             "SHOW"
         }
         LocalStatement::SetToken(text) => {
-            session.token.merge(&text.parse::<SessionToken>()?);
+            session.token.merge(&text.parse::<SessionToken>()?)?;
             "SET"
         }
+        LocalStatement::SetIdempotencyKey(key) if key.len() > KEY_LIMIT => {
+            return Err(Rejection::KeyTooLong(KEY_LIMIT));
+        }
         LocalStatement::SetIdempotencyKey(key) => {
             session.idempotency_key = (!key.is_empty()).then(|| key.clone());
             "SET"
--- a/crates/edge/src/session/owner_wait.rs
+++ b/crates/edge/src/session/owner_wait.rs
@@ -66,7 +66,7 @@
             };
             let reason = match owner_of(&now, group) {
                 Ok(route) if self.context.links.is_stopping(&route.owner) => NotRunReason::Stopping,
-                Ok(route) => return Ok((name.clone(), route)),
+                Ok(route) => return Ok((name.clone(), self.nearest(route))),
                 Err(reason) => reason,
             };
             let left = deadline.saturating_duration_since(Instant::now());
@@ -79,6 +79,17 @@
         }
     }
 
+    /// The way to an owner: to the one in this process it need not cross the network.
+    fn nearest(&self, mut route: OwnerRoute) -> OwnerRoute {
+        let settings = &self.context.settings;
+        let is_own =
+            route.owner.proxy == settings.proxy && route.owner.incarnation == settings.incarnation;
+        if let Some(address) = settings.local_owner.filter(|_| is_own) {
+            route.address = address;
+        }
+        route
+    }
+
     /// Waits until a lost request may be sent again; its final answer when it must not.
     pub(super) async fn prepare_retry(
         &mut self,
--- a/crates/edge/src/session/plan.rs
+++ b/crates/edge/src/session/plan.rs
@@ -7,6 +7,7 @@
 use corktack_core::session::{
     MISSING_STATEMENT, SessionStatement, SessionStatements, StatementError, shared_name,
 };
+use corktack_protocol::frame::PAYLOAD_LIMIT;
 use corktack_protocol::peer::{Access, Batch, PreparedStatement};
 use pgwire::messages::PgWireFrontendMessage as Message;
 use pgwire::messages::extendedquery::{
@@ -16,6 +17,13 @@
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
+/// Longest batch that fits into a frame to the owner with all that goes with it.
+const REQUEST_LIMIT: usize = PAYLOAD_LIMIT - 64 * 1024;
+/// Most bytes of an encoded parameter type.
+const TYPE_BYTES: usize = 5;
+/// Most bytes of the lengths of an encoded prepared statement.
+const STATEMENT_BYTES: usize = 16;
+
 /// Where a batch is answered.
 #[derive(Debug)]
 pub enum Plan {
@@ -71,7 +79,20 @@
     if !is_query {
         planner.put(&Message::Sync(Sync::new()))?;
     }
-    Ok(Plan::Forward(planner.finish()))
+    let plan = planner.finish();
+    if size_of_batch(&plan.batch) > REQUEST_LIMIT {
+        return Err(Rejection::RequestTooLarge(REQUEST_LIMIT));
+    }
+    Ok(Plan::Forward(plan))
+}
+
+/// Bytes of the parts of a batch that callers can make long, and a little for each.
+fn size_of_batch(batch: &Batch) -> usize {
+    let prepared = batch.prepared.iter().map(|statement| {
+        let texts = statement.name.len() + statement.query.len();
+        texts + TYPE_BYTES * statement.parameter_types.len() + STATEMENT_BYTES
+    });
+    batch.messages.len() + prepared.sum::<usize>()
 }
 
 struct Planner<'a> {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -2,6 +2,7 @@
 
 use corktack_core::identity::{ClassName, Incarnation, ProxyName};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// How callers prove who they are.
@@ -46,6 +47,9 @@
     pub proxy: ProxyName,
     /// This life of the process.
     pub incarnation: Incarnation,
+    /// Where the owner in this process listens, if the way there need not leave the
+    /// machine: used in place of the address that the configuration gives it.
+    pub local_owner: Option<SocketAddr>,
     /// Threads that serve callers.
     pub arbiters: usize,
     /// Callers' connections at once.
@@ -75,6 +79,7 @@
         Self {
             proxy,
             incarnation,
+            local_owner: None,
             arbiters: 2,
             connection_limit: 10_000,
             startup_message_limit: 8 * 1024,
--- a/crates/edge/src/startup.rs
+++ b/crates/edge/src/startup.rs
@@ -163,9 +163,8 @@
     }
     let options = parameter("options").map(|text| options::parse(text)).unwrap_or_default();
     let mut token = SessionToken::default();
-    let given = parameter(TOKEN_SETTING).or_else(|| options.get(TOKEN_SETTING));
-    if let Some(text) = given {
-        token.merge(&text.parse()?);
+    for text in [parameter(TOKEN_SETTING), options.get(TOKEN_SETTING)].into_iter().flatten() {
+        token.merge(&text.parse()?)?;
     }
     let application_name =
         parameter("application_name").or_else(|| options.get("application_name"));
--- a/crates/edge/tests/callers/drain.rs
+++ b/crates/edge/tests/callers/drain.rs
@@ -219,3 +219,20 @@
     fixture.owner.answer(stream, &batch, "", TransactionStatus::Idle);
     assert_eq!(caller.read_until_ready().await, "TDCZ");
 }
+
+#[actix_rt::test]
+async fn owner_that_stops_before_it_says_its_name_hands_over_too() {
+    let mut fixture = Fixture::start().await;
+    let mut stopping = FakeOwner::start_with("owner-1", Some(OwnerMessage::Stopping)).await;
+    fixture.view.send_replace(Arc::new(view_with_owner(Some((OWNER, stopping.address)))));
+    let mut caller = RawCaller::start(fixture.edge.address()).await;
+    caller.send(&wire::query("INSERT INTO t VALUES (1)")).await;
+    let (stream, _) = stopping.open().await;
+    let failure = Failure::NotRun { reason: NotRunReason::Stopping, retry_after_ms: 10 };
+    stopping.fail(stream, failure);
+    let next = FakeOwner::start("owner-2").await;
+    hand_over(&fixture, &next);
+    fixture.owner = next;
+    fixture.owner.serve_one("").await;
+    assert_eq!(caller.read_until_ready().await, "TDCZ");
+}
--- a/crates/edge/tests/callers/main.rs
+++ b/crates/edge/tests/callers/main.rs
@@ -5,7 +5,9 @@
 mod support;
 
 mod drain;
+mod link;
 mod protocol;
 mod refused;
 mod retries;
 mod startup;
+mod tokens;
--- a/crates/edge/tests/support/owner.rs
+++ b/crates/edge/tests/support/owner.rs
@@ -28,14 +28,21 @@
 pub struct FakeOwner {
     pub address: SocketAddr,
     received: mpsc::UnboundedReceiver<EdgeMessage>,
+    ended: mpsc::UnboundedReceiver<()>,
     connections: Connections,
 }
 
 impl FakeOwner {
     pub async fn start(name: &str) -> Self {
+        Self::start_with(name, None).await
+    }
+
+    /// An owner that says this before its name.
+    pub async fn start_with(name: &str, first: Option<OwnerMessage>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (events, received) = mpsc::unbounded_channel();
+        let (ends, ended) = mpsc::unbounded_channel();
         let connections = Connections::default();
         let hello = OwnerMessage::Hello {
             proxy: ProxyName::new(name).unwrap(),
@@ -45,12 +52,19 @@
         actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (commands, queue) = mpsc::unbounded_channel();
+                if let Some(message) = first.clone() {
+                    commands.send(Command::Send(message)).unwrap_or_default();
+                }
                 commands.send(Command::Send(hello.clone())).unwrap_or_default();
                 accepted.borrow_mut().push(commands);
-                actix_rt::spawn(serve(stream, queue, events.clone()));
+                let (events, ends) = (events.clone(), ends.clone());
+                actix_rt::spawn(async move {
+                    serve(stream, queue, events).await;
+                    ends.send(()).unwrap_or_default();
+                });
             }
         });
-        Self { address, received, connections }
+        Self { address, received, ended, connections }
     }
 
     /// The next message, other than `Hello` and `Window`.
@@ -97,6 +111,11 @@
         }
     }
 
+    /// Waits until the edge has ended a connection.
+    pub async fn ended(&mut self) {
+        self.ended.recv().await.unwrap();
+    }
+
     pub fn connection_count(&self) -> usize {
         self.connections.borrow().len()
     }
