Edge: a write that may have run is never called not run

When the later try was refused, cancelled, timed out or met a drain, its own answer went to the caller: 53300, 57014 or 57P03 with the words "not run", though the first try may have run. If the database had moved to another group meanwhile, the write went there, where the key is not known. Change: once a try is uncertain the final answer is 08007, and another group is not asked. Not proved: the key's store in the group's database, which is the owner's.

--- a/crates/edge/src/session/forward.rs
+++ b/crates/edge/src/session/forward.rs
@@ -68,6 +68,22 @@
     }
 
     async fn open_transaction(&mut self, plan: ForwardPlan) -> Result<BatchOutcome, SessionEnd> {
+        let mut uncertain = None;
+        match self.try_owners(&plan, &mut uncertain).await? {
+            Ok(outcome) => Ok(outcome),
+            // Whatever became of a later try, the earlier one may have run.
+            Err(_) if uncertain.is_some() => Ok(self.give_up(&Rejection::Unknown)),
+            Err(rejection) => Ok(self.give_up(&rejection)),
+        }
+    }
+
+    /// Sends the batch until it is answered or given up on. `uncertain` becomes the
+    /// group in which a try may have run a write.
+    async fn try_owners(
+        &mut self,
+        plan: &ForwardPlan,
+        uncertain: &mut Option<GroupName>,
+    ) -> Result<Result<BatchOutcome, Rejection>, SessionEnd> {
         let deadline = Instant::now() + self.context.settings.request_timeout;
         let writes = plan.access == Access::Write;
         let key = if writes { self.idempotency_key.take() } else { None };
@@ -76,24 +92,30 @@
         loop {
             let (group, route) = match self.find_owner(&mut view, deadline).await {
                 Ok(found) => found,
-                Err(NoOwner::Rejected(rejection)) => return Ok(self.give_up(&rejection)),
+                Err(NoOwner::Rejected(rejection)) => return Ok(Err(rejection)),
                 Err(NoOwner::Ended(end)) => return Err(end),
             };
+            // Another group's database does not know the key.
+            if uncertain.as_ref().is_some_and(|tried| *tried != group) {
+                return Ok(Err(Rejection::Unknown));
+            }
             if attempt == 0 {
                 self.context.retries.borrow_mut().request(&group, &self.context.view_now());
             }
-            let request = self.open_request(&plan, &group, key.clone(), deadline);
-            let link = self.context.links.link(&route.owner, route.address);
-            let loss =
-                match self.first_answer(&plan, link.open(request), &group, key.is_some()).await? {
-                    Ok(outcome) => return Ok(outcome),
-                    Err((loss, progress)) => match judge(loss, progress) {
-                        Verdict::Final(rejection) => return Ok(self.give_up(&rejection)),
-                        Verdict::Retry(rejection) => Lost { loss, rejection, attempt },
-                    },
-                };
-            if let Some(rejection) = self.prepare_retry(loss, &group, &mut view, deadline).await? {
-                return Ok(self.give_up(&rejection));
+            let request = self.open_request(plan, &group, key.clone(), deadline);
+            let stream = self.context.links.link(&route.owner, route.address).open(request);
+            let lost = match self.first_answer(plan, stream, &group, key.is_some()).await? {
+                Ok(outcome) => return Ok(Ok(outcome)),
+                Err((loss, progress)) => match judge(loss, progress) {
+                    Verdict::Final(rejection) => return Ok(Err(rejection)),
+                    Verdict::Retry(rejection) => Lost { loss, rejection, attempt },
+                },
+            };
+            if lost.rejection == Rejection::Unknown {
+                *uncertain = Some(group.clone());
+            }
+            if let Some(rejection) = self.prepare_retry(lost, &group, &mut view, deadline).await? {
+                return Ok(Err(rejection));
             }
             attempt += 1;
         }
--- a/crates/edge/tests/callers/main.rs
+++ b/crates/edge/tests/callers/main.rs
@@ -12,3 +12,4 @@
 mod retries;
 mod startup;
 mod tokens;
+mod uncertain;
