--- a/crates/edge/src/session/plan.rs
+++ b/crates/edge/src/session/plan.rs
@@ -3,10 +3,11 @@
 use crate::batch::{BatchEnd, CallerBatch};
 use crate::error::Rejection;
 use bytes::BytesMut;
-use corktack_core::classify::{Classification, ProfileCache, StatementProfile};
+use corktack_core::classify::{BlockEffect, Classification, ProfileCache, StatementProfile};
 use corktack_core::session::{
     MISSING_STATEMENT, SessionStatement, SessionStatements, StatementError, shared_name,
 };
+use corktack_protocol::frame::PAYLOAD_LIMIT;
 use corktack_protocol::peer::{Access, Batch, PreparedStatement};
 use pgwire::messages::PgWireFrontendMessage as Message;
 use pgwire::messages::extendedquery::{
@@ -16,6 +17,13 @@
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
+/// Longest batch that fits into a frame to the owner with all that goes with it.
+const REQUEST_LIMIT: usize = PAYLOAD_LIMIT - 64 * 1024;
+/// Most bytes of an encoded parameter type.
+const TYPE_BYTES: usize = 5;
+/// Most bytes of the lengths of an encoded prepared statement.
+const STATEMENT_BYTES: usize = 16;
+
 /// Where a batch is answered.
 #[derive(Debug)]
 pub enum Plan {
@@ -36,6 +44,8 @@
     pub may_commit: bool,
     /// Whether running it twice harms nobody.
     pub repeatable: bool,
+    /// What it leaves behind of a transaction block.
+    pub block: BlockEffect,
 }
 
 /// Plans a batch. Its effects on `statements` stay pending.
@@ -69,7 +79,20 @@
     if !is_query {
         planner.put(&Message::Sync(Sync::new()))?;
     }
-    Ok(Plan::Forward(planner.finish()))
+    let plan = planner.finish();
+    if size_of_batch(&plan.batch) > REQUEST_LIMIT {
+        return Err(Rejection::RequestTooLarge(REQUEST_LIMIT));
+    }
+    Ok(Plan::Forward(plan))
+}
+
+/// Bytes of the parts of a batch that callers can make long, and a little for each.
+fn size_of_batch(batch: &Batch) -> usize {
+    let prepared = batch.prepared.iter().map(|statement| {
+        let texts = statement.name.len() + statement.query.len();
+        texts + TYPE_BYTES * statement.parameter_types.len() + STATEMENT_BYTES
+    });
+    batch.messages.len() + prepared.sum::<usize>()
 }
 
 struct Planner<'a> {
@@ -87,6 +110,7 @@
     may_commit: bool,
     /// Whether everything that runs only starts a transaction.
     repeatable: bool,
+    block: BlockEffect,
 }
 
 impl<'a> Planner<'a> {
@@ -103,6 +127,7 @@
             writes: false,
             may_commit: false,
             repeatable: true,
+            block: BlockEffect::None,
         }
     }
 
@@ -113,7 +138,11 @@
             Message::Bind(bind) => self.take_bind(bind),
             Message::Describe(describe) => self.take_describe(describe),
             Message::Execute(execute) => {
-                self.use_portal(execute.name.as_deref().unwrap_or_default());
+                let name = execute.name.as_deref().unwrap_or_default();
+                self.use_portal(name);
+                if let Some(statement) = self.portals.get(name) {
+                    self.block = self.block.then(statement.profile.block);
+                }
                 self.put(message)
             }
             Message::Close(close) => self.take_close(close, in_transaction),
@@ -124,6 +153,7 @@
     fn take_query(&mut self, query: &Query) -> Result<(), Rejection> {
         let profile = self.cache.profile(&query.query);
         self.use_text(&profile)?;
+        self.block = self.block.then(profile.block);
         self.put(&Message::Query(Query::new(query.query.clone())))
     }
 
@@ -237,6 +267,7 @@
             access: if self.writes { Access::Write } else { Access::Read },
             may_commit: self.may_commit,
             repeatable: self.repeatable,
+            block: self.block,
         }
     }
 }
--- a/crates/server/src/proxy/wiring.rs
+++ b/crates/server/src/proxy/wiring.rs
@@ -57,7 +57,7 @@
     edge.request_timeout = millis(timeouts.request_ms);
     edge.drain_timeout = millis(timeouts.drain_ms);
     edge.authentication = authentication(settings);
-    edge.own_owner = Some(settings.addresses.peers_own.unwrap_or_else(|| reachable(peers)));
+    edge.local_owner = Some(settings.addresses.peers_own.unwrap_or_else(|| reachable(peers)));
     edge
 }
 
