Owner: writes under an idempotency key run at most once

Cause: the owner took `idempotency_key` from the edge and never looked at it, so a resend under the same key ran again. Ruled out: a table in the owner's memory or data folder (lost with the proxy, unknown to another owner); claim and answer in two transactions (a crash between them leaves a key without its outcome). Change: key, write and answer are committed in one transaction of the group's own database. A commit whose answer is lost is resolved by repeating under the key; if that is not possible in time the answer is 08007. Limits: key 255 bytes, answer 64 KiB (54000 and rolled back above it), BEGIN and COMMIT apart from other statements (0A000 otherwise), another request under a taken key 22023. Outcomes are kept for `outcome_retention`; each 64th keyed commit of an owner removes at most 256 older ones. `exchange.rs` and `group.rs` are split by job. Before/after: crates/owner/tests/keyed.rs, 17 tests over real stand-in groups: with the key ignored, as before, 15 fail and 2 pass (they pin that failed and rolled back writes leave the key free); now 17 pass. With `commit_sent` never set, the test of the unknown outcome fails. Conclusion: at most once holds for same owner, other owner, failover, twelve concurrent requests and lost answers.

--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions about server connections: replies, session state, sizes.
 
+pub mod outcomes;
 pub mod replies;
 pub mod statements;
 
--- a/crates/core/src/pool/statements.rs
+++ b/crates/core/src/pool/statements.rs
@@ -47,6 +47,9 @@
     "immediate",
 ];
 
+/// First words of statements that open, end or leave a transaction.
+const TRANSACTION_WORDS: [&str; 6] = ["begin", "start", "commit", "end", "rollback", "abort"];
+
 fn words(text: &str) -> impl Iterator<Item = String> + '_ {
     let is_word = |c: char| c.is_alphanumeric() || c == '_';
     let pieces = text.split(move |c| !is_word(c)).filter(|piece| !piece.is_empty());
@@ -86,3 +89,41 @@
     let opens = first == "begin" || first == "start";
     opens && all.all(|word| BEGIN_WORDS.contains(&word.as_str()))
 }
+
+/// How a text ends a transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TransactionEnd {
+    /// It commits and does nothing else.
+    Commit,
+    /// It rolls back and does nothing else.
+    Rollback,
+}
+
+/// How the text ends a transaction, if that is all it does.
+#[must_use]
+pub fn only_ends(text: &str) -> Option<TransactionEnd> {
+    let mut all = words(text);
+    let end = match all.next()?.as_str() {
+        "commit" | "end" => TransactionEnd::Commit,
+        "rollback" | "abort" => TransactionEnd::Rollback,
+        _ => return None,
+    };
+    let filler = |word: String| matches!(word.as_str(), "work" | "transaction");
+    all.all(filler).then_some(end)
+}
+
+/// Whether a statement of the text may open or end a transaction. A return to a
+/// savepoint does not.
+#[must_use]
+pub fn may_control_transaction(text: &str) -> bool {
+    text.split(';').any(|statement| {
+        let all: Vec<String> = words(statement).take(3).collect();
+        let all: Vec<&str> = all.iter().map(String::as_str).collect();
+        match all.as_slice() {
+            ["prepare", "transaction", ..] => true,
+            ["rollback", "to", ..] | ["rollback", "work" | "transaction", "to"] => false,
+            [first, ..] => TRANSACTION_WORDS.contains(first),
+            [] => false,
+        }
+    })
+}
--- a/crates/owner/src/batch.rs
+++ b/crates/owner/src/batch.rs
@@ -3,11 +3,11 @@
 use crate::wire::{self, WireError};
 use bytes::BytesMut;
 use corktack_core::pool::replies::{ReplyTracker, Sent, front};
-use corktack_core::pool::statements;
+use corktack_core::pool::statements::{self, TransactionEnd};
 use corktack_protocol::peer::{Batch, PreparedStatement};
 use pgwire::messages::extendedquery::{Close, Parse};
 use pgwire::messages::simplequery::Query;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 
 /// Prepared statements kept on one connection.
 pub(crate) const STATEMENT_LIMIT: usize = 256;
@@ -37,6 +37,8 @@
     pub may_commit: bool,
     /// It opens a transaction and does nothing else.
     pub only_begins: bool,
+    /// It may open or end a transaction.
+    pub controls_transaction: bool,
 }
 
 /// Finds out what a batch may do, without regard to a connection.
@@ -68,9 +70,45 @@
         only_begins: !unseen
             && !texts.is_empty()
             && texts.iter().all(|t| statements::only_begins(t)),
+        controls_transaction: unseen
+            || texts.iter().any(|text| statements::may_control_transaction(text)),
     })
 }
 
+/// Texts of the statements that a batch relies on, by their names.
+pub(crate) fn statement_texts(batch: &Batch) -> HashMap<String, String> {
+    let named = batch.prepared.iter();
+    named.map(|statement| (statement.name.clone(), statement.query.clone())).collect()
+}
+
+/// Whether a batch runs a statement, and does not only prepare or describe.
+pub(crate) fn runs_something(batch: &Batch) -> bool {
+    let mut rest = BytesMut::from(batch.messages.as_slice());
+    while let Ok(Some(message)) = wire::split_message(&mut rest) {
+        if matches!(message.tag, front::QUERY | front::EXECUTE) {
+            return true;
+        }
+    }
+    false
+}
+
+/// How a batch ends a transaction, if its one statement does nothing else.
+pub(crate) fn only_ends(batch: &Batch) -> Option<TransactionEnd> {
+    let mut texts: Vec<String> = statement_texts(batch).into_values().collect();
+    let mut rest = BytesMut::from(batch.messages.as_slice());
+    while let Ok(Some(message)) = wire::split_message(&mut rest) {
+        match message.tag {
+            front::QUERY => texts.push(wire::decode::<Query>(&message).ok()?.query),
+            front::PARSE => texts.push(wire::decode::<Parse>(&message).ok()?.query),
+            _ => {}
+        }
+    }
+    let [text] = texts.as_slice() else {
+        return None;
+    };
+    statements::only_ends(text)
+}
+
 /// Appends a batch to a connection's output: statements that are missing there
 /// are prepared first, and ones that exist are not prepared again.
 pub(crate) fn queue(
--- /dev/null
+++ b/crates/owner/src/exchange/claim.rs
@@ -0,0 +1,115 @@
+//! The claim of an idempotency key, and the look-up of what a taken key holds.
+
+use super::own::OwnError;
+use super::replies::CANNOT_CONNECT_NOW;
+use super::{Exchange, Step};
+use crate::router::RetryCause;
+use crate::transcript::Turn;
+use corktack_core::backend::{NOT_PRIMARY, TOO_MANY_CONNECTIONS};
+use corktack_core::pool::outcomes::{
+    CREATE_STATEMENTS, UNDEFINED_TABLE, claim_statement, decode_answer, lookup_statement,
+    store_statement,
+};
+use corktack_protocol::frame;
+use corktack_protocol::peer::{Failure, TransactionStatus};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Statements of the owner's own.
+const BEGIN: &str = "BEGIN";
+pub(super) const ROLLBACK: &str = "ROLLBACK";
+/// Tag of a claim that found the key free.
+const CLAIMED_TAG: &str = "INSERT 0 1";
+
+/// What came of a claim.
+pub(super) enum Claim {
+    Won,
+    Taken,
+    /// The table is missing, or the claim collided with another.
+    Again,
+    /// This is the answer.
+    Ended(Step),
+}
+
+impl Exchange<'_> {
+    /// Claims the key, in a transaction that is open or opened with it.
+    pub(super) async fn claim(&mut self, opens: bool) -> Result<Claim, Step> {
+        let statement = claim_statement(self.key(), now_ms());
+        let text = if opens { format!("{BEGIN}; {statement}") } else { statement };
+        let answer = self.own(&text).await?;
+        let Some(error) = answer.error else {
+            if answer.tag == CLAIMED_TAG {
+                return Ok(Claim::Won);
+            }
+            self.own(ROLLBACK).await?;
+            return Ok(Claim::Taken);
+        };
+        if error.sqlstate == UNDEFINED_TABLE {
+            self.own(ROLLBACK).await?;
+            for statement in CREATE_STATEMENTS {
+                // Another owner may create it now; the next claim tells.
+                self.own(statement).await?;
+            }
+            return Ok(Claim::Again);
+        }
+        self.claim_failed(error).await.map(Claim::Ended)
+    }
+
+    /// Nothing of the write has run.
+    async fn claim_failed(&mut self, error: OwnError) -> Result<Step, Step> {
+        match error.sqlstate.as_str() {
+            NOT_PRIMARY => Ok(self.refused(RetryCause::NotPrimary)),
+            CANNOT_CONNECT_NOW | TOO_MANY_CONNECTIONS => {
+                Ok(Step::Retry(RetryCause::BackEndRefused))
+            }
+            // Class 40: it collided with another transaction.
+            state if state.starts_with("40") => Ok(Step::Retry(RetryCause::BackEndRefused)),
+            _ => self.fail_with(&error).await,
+        }
+    }
+
+    /// Reads the transcript of the first request; false when it is gone meanwhile.
+    pub(super) async fn look_up(&mut self) -> Result<bool, Step> {
+        let text = lookup_statement(self.key());
+        let answer = self.own(&text).await?;
+        if answer.error.is_some() {
+            return Err(Step::Retry(RetryCause::BackEndRefused));
+        }
+        let Some(row) = answer.rows.into_iter().next() else {
+            return Ok(false);
+        };
+        let stored = row.into_iter().next().flatten();
+        let bytes = stored.and_then(|text| decode_answer(&text).ok());
+        let turns = bytes.and_then(|bytes| frame::decode::<Vec<Turn>>(&bytes).ok());
+        let turns = turns.ok_or(Step::Failed(Failure::Unknown))?;
+        if let Some(keyed) = &mut self.keyed {
+            keyed.turns = turns;
+            keyed.replayed = Some(0);
+        }
+        self.note_position(answer.position);
+        Ok(true)
+    }
+
+    /// Ends the transaction without effect; this error is the answer.
+    pub(super) async fn fail_with(&mut self, error: &OwnError) -> Result<Step, Step> {
+        self.own(ROLLBACK).await?;
+        self.held.clear();
+        self.held.extend_from_slice(&error.message.bytes);
+        Ok(Step::Ready(TransactionStatus::Idle))
+    }
+
+    pub(super) fn key(&self) -> &str {
+        self.keyed.as_ref().map(|keyed| keyed.key.as_str()).unwrap_or_default()
+    }
+
+    pub(super) fn store_statement(&self) -> Result<String, Step> {
+        let turns = self.keyed.as_ref().map(|keyed| keyed.turns.as_slice()).unwrap_or_default();
+        let bytes = frame::encode(&turns).map_err(|_| Step::Violation)?;
+        Ok(store_statement(self.key(), &bytes))
+    }
+}
+
+/// The time of day, in milliseconds since 1970.
+pub(super) fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/owner/src/exchange/ending.rs
@@ -0,0 +1,127 @@
+//! How a batch and the transaction end.
+
+use super::{Exchange, Exit, Step, claim};
+use crate::connection::ConnectionError;
+use crate::group::GroupState;
+use crate::router::RetryCause;
+use corktack_core::pool::outcomes::sweep_statement;
+use corktack_protocol::peer::{Access, Failure, ServedBy, TransactionStatus};
+use std::time::Duration;
+
+/// Longest wait for the removal of old outcomes.
+const SWEEP_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+impl Exchange<'_> {
+    /// The batch is answered: decides whether the answer counts.
+    pub(super) fn end_of_batch(&mut self, status: TransactionStatus) -> Step {
+        if let Some(cause) = self.refusal.filter(|_| status == TransactionStatus::Idle) {
+            return self.refused(cause);
+        }
+        if self.is_unverified(status) && !self.forwarded {
+            let member = &self.lease.destination().member;
+            let observed = self.observed;
+            self.group.with_state(|state| state.routing.reset_position(member, observed));
+            return Step::Retry(RetryCause::ReplicaBehind);
+        }
+        Step::Ready(status)
+    }
+
+    pub(super) fn refused(&self, cause: RetryCause) -> Step {
+        let destination = self.lease.destination();
+        match (cause, destination.served_by) {
+            (RetryCause::NotPrimary, ServedBy::Primary) => {
+                self.group.suspect_primary(&destination.member, destination.term);
+                Step::Retry(cause)
+            }
+            // A statement that a replica does not run is one for the primary.
+            (RetryCause::NotPrimary, ServedBy::Replica) => Step::Retry(RetryCause::ReplicaBehind),
+            _ => Step::Retry(cause),
+        }
+    }
+
+    /// Whether a replica answered a read without proof that it holds the minimum.
+    pub(super) fn is_unverified(&self, status: TransactionStatus) -> bool {
+        let replica = self.lease.destination().served_by == ServedBy::Replica;
+        let alone = self.status == TransactionStatus::Idle && status == TransactionStatus::Idle;
+        if !replica || !alone || self.failed || !self.completed {
+            return false;
+        }
+        self.observed.is_none_or(|position| self.is_behind(position))
+    }
+
+    pub(super) fn answer_ready(&mut self, status: TransactionStatus) {
+        self.forward();
+        self.status = status;
+        self.outbound.ready(status, self.lease.destination().served_by);
+    }
+
+    pub(super) async fn finish(mut self) -> Exit {
+        self.answer_ready(TransactionStatus::Idle);
+        if self.request.access == Access::Read {
+            let served_by = self.lease.destination().served_by;
+            self.group.metrics.read_served(self.group.name.as_str(), served_by);
+        }
+        if !self.cancelled && self.sweep_outcomes().await {
+            self.lease.recycle().await;
+        }
+        Exit::Ended
+    }
+
+    /// Removes old outcomes of keyed writes now and then, after the caller's
+    /// answer; false when the connection must not be reused.
+    async fn sweep_outcomes(&mut self) -> bool {
+        if self.keyed.is_none() || !self.group.with_state(GroupState::sweep_is_due) {
+            return true;
+        }
+        let before = claim::now_ms().saturating_sub(self.group.outcome_retention_ms());
+        let Ok(connection) = self.lease.connection() else {
+            return false;
+        };
+        let swept = connection.query(&sweep_statement(before), SWEEP_TIMEOUT).await;
+        if let Err(error) = &swept {
+            log::warn!(group:% = self.group.name, error:? = error; "old outcomes not removed");
+        }
+        swept.is_ok()
+    }
+
+    pub(super) async fn abandon(self) {
+        if !self.cancelled {
+            self.lease.roll_back().await;
+        }
+    }
+
+    /// The stream is tried again. A keyed write is safe to repeat even after its
+    /// commit was sent: the key tells whether it ran.
+    pub(super) fn retried(&self, cause: RetryCause) -> Exit {
+        let unresolved = self.keyed.as_ref().is_some_and(|keyed| keyed.commit_sent);
+        if unresolved { Exit::Unresolved(cause) } else { Exit::Retry(cause) }
+    }
+
+    /// The connection is lost: what is known of the outcome.
+    pub(super) fn lost(mut self, error: &ConnectionError) -> Exit {
+        log::debug!(group:% = self.group.name, error:? = error; "server connection lost");
+        let nothing_ran = self.status == TransactionStatus::Idle && !self.forwarded;
+        if nothing_ran && self.keyed.is_some() {
+            return self.retried(RetryCause::ConnectionLost);
+        }
+        let sent = self.lease.connection().map_or(0, |connection| connection.sent_bytes);
+        let only_read = self.request.access == Access::Read;
+        if nothing_ran && (only_read || sent == 0 || self.facts.only_begins) {
+            return Exit::Retry(RetryCause::ConnectionLost);
+        }
+        Exit::Failed(self.failure_of_loss())
+    }
+
+    pub(super) fn failure_of_loss(&mut self) -> Failure {
+        let sent = self.lease.connection().map_or(0, |connection| connection.sent_bytes);
+        let may_have_committed = match self.status {
+            TransactionStatus::Idle => sent > 0,
+            TransactionStatus::Open => sent > 0 && self.facts.may_commit,
+            TransactionStatus::Failed => false,
+        };
+        if self.request.access == Access::Write && may_have_committed {
+            return Failure::Unknown;
+        }
+        Failure::TransactionLost
+    }
+}
--- a/crates/owner/src/group.rs
+++ b/crates/owner/src/group.rs
@@ -5,8 +5,10 @@
 use crate::context::{Context, lock};
 use crate::metrics::{GroupLabel, Metrics};
 use crate::settings::OwnerSettings;
-use corktack_core::admission::{AdmissionError, AdmissionLimits, AdmissionQueue, Lane, Ticket};
+use crate::slot::Slot;
+use corktack_core::admission::{AdmissionLimits, AdmissionQueue, Ticket};
 use corktack_core::identity::{ClassName, GroupName, MemberName};
+use corktack_core::pool::outcomes::COMMITS_BETWEEN_SWEEPS;
 use corktack_core::position::{Position, Term};
 use corktack_core::resources::PriorityClassSpec;
 use corktack_core::retry::{Backoff, RetryBudget};
@@ -17,7 +19,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::sync::{Notify, oneshot, watch};
 
 /// `application_name` of connections that serve callers.
@@ -37,7 +39,20 @@
     pub primary_suspect: bool,
     /// Rises with each change of primary or term; connections made before are not pooled after.
     pub epoch: u64,
-    grants: HashMap<Ticket, oneshot::Sender<Slot>>,
+    /// Keyed commits before old outcomes are removed again.
+    commits_to_sweep: u32,
+    /// Who waits for which ticket.
+    pub grants: HashMap<Ticket, oneshot::Sender<Slot>>,
+}
+
+impl GroupState {
+    /// Counts a keyed commit; true when old outcomes are to be removed.
+    pub fn sweep_is_due(&mut self) -> bool {
+        let due = self.commits_to_sweep == 0;
+        self.commits_to_sweep =
+            if due { COMMITS_BETWEEN_SWEEPS } else { self.commits_to_sweep } - 1;
+        due
+    }
 }
 
 /// A server connection that counts towards the group's limit.
@@ -90,6 +105,7 @@
             backoff: Backoff::new(seed),
             primary_suspect: false,
             epoch: 0,
+            commits_to_sweep: 0,
             grants: HashMap::new(),
         };
         let group = Self {
@@ -197,61 +213,6 @@
         }
     }
 
-    /// Asks for a slot.
-    pub fn enqueue(
-        self: &Arc<Self>,
-        class: &ClassName,
-        lane: Lane,
-        deadline: Timestamp,
-    ) -> Result<PendingSlot, AdmissionError> {
-        let (sender, receiver) = oneshot::channel();
-        let ticket = self.with_state(|state| {
-            let ticket = state.admission.enqueue(class, lane, deadline)?;
-            state.grants.insert(ticket, sender);
-            Ok(ticket)
-        })?;
-        self.grant_slots();
-        Ok(PendingSlot { group: Arc::clone(self), ticket, receiver })
-    }
-
-    /// Hands free slots to waiting requests.
-    pub fn grant_slots(self: &Arc<Self>) {
-        let now = self.now();
-        let granted = self.with_state(|state| {
-            let available = self.primary_available(state);
-            let tickets = state.admission.grant(now, available);
-            let take = |ticket| state.grants.remove(&ticket);
-            let senders: Vec<_> = tickets.into_iter().map(take).collect();
-            self.measure(state);
-            senders
-        });
-        for sender in granted {
-            let slot = Slot { group: Arc::clone(self), granted: Instant::now() };
-            // A slot that nobody takes any more is released when it is dropped.
-            drop(sender.map(|sender| sender.send(slot)));
-        }
-    }
-
-    fn measure(&self, state: &GroupState) {
-        let label = self.label();
-        let length = i64::from(state.admission.length());
-        self.metrics.queue_length.get_or_create(&label).set(length);
-        let in_use = i64::from(state.admission.in_use());
-        self.metrics.slots_in_use.get_or_create(&label).set(in_use);
-    }
-
-    fn release_slot(self: &Arc<Self>, service_time: Duration) {
-        self.with_state(|state| state.admission.release(service_time));
-        self.grant_slots();
-    }
-
-    fn remove_ticket(&self, ticket: Ticket) {
-        self.with_state(|state| {
-            state.admission.remove(ticket);
-            drop(state.grants.remove(&ticket));
-        });
-    }
-
     /// Opens a new server connection within the group's limit.
     pub async fn connect(
         &self,
@@ -265,6 +226,11 @@
         Ok(PooledConnection { connection, _open: open })
     }
 
+    /// How long the outcome of an idempotency key is kept, in milliseconds.
+    pub fn outcome_retention_ms(&self) -> u64 {
+        u64::try_from(self.settings.outcome_retention.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Server connections that are open or being opened.
     pub fn open_connections(&self) -> u32 {
         self.open.load(Ordering::Relaxed)
@@ -302,38 +268,3 @@
     }
     taken
 }
-
-/// The right to run one transaction; given back when dropped.
-#[derive(Debug)]
-pub(crate) struct Slot {
-    group: Arc<Group>,
-    granted: Instant,
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.group.release_slot(self.granted.elapsed());
-    }
-}
-
-/// A place in the queue; given up when dropped.
-#[derive(Debug)]
-pub(crate) struct PendingSlot {
-    group: Arc<Group>,
-    ticket: Ticket,
-    receiver: oneshot::Receiver<Slot>,
-}
-
-impl PendingSlot {
-    /// The slot, or none when the deadline came first.
-    pub async fn wait(mut self, deadline: Timestamp) -> Option<Slot> {
-        let left = deadline.saturating_since(self.group.now());
-        tokio::time::timeout(left, &mut self.receiver).await.ok()?.ok()
-    }
-}
-
-impl Drop for PendingSlot {
-    fn drop(&mut self) {
-        self.group.remove_ticket(self.ticket);
-    }
-}
--- a/crates/owner/src/lease.rs
+++ b/crates/owner/src/lease.rs
@@ -5,7 +5,8 @@
 //! dropped closes the connection.
 
 use crate::connection::{ConnectionError, ServerConnection};
-use crate::group::{Group, PooledConnection, Slot};
+use crate::group::{Group, PooledConnection};
+use crate::slot::Slot;
 use corktack_core::identity::MemberName;
 use corktack_core::pool::warm_targets;
 use corktack_core::position::Term;
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -18,7 +18,9 @@
 mod probe;
 mod router;
 mod settings;
+mod slot;
 mod stream;
+mod transcript;
 mod wire;
 
 use crate::context::Context;
--- a/crates/owner/src/router.rs
+++ b/crates/owner/src/router.rs
@@ -1,8 +1,9 @@
 //! The way of one request to a lease: barrier, wait for a replica, queue, connection.
 
-use crate::group::{Group, Slot};
+use crate::group::Group;
 use crate::lease::{Destination, Lease};
 use crate::metrics::ClassLabel;
+use crate::slot::Slot;
 use corktack_core::admission::{AdmissionError, Lane};
 use corktack_core::identity::ClassName;
 use corktack_core::position::Position;
--- a/crates/owner/src/stream.rs
+++ b/crates/owner/src/stream.rs
@@ -168,9 +168,14 @@
     group.with_state(|state| state.retry.request());
     let mut router = Router::new(Arc::clone(group), &request);
     let mut told = request.minimum;
+    // The commit of a keyed write was sent in an earlier attempt.
+    let mut unresolved = false;
     loop {
         let lease = match obtain(&mut router, input).await {
             Obtained::Lease(lease) => *lease,
+            Obtained::Refused(_) | Obtained::Cancelled if unresolved => {
+                return outbound.failed(Failure::Unknown);
+            }
             Obtained::Refused(refusal) => return refuse(group, outbound, refusal),
             Obtained::Cancelled => return cancelled(outbound),
             Obtained::Gone => return,
@@ -181,14 +186,19 @@
         }
         let exchange =
             Exchange::new(group, lease, &request, router.minimum, facts, &mut *input, outbound);
-        match exchange.run().await {
+        let cause = match exchange.run().await {
             Exit::Ended => return,
             Exit::Failed(failure) => return outbound.failed(failure),
-            Exit::Retry(cause) => {
-                if let Err(refusal) = router.prepare_retry(cause).await {
-                    return refuse(group, outbound, refusal);
-                }
+            Exit::Retry(cause) => cause,
+            Exit::Unresolved(cause) => {
+                unresolved = true;
+                cause
             }
+        };
+        match router.prepare_retry(cause).await {
+            Ok(()) => {}
+            Err(_) if unresolved => return outbound.failed(Failure::Unknown),
+            Err(refusal) => return refuse(group, outbound, refusal),
         }
     }
 }
--- a/crates/owner/tests/support/edge.rs
+++ b/crates/owner/tests/support/edge.rs
@@ -10,7 +10,7 @@
     StreamId, TransactionStatus,
 };
 use futures_util::{SinkExt, StreamExt};
-use pgwire::messages::extendedquery::{Bind, Execute, Sync};
+use pgwire::messages::extendedquery::{Bind, Execute, Parse, Sync};
 use pgwire::messages::simplequery::Query;
 use pgwire::messages::{DecodeContext, Message, PgWireBackendMessage};
 use std::net::SocketAddr;
@@ -61,6 +61,15 @@
     Batch { prepared: vec![statement], messages: messages.to_vec() }
 }
 
+/// Parse, Bind, Execute and Sync of a statement.
+pub fn parse_and_execute(name: &str, text: &str) -> Batch {
+    let mut messages = BytesMut::new();
+    let parse = Parse::new(Some(name.to_owned()), text.to_owned(), Vec::new());
+    parse.encode(&mut messages).unwrap();
+    messages.extend_from_slice(&execute(name, text).messages);
+    Batch { prepared: Vec::new(), messages: messages.to_vec() }
+}
+
 pub fn request(access: Access, batch: Batch) -> OpenRequest {
     OpenRequest {
         group: GroupName::new(GROUP).unwrap(),
--- /dev/null
+++ b/crates/owner/tests/support/group.rs
@@ -0,0 +1,164 @@
+//! A real stand-in group behind a relay, and owners that each believe to own it.
+
+use super::edge::TestEdge;
+use super::relay::Relay;
+use super::{GROUP, classes, zone};
+use corktack_core::identity::{GroupName, Incarnation, MemberName, ProxyName};
+use corktack_core::position::Term;
+use corktack_core::resources::{DatabaseGroupSpec, MemberSpec};
+use corktack_core::view::{GroupView, Revision, View};
+use corktack_owner::{Owner, OwnerHandle, OwnerSettings};
+use corktack_protocol::control::Observation;
+use corktack_standin::{GROUP_SIZE, Group, GroupSettings};
+use prometheus_client::registry::Registry;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::sync::{mpsc, watch};
+use tokio_postgres::{NoTls, SimpleQueryMessage};
+
+/// One owner with a view of its own, in which it owns the group.
+pub struct TestOwner {
+    pub owner: OwnerHandle,
+    pub observations: mpsc::UnboundedReceiver<Observation>,
+    pub registry: Registry,
+    views: watch::Sender<Arc<View>>,
+}
+
+/// A stand-in group and its owners.
+pub struct GroupFleet {
+    pub owners: Vec<TestOwner>,
+    /// What the owners reach the members through.
+    pub relays: Vec<Relay>,
+    pub group: Group,
+    _folder: TempDir,
+}
+
+impl GroupFleet {
+    pub async fn start(owners: usize, slots: u32) -> Self {
+        Self::start_with(owners, slots, |_| {}).await
+    }
+
+    pub async fn start_with(
+        owners: usize,
+        slots: u32,
+        adjust: impl Fn(&mut OwnerSettings),
+    ) -> Self {
+        let folder = TempDir::new().expect("a temporary folder");
+        let name = GroupName::new(GROUP).expect("a valid name");
+        let mut settings = GroupSettings::new(name, folder.path().to_owned());
+        settings.connection_cost = Duration::ZERO;
+        let group = Group::start(settings).expect("the group starts");
+        let mut relays = Vec::new();
+        for address in group.postgres_addresses() {
+            relays.push(Relay::start(*address).await);
+        }
+        let mut fleet = Self { owners: Vec::new(), relays, group, _folder: folder };
+        for number in 1..=owners {
+            let owner = fleet.start_owner(number, slots, &adjust);
+            fleet.owners.push(owner);
+        }
+        fleet
+    }
+
+    fn start_owner(
+        &self,
+        number: usize,
+        slots: u32,
+        adjust: &impl Fn(&mut OwnerSettings),
+    ) -> TestOwner {
+        let proxy = ProxyName::new(format!("proxy-{number}")).expect("a valid name");
+        let mut view = View { revision: Revision(1), classes: classes(), ..View::default() };
+        let name = GroupName::new(GROUP).expect("a valid name");
+        view.groups.insert(name, Arc::new(self.view(&proxy, slots)));
+        let (views, receiver) = watch::channel(Arc::new(view));
+        let mut settings = OwnerSettings::new(proxy, Incarnation(1), zone("amba.a"));
+        settings.probe_interval = Duration::from_millis(5);
+        adjust(&mut settings);
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let (sender, observations) = mpsc::unbounded_channel();
+        let mut registry = Registry::default();
+        let owner = Owner::start(settings, listener, receiver, sender, &mut registry)
+            .expect("the owner starts");
+        TestOwner { owner, observations, registry, views }
+    }
+
+    fn view(&self, proxy: &ProxyName, slots: u32) -> GroupView {
+        let members = (0..GROUP_SIZE).map(|place| MemberSpec {
+            name: self.member(place),
+            address: self.relays[place].address(),
+            zone: zone("amba.a"),
+            draining: false,
+        });
+        GroupView {
+            spec: DatabaseGroupSpec {
+                database: GROUP.to_owned(),
+                members: members.collect(),
+                slots,
+                connections: slots * 6,
+                queue_limit: 100,
+                queue_timeout_ms: 30_000,
+                replica_wait_ms: 20,
+            },
+            primary: Some(self.member(0)),
+            term: Term(1),
+            owner: Some(proxy.clone()),
+            draining: BTreeSet::new(),
+        }
+    }
+
+    fn member(&self, place: usize) -> MemberName {
+        self.group.peers()[place].name.clone()
+    }
+
+    pub async fn edge(&self, owner: usize) -> TestEdge {
+        TestEdge::connect(self.owners[owner].owner.address()).await
+    }
+
+    /// Fences two members at a term, promotes one and tells the owners.
+    pub async fn fail_over(&self, to: usize, term: u64) {
+        for place in [to, (to + 1) % GROUP_SIZE] {
+            self.sql(place, &format!("ALTER SYSTEM FENCE TERM {term}")).await;
+        }
+        self.sql(to, &format!("ALTER SYSTEM PROMOTE TERM {term}")).await;
+        let primary = self.member(to);
+        for owner in &self.owners {
+            owner.change_group(|group| {
+                group.primary = Some(primary.clone());
+                group.term = Term(term);
+            });
+        }
+    }
+
+    /// Runs a statement on a member, past owners and relay; first column of its rows.
+    pub async fn sql(&self, place: usize, text: &str) -> Vec<String> {
+        let address = self.group.postgres_addresses()[place];
+        let mut config = tokio_postgres::Config::new();
+        config.host(address.ip().to_string()).port(address.port()).user("clerk").dbname(GROUP);
+        let (client, connection) = config.connect(NoTls).await.expect("the member is reached");
+        let driver = actix_rt::spawn(connection);
+        let messages = client.simple_query(text).await.expect("the statement runs");
+        drop(client);
+        driver.abort();
+        let first = |message: SimpleQueryMessage| match message {
+            SimpleQueryMessage::Row(row) => Some(row.get(0).unwrap_or_default().to_owned()),
+            _ => None,
+        };
+        messages.into_iter().filter_map(first).collect()
+    }
+}
+
+impl TestOwner {
+    pub fn change_group(&self, change: impl FnOnce(&mut GroupView)) {
+        let name = GroupName::new(GROUP).expect("a valid name");
+        self.views.send_modify(|view| {
+            let mut next = View::clone(view);
+            next.revision.0 += 1;
+            let mut group = GroupView::clone(&next.groups[&name]);
+            change(&mut group);
+            next.groups.insert(name, Arc::new(group));
+            *view = Arc::new(next);
+        });
+    }
+}
--- a/crates/owner/tests/support/mod.rs
+++ b/crates/owner/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod back_end;
 pub mod edge;
+pub mod group;
+pub mod relay;
 
 use back_end::FakeMember;
 use corktack_core::identity::{ClassName, GroupName, Incarnation, MemberName, ProxyName, ZoneName};
@@ -34,7 +36,7 @@
     ZoneName::new(name).unwrap()
 }
 
-fn classes() -> BTreeMap<ClassName, PriorityClassSpec> {
+pub fn classes() -> BTreeMap<ClassName, PriorityClassSpec> {
     let class = |name: &str, priority, guaranteed_percent| {
         (ClassName::new(name).unwrap(), PriorityClassSpec { priority, guaranteed_percent })
     };
