Admission: a full queue keeps each class its places

Cause: the bound of the queue knew no classes. A flood of a higher class filled it, and the lowest class was refused before it could earn its share; a full queue of a low class refused the highest. Writes that wait for a primary made reads of replicas refused though slots were free. A request that could not be served in time waited until its deadline to hear it. Requests that expired in the queue spent their class's credit. Ruled out: a queue for each class with a limit of its own, since a bound of one group's memory would then be a sum that nobody set. Change: the guaranteed percentage also keeps places; a full queue gives up the last request of the lowest class above its places, which is answered at once as not run with a time to come back. A request is refused when it comes if what is surely served first takes longer than its deadline allows, by the moving average of service times, each capped at one second. Expired requests are dropped before credits are settled. Split into two files. The owner's test of a request given up waits for its deadline without the change, and fails. Conclusion: the lowest class keeps its share with a full queue; what is given up is told at once.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission/mod.rs
@@ -3,8 +3,15 @@
 //! Classes are served by priority, then by arrival. Each class's guaranteed
 //! percentage is kept by credits: while it waits, a class earns its percentage
 //! at every grant, and a class with a whole grant's worth of credit goes first.
+//! The same percentage of the queue's places is kept for it. A full queue makes
+//! room for a higher class, or for one below its places, by giving up the last
+//! request of the lowest class that is above its places. A request that cannot
+//! get a slot before its deadline by the service times seen so far is refused
+//! when it comes, not when its time is up.
 //! Decisions depend only on the calls made, so a run can be repeated exactly.
 
+mod bounds;
+
 use crate::identity::ClassName;
 use crate::resources::PriorityClassSpec;
 use crate::time::Timestamp;
@@ -13,15 +20,8 @@
 
 /// Credit that buys one grant; percentages are earned towards it.
 const CREDIT_OF_A_GRANT: u32 = 100;
-/// Service time assumed before the first transaction has ended.
-const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(5);
 /// Weight of the past in the moving average of service times: `1 - 1/8`.
 const SERVICE_TIME_WEIGHT: u32 = 8;
-/// Shortest time after which a refused caller is told to come back.
-const MINIMUM_RETRY_AFTER_MS: u32 = 10;
-/// Longest such time.
-const MAXIMUM_RETRY_AFTER_MS: u32 = 10_000;
-
 /// Number of a waiting request, in order of arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -53,6 +53,21 @@
         /// When a place is likely to be free.
         retry_after_ms: u32,
     },
+    /// What waits before it takes longer than its deadline allows.
+    #[error("no slot is likely to come free in time, come back in {retry_after_ms} ms")]
+    TooLate {
+        /// When a slot is likely to be free.
+        retry_after_ms: u32,
+    },
+}
+
+/// A request that was put in the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Admitted {
+    /// Its number.
+    pub ticket: Ticket,
+    /// The request that was given up for it, and must be refused now.
+    pub displaced: Option<Ticket>,
 }
 
 #[derive(Debug)]
@@ -71,6 +86,16 @@
 }
 
 impl ClassQueue {
+    /// Places of the queue that are kept for the class.
+    fn reserved(&self, queue_limit: u32) -> u32 {
+        let share = u64::from(queue_limit) * u64::from(self.guaranteed_percent);
+        share.div_ceil(u64::from(CREDIT_OF_A_GRANT)) as u32
+    }
+
+    fn length(&self) -> u32 {
+        self.waiting.len() as u32
+    }
+
     fn first_eligible(&self, primary_available: bool) -> Option<usize> {
         self.waiting.iter().position(|entry| primary_available || entry.lane == Lane::Replica)
     }
@@ -84,7 +109,8 @@
     next_ticket: u64,
     length: u32,
     in_use: u32,
-    service_time: Duration,
+    /// Moving average; none before the first transaction has ended.
+    service_time: Option<Duration>,
 }
 
 impl AdmissionQueue {
@@ -97,7 +123,7 @@
             next_ticket: 0,
             length: 0,
             in_use: 0,
-            service_time: INITIAL_SERVICE_TIME,
+            service_time: None,
         }
     }
 
@@ -138,23 +164,31 @@
     /// Puts a request in the queue.
     ///
     /// # Errors
-    /// [`AdmissionError::QueueFull`]: the request was not put in the queue.
+    /// [`AdmissionError`]: the request was not put in the queue.
     pub fn enqueue(
         &mut self,
         class: &ClassName,
         lane: Lane,
+        now: Timestamp,
         deadline: Timestamp,
-    ) -> Result<Ticket, AdmissionError> {
-        let must_wait = self.length > 0 || self.in_use >= self.limits.slots;
-        if must_wait && self.length >= self.limits.queue_limit {
-            return Err(AdmissionError::QueueFull { retry_after_ms: self.retry_after_ms() });
+    ) -> Result<Admitted, AdmissionError> {
+        let retry_after_ms = self.retry_after_ms();
+        if self.in_use >= self.limits.slots && self.is_hopeless(class, now, deadline) {
+            return Err(AdmissionError::TooLate { retry_after_ms });
+        }
+        let mut displaced = None;
+        if self.must_wait(lane) && self.length >= self.limits.queue_limit {
+            displaced = self.displace_for(class);
+            if displaced.is_none() {
+                return Err(AdmissionError::QueueFull { retry_after_ms });
+            }
         }
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
         self.length += 1;
         let queue = self.classes.entry(class.clone()).or_default();
         queue.waiting.push_back(Waiting { ticket, lane, deadline });
-        Ok(ticket)
+        Ok(Admitted { ticket, displaced })
     }
 
     /// Takes a request out of the queue: its caller is gone or its time is up.
@@ -191,34 +225,36 @@
     pub fn grant(&mut self, now: Timestamp, primary_available: bool) -> Vec<Ticket> {
         let mut granted = Vec::new();
         while self.in_use < self.limits.slots {
+            self.drop_expired(now, primary_available);
             let Some(entry) = self.take_next(primary_available) else {
                 break;
             };
             self.length -= 1;
-            if entry.deadline > now {
-                self.in_use += 1;
-                granted.push(entry.ticket);
-            }
+            self.in_use += 1;
+            granted.push(entry.ticket);
         }
         granted
     }
 
+    /// Drops expired requests that would be next, so that they cost no credit.
+    fn drop_expired(&mut self, now: Timestamp, primary_available: bool) {
+        for queue in self.classes.values_mut() {
+            while let Some(place) = queue.first_eligible(primary_available)
+                && queue.waiting[place].deadline <= now
+            {
+                queue.waiting.remove(place);
+                self.length -= 1;
+            }
+        }
+    }
+
     /// Gives a slot back, with the time its transaction took.
     pub fn release(&mut self, service_time: Duration) {
         // Each grant is released once, so the count cannot fall below zero.
         self.in_use = self.in_use.saturating_sub(1);
-        let past = self.service_time * (SERVICE_TIME_WEIGHT - 1);
-        self.service_time = (past + service_time) / SERVICE_TIME_WEIGHT;
-    }
-
-    /// When a caller refused now should come back, in milliseconds: the time in
-    /// which the queue is likely to be served.
-    #[must_use]
-    pub fn retry_after_ms(&self) -> u32 {
-        let rounds = (self.length + 1).div_ceil(self.limits.slots.max(1));
-        let estimate = self.service_time.saturating_mul(rounds);
-        let millis = u32::try_from(estimate.as_millis()).unwrap_or(u32::MAX);
-        millis.clamp(MINIMUM_RETRY_AFTER_MS, MAXIMUM_RETRY_AFTER_MS)
+        let latest = service_time.min(bounds::LONGEST_SERVICE_TIME);
+        let past = self.service_time.unwrap_or(latest) * (SERVICE_TIME_WEIGHT - 1);
+        self.service_time = Some((past + latest) / SERVICE_TIME_WEIGHT);
     }
 
     fn take_next(&mut self, primary_available: bool) -> Option<Waiting> {
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -6,8 +6,10 @@
 use corktack_core::resources::PriorityClassSpec;
 use corktack_core::time::Timestamp;
 use proptest::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 const FAR: Timestamp = Timestamp::from_millis(1_000_000);
@@ -27,7 +29,7 @@
 }
 
 fn enqueue(queue: &mut AdmissionQueue, name: &str) -> Ticket {
-    queue.enqueue(&class(name), Lane::Primary, FAR).unwrap()
+    queue.enqueue(&class(name), Lane::Primary, NOW, FAR).unwrap().ticket
 }
 
 #[rstest]
@@ -49,7 +51,7 @@
     assert_eq!(queue.grant(NOW, true).len(), 1);
     enqueue(&mut queue, "basic");
     enqueue(&mut queue, "basic");
-    let refused = queue.enqueue(&class("basic"), Lane::Primary, FAR);
+    let refused = queue.enqueue(&class("basic"), Lane::Primary, NOW, FAR);
     let Err(AdmissionError::QueueFull { retry_after_ms }) = refused else {
         panic!("the queue is full");
     };
@@ -62,13 +64,13 @@
     let mut queue = queue(1, 0, &[]);
     enqueue(&mut queue, "basic");
     assert_eq!(queue.grant(NOW, true).len(), 1);
-    assert!(queue.enqueue(&class("basic"), Lane::Primary, FAR).is_err());
+    assert!(queue.enqueue(&class("basic"), Lane::Primary, NOW, FAR).is_err());
 }
 
 #[rstest]
 fn an_expired_request_gets_no_slot() {
     let mut queue = queue(1, 10, &[]);
-    let late = queue.enqueue(&class("basic"), Lane::Primary, NOW).unwrap();
+    let late = queue.enqueue(&class("basic"), Lane::Primary, Timestamp::ZERO, NOW).unwrap().ticket;
     let good = enqueue(&mut queue, "basic");
     assert_eq!(queue.grant(NOW, true), [good]);
     assert!(!queue.remove(late));
@@ -78,7 +80,7 @@
 #[rstest]
 fn expire_takes_out_what_is_late() {
     let mut queue = queue(0, 10, &[]);
-    let late = queue.enqueue(&class("basic"), Lane::Primary, NOW).unwrap();
+    let late = queue.enqueue(&class("basic"), Lane::Primary, Timestamp::ZERO, NOW).unwrap().ticket;
     enqueue(&mut queue, "basic");
     assert_eq!(queue.expire(NOW), [late]);
     assert_eq!(queue.length(), 1);
@@ -88,11 +90,102 @@
 fn reads_from_replicas_pass_writes_that_wait_for_a_primary() {
     let mut queue = queue(2, 10, &[("gold", 10, 0), ("basic", 1, 0)]);
     let write = enqueue(&mut queue, "gold");
-    let read = queue.enqueue(&class("basic"), Lane::Replica, FAR).unwrap();
+    let read = queue.enqueue(&class("basic"), Lane::Replica, NOW, FAR).unwrap().ticket;
     assert_eq!(queue.grant(NOW, false), [read]);
     assert_eq!(queue.grant(NOW, true), [write]);
 }
 
+#[rstest]
+fn a_full_queue_makes_room_for_a_higher_class() {
+    let mut queue = queue(1, 3, &[("gold", 10, 0), ("silver", 5, 0), ("basic", 1, 0)]);
+    enqueue(&mut queue, "basic");
+    assert_eq!(queue.grant(NOW, true).len(), 1);
+    enqueue(&mut queue, "basic");
+    let last = enqueue(&mut queue, "basic");
+    enqueue(&mut queue, "silver");
+    let admitted = queue.enqueue(&class("gold"), Lane::Primary, NOW, FAR).unwrap();
+    assert_eq!(admitted.displaced, Some(last));
+    assert!(queue.enqueue(&class("basic"), Lane::Primary, NOW, FAR).is_err());
+    assert_eq!(queue.length(), 3);
+    assert!(!queue.remove(last));
+}
+
+#[rstest]
+fn a_class_below_its_places_gets_one_in_a_full_queue() {
+    let mut queue = queue(1, 10, &[("gold", 10, 0), ("basic", 1, 20)]);
+    enqueue(&mut queue, "gold");
+    assert_eq!(queue.grant(NOW, true).len(), 1);
+    let golds: Vec<_> = (0..10).map(|_| enqueue(&mut queue, "gold")).collect();
+    for place in [9, 8] {
+        let admitted = queue.enqueue(&class("basic"), Lane::Primary, NOW, FAR).unwrap();
+        assert_eq!(admitted.displaced, Some(golds[place]));
+    }
+    // Its places are taken, and gold must not take them back.
+    assert!(queue.enqueue(&class("basic"), Lane::Primary, NOW, FAR).is_err());
+    assert!(queue.enqueue(&class("gold"), Lane::Primary, NOW, FAR).is_err());
+}
+
+#[rstest]
+fn reads_from_replicas_are_not_refused_for_writes_that_wait_for_a_primary() {
+    let mut queue = queue(2, 2, &[("gold", 10, 0)]);
+    enqueue(&mut queue, "gold");
+    enqueue(&mut queue, "gold");
+    assert_eq!(queue.grant(NOW, false), []);
+    let read = queue.enqueue(&class("gold"), Lane::Replica, NOW, FAR).unwrap().ticket;
+    assert_eq!(queue.grant(NOW, false), [read]);
+}
+
+#[rstest]
+fn a_request_that_cannot_be_in_time_is_refused_when_it_comes() {
+    let mut queue = queue(1, 100, &[("gold", 10, 0), ("basic", 1, 0)]);
+    enqueue(&mut queue, "gold");
+    queue.grant(NOW, true);
+    queue.release(SERVICE);
+    for _ in 0..10 {
+        enqueue(&mut queue, "gold");
+    }
+    assert_eq!(queue.grant(NOW, true).len(), 1);
+    // Nine wait before it, of eight milliseconds each.
+    let by = |millis| NOW + Duration::from_millis(millis);
+    let refused = queue.enqueue(&class("basic"), Lane::Primary, NOW, by(79));
+    assert!(
+        matches!(refused, Err(AdmissionError::TooLate { retry_after_ms }) if retry_after_ms > 0)
+    );
+    assert!(queue.enqueue(&class("basic"), Lane::Primary, NOW, by(80)).is_ok());
+    assert!(queue.enqueue(&class("gold"), Lane::Primary, NOW, by(80)).is_ok());
+}
+
+#[rstest]
+fn one_slow_transaction_does_not_make_the_rest_hopeless() {
+    let mut queue = queue(1, 10, &[]);
+    enqueue(&mut queue, "basic");
+    queue.grant(NOW, true);
+    queue.release(Duration::from_secs(600));
+    enqueue(&mut queue, "basic");
+    queue.grant(NOW, true);
+    let deadline = NOW + Duration::from_secs(5);
+    assert!(queue.enqueue(&class("basic"), Lane::Primary, NOW, deadline).is_ok());
+}
+
+#[rstest]
+fn expired_requests_cost_their_class_no_share() {
+    let mut queue = queue(1, 100, &[("gold", 10, 0), ("basic", 1, 50)]);
+    let mut basics = Vec::new();
+    for _ in 0..4 {
+        queue.enqueue(&class("basic"), Lane::Primary, Timestamp::ZERO, NOW).unwrap();
+    }
+    for _ in 0..4 {
+        basics.push(enqueue(&mut queue, "basic"));
+        enqueue(&mut queue, "gold");
+    }
+    let mut served = Vec::new();
+    for _ in 0..4 {
+        served.extend(queue.grant(NOW, true));
+        queue.release(SERVICE);
+    }
+    assert_eq!(served.iter().filter(|ticket| basics.contains(ticket)).count(), 2);
+}
+
 fn fixed_cases() -> ProptestConfig {
     let rng_seed = proptest::test_runner::RngSeed::Fixed(0x00c0_ffee);
     ProptestConfig { cases: 128, failure_persistence: None, rng_seed, ..ProptestConfig::default() }
@@ -130,6 +223,40 @@
         }
     }
 
+    /// A flood of higher classes leaves the lowest class its share, though the
+    /// queue is always full: requests come at random, from seeds, and those
+    /// refused or given up do not wait.
+    #[test]
+    fn the_lowest_class_keeps_its_share_in_a_flood(
+        seed in any::<u64>(),
+        percent in 5_u8..=30,
+        slots in 1_u32..6,
+    ) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut queue = queue(slots, 40, &[("gold", 10, 30), ("basic", 1, percent)]);
+        let mut basics = BTreeSet::new();
+        let (mut served, mut total) = (0_u64, 0_u64);
+        for _ in 0..2_000 {
+            // Gold takes all places before basic comes.
+            for _ in 0..random.random_range(6..=50) {
+                let _ = queue.enqueue(&class("gold"), Lane::Primary, NOW, FAR);
+            }
+            for _ in 0..random.random_range(0..=2) {
+                let admitted = queue.enqueue(&class("basic"), Lane::Primary, NOW, FAR);
+                basics.extend(admitted.map(|admitted| admitted.ticket));
+            }
+            for ticket in queue.grant(NOW, true) {
+                total += 1;
+                served += u64::from(basics.contains(&ticket));
+            }
+            prop_assert!(queue.length() <= 40);
+            // Fewer end than come.
+            queue.release(SERVICE);
+        }
+        let due = total * u64::from(percent) / 100;
+        prop_assert!(served + 5 >= due, "{served} of {total} served, {due} due");
+    }
+
     /// Slots and queue stay in their limits, and no ticket is granted twice.
     #[test]
     fn limits_hold_and_tickets_are_granted_once(
@@ -137,7 +264,7 @@
     ) {
         let mut queue = queue(3, 6, &[("gold", 10, 50), ("basic", 1, 10)]);
         let mut waiting = Vec::new();
-        let mut granted = std::collections::BTreeSet::new();
+        let mut granted = BTreeSet::new();
         let mut now = Timestamp::ZERO;
         for (step, value) in steps {
             now = now + Duration::from_millis(value);
@@ -145,7 +272,9 @@
                 0 | 1 => {
                     let name = if step == 0 { "gold" } else { "basic" };
                     let deadline = now + Duration::from_millis(20);
-                    waiting.extend(queue.enqueue(&class(name), Lane::Primary, deadline));
+                    if let Ok(admitted) = queue.enqueue(&class(name), Lane::Primary, now, deadline) {
+                        waiting.push(admitted.ticket);
+                    }
                 }
                 2 => for ticket in queue.grant(now, value % 2 == 0) {
                     prop_assert!(granted.insert(ticket));
--- a/crates/owner/src/router.rs
+++ b/crates/owner/src/router.rs
@@ -3,7 +3,7 @@
 use crate::group::Group;
 use crate::lease::{Destination, Lease};
 use crate::metrics::ClassLabel;
-use crate::slot::Slot;
+use crate::slot::{GivenUp, Slot};
 use corktack_core::admission::{AdmissionError, Lane};
 use corktack_core::identity::ClassName;
 use corktack_core::position::Position;
@@ -30,6 +30,20 @@
     }
 }
 
+impl From<AdmissionError> for Refusal {
+    fn from(error: AdmissionError) -> Self {
+        let (reason, retry_after_ms) = match error {
+            AdmissionError::QueueFull { retry_after_ms } => {
+                (NotRunReason::QueueFull, retry_after_ms)
+            }
+            AdmissionError::TooLate { retry_after_ms } => {
+                (NotRunReason::QueueTimeout, retry_after_ms)
+            }
+        };
+        Self { reason, retry_after_ms: Some(retry_after_ms) }
+    }
+}
+
 /// Why a request that did not run, or only read, is tried again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RetryCause {
@@ -184,16 +198,17 @@
 
     async fn wait_for_slot(&mut self, lane: Lane) -> Result<Slot, Refusal> {
         let started = Instant::now();
-        let pending = self.group.enqueue(&self.class, lane, self.deadline).map_err(|error| {
-            let AdmissionError::QueueFull { retry_after_ms } = error;
-            Refusal { reason: NotRunReason::QueueFull, retry_after_ms: Some(retry_after_ms) }
-        })?;
+        let enqueued = self.group.enqueue(&self.class, lane, self.deadline);
+        let pending = enqueued.map_err(Refusal::from)?;
         let slot = pending.wait(self.deadline).await;
         let label =
             ClassLabel { group: self.group.name.to_string(), class: self.class.to_string() };
         let waited = started.elapsed().as_secs_f64();
         self.group.metrics.queue_wait.get_or_create(&label).observe(waited);
-        slot.ok_or_else(|| self.late(lane))
+        slot.map_err(|given_up| match given_up {
+            GivenUp::Late => self.late(lane),
+            GivenUp::Displaced => Refusal::from(NotRunReason::QueueFull),
+        })
     }
 
     fn late(&self, lane: Lane) -> Refusal {
--- a/crates/owner/src/slot.rs
+++ b/crates/owner/src/slot.rs
@@ -17,10 +17,13 @@
         deadline: Timestamp,
     ) -> Result<PendingSlot, AdmissionError> {
         let (sender, receiver) = oneshot::channel();
+        let now = self.now();
         let ticket = self.with_state(|state| {
-            let ticket = state.admission.enqueue(class, lane, deadline)?;
-            state.grants.insert(ticket, sender);
-            Ok(ticket)
+            let admitted = state.admission.enqueue(class, lane, now, deadline)?;
+            // Without its sender, a request given up is told at once.
+            admitted.displaced.map(|displaced| state.grants.remove(&displaced));
+            state.grants.insert(admitted.ticket, sender);
+            Ok(admitted.ticket)
         })?;
         self.grant_slots();
         Ok(PendingSlot { group: Arc::clone(self), ticket, receiver })
@@ -78,6 +81,15 @@
     }
 }
 
+/// Why a wait for a slot ended without one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum GivenUp {
+    /// The deadline came first.
+    Late,
+    /// The place in the full queue went to another class.
+    Displaced,
+}
+
 /// A place in the queue; given up when dropped.
 #[derive(Debug)]
 pub(crate) struct PendingSlot {
@@ -87,10 +99,11 @@
 }
 
 impl PendingSlot {
-    /// The slot, or none when the deadline came first.
-    pub async fn wait(mut self, deadline: Timestamp) -> Option<Slot> {
+    /// The slot, unless the wait is given up.
+    pub async fn wait(mut self, deadline: Timestamp) -> Result<Slot, GivenUp> {
         let left = deadline.saturating_since(self.group.now());
-        tokio::time::timeout(left, &mut self.receiver).await.ok()?.ok()
+        let granted = tokio::time::timeout(left, &mut self.receiver).await;
+        granted.map_err(|_| GivenUp::Late)?.map_err(|_| GivenUp::Displaced)
     }
 }
 
--- a/crates/owner/tests/streams.rs
+++ b/crates/owner/tests/streams.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use corktack_core::identity::ClassName;
 use corktack_protocol::peer::{
     Access, EdgeMessage, Failure, INITIAL_WINDOW_BYTES, NotRunReason, OwnerMessage, ServedBy,
     TransactionStatus,
@@ -164,6 +165,43 @@
     assert_eq!(fleet.members[0].script().written, ["second"]);
 }
 
+#[rstest]
+#[actix_rt::test]
+async fn a_request_given_up_for_a_higher_class_is_refused_at_once_and_did_not_run() {
+    let fleet = Fleet::start(1, 1).await;
+    let mut edge = fleet.edge().await;
+    let first = edge.write("hold").await;
+    fleet.members[0].wait_for_statement("hold", 1).await;
+    let basic = |text| {
+        let mut basic = request(Access::Write, query(text));
+        basic.class = ClassName::new("basic").expect("a valid name");
+        // No deadline comes during the test.
+        basic.timeout_ms = 0;
+        basic
+    };
+    let reserved = edge.open(basic("write reserved")).await;
+    // The one place is kept for the lowest class; a second gold must not take it.
+    let gold = edge.write("write gold").await;
+    let refused = edge.answer(gold).await.failure;
+    assert!(matches!(refused, Some(Failure::NotRun { reason: NotRunReason::QueueFull, .. })));
+    edge.send(EdgeMessage::Close { stream: reserved }).await;
+    fleet.change_classes(|class| class.guaranteed_percent = 0);
+    fleet.wait_for_view(&mut edge).await;
+    let displaced = edge.open(basic("write displaced")).await;
+    let gold = edge.write("write gold").await;
+    // Its answer comes while the slot is held, so before any deadline.
+    let Some(Failure::NotRun { reason, retry_after_ms }) = edge.answer(displaced).await.failure
+    else {
+        panic!("not refused");
+    };
+    assert_eq!(reason, NotRunReason::QueueFull);
+    assert!(retry_after_ms > 0);
+    fleet.members[0].open_gate();
+    edge.answer(first).await;
+    edge.answer(gold).await;
+    assert_eq!(fleet.members[0].script().written, ["gold"]);
+}
+
 #[rstest]
 #[actix_rt::test]
 async fn a_request_whose_time_is_up_is_refused_and_did_not_run() {
--- a/crates/owner/tests/support/mod.rs
+++ b/crates/owner/tests/support/mod.rs
@@ -105,6 +105,16 @@
         });
     }
 
+    /// Changes all priority classes in the view.
+    pub fn change_classes(&self, change: impl Fn(&mut PriorityClassSpec)) {
+        self.views.send_modify(|view| {
+            let mut next = View::clone(view);
+            next.revision.0 += 1;
+            next.classes.values_mut().for_each(&change);
+            *view = Arc::new(next);
+        });
+    }
+
     /// Makes another member primary of a term, in the back ends and in the view.
     pub fn promote(&self, number: usize, term: u64) {
         for member in &self.members {
