--- a/crates/owner/tests/support/mod.rs
+++ b/crates/owner/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod back_end;
 pub mod edge;
+pub mod group;
+pub mod relay;
 
 use back_end::FakeMember;
 use corktack_core::identity::{ClassName, GroupName, Incarnation, MemberName, ProxyName, ZoneName};
@@ -34,7 +36,7 @@
     ZoneName::new(name).unwrap()
 }
 
-fn classes() -> BTreeMap<ClassName, PriorityClassSpec> {
+pub fn classes() -> BTreeMap<ClassName, PriorityClassSpec> {
     let class = |name: &str, priority, guaranteed_percent| {
         (ClassName::new(name).unwrap(), PriorityClassSpec { priority, guaranteed_percent })
     };
@@ -103,6 +105,16 @@
         });
     }
 
+    /// Changes all priority classes in the view.
+    pub fn change_classes(&self, change: impl Fn(&mut PriorityClassSpec)) {
+        self.views.send_modify(|view| {
+            let mut next = View::clone(view);
+            next.revision.0 += 1;
+            next.classes.values_mut().for_each(&change);
+            *view = Arc::new(next);
+        });
+    }
+
     /// Makes another member primary of a term, in the back ends and in the view.
     pub fn promote(&self, number: usize, term: u64) {
         for member in &self.members {
