--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -4,6 +4,7 @@
 pub mod operator;
 pub mod proxy;
 
+use awc::http::{Method, StatusCode};
 use corktack_control::{
     CellStart, ControlHandle, ControlListeners, ControlReplica, ControlSettings,
 };
@@ -12,6 +13,7 @@
 use corktack_protocol::cell::CellName;
 use operator::Operator;
 use prometheus_client::registry::Registry;
+use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
@@ -133,6 +135,24 @@
         self.replicas.push(launch(ReplicaId(id), start, bind_listeners(), &adjust));
     }
 
+    /// Brings the replica at `place` into the cell as a learner.
+    pub async fn add_learner(&self, place: usize) {
+        let TestReplica { id, cell, .. } = &self.replicas[place];
+        self.change(json!({"operation": "addLearner", "id": id, "address": cell})).await;
+    }
+
+    /// Changes the cell through its leader, again while that is refused for now.
+    pub async fn change(&self, change: Value) {
+        until("the cell changes", async || {
+            let operator = self.replicas[self.leader().await].operator();
+            let answer = operator.send(Method::POST, "/v1/cell", None, Some(&change)).await;
+            let known = [StatusCode::NO_CONTENT, StatusCode::CONFLICT];
+            assert!(known.contains(&answer.status), "{:?}", answer.body);
+            (answer.status == StatusCode::NO_CONTENT).then_some(())
+        })
+        .await;
+    }
+
     /// Place of the leader that most replicas agree on.
     pub async fn leader(&self) -> usize {
         until("a leader", async || {
