--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,6 +19,7 @@
 mod render;
 mod replica;
 mod settings;
+mod state_codec;
 mod stop;
 
 pub use error::{ControlError, RequestError};
--- a/crates/control/src/node/apply.rs
+++ b/crates/control/src/node/apply.rs
@@ -5,11 +5,11 @@
 use super::thread::{NodeError, NodeThread};
 use crate::cell::PeerMessage;
 use crate::error::RequestError;
+use crate::state_codec::{decode_state, encode_state};
 use corktack_core::consensus::{Entry, Event, HardState, Payload, Rejection, RequestId, Snapshot};
-use corktack_core::state::ControlState;
 use corktack_core::state::command::Command;
 use corktack_core::view::Revision;
-use corktack_protocol::frame::{decode, encode};
+use corktack_protocol::frame::decode;
 use corktack_storage::LogStore;
 use std::time::Instant;
 
@@ -31,7 +31,7 @@
     }
 
     pub(super) fn install_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), NodeError> {
-        let state: ControlState = decode(&snapshot.data)?;
+        let state = decode_state(&snapshot.data)?;
         let begin = Instant::now();
         self.parts.log.install_snapshot(snapshot)?;
         self.note_sync(begin);
@@ -144,7 +144,7 @@
             return Ok(());
         }
         let Some((term, cell)) = self.parts.replica.snapshot_header(index) else { return Ok(()) };
-        let data = encode(&self.parts.state)?;
+        let data = encode_state(&self.parts.state)?;
         let snapshot = Snapshot { index, term, cell, data };
         let begin = Instant::now();
         // Synced before the core may drop the entries that it covers.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -12,12 +12,12 @@
 use crate::platform::poll_platform;
 use crate::proxies::{Proofs, ProxyServer, ProxyTable, accept_proxies, send_summaries};
 use crate::settings::{CellStart, ControlListeners, ControlSettings};
+use crate::state_codec::decode_state;
 use crate::stop::{StopSignal, StopTrigger, stop_channel};
 use actix_rt::{Arbiter, ArbiterHandle};
 use actix_web::dev::ServerHandle;
 use corktack_core::consensus::{ConsensusSettings, PersistedState, Replica, Role};
 use corktack_core::state::ControlState;
-use corktack_protocol::frame::decode;
 use corktack_storage::{DataFolder, ReplicaLog};
 use prometheus_client::registry::Registry;
 use std::net::TcpListener;
@@ -164,7 +164,7 @@
 /// The state of the snapshot; the core hands out the entries after it once more.
 fn recover_state(persisted: &PersistedState) -> Result<(ControlState, u64), ControlError> {
     match &persisted.snapshot {
-        Some(snapshot) => Ok((decode(&snapshot.data)?, snapshot.index)),
+        Some(snapshot) => Ok((decode_state(&snapshot.data)?, snapshot.index)),
         None => Ok((ControlState::default(), 0)),
     }
 }
