Control: a replica that lost its disk is not heard under its old id

Cause: a replica whose data folder was wiped and that was started again under its id, as a founder or as one that joins, voted at once. With a follower that had been away it formed a majority that lacked a committed change; when the last whole replica came back it gave its entry up. The contract ("comes back under a new identity") rested on the operator and on the check of an empty folder in the server crate alone.

Change: each data folder draws an id, kept in the file 'disks' and shown in the first message of every connection between replicas (the field for the sender's life, which nobody read). A replica notes the first id it sees of another, synced before any message of it is taken, and refuses any other one: logged once as an error, counted in cell_disks_refused; cell_disks_known tells how many are known.

Not covered: a voter that never met the lost replica before the loss accepts its new disk; a data folder put back from an old copy has the old id.

--- a/crates/control/src/cell/inbound.rs
+++ b/crates/control/src/cell/inbound.rs
@@ -1,9 +1,11 @@
 //! Incoming connections of other replicas.
 
 use super::PeerMessage;
+use super::disks::{DiskCheck, Disks};
+use crate::metrics::Metrics;
 use crate::node::{NodeHandle, NodeInput};
 use crate::stop::StopSignal;
-use corktack_core::identity::ReplicaId;
+use corktack_core::identity::{Incarnation, ReplicaId};
 use corktack_protocol::cell::CellName;
 use corktack_protocol::frame::FrameCodec;
 use futures_util::StreamExt;
@@ -21,6 +23,34 @@
 pub(crate) struct InboundSettings {
     pub(crate) cell: CellName,
     pub(crate) replica: ReplicaId,
+    pub(crate) disks: Disks,
+    pub(crate) metrics: Metrics,
+}
+
+impl InboundSettings {
+    /// Whether the replica still has the disk that it is known by.
+    fn knows(&self, replica: ReplicaId, disk: Incarnation) -> bool {
+        match self.disks.check(replica, disk) {
+            Ok(DiskCheck::Accepted { known }) => {
+                self.metrics.cell_disks_known.set(i64::try_from(known).unwrap_or(i64::MAX));
+                true
+            }
+            Ok(DiskCheck::Refused { first_time }) => {
+                self.metrics.cell_disks_refused.inc();
+                if first_time {
+                    log::error!(
+                        replica = replica.0;
+                        "replica refused: it has another disk than before and needs a new id"
+                    );
+                }
+                false
+            }
+            Err(error) => {
+                log::error!(replica = replica.0, error:% = error; "disk of a replica not noted");
+                false
+            }
+        }
+    }
 }
 
 /// Accepts replicas until the stop.
@@ -82,10 +112,10 @@
 ) -> Option<ReplicaId> {
     let message = timeout(HELLO_TIMEOUT, connection.next()).await.ok()??;
     match message {
-        Ok(PeerMessage::Hello { cell, replica, .. })
+        Ok(PeerMessage::Hello { cell, replica, incarnation })
             if cell == settings.cell && replica != settings.replica =>
         {
-            Some(replica)
+            settings.knows(replica, incarnation).then_some(replica)
         }
         Ok(_) => {
             log::warn!(cell = settings.cell.0.as_str(); "connection of another cell refused");
--- a/crates/control/src/cell/mod.rs
+++ b/crates/control/src/cell/mod.rs
@@ -1,8 +1,10 @@
 //! Connections between the replicas of a cell.
 
+mod disks;
 mod inbound;
 mod outbound;
 
+pub(crate) use disks::Disks;
 pub(crate) use inbound::{InboundSettings, accept_replicas};
 pub(crate) use outbound::{LinkSettings, Links};
 
--- a/crates/control/src/cell/outbound.rs
+++ b/crates/control/src/cell/outbound.rs
@@ -31,7 +31,8 @@
 pub(crate) struct LinkSettings {
     pub(crate) cell: CellName,
     pub(crate) replica: ReplicaId,
-    pub(crate) incarnation: Incarnation,
+    /// Id of this replica's data folder: its life ends with the disk.
+    pub(crate) disk: Incarnation,
     pub(crate) seed: u64,
 }
 
@@ -96,7 +97,7 @@
         PeerMessage::Hello {
             cell: self.settings.cell.clone(),
             replica: self.settings.replica,
-            incarnation: self.settings.incarnation,
+            incarnation: self.settings.disk,
         }
     }
 }
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -32,6 +32,8 @@
     pub(crate) sync_seconds: Histogram,
     pub(crate) snapshots: Counter,
     pub(crate) cell_messages_dropped: Counter,
+    pub(crate) cell_disks_known: Gauge,
+    pub(crate) cell_disks_refused: Counter,
     pub(crate) proxies_connected: Gauge,
     pub(crate) proxy_bytes_sent: Counter,
     pub(crate) proxy_snapshots: Counter,
@@ -60,6 +62,8 @@
             sync_seconds: seconds(),
             snapshots: Counter::default(),
             cell_messages_dropped: Counter::default(),
+            cell_disks_known: Gauge::default(),
+            cell_disks_refused: Counter::default(),
             proxies_connected: Gauge::default(),
             proxy_bytes_sent: Counter::default(),
             proxy_snapshots: Counter::default(),
@@ -97,6 +101,14 @@
         registry.register("snapshots", "Snapshots made or installed", self.snapshots.clone());
         let dropped = self.cell_messages_dropped.clone();
         registry.register("cell_messages_dropped", "Messages dropped, queue full", dropped);
+        self.register_disks(registry);
+    }
+
+    fn register_disks(&self, registry: &mut Registry) {
+        let known = self.cell_disks_known.clone();
+        registry.register("cell_disks_known", "Other replicas whose disk is known", known);
+        let refused = self.cell_disks_refused.clone();
+        registry.register("cell_disks_refused", "Connections from unknown disks", refused);
     }
 
     fn register_proxies(&self, registry: &mut Registry) {
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -1,7 +1,7 @@
 //! Starts and stops a control replica.
 
 use crate::back_end::BackEnds;
-use crate::cell::{InboundSettings, LinkSettings, Links, accept_replicas};
+use crate::cell::{Disks, InboundSettings, LinkSettings, Links, accept_replicas};
 use crate::clock::Clock;
 use crate::error::ControlError;
 use crate::feed::Feed;
@@ -142,6 +142,7 @@
 struct Recovered {
     replica: Replica,
     log: ReplicaLog,
+    disks: Disks,
     state: ControlState,
     applied: u64,
 }
@@ -150,6 +151,7 @@
     fn open(settings: &ControlSettings, clock: &Clock) -> Result<Self, ControlError> {
         let folder = DataFolder::open(&settings.data_folder)?;
         let (log, persisted) = ReplicaLog::open(&folder, &settings.cell.0)?;
+        let disks = Disks::open(&folder)?;
         let (state, applied) = recover_state(&persisted)?;
         let bootstrap = match &settings.start {
             CellStart::Bootstrap(cell) => Some(cell.clone()),
@@ -157,7 +159,7 @@
         };
         let consensus = consensus_settings(settings);
         let replica = Replica::new(consensus, persisted, bootstrap, clock.now())?;
-        Ok(Self { replica, log, state, applied })
+        Ok(Self { replica, log, disks, state, applied })
     }
 }
 
@@ -189,6 +191,7 @@
     node: NodeHandle,
     feed: Feed,
     proofs: Proofs,
+    disks: Disks,
     status: watch::Receiver<NodeStatus>,
     arbiters: Vec<Arbiter>,
     stop: StopSignal,
@@ -233,7 +236,7 @@
         let settings = LinkSettings {
             cell: self.settings.cell.clone(),
             replica: self.settings.replica,
-            incarnation: self.settings.incarnation,
+            disk: self.disks.own(),
             seed: self.settings.seed,
         };
         let mut links = Links::new(settings, self.first_arbiter(), self.metrics.clone());
@@ -257,8 +260,12 @@
     /// that accepts on it.
     fn start_cell(&self, listener: TcpListener) -> Result<(), ControlError> {
         listener.set_nonblocking(true).map_err(ControlError::Listener)?;
-        let settings =
-            InboundSettings { cell: self.settings.cell.clone(), replica: self.settings.replica };
+        let settings = InboundSettings {
+            cell: self.settings.cell.clone(),
+            replica: self.settings.replica,
+            disks: self.disks.clone(),
+            metrics: self.metrics.clone(),
+        };
         let (node, stop) = (self.node.clone(), self.stop.clone());
         self.first_arbiter().spawn(async move {
             match tokio::net::TcpListener::from_std(listener) {
@@ -351,6 +358,7 @@
         node: NodeHandle::new(inputs, settings.request_timeout),
         feed: Feed::new(recovered.state.view_revision(), settings.watch_changes.max(1)),
         proofs: Proofs::default(),
+        disks: recovered.disks.clone(),
         status,
         arbiters: (0..=settings.workers.max(1)).map(|_| Arbiter::new()).collect(),
         stop,
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -74,6 +74,20 @@
         self.launch(listeners, adjust);
     }
 
+    /// Loses the disk of a stopped replica.
+    pub fn lose_disk(&mut self) {
+        assert!(self.handle.is_none(), "the replica is stopped");
+        self.folder = TempDir::new().expect("a folder can be made");
+    }
+
+    /// A number among the replica's metrics.
+    pub async fn metric(&self, name: &str) -> u64 {
+        let answer = self.operator().get("/metrics").await;
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        line.and_then(|value| value.parse().ok()).expect("the metric exists")
+    }
+
     fn launch(&mut self, listeners: ControlListeners, adjust: &impl Fn(&mut ControlSettings)) {
         let folder = self.folder.path().to_path_buf();
         let name = CellName("test".to_owned());
