Control: prove what is served while cut off and after old changes are forgotten

Cause: being cut off was shown by stopping the others, so nothing newer than what the replica held existed.

--- /dev/null
+++ b/crates/control/tests/support/links.rs
@@ -0,0 +1,91 @@
+//! Links between the replicas of a cell that can be cut.
+//!
+//! Each replica is reached by the others through a listener of this module, which
+//! reads from the first message who connects and passes the bytes on.
+
+use bytes::BytesMut;
+use corktack_core::consensus::Message;
+use corktack_core::identity::ReplicaId;
+use corktack_protocol::cell::CellMessage;
+use corktack_protocol::frame::FrameCodec;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio_util::codec::Decoder;
+
+type PeerMessage = CellMessage<Message>;
+
+/// The replicas that are cut off from all others.
+#[derive(Clone)]
+pub struct Links {
+    cut: watch::Sender<BTreeSet<ReplicaId>>,
+}
+
+impl Links {
+    pub fn new() -> Self {
+        Self { cut: watch::channel(BTreeSet::new()).0 }
+    }
+
+    /// Opens the way to a replica; gives the address for the others.
+    pub fn open(&self, to: ReplicaId, real: SocketAddr) -> SocketAddr {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound listener has an address");
+        listener.set_nonblocking(true).expect("the listener is ours");
+        let listener = TcpListener::from_std(listener).expect("inside the runtime");
+        let cut = self.cut.subscribe();
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                actix_rt::spawn(pass_on(stream, to, real, cut.clone()));
+            }
+        });
+        address
+    }
+
+    pub fn cut_off(&self, replica: ReplicaId) {
+        self.cut.send_modify(|cut| cut.extend([replica]));
+    }
+
+    pub fn heal(&self) {
+        self.cut.send_modify(BTreeSet::clear);
+    }
+}
+
+async fn pass_on(
+    mut near: TcpStream,
+    to: ReplicaId,
+    real: SocketAddr,
+    mut cut: watch::Receiver<BTreeSet<ReplicaId>>,
+) {
+    let Some((from, first)) = first_message(&mut near).await else { return };
+    let passing = async {
+        let Ok(mut far) = TcpStream::connect(real).await else { return };
+        if far.write_all(&first).await.is_ok() {
+            // Either side may end the connection at any time.
+            let _ = copy_bidirectional(&mut near, &mut far).await;
+        }
+    };
+    tokio::select! {
+        // The cut is looked at first, so that a cut link passes nothing.
+        biased;
+        _ = cut.wait_for(|cut| cut.contains(&from) || cut.contains(&to)) => (),
+        () = passing => (),
+    }
+}
+
+/// Who connects, and the bytes read to know it.
+async fn first_message(near: &mut TcpStream) -> Option<(ReplicaId, BytesMut)> {
+    let mut bytes = BytesMut::new();
+    loop {
+        if near.read_buf(&mut bytes).await.ok()? == 0 {
+            return None;
+        }
+        let mut codec = FrameCodec::<PeerMessage, PeerMessage>::default();
+        match codec.decode(&mut bytes.clone()).ok()? {
+            Some(PeerMessage::Hello { replica, .. }) => return Some((replica, bytes)),
+            Some(_) => return None,
+            None => (),
+        }
+    }
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Cells of replicas in one process, an operator and a proxy.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod links;
 pub mod operator;
 pub mod proxy;
 
@@ -11,6 +12,7 @@
 use corktack_core::consensus::{CellConfig, CellMember, Role};
 use corktack_core::identity::{Incarnation, ReplicaId};
 use corktack_protocol::cell::CellName;
+use links::Links;
 use operator::Operator;
 use prometheus_client::registry::Registry;
 use serde_json::{Value, json};
@@ -133,8 +135,27 @@
 
     pub fn start_with(size: u64, adjust: impl Fn(&mut ControlSettings)) -> Self {
         let bound: Vec<_> = (1..=size).map(|id| (ReplicaId(id), bind_listeners())).collect();
-        let member =
-            |(id, (_, [cell, ..])): &(ReplicaId, Bound)| CellMember { id: *id, address: *cell };
+        Self::launch_all(bound, |_, cell| cell, adjust)
+    }
+
+    /// A cell whose links can be cut.
+    pub fn start_linked(size: u64, adjust: impl Fn(&mut ControlSettings)) -> (Self, Links) {
+        let bound: Vec<_> = (1..=size).map(|id| (ReplicaId(id), bind_listeners())).collect();
+        let links = Links::new();
+        let cell = Self::launch_all(bound, |id, cell| links.open(id, cell), adjust);
+        (cell, links)
+    }
+
+    /// Starts the replicas; `address` gives where the others reach one.
+    fn launch_all(
+        bound: Vec<(ReplicaId, Bound)>,
+        address: impl Fn(ReplicaId, SocketAddr) -> SocketAddr,
+        adjust: impl Fn(&mut ControlSettings),
+    ) -> Self {
+        let member = |(id, (_, [cell, ..])): &(ReplicaId, Bound)| CellMember {
+            id: *id,
+            address: address(*id, *cell),
+        };
         let voters = bound.iter().map(member).collect();
         let start = CellStart::Bootstrap(CellConfig { voters, learners: Vec::new() });
         let launch = |(id, bound)| launch(id, start.clone(), bound, &adjust);
