Protocol: prove the decoders of all frames

Cause: crates/protocol had no tests. A peer's bytes reach five decoders.

Change: tests/frames.rs: every kind of message of edge, owner, proxy, control and cell arrives as sent, byte by byte; another version, a length over the limit, a flipped byte anywhere, and lengths of 2^40 to 2^62 inside a message are refused; proptests (seed 5, 4000 cases each) of arbitrary bytes, arbitrary payloads under a right header, and damaged real messages.

Ruled out: a counting allocator, which needs unsafe code or a crate that is not at hand.

--- /dev/null
+++ b/crates/protocol/tests/frames.rs
@@ -0,0 +1,310 @@
+//! Frames of every kind of connection: what is sent is received, and arbitrary or
+//! damaged bytes are refused without a panic or a large buffer.
+
+use bytes::{BufMut, BytesMut};
+use corktack_core::consensus::message::{AppendRequest, LogEnd, MessageBody, SnapshotChunk};
+use corktack_core::consensus::{CellConfig, CellMember, Entry, Message, Payload};
+use corktack_core::identity::{Incarnation, NameError, ReplicaId};
+use corktack_core::position::{Position, Term};
+use corktack_core::view::{Delta, Revision, View};
+use corktack_protocol::cell::{CellMessage, CellName, ProxyReport, ProxyRevision};
+use corktack_protocol::control::{ControlMessage, MemberHealth, Observation, ProxyMessage};
+use corktack_protocol::frame::{
+    FrameCodec, FrameError, HEADER_BYTES, PAYLOAD_LIMIT, PROTOCOL_VERSION, decode, encode,
+};
+use corktack_protocol::peer::{
+    Access, Batch, EdgeMessage, Failure, NotRunReason, OpenRequest, OwnerMessage,
+    PreparedStatement, ServedBy, StreamId, TransactionStatus,
+};
+use proptest::prelude::*;
+use rstest::rstest;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::fmt::Debug;
+use std::str::FromStr;
+use tokio_util::codec::{Decoder, Encoder};
+
+type PeerMessage = CellMessage<Message>;
+
+fn name<T: FromStr<Err = NameError>>(text: &str) -> T {
+    text.parse().expect("a valid name")
+}
+
+fn observations() -> Vec<Observation> {
+    let health = MemberHealth::Primary(Term(4));
+    vec![Observation { group: name("calls"), member: name("m1"), health }]
+}
+
+fn edge_messages() -> Vec<EdgeMessage> {
+    let query = "SELECT $1".to_owned();
+    let prepared =
+        vec![PreparedStatement { name: "s1".to_owned(), query, parameter_types: vec![23] }];
+    let batch = Batch { prepared, messages: vec![7; 300] };
+    let request = OpenRequest {
+        group: name("calls"),
+        class: name("gold"),
+        access: Access::Write,
+        minimum: Some(Position { term: Term(3), index: 9 }),
+        timeout_ms: 5_000,
+        idempotency_key: Some("key".to_owned()),
+        batch: batch.clone(),
+    };
+    let stream = StreamId(1 << 40);
+    vec![
+        EdgeMessage::Hello { proxy: name("p-1"), incarnation: Incarnation(u64::MAX) },
+        EdgeMessage::Open { stream, request: Box::new(request) },
+        EdgeMessage::Batch { stream, batch },
+        EdgeMessage::Cancel { stream },
+        EdgeMessage::Close { stream },
+        EdgeMessage::Window { stream, bytes: 65_536 },
+    ]
+}
+
+fn owner_messages() -> Vec<OwnerMessage> {
+    let stream = StreamId(7);
+    let failure = Failure::NotRun { reason: NotRunReason::QueueFull, retry_after_ms: 100 };
+    vec![
+        OwnerMessage::Hello { proxy: name("p-2"), incarnation: Incarnation(2) },
+        OwnerMessage::Data { stream, messages: vec![1; 500] },
+        OwnerMessage::Position { stream, position: Position { term: Term(1), index: 2 } },
+        OwnerMessage::Ready {
+            stream,
+            status: TransactionStatus::Idle,
+            served_by: ServedBy::Replica,
+        },
+        OwnerMessage::Failed { stream, failure },
+        OwnerMessage::Stopping,
+    ]
+}
+
+fn proxy_messages() -> Vec<ProxyMessage> {
+    vec![
+        ProxyMessage::Hello {
+            proxy: name("p-1"),
+            incarnation: Incarnation(3),
+            address: ([127, 0, 0, 1], 6_000).into(),
+            zone: name("north.a"),
+            revision: Revision(8),
+        },
+        ProxyMessage::Heartbeat {
+            sequence: 4,
+            revision: Revision(8),
+            draining: true,
+            observations: observations(),
+        },
+    ]
+}
+
+fn control_messages() -> Vec<ControlMessage> {
+    vec![
+        ControlMessage::Snapshot(Box::new(View { revision: Revision(5), ..View::default() })),
+        ControlMessage::Delta(Delta { revision: Revision(6), changes: Vec::new() }),
+        ControlMessage::HeartbeatAck { sequence: 4, current: false },
+    ]
+}
+
+fn consensus_messages() -> Vec<Message> {
+    let member = CellMember { id: ReplicaId(1), address: ([127, 0, 0, 1], 7_001).into() };
+    let cell = CellConfig { voters: vec![member], learners: Vec::new() };
+    let last = LogEnd { index: 4, term: Term(2) };
+    let entry = |index, payload| Entry { term: Term(2), index, payload };
+    let entries =
+        vec![entry(5, Payload::Command(vec![3; 200])), entry(6, Payload::Cell(cell.clone()))];
+    let append = AppendRequest { previous: last, entries, commit: 5 };
+    let chunk = SnapshotChunk { last, cell, total: 4_096, offset: 0, data: vec![5; 256] };
+    let bodies = [MessageBody::AppendRequest(append), MessageBody::SnapshotChunk(chunk)];
+    bodies.into_iter().map(|body| Message { term: Term(2), body }).collect()
+}
+
+fn cell_messages() -> Vec<PeerMessage> {
+    let report = ProxyReport {
+        proxy: name("p-1"),
+        incarnation: Incarnation(3),
+        address: ([127, 0, 0, 1], 6_000).into(),
+        zone: name("north.a"),
+        revision: Revision(8),
+        draining: false,
+        observations: observations(),
+    };
+    let revision =
+        ProxyRevision { proxy: name("p-1"), incarnation: Incarnation(3), revision: Revision(8) };
+    let mut messages = vec![
+        CellMessage::Hello {
+            cell: CellName("main".to_owned()),
+            replica: ReplicaId(1),
+            incarnation: Incarnation(9),
+        },
+        CellMessage::Proxies { reports: vec![report] },
+        CellMessage::Forward { request: 1, command: vec![2; 100] },
+        CellMessage::Forwarded { request: 1, outcome: Ok(77) },
+        CellMessage::QueryProxies { request: 2 },
+        CellMessage::ProxyRevisions { request: 2, revisions: vec![revision] },
+    ];
+    messages.extend(consensus_messages().into_iter().map(CellMessage::Consensus));
+    messages
+}
+
+fn frame<T: Serialize + DeserializeOwned>(message: T) -> BytesMut {
+    let mut buffer = BytesMut::new();
+    FrameCodec::<T, T>::default().encode(message, &mut buffer).expect("the message has a frame");
+    buffer
+}
+
+/// Every kind of message arrives as it was sent, also byte by byte.
+fn check_round_trip<T: Serialize + DeserializeOwned + Clone + Debug>(messages: Vec<T>) {
+    for message in messages {
+        let sent = encode(&message).expect("the message has an encoding");
+        let whole = frame(message);
+        let mut codec = FrameCodec::<T, T>::default();
+        let mut buffer = BytesMut::new();
+        for (place, byte) in whole.iter().enumerate() {
+            let early = codec.decode(&mut buffer).expect("a part is no error");
+            assert!(early.is_none(), "a message after {place} bytes");
+            buffer.put_u8(*byte);
+        }
+        let received = codec.decode(&mut buffer).expect("a frame").expect("a message");
+        assert_eq!(encode(&received).expect("the message has an encoding"), sent);
+        assert!(buffer.is_empty());
+    }
+}
+
+#[test]
+fn what_is_sent_is_received() {
+    check_round_trip(edge_messages());
+    check_round_trip(owner_messages());
+    check_round_trip(proxy_messages());
+    check_round_trip(control_messages());
+    check_round_trip(cell_messages());
+}
+
+fn header(version: u8, length: u32, checksum: u32) -> BytesMut {
+    let mut bytes = BytesMut::new();
+    bytes.put_u32(u32::from(version) << 24);
+    bytes.put_u32(length);
+    bytes.put_u32(checksum);
+    bytes
+}
+
+#[test]
+fn a_frame_of_another_version_is_refused() {
+    let mut bytes = header(PROTOCOL_VERSION + 1, 0, 0);
+    let refused = FrameCodec::<(), OwnerMessage>::default().decode(&mut bytes);
+    assert!(matches!(refused, Err(FrameError::Version(version)) if version != PROTOCOL_VERSION));
+}
+
+#[rstest]
+#[case(PAYLOAD_LIMIT as u32 + 1)]
+#[case(u32::MAX)]
+fn a_length_over_the_limit_is_refused_before_any_buffer_grows(#[case] length: u32) {
+    let mut bytes = header(PROTOCOL_VERSION, length, 0);
+    let before = bytes.capacity();
+    let refused = FrameCodec::<(), OwnerMessage>::default().decode(&mut bytes);
+    assert!(matches!(refused, Err(FrameError::TooLarge(found)) if found == length as usize));
+    assert_eq!(bytes.capacity(), before);
+}
+
+/// A length inside a valid frame that promises far more than there is: a buffer
+/// of that size would end the test.
+#[rstest]
+fn a_length_inside_a_message_is_refused(#[values(40, 46, 62)] power: u32) {
+    let length = (1_u64 << power).to_le_bytes();
+    // The variant, the stream, then the length of the bytes.
+    let bytes = [&[1, 7, 253][..], &length].concat();
+    assert!(matches!(decode::<OwnerMessage>(&bytes), Err(FrameError::Decode(_))));
+    // The variant, then the length of a name.
+    let text = [&[0, 253][..], &length].concat();
+    assert!(matches!(decode::<EdgeMessage>(&text), Err(FrameError::Decode(_))));
+}
+
+#[test]
+fn a_flipped_byte_anywhere_in_a_frame_is_refused() {
+    for message in cell_messages() {
+        let whole = frame(message);
+        for place in 0..whole.len() {
+            let mut bytes = whole.clone();
+            bytes[place] ^= 0x10;
+            let found = FrameCodec::<PeerMessage, PeerMessage>::default().decode(&mut bytes);
+            // A longer length waits for more; it never yields a message.
+            assert!(!matches!(found, Ok(Some(_))), "a message from a frame damaged at {place}");
+        }
+    }
+}
+
+/// Feeds bytes to a decoder as a connection would; gives the largest buffer it had.
+fn feed<In: DeserializeOwned>(bytes: &[u8]) -> usize {
+    let mut codec = FrameCodec::<(), In>::default();
+    let mut buffer = BytesMut::from(bytes);
+    let mut largest = buffer.capacity();
+    while let Ok(Some(_)) = codec.decode(&mut buffer) {
+        largest = largest.max(buffer.capacity());
+    }
+    largest.max(buffer.capacity())
+}
+
+fn feed_all(bytes: &[u8]) -> usize {
+    let largest = [
+        feed::<EdgeMessage>(bytes),
+        feed::<OwnerMessage>(bytes),
+        feed::<ProxyMessage>(bytes),
+        feed::<ControlMessage>(bytes),
+        feed::<PeerMessage>(bytes),
+    ];
+    largest.into_iter().max().unwrap_or(0)
+}
+
+/// A payload under a right header, so that the bytes reach the messages' decoder.
+fn framed(payload: &[u8]) -> BytesMut {
+    let length = u32::try_from(payload.len()).expect("a short payload");
+    let mut bytes = header(PROTOCOL_VERSION, length, crc32fast::hash(payload));
+    bytes.put_slice(payload);
+    bytes
+}
+
+fn payloads() -> Vec<Vec<u8>> {
+    let mut all: Vec<Vec<u8>> = Vec::new();
+    let mut add = |bytes: Result<Vec<u8>, FrameError>| all.push(bytes.expect("an encoding"));
+    edge_messages().iter().for_each(|it| add(encode(it)));
+    owner_messages().iter().for_each(|it| add(encode(it)));
+    proxy_messages().iter().for_each(|it| add(encode(it)));
+    control_messages().iter().for_each(|it| add(encode(it)));
+    cell_messages().iter().for_each(|it| add(encode(it)));
+    all
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 4_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        prop_assert!(feed_all(&bytes) <= HEADER_BYTES + PAYLOAD_LIMIT * 2);
+    }
+
+    #[test]
+    fn arbitrary_payloads_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        prop_assert!(feed_all(&framed(&bytes)) <= 4 * (HEADER_BYTES + 600));
+    }
+
+    /// Real messages with a few bytes changed, cut short or run together.
+    #[test]
+    fn damaged_payloads_never_panic(
+        place in any::<prop::sample::Index>(),
+        changes in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..4),
+        cut in any::<prop::sample::Index>(),
+        tail in prop::collection::vec(any::<u8>(), 0..20),
+    ) {
+        let payloads = payloads();
+        let mut payload = place.get(&payloads).clone();
+        for (at, byte) in changes {
+            let at = at.index(payload.len());
+            payload[at] = byte;
+        }
+        payload.truncate(cut.index(payload.len()) + 1);
+        payload.extend(tail);
+        feed_all(&framed(&payload));
+    }
+}
