--- a/crates/core/tests/consensus/network.rs
+++ b/crates/core/tests/consensus/network.rs
@@ -1,6 +1,7 @@
 //! Replicas, their disks and the links between them, all in memory.
 
 use super::oracle::{Oracle, check_log_matching};
+use corktack_core::consensus::message::{AppendOutcome, MessageBody};
 use corktack_core::consensus::{
     Action, CellChange, CellConfig, CellMember, ConsensusSettings, Entry, Event, HardState,
     Message, Payload, PersistedState, Rejection, Replica, RequestId, Role, Snapshot,
@@ -48,11 +49,35 @@
         }
     }
 
+    /// A vote and an acknowledgement are on disk before they leave.
+    fn check_promise(&self, message: &Message, to: u64) {
+        assert!(self.hard_state.term >= message.term || is_question(message), "{message:?}");
+        match &message.body {
+            MessageBody::VoteResponse { granted: true } => {
+                assert_eq!(self.hard_state.vote, Some(ReplicaId(to)), "vote sent before synced");
+            }
+            MessageBody::VoteRequest { .. } => {
+                assert!(self.hard_state.vote.is_some(), "own vote sent before synced");
+            }
+            MessageBody::AppendResponse(AppendOutcome::Accepted { match_index }) => {
+                let last = self.entries.last_key_value().map_or(0, |(index, _)| *index);
+                let synced = last.max(self.snapshot_index());
+                assert!(synced >= *match_index, "acknowledged before synced: {message:?}");
+            }
+            _ => {}
+        }
+    }
+
     pub fn snapshot_index(&self) -> u64 {
         self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index)
     }
 }
 
+/// Messages whose term is one that is asked about, not one that was entered.
+fn is_question(message: &Message) -> bool {
+    matches!(message.body, MessageBody::PreVoteRequest(_) | MessageBody::PreVoteResponse { .. })
+}
+
 pub struct Node {
     pub replica: Option<Replica>,
     pub disk: Disk,
@@ -325,6 +350,7 @@
     }
 
     fn send(&mut self, from: u64, to: u64, message: Message) {
+        self.nodes[&from].disk.check_promise(&message, to);
         let copies = 1 + usize::from(self.random.random_bool(self.faults.duplication));
         for _ in 0..copies {
             if self.random.random_bool(self.faults.loss) {
@@ -362,7 +388,6 @@
         if self.blocked.contains(&(from, to)) || !self.nodes.contains_key(&to) {
             return;
         }
-        use corktack_core::consensus::message::MessageBody;
         self.snapshot_chunks += u64::from(matches!(message.body, MessageBody::SnapshotChunk(_)));
         self.handle(to, Event::Message { from: ReplicaId(from), message });
     }
