--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -1,17 +1,21 @@
 //! Cells of replicas in one process, an operator and a proxy.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod links;
 pub mod operator;
 pub mod proxy;
 
+use awc::http::{Method, StatusCode};
 use corktack_control::{
     CellStart, ControlHandle, ControlListeners, ControlReplica, ControlSettings,
 };
 use corktack_core::consensus::{CellConfig, CellMember, Role};
 use corktack_core::identity::{Incarnation, ReplicaId};
 use corktack_protocol::cell::CellName;
+use links::Links;
 use operator::Operator;
 use prometheus_client::registry::Registry;
+use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
@@ -72,6 +76,20 @@
         self.launch(listeners, adjust);
     }
 
+    /// Loses the disk of a stopped replica.
+    pub fn lose_disk(&mut self) {
+        assert!(self.handle.is_none(), "the replica is stopped");
+        self.folder = TempDir::new().expect("a folder can be made");
+    }
+
+    /// A number among the replica's metrics.
+    pub async fn metric(&self, name: &str) -> u64 {
+        let answer = self.operator().get("/metrics").await;
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        line.and_then(|value| value.parse().ok()).expect("the metric exists")
+    }
+
     fn launch(&mut self, listeners: ControlListeners, adjust: &impl Fn(&mut ControlSettings)) {
         let folder = self.folder.path().to_path_buf();
         let name = CellName("test".to_owned());
@@ -117,8 +135,27 @@
 
     pub fn start_with(size: u64, adjust: impl Fn(&mut ControlSettings)) -> Self {
         let bound: Vec<_> = (1..=size).map(|id| (ReplicaId(id), bind_listeners())).collect();
-        let member =
-            |(id, (_, [cell, ..])): &(ReplicaId, Bound)| CellMember { id: *id, address: *cell };
+        Self::launch_all(bound, |_, cell| cell, adjust)
+    }
+
+    /// A cell whose links can be cut.
+    pub fn start_linked(size: u64, adjust: impl Fn(&mut ControlSettings)) -> (Self, Links) {
+        let bound: Vec<_> = (1..=size).map(|id| (ReplicaId(id), bind_listeners())).collect();
+        let links = Links::new();
+        let cell = Self::launch_all(bound, |id, cell| links.open(id, cell), adjust);
+        (cell, links)
+    }
+
+    /// Starts the replicas; `address` gives where the others reach one.
+    fn launch_all(
+        bound: Vec<(ReplicaId, Bound)>,
+        address: impl Fn(ReplicaId, SocketAddr) -> SocketAddr,
+        adjust: impl Fn(&mut ControlSettings),
+    ) -> Self {
+        let member = |(id, (_, [cell, ..])): &(ReplicaId, Bound)| CellMember {
+            id: *id,
+            address: address(*id, *cell),
+        };
         let voters = bound.iter().map(member).collect();
         let start = CellStart::Bootstrap(CellConfig { voters, learners: Vec::new() });
         let launch = |(id, bound)| launch(id, start.clone(), bound, &adjust);
@@ -133,6 +170,24 @@
         self.replicas.push(launch(ReplicaId(id), start, bind_listeners(), &adjust));
     }
 
+    /// Brings the replica at `place` into the cell as a learner.
+    pub async fn add_learner(&self, place: usize) {
+        let TestReplica { id, cell, .. } = &self.replicas[place];
+        self.change(json!({"operation": "addLearner", "id": id, "address": cell})).await;
+    }
+
+    /// Changes the cell through its leader, again while that is refused for now.
+    pub async fn change(&self, change: Value) {
+        until("the cell changes", async || {
+            let operator = self.replicas[self.leader().await].operator();
+            let answer = operator.send(Method::POST, "/v1/cell", None, Some(&change)).await;
+            let known = [StatusCode::NO_CONTENT, StatusCode::CONFLICT];
+            assert!(known.contains(&answer.status), "{:?}", answer.body);
+            (answer.status == StatusCode::NO_CONTENT).then_some(())
+        })
+        .await;
+    }
+
     /// Place of the leader that most replicas agree on.
     pub async fn leader(&self) -> usize {
         until("a leader", async || {
