Simulation: the core under faults drawn by seed on a virtual clock

Cause: the core was proved by small specifications and by tests of its parts; nothing ran consensus, control state, failover, membership and the proxies' watch together under faults. Ruled out: nexosim, whose order of events of one time slice is causal only (its crate documentation).

--- a/crates/server/src/control.rs
+++ b/crates/server/src/control.rs
@@ -149,9 +149,8 @@
 /// Whether the folder is absent or holds no more than its lock. What cannot be read is not
 /// taken for empty.
 fn is_empty(folder: &Path) -> bool {
-    let is_lock = |entry: std::io::Result<DirEntry>| {
-        entry.is_ok_and(|entry| entry.file_name() == LOCK_FILE)
-    };
+    let is_lock =
+        |entry: std::io::Result<DirEntry>| entry.is_ok_and(|entry| entry.file_name() == LOCK_FILE);
     match std::fs::read_dir(folder) {
         Ok(mut entries) => entries.all(is_lock),
         Err(error) => error.kind() == std::io::ErrorKind::NotFound,
--- a/crates/sim/src/flags.rs
+++ b/crates/sim/src/flags.rs
@@ -10,5 +10,18 @@
             /// Explore within the wider bounds; takes minutes and gigabytes.
             optional --deep
         }
+        /// Run the core under faults drawn by seed.
+        cmd run {
+            /// The seeds, FIRST..END without END, or one seed.
+            required --seeds seeds: String
+            /// Run this deliberately broken variant.
+            optional --variant variant: String
+            /// Threads to share the seeds; one by default.
+            optional --threads threads: usize
+            /// Print the report of every seed, not only of those that fail.
+            optional --verbose
+            /// Print everything that happens.
+            optional --trace
+        }
     }
 }
--- /dev/null
+++ b/crates/sim/src/run/variant.rs
@@ -0,0 +1,48 @@
+//! Shells and back ends broken in one place each, to see the checker fail.
+
+/// What is broken in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Variant {
+    /// Nothing.
+    Correct,
+    /// A proxy takes a replica's answer without comparing it with the session's token.
+    TokenNotChecked,
+    /// A primary answers a read index without asking a majority.
+    ReadIndexNotConfirmed,
+    /// A primary acknowledges a write that only it holds.
+    AckBeforeMajority,
+    /// A member answers before it has synced.
+    AckBeforeSync,
+    /// A repeated write runs again.
+    KeyNotRemembered,
+    /// A proxy takes any snapshot of the configuration, also an older one.
+    SnapshotNotCompared,
+    /// A control replica gives a snapshot without proving that it is current, to a
+    /// proxy that lost its data folder.
+    SnapshotNotProven,
+    /// The failover driver asks every fenced member to become primary.
+    PromoteEveryMember,
+    /// A control replica does not write its vote.
+    VoteNotPersisted,
+    /// A control replica comes back under its old identity after it lost its disk.
+    LostDiskKeepsIdentity,
+    /// A refused write runs all the same.
+    RefusedWriteRuns,
+}
+
+impl Variant {
+    /// Every broken variant.
+    pub const BROKEN: [Self; 11] = [
+        Self::TokenNotChecked,
+        Self::ReadIndexNotConfirmed,
+        Self::AckBeforeMajority,
+        Self::AckBeforeSync,
+        Self::KeyNotRemembered,
+        Self::SnapshotNotCompared,
+        Self::SnapshotNotProven,
+        Self::PromoteEveryMember,
+        Self::VoteNotPersisted,
+        Self::LostDiskKeepsIdentity,
+        Self::RefusedWriteRuns,
+    ];
+}
--- /dev/null
+++ b/crates/sim/src/run/world/inject.rs
@@ -0,0 +1,138 @@
+//! Brings faults about and ends them.
+
+use super::{World, everyone};
+use crate::run::Variant;
+use crate::run::event::Address;
+use crate::run::faults::{Fault, LEADER, PRIMARY};
+use crate::run::repair::Repair;
+use corktack_core::time::Timestamp;
+use rand::Rng;
+use std::time::Duration;
+
+impl World {
+    pub(super) fn inject(&mut self, round: usize, place: usize) {
+        let (_, fault) = self.rounds[round].faults[place].clone();
+        let fault = self.aim(fault);
+        let end = self.rounds[round].end;
+        self.trace.push(format_args!("{} fault {fault:?}", self.now));
+        self.faults.push(format!("{} ms to {} ms: {fault:?}", self.now / 1_000, end / 1_000));
+        match fault {
+            Fault::Partition(side) => self.cut(&side),
+            Fault::Mute(one) => everyone().into_iter().for_each(|to| self.network.block(one, to)),
+            Fault::Deaf(one) => {
+                everyone().into_iter().for_each(|from| self.network.block(from, one));
+            }
+            Fault::OneWay(from, to) => self.network.block(from, to),
+            Fault::Links(faults) => self.network.faults = faults,
+            Fault::Crash(one) => self.crash(one),
+            Fault::TornWrite(machine, operations) => {
+                self.machines[usize::from(machine)].fail_disk_after(operations);
+            }
+            Fault::LoseDisk(machine) => self.lose_disk(usize::from(machine)),
+            Fault::LoseFolder(proxy) => self.proxies[usize::from(proxy)].lose_folder(),
+            Fault::Freeze(one) => {
+                self.frozen.insert(one, end);
+            }
+            Fault::Lag(member) => {
+                let local = self.local_time(Address::Member(member));
+                let until = local + Duration::from_micros(end - self.now);
+                self.members[usize::from(member)].lagging_until = until;
+            }
+        }
+    }
+
+    /// Puts the participant in place of its role.
+    fn aim(&self, fault: Fault) -> Fault {
+        match fault {
+            Fault::Partition(side) => {
+                Fault::Partition(side.into_iter().map(|one| self.resolve(one)).collect())
+            }
+            Fault::Mute(one) => Fault::Mute(self.resolve(one)),
+            Fault::Deaf(one) => Fault::Deaf(self.resolve(one)),
+            Fault::OneWay(from, to) => Fault::OneWay(self.resolve(from), to),
+            Fault::Crash(one) => Fault::Crash(self.resolve(one)),
+            Fault::Freeze(one) => Fault::Freeze(self.resolve(one)),
+            fault => fault,
+        }
+    }
+
+    fn resolve(&self, one: Address) -> Address {
+        match one {
+            LEADER => {
+                let leader = self.machines.iter().find(|machine| machine.led_cell().is_some());
+                Address::Control(leader.map_or(0, |machine| machine.index))
+            }
+            PRIMARY => {
+                let serving = (0..).zip(&self.members).map(|(index, member)| {
+                    let (serves, term, _) = member.committed();
+                    (serves, term, index)
+                });
+                Address::Member(serving.max().map_or(0, |(.., index)| index))
+            }
+            one => one,
+        }
+    }
+
+    fn cut(&mut self, side: &[Address]) {
+        for one in everyone() {
+            for inside in side.iter().filter(|_| !side.contains(&one)) {
+                self.network.block(*inside, one);
+                self.network.block(one, *inside);
+            }
+        }
+    }
+
+    fn crash(&mut self, one: Address) {
+        match one {
+            Address::Control(index) => {
+                self.with(one, |world, context| {
+                    world.machines[usize::from(index)].crash(context);
+                });
+            }
+            Address::Proxy(index) => self.proxies[usize::from(index)].crash(),
+            Address::Member(index) => self.members[usize::from(index)].crash(),
+            Address::Client(_) | Address::Operator(_) => {}
+        }
+    }
+
+    /// A second disk is lost only once the first is replaced: no cell of three survives
+    /// two lost disks at once.
+    fn lose_disk(&mut self, index: usize) {
+        let machine = &mut self.machines[index];
+        if !self.repairs.is_empty() {
+            return;
+        }
+        let lost = machine.id;
+        machine.lose_disk(self.variant);
+        if self.variant != Variant::LostDiskKeepsIdentity {
+            let remove_first = self.random.random_bool(0.5);
+            let replacement = machine.id;
+            self.repairs.push(Repair { lost, replacement, remove_first });
+        }
+    }
+
+    pub(super) fn end_round(&mut self, round: usize) {
+        self.trace.push(format_args!("{} end of round {round}", self.now));
+        self.network.heal();
+        self.frozen.clear();
+        for member in &mut self.members {
+            member.lagging_until = Timestamp::ZERO;
+            member.running = true;
+        }
+        for proxy in self.proxies.iter_mut().filter(|proxy| !proxy.running) {
+            proxy.start();
+        }
+        self.start_machines();
+    }
+
+    /// Starts the control machines that do not run.
+    pub(super) fn start_machines(&mut self) {
+        for index in 0..self.machines.len() {
+            if self.machines[index].is_running() {
+                continue;
+            }
+            let address = Address::Control(self.machines[index].index);
+            self.with(address, |world, context| world.machines[index].start(context));
+        }
+    }
+}
