Watch: a proxy with nothing in force gets the whole view, not old deltas

The proof of currency before the first delta does not help: the deltas themselves lead through every old configuration.

--- a/crates/core/src/watch/deltas.rs
+++ b/crates/core/src/watch/deltas.rs
@@ -88,7 +88,14 @@
     }
 
     /// What to send next; deltas count as sent. Call again until it is up to date.
+    ///
+    /// A watcher with nothing in force gets a snapshot, also when the log goes back to
+    /// the start: deltas would put every old configuration in force on the way, on a
+    /// proxy that may have had a newer one before it lost its data folder.
     pub fn advance(&mut self, log: &DeltaLog) -> WatchStep {
+        if self.sent == Revision::default() && log.head() > self.sent {
+            return WatchStep::Snapshot;
+        }
         let Ok(deltas) = log.since(self.sent) else { return WatchStep::Snapshot };
         let mut changes = 0;
         let mut step = Vec::new();
--- a/crates/core/tests/watch.rs
+++ b/crates/core/tests/watch.rs
@@ -106,6 +106,24 @@
     assert_eq!(catch_up(&cell, &log, &mut (View::default(), WatchCursor::new(Revision(0)))), 1);
 }
 
+/// The deltas from the start would put every old configuration in force on the way,
+/// on a proxy that may have had a newer one before it lost its data folder.
+#[test]
+fn a_watcher_with_nothing_in_force_is_given_the_whole_view() {
+    let mut cell = Cell::new();
+    let mut log = DeltaLog::new(Revision(0));
+    let mut cursor = WatchCursor::new(Revision(0));
+    assert_eq!(cursor.advance(&log), WatchStep::UpToDate, "there is nothing to give");
+    for group in ["a", "b", "c"] {
+        let command = cell.put_command(group, group, 3, None);
+        let changes = cell.apply(command).changes;
+        log.push(Revision(cell.last), changes);
+    }
+    assert_eq!(cursor.advance(&log), WatchStep::Snapshot);
+    cursor.snapshot_sent(Revision(cell.last));
+    assert_eq!(cursor.advance(&log), WatchStep::UpToDate);
+}
+
 /// Feeds a watcher until it is up to date; returns the number of snapshots it took.
 fn catch_up(cell: &Cell, log: &DeltaLog, watcher: &mut (View, WatchCursor)) -> usize {
     let mut snapshots = 0;
