--- a/crates/sim/src/run/control.rs
+++ b/crates/sim/src/run/control.rs
@@ -117,6 +117,8 @@
     pub fn start(&mut self, context: &mut Context<'_>) {
         match self.open(context) {
             Ok(process) => self.process = Some(process),
+            // An injected fault; the machine is started again later.
+            Err(MachineError::Storage(StorageError::Io { .. })) => self.crash(context),
             Err(error) => context
                 .notes
                 .push(Note::StartFailed { machine: self.index, error: error.to_string() }),
