--- a/crates/sim/src/run/control.rs
+++ b/crates/sim/src/run/control.rs
@@ -32,7 +32,7 @@
 /// Entries after which the log is compacted; small, so that snapshots are sent.
 const COMPACT_AFTER: u64 = 24;
 /// Changes held for watchers; small, so that proxies need snapshots.
-const DELTA_LIMIT: usize = 32;
+const DELTA_LIMIT: usize = 6;
 /// Bytes of a segment; small, so that segments follow each other.
 const SEGMENT_BYTES: u64 = 4_096;
 
--- a/crates/sim/src/run/faults.rs
+++ b/crates/sim/src/run/faults.rs
@@ -17,6 +17,8 @@
 const ROUNDS: u64 = 4;
 /// From one round to the next.
 const ROUND: u64 = 6_000_000;
+/// Restarts of one storm.
+const STORM_RESTARTS: usize = 10;
 /// Stands for whoever leads the cell when the fault begins.
 pub(crate) const LEADER: Address = Address::Control(u8::MAX);
 /// Stands for whoever is the group's primary when the fault begins.
@@ -37,6 +39,8 @@
     Links(LinkFaults),
     /// Ends a process; unsynced bytes are lost.
     Crash(Address),
+    /// Ends a process, as [`Fault::Crash`], and starts it again at once.
+    Restart(Address),
     /// Lets the disk of a control machine fail after some changes, which ends the process.
     TornWrite(u8, u64),
     /// Ends a control machine and empties its disk.
@@ -79,19 +83,40 @@
     let round = |number| {
         let begin = FIRST_FAULT + number * ROUND;
         let end = begin + random.random_range(800_000..ROUND - 300_000);
-        let first = draw_fault(random);
-        let second = match random.random_range(0..4) {
-            0 => None,
-            1 => Some(again(&first, random)),
-            _ => Some(draw_fault(random)),
+        let drawn = match random.random_range(0..7) {
+            0 => storm(random),
+            1 | 2 => vec![draw_fault(random)],
+            3 => {
+                let first = draw_fault(random);
+                let second = again(&first, random);
+                vec![first, second]
+            }
+            _ => vec![draw_fault(random), draw_fault(random)],
         };
-        let faults = std::iter::once(first).chain(second);
+        let faults = drawn.into_iter();
         let faults = faults.map(|fault| (random.random_range(begin..end - 400_000), fault));
         Round { faults: faults.collect(), end }
     };
     (0..ROUNDS).map(round).collect()
 }
 
+/// Slow links, and restarts of the processes of one sort in quick succession.
+fn storm(random: &mut ChaCha8Rng) -> Vec<Fault> {
+    let loss = random.random_range(0.0..0.3);
+    let longest_delay = random.random_range(100_000..600_000);
+    let mut faults = vec![Fault::Links(LinkFaults { loss, duplication: 0.1, longest_delay })];
+    let control = random.random_bool(0.5);
+    for _ in 0..STORM_RESTARTS {
+        faults.push(Fault::Restart(match (control, random.random_range(0..4)) {
+            (true, 0) => LEADER,
+            (true, _) => Address::Control(random.random_range(0..MACHINES)),
+            (false, 0 | 1) => PRIMARY,
+            (false, _) => Address::Member(random.random_range(0..MEMBERS)),
+        }));
+    }
+    faults
+}
+
 /// The same sort of fault, on another participant.
 fn again(first: &Fault, random: &mut ChaCha8Rng) -> Fault {
     let same = |fault: &Fault| std::mem::discriminant(fault) == std::mem::discriminant(first);
@@ -108,7 +133,7 @@
         1 | 2 => PRIMARY,
         _ => pick(&processes(), random),
     };
-    match random.random_range(0..14) {
+    match random.random_range(0..18) {
         0 | 1 => Fault::Partition(vec![one]),
         2 => {
             Fault::Partition(processes().into_iter().filter(|_| random.random_bool(0.5)).collect())
@@ -128,6 +153,12 @@
             0 => Fault::LoseFolder(random.random_range(0..PROXIES)),
             _ => Fault::Lag(random.random_range(0..MEMBERS)),
         },
+        13 | 14 => {
+            // The old primary with a proxy and its session on one side.
+            let index = random.random_range(0..PROXIES);
+            Fault::Partition(vec![PRIMARY, Address::Proxy(index), Address::Client(index)])
+        }
+        15 => Fault::Restart(one),
         _ => Fault::Freeze(one),
     }
 }
--- a/crates/sim/src/run/member/replication.rs
+++ b/crates/sim/src/run/member/replication.rs
@@ -56,7 +56,8 @@
         let Address::Member(sender) = from else { return };
         let (term, round) = (request.term, request.round);
         let promised = self.live.promised;
-        let taken = self.live.primary.is_some_and(|primary| primary != sender);
+        let taken = self.live.primary.is_some_and(|primary| primary != sender)
+            && !context.is(Variant::PromoteEveryMember);
         let mut outcome = AppendOutcome::Refused;
         if term > promised || (term == promised && !taken) {
             if self.leads() || term > promised {
--- a/crates/sim/src/run/variant.rs
+++ b/crates/sim/src/run/variant.rs
@@ -20,7 +20,8 @@
     /// A control replica gives a snapshot without proving that it is current, to a
     /// proxy that lost its data folder.
     SnapshotNotProven,
-    /// The failover driver asks every fenced member to become primary.
+    /// The failover driver asks every member to become primary, and members follow more
+    /// than one primary of a term.
     PromoteEveryMember,
     /// A control replica does not write its vote.
     VoteNotPersisted,
--- a/crates/sim/src/run/world/inject.rs
+++ b/crates/sim/src/run/world/inject.rs
@@ -25,6 +25,7 @@
             Fault::OneWay(from, to) => self.network.block(from, to),
             Fault::Links(faults) => self.network.faults = faults,
             Fault::Crash(one) => self.crash(one),
+            Fault::Restart(one) => self.restart(one),
             Fault::TornWrite(machine, operations) => {
                 self.machines[usize::from(machine)].fail_disk_after(operations);
             }
@@ -51,6 +52,7 @@
             Fault::Deaf(one) => Fault::Deaf(self.resolve(one)),
             Fault::OneWay(from, to) => Fault::OneWay(self.resolve(from), to),
             Fault::Crash(one) => Fault::Crash(self.resolve(one)),
+            Fault::Restart(one) => Fault::Restart(self.resolve(one)),
             Fault::Freeze(one) => Fault::Freeze(self.resolve(one)),
             fault => fault,
         }
@@ -95,6 +97,16 @@
         }
     }
 
+    fn restart(&mut self, one: Address) {
+        self.crash(one);
+        match one {
+            Address::Control(index) => self.start_machine(usize::from(index)),
+            Address::Proxy(index) => self.proxies[usize::from(index)].start(),
+            Address::Member(index) => self.members[usize::from(index)].running = true,
+            Address::Client(_) | Address::Operator(_) => {}
+        }
+    }
+
     /// A second disk is lost only once the first is replaced: no cell of three survives
     /// two lost disks at once.
     fn lose_disk(&mut self, index: usize) {
@@ -128,11 +140,14 @@
     /// Starts the control machines that do not run.
     pub(super) fn start_machines(&mut self) {
         for index in 0..self.machines.len() {
-            if self.machines[index].is_running() {
-                continue;
+            if !self.machines[index].is_running() {
+                self.start_machine(index);
             }
-            let address = Address::Control(self.machines[index].index);
-            self.with(address, |world, context| world.machines[index].start(context));
         }
     }
+
+    fn start_machine(&mut self, index: usize) {
+        let address = Address::Control(self.machines[index].index);
+        self.with(address, |world, context| world.machines[index].start(context));
+    }
 }
