--- a/crates/lab/src/scale/node.rs
+++ b/crates/lab/src/scale/node.rs
@@ -17,12 +17,12 @@
 use tokio_util::codec::{FramedRead, FramedWrite};
 use tokio_util::io::{InspectReader, InspectWriter};
 
-type Reader = FramedRead<
-    InspectReader<OwnedReadHalf, Box<dyn FnMut(&[u8]) + Send>>,
-    FrameCodec<ProxyMessage, ControlMessage>,
->;
+/// Called with the bytes that passed.
+type ByteCounter = Box<dyn FnMut(&[u8]) + Send>;
+type Reader =
+    FramedRead<InspectReader<OwnedReadHalf, ByteCounter>, FrameCodec<ProxyMessage, ControlMessage>>;
 type Writer = FramedWrite<
-    InspectWriter<OwnedWriteHalf, Box<dyn FnMut(&[u8]) + Send>>,
+    InspectWriter<OwnedWriteHalf, ByteCounter>,
     FrameCodec<ProxyMessage, ControlMessage>,
 >;
 
@@ -187,10 +187,7 @@
     Some((reader, writer))
 }
 
-fn counter(
-    counters: &Arc<Counters>,
-    which: fn(&Counters) -> &AtomicU64,
-) -> Box<dyn FnMut(&[u8]) + Send> {
+fn counter(counters: &Arc<Counters>, which: fn(&Counters) -> &AtomicU64) -> ByteCounter {
     let counters = Arc::clone(counters);
     Box::new(move |bytes| {
         which(&counters).fetch_add(bytes.len() as u64, Ordering::Relaxed);
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -28,6 +28,9 @@
 /// Budget for a change to be in force everywhere.
 const IN_FORCE_BUDGET: Duration = Duration::from_secs(16);
 
+/// A figure of one size, for a fit over the sizes.
+type Measure = fn(&SizeResult) -> f64;
+
 /// What a scale run does.
 #[derive(Clone, Debug)]
 pub struct ScaleSettings {
@@ -293,7 +296,7 @@
 }
 
 fn print_fits(results: &[SizeResult]) {
-    let series: [(&str, fn(&SizeResult) -> f64); 5] = [
+    let series: [(&str, Measure); 5] = [
         ("leader, percent of a core", |it| {
             it.controls.first().map_or(0.0, |c| c.processor_percent)
         }),
