--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -3,7 +3,7 @@
 pub mod manifests;
 pub mod plan;
 mod ports;
-mod ready;
+pub mod ready;
 pub mod verify;
 
 use crate::link::{Link, LinkError, LinkState};
--- a/crates/lab/src/link.rs
+++ b/crates/lab/src/link.rs
@@ -5,6 +5,7 @@
 //! link heals, as retransmission would deliver them.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -61,6 +62,7 @@
     address: SocketAddr,
     state: watch::Sender<LinkState>,
     target: Arc<Mutex<SocketAddr>>,
+    passed: Arc<AtomicU64>,
     accepting: tokio::task::JoinHandle<()>,
 }
 
@@ -74,8 +76,10 @@
         let address = listener.local_addr()?;
         let (state, receiver) = watch::channel(initial);
         let target = Arc::new(Mutex::new(target));
-        let accepting = tokio::spawn(accept(listener, Arc::clone(&target), receiver));
-        Ok(Self { address, state, target, accepting })
+        let passed = Arc::<AtomicU64>::default();
+        let relayed = Relayed { state: receiver, passed: Arc::clone(&passed) };
+        let accepting = tokio::spawn(accept(listener, Arc::clone(&target), relayed));
+        Ok(Self { address, state, target, passed, accepting })
     }
 
     /// Address to connect to in place of the target's.
@@ -84,6 +88,12 @@
         self.address
     }
 
+    /// Bytes that were taken from either side so far.
+    #[must_use]
+    pub fn passed_bytes(&self) -> u64 {
+        self.passed.load(Ordering::Relaxed)
+    }
+
     /// Sends later connections to another target.
     pub fn set_target(&self, target: SocketAddr) {
         *self.target.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = target;
@@ -118,18 +128,22 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    target: Arc<Mutex<SocketAddr>>,
+/// What the tasks of a link share.
+#[derive(Clone)]
+struct Relayed {
     state: watch::Receiver<LinkState>,
-) {
+    passed: Arc<AtomicU64>,
+}
+
+async fn accept(listener: TcpListener, target: Arc<Mutex<SocketAddr>>, relayed: Relayed) {
     while let Ok((near, _)) = listener.accept().await {
         let address = *target.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        tokio::spawn(relay(near, address, state.clone()));
+        tokio::spawn(relay(near, address, relayed.clone()));
     }
 }
 
-async fn relay(near: TcpStream, target: SocketAddr, mut state: watch::Receiver<LinkState>) {
+async fn relay(near: TcpStream, target: SocketAddr, relayed: Relayed) {
+    let mut state = relayed.state.clone();
     let resets = state.borrow().resets;
     // A new connection is not made across a cut: its handshake would be lost.
     if state.wait_for(|state| !state.forward.cut && !state.backward.cut).await.is_err() {
@@ -140,8 +154,8 @@
     let _ = far.set_nodelay(true);
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let forward = pass(near_read, far_write, state.clone(), |state| state.forward);
-    let backward = pass(far_read, near_write, state.clone(), |state| state.backward);
+    let forward = pass(near_read, far_write, relayed.clone(), |state| state.forward);
+    let backward = pass(far_read, near_write, relayed, |state| state.backward);
     let reset = state.wait_for(|state| state.resets != resets);
     tokio::select! {
         _ = async { tokio::join!(forward, backward) } => {}
@@ -158,25 +172,26 @@
 async fn pass(
     from: OwnedReadHalf,
     to: OwnedWriteHalf,
-    state: watch::Receiver<LinkState>,
+    relayed: Relayed,
     direction: fn(&LinkState) -> DirectionState,
 ) {
     let (sender, receiver) = mpsc::channel(PIECES_ON_THE_WAY);
-    let reading = read_pieces(from, sender, state.clone(), direction);
-    let writing = write_pieces(to, receiver, state, direction);
+    let writing = write_pieces(to, receiver, relayed.state.clone(), direction);
+    let reading = read_pieces(from, sender, relayed, direction);
     tokio::join!(reading, writing);
 }
 
 async fn read_pieces(
     mut from: OwnedReadHalf,
     sender: mpsc::Sender<Piece>,
-    state: watch::Receiver<LinkState>,
+    relayed: Relayed,
     direction: fn(&LinkState) -> DirectionState,
 ) {
     let mut buffer = vec![0; READ_BYTES];
     loop {
         let length = from.read(&mut buffer).await.unwrap_or(0);
-        let delay = direction(&state.borrow()).delay;
+        relayed.passed.fetch_add(length as u64, Ordering::Relaxed);
+        let delay = direction(&relayed.state.borrow()).delay;
         let arrives = Instant::now() + delay;
         let piece = Piece { bytes: buffer[..length].to_vec(), arrives };
         if sender.send(piece).await.is_err() || length == 0 {
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -6,4 +6,5 @@
 pub mod fit;
 pub mod node;
 pub mod plan;
+pub mod proxy;
 pub mod run;
