--- a/crates/lab/src/experiment/failover.rs
+++ b/crates/lab/src/experiment/failover.rs
@@ -56,6 +56,8 @@
     pub with_control_leader: bool,
     /// Runs, each on a fresh fleet.
     pub runs: u32,
+    /// Time between an owner's probes of a member, in milliseconds, other than the default.
+    pub probe_interval_ms: Option<u32>,
     /// Folder of the processes and the report.
     pub folder: PathBuf,
 }
@@ -112,7 +114,8 @@
         ..settings.profile.clone()
     };
     let folder = settings.folder.join(format!("failover-{number}"));
-    let plan = FleetPlan::new(profile.clone(), &folder, 3, 3)?;
+    let plan = FleetPlan::new(profile.clone(), &folder, 3, 3)?
+        .with_probe_interval(settings.probe_interval_ms);
     let mut fleet = Fleet::start(plan, Programs::beside_this_one()?).await?;
     fleet.create_tables().await?;
     let group = fleet.plan.groups[0].name.clone();
--- a/crates/lab/src/experiment/profile_load.rs
+++ b/crates/lab/src/experiment/profile_load.rs
@@ -33,6 +33,8 @@
     pub rate: f64,
     /// Seed.
     pub seed: u64,
+    /// Time between an owner's probes of a member, in milliseconds, other than the default.
+    pub probe_interval_ms: Option<u32>,
     /// Folder of the processes and the report.
     pub folder: PathBuf,
 }
@@ -67,7 +69,8 @@
 pub async fn run_profile(settings: &ProfileLoadSettings) -> eyre::Result<()> {
     let profile = &settings.profile;
     let folder = settings.folder.join(&profile.name);
-    let plan = FleetPlan::new(profile.clone(), &folder, settings.controls, settings.proxies)?;
+    let plan = FleetPlan::new(profile.clone(), &folder, settings.controls, settings.proxies)?
+        .with_probe_interval(settings.probe_interval_ms);
     let fleet = Fleet::start(plan, Programs::beside_this_one()?).await?;
     fleet.create_tables().await?;
     eprintln!("{}: fleet of {} processes serves", profile.name, fleet.process_ids().len());
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -69,6 +69,9 @@
     pub proxies: Vec<ProxyPlan>,
     /// Groups, one a region in turn.
     pub groups: Vec<GroupPlan>,
+    /// Time between an owner's probes of a member, in milliseconds; the default of
+    /// `corktack proxy` when absent.
+    pub probe_interval_ms: Option<u32>,
 }
 
 impl FleetPlan {
@@ -86,7 +89,15 @@
         let proxies = (0..proxies).map(|n| plan_proxy(&profile, n)).collect::<Result<_, _>>()?;
         let groups = (0..profile.groups as usize).map(|n| plan_group(&profile, n));
         let groups = groups.collect::<Result<_, _>>()?;
-        Ok(Self { profile, folder: folder.to_owned(), controls, proxies, groups })
+        let folder = folder.to_owned();
+        Ok(Self { profile, folder, controls, proxies, groups, probe_interval_ms: None })
+    }
+
+    /// The same fleet with another time between an owner's probes, if one is given.
+    #[must_use]
+    pub fn with_probe_interval(mut self, probe_interval_ms: Option<u32>) -> Self {
+        self.probe_interval_ms = probe_interval_ms;
+        self
     }
 }
 
@@ -151,6 +162,13 @@
     data_folder: &'a Path,
     addresses: ProxyFileAddresses,
     control: ProxyFileControl,
+    timeouts: ProxyFileTimeouts,
+}
+
+#[derive(Debug, Serialize)]
+struct ProxyFileTimeouts {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    probe_interval_ms: Option<u32>,
 }
 
 #[derive(Debug, Serialize)]
@@ -212,6 +230,7 @@
                 telemetry: proxy.telemetry,
             },
             control: ProxyFileControl { replicas: controls },
+            timeouts: ProxyFileTimeouts { probe_interval_ms: self.probe_interval_ms },
         })
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -25,6 +25,8 @@
                 optional --rate factor: f64
                 /// Seed of arrivals and choices.
                 optional --seed seed: u64
+                /// Milliseconds between an owner's probes of a member.
+                optional --probe-interval millis: u32
                 /// Folder of the processes and the report.
                 optional --folder folder: PathBuf
             }
@@ -38,6 +40,8 @@
                 optional --profile name: String
                 /// Runs, each on a fresh fleet.
                 optional --runs count: u32
+                /// Milliseconds between an owner's probes of a member.
+                optional --probe-interval millis: u32
                 /// Folder of the processes and the report.
                 optional --folder folder: PathBuf
             }
@@ -51,6 +55,8 @@
                 optional --groups counts: String
                 /// Seconds of each point.
                 optional --seconds seconds: u64
+                /// Milliseconds between an owner's probes of a member.
+                optional --probe-interval millis: u32
                 /// Folder of the processes and the report.
                 optional --folder folder: PathBuf
             }
@@ -97,6 +103,7 @@
             duration: Duration::from_secs(flags.seconds.unwrap_or(20)),
             rate: flags.rate.unwrap_or(1.0),
             seed: flags.seed.unwrap_or(1),
+            probe_interval_ms: flags.probe_interval,
             folder: folder(flags.folder.as_deref())?,
         };
         run_profile(&settings).await?;
@@ -110,6 +117,7 @@
         fault: flags.fault.parse::<Fault>()?,
         with_control_leader: flags.with_control_leader,
         runs: flags.runs.unwrap_or(5),
+        probe_interval_ms: flags.probe_interval,
         folder: folder(flags.folder.as_deref())?,
     };
     run_failovers(&settings).await
@@ -134,6 +142,7 @@
         rates: numbers(flags.rates.as_deref().unwrap_or("100,200,400,800"))?,
         groups: numbers(flags.groups.as_deref().unwrap_or("1,4,12"))?,
         duration: Duration::from_secs(flags.seconds.unwrap_or(10)),
+        probe_interval_ms: flags.probe_interval,
         folder: folder(flags.folder.as_deref())?,
     };
     measure_proxy_cost(&settings).await
--- a/crates/lab/src/scale/proxy.rs
+++ b/crates/lab/src/scale/proxy.rs
@@ -40,6 +40,8 @@
     pub groups: Vec<u32>,
     /// Time of each point.
     pub duration: Duration,
+    /// Time between an owner's probes of a member, in milliseconds, other than the default.
+    pub probe_interval_ms: Option<u32>,
     /// Folder of the processes and of the report.
     pub folder: PathBuf,
 }
@@ -129,7 +131,8 @@
         ..huts.clone()
     };
     let folder = settings.folder.join(name);
-    let mut plan = FleetPlan::new(profile, &folder, CONTROLS, PROXIES)?;
+    let mut plan = FleetPlan::new(profile, &folder, CONTROLS, PROXIES)?
+        .with_probe_interval(settings.probe_interval_ms);
     plan.proxies[1].zone = format!("{}.1", huts.regions[1]);
     let fleet = Fleet::start(plan, Programs::beside_this_one()?).await?;
     eprintln!("{name}: fleet of {} processes serves", fleet.process_ids().len());
