Edge: salts that do not tell which users exist

Cause: a user with a verifier had one salt, a user with a password and an unknown user a new one at each connection, so two connections told them apart; a password was salted anew (4,096 rounds) on the arbiter's thread at each connection. Seen by asking twice: 2 of 3 cases differed. Ruled out: a random key a process: its salts would differ between proxies, a verifier's does not. Change: salts come from the user's name and a key made from all secrets; a password is salted once an arbiter. Not proved: that known and unknown users take the same time.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -5,6 +5,7 @@
 use crate::retry::Retries;
 use crate::sessions::SessionTable;
 use crate::settings::EdgeSettings;
+use crate::startup::Credentials;
 use corktack_core::classify::{ProfileCache, StatementProfile};
 use corktack_core::view::View;
 use std::cell::RefCell;
@@ -39,6 +40,8 @@
     pub drain: watch::Receiver<DrainPhase>,
     /// Profiles of recent texts.
     pub profiles: RefCell<ProfileCache>,
+    /// What callers must know, unless every one is believed.
+    pub credentials: Option<Credentials>,
     /// Retries that are left.
     pub retries: RefCell<Retries>,
 }
--- a/crates/edge/src/handle.rs
+++ b/crates/edge/src/handle.rs
@@ -7,7 +7,7 @@
 use crate::retry::Retries;
 use crate::sessions::SessionTable;
 use crate::settings::EdgeSettings;
-use crate::startup::{refuse_connection, serve_connection};
+use crate::startup::{Credentials, refuse_connection, serve_connection};
 use actix_rt::Arbiter;
 use corktack_core::classify::ProfileCache;
 use corktack_core::view::View;
@@ -149,6 +149,7 @@
         sessions: shared.sessions.clone(),
         drain: shared.drain.clone(),
         profiles: RefCell::new(ProfileCache::new(PROFILE_LIMIT)),
+        credentials: Credentials::of(&shared.settings.authentication),
         retries: RefCell::new(Retries::new(retry_seed)),
     })
 }
--- a/crates/edge/src/startup.rs
+++ b/crates/edge/src/startup.rs
@@ -1,8 +1,11 @@
 //! From a fresh connection to a session: startup message, authentication, greeting.
 
+mod credentials;
 mod options;
 mod scram;
 
+pub use credentials::Credentials;
+
 use crate::answer;
 use crate::caller::CallerSocket;
 use crate::codec::FirstMessage;
@@ -11,7 +14,6 @@
 use crate::route::group_of_database;
 use crate::session::Session;
 use crate::sessions::{CancelKey, Registration};
-use crate::settings::Authentication;
 use corktack_core::binding::CallerIdentity;
 use corktack_core::classify::TOKEN_SETTING;
 use corktack_core::session::SessionToken;
@@ -117,9 +119,9 @@
         let negotiate = NegotiateProtocolVersion::new(0, Vec::new());
         answer::put(&mut caller.output, &Answer::NegotiateProtocolVersion(negotiate));
     }
-    if let Authentication::ScramSha256 { users } = &context.settings.authentication {
+    if let Some(credentials) = &context.credentials {
         let limit = context.settings.startup_message_limit;
-        scram::authenticate(caller, users, &request.identity.user, limit).await?;
+        scram::authenticate(caller, credentials, &request.identity.user, limit).await?;
     }
     // Only a caller that is let in learns which databases exist.
     if group_of_database(&context.view_now(), &request.identity.database).is_none() {
--- a/crates/edge/src/startup/scram.rs
+++ b/crates/edge/src/startup/scram.rs
@@ -1,25 +1,21 @@
 //! SCRAM-SHA-256, by the library's implementation of the server's side.
 
+use super::credentials::Credentials;
 use crate::answer;
 use crate::caller::CallerSocket;
 use crate::error::{Rejection, SessionEnd};
-use crate::settings::UserSecret;
-use pgwire::api::auth::Password;
 use pgwire::api::auth::sasl::SCRAM_SHA_256_METHOD;
-use pgwire::api::auth::sasl::scram::{SCRAM_ITERATIONS, ScramServerAuth, gen_salted_password};
+use pgwire::api::auth::sasl::scram::ScramServerAuth;
 use pgwire::messages::startup::{Authentication, PasswordMessageFamily};
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
-use std::collections::BTreeMap;
 
-/// Bytes of a salt.
-const SALT_BYTES: usize = 16;
 /// Shortest body of an initial response that the codec can read: an empty name and a length.
 const INITIAL_RESPONSE_BYTES: usize = 5;
 
 /// Lets the caller prove that it knows the user's password.
 pub(super) async fn authenticate(
     caller: &mut CallerSocket,
-    users: &BTreeMap<String, UserSecret>,
+    credentials: &Credentials,
     user: &str,
     message_limit: usize,
 ) -> Result<(), SessionEnd> {
@@ -28,7 +24,7 @@
     send(caller, Authentication::SASL(mechanisms)).await?;
     let response = password_message(caller, message_limit).await?;
     let first = initial_response(response).ok_or_else(refused)?;
-    let password = expected_password(users.get(user));
+    let password = credentials.expected_password(user);
     let server = ScramServerAuth::new();
     let (challenge, server) =
         server.on_client_first_message(&first, password).map_err(|_| refused())?;
@@ -36,7 +32,7 @@
     let response = password_message(caller, message_limit).await?;
     let last = response.into_sasl_response().map_err(|_| refused())?;
     let proof = server.on_client_final_message(&last.data).map_err(|_| refused())?;
-    if !users.contains_key(user) {
+    if !credentials.contains(user) {
         return Err(refused().into());
     }
     send(caller, Authentication::SASLFinal(proof.into())).await
@@ -73,22 +69,3 @@
     let chosen = initial.auth_method == SCRAM_SHA_256_METHOD;
     initial.data.filter(|_| chosen).map(|data| data.to_vec())
 }
-
-/// What the caller must know. An unknown user gets a salt as well, so that the
-/// exchange does not tell which users exist, and a password that nobody knows.
-fn expected_password(secret: Option<&UserSecret>) -> Password {
-    match secret {
-        Some(UserSecret::Password(password)) => {
-            let salt: [u8; SALT_BYTES] = rand::random();
-            let salted = gen_salted_password(password, &salt, SCRAM_ITERATIONS);
-            Password::new(Some(salt.to_vec()), salted)
-        }
-        Some(UserSecret::Verifier { salt, salted_password }) => {
-            Password::new(Some(salt.clone()), salted_password.clone())
-        }
-        None => {
-            let (salt, unknown): ([u8; SALT_BYTES], [u8; 32]) = rand::random();
-            Password::new(Some(salt.to_vec()), unknown.to_vec())
-        }
-    }
-}
--- a/crates/edge/tests/callers/startup.rs
+++ b/crates/edge/tests/callers/startup.rs
@@ -186,3 +186,30 @@
     let (answer, ()) = futures_util::join!(caller.simple_query("SELECT 1"), owner);
     answer.expect("the request was not cancelled");
 }
+
+/// The salt that the edge gives this user, and the text it sent.
+async fn salt_of(fixture: &Fixture, user: &str) -> String {
+    let mut caller = RawCaller::connect(fixture.edge.address()).await;
+    caller.send(&wire::startup(&[("user", user), ("database", "cdr")])).await;
+    assert_eq!(caller.read().await.0, 'R');
+    let first = b"n,,n=,r=abcdefghijkl";
+    let length = u32::try_from(first.len()).expect("it is short").to_be_bytes();
+    let response = [&b"SCRAM-SHA-256\0"[..], &length, first].concat();
+    caller.send(&wire::message('p', &response)).await;
+    let (_, body) = caller.read().await;
+    let text = String::from_utf8(body[4..].to_vec()).expect("SCRAM is text");
+    let salt = text.split(',').find_map(|part| part.strip_prefix("s="));
+    salt.expect("the challenge has a salt").to_owned()
+}
+
+#[rstest]
+#[case::password("clerk")]
+#[case::verifier("auditor")]
+#[case::unknown_user("stranger")]
+#[actix_rt::test]
+async fn salt_does_not_tell_which_users_exist(#[case] user: &str) {
+    let fixture = Fixture::with(scram_settings()).await;
+    let first = salt_of(&fixture, user).await;
+    assert_eq!(salt_of(&fixture, user).await, first, "a user has one salt");
+    assert_ne!(salt_of(&fixture, "another").await, first, "and others have others");
+}
