Core: names in a long batch are looked up at once

Cause: a session looked through all pending effects of a batch for each name. A batch of 4 MB may hold 300,000 of them: 200,000 Closes with a look-up each did not end in 25 s, in which an arbiter serves nobody else. Closes were also counted as statements. Ruled out: a lower limit of the batch (callers load rows in long batches). Change: what the batch makes of each name is kept beside the order in which it is confirmed. Backoff's bounds and seed have a test of their own.

--- a/crates/core/src/session/statements.rs
+++ b/crates/core/src/session/statements.rs
@@ -76,28 +76,33 @@
     /// Bytes of text of the lasting ones.
     bytes: usize,
     pending: VecDeque<StatementEffect>,
+    /// Statements that the batch so far defines.
+    defined: usize,
+    /// What the batch so far makes of each name it touched: a statement or nothing.
+    touched: HashMap<String, Option<Arc<SessionStatement>>>,
 }
 
 impl SessionStatements {
     /// No statements yet; at most this many.
     #[must_use]
     pub fn new(limit: usize) -> Self {
-        Self { limit, lasting: HashMap::new(), bytes: 0, pending: VecDeque::new() }
+        Self {
+            limit,
+            lasting: HashMap::new(),
+            bytes: 0,
+            pending: VecDeque::new(),
+            defined: 0,
+            touched: HashMap::new(),
+        }
     }
 
     /// The statement of this name, as the next message of the batch sees it.
     #[must_use]
     pub fn find(&self, name: &str) -> Option<Arc<SessionStatement>> {
-        for effect in self.pending.iter().rev() {
-            match effect {
-                StatementEffect::Define(defined, statement) if defined == name => {
-                    return Some(statement.clone());
-                }
-                StatementEffect::Forget(forgotten) if forgotten == name => return None,
-                _ => {}
-            }
+        match self.touched.get(name) {
+            Some(touched) => touched.clone(),
+            None => self.lasting.get(name).cloned(),
         }
-        self.lasting.get(name).cloned()
     }
 
     /// Notes a `Parse`; the unnamed statement may be parsed again, a named one not.
@@ -113,19 +118,23 @@
         if !name.is_empty() && self.find(name).is_some() {
             return Err(StatementError::Duplicate(name.to_owned()));
         }
-        if self.lasting.len() + self.pending.len() >= self.limit {
+        if self.lasting.len() + self.defined >= self.limit {
             return Err(StatementError::TooMany(self.limit));
         }
         let replaced = self.lasting.get(name).map_or(0, |known| known.query.len());
         if self.bytes - replaced + statement.query.len() > TEXT_LIMIT {
             return Err(StatementError::TooMuchText(TEXT_LIMIT));
         }
-        self.pending.push_back(StatementEffect::Define(name.to_owned(), Arc::new(statement)));
+        let statement = Arc::new(statement);
+        self.defined += 1;
+        self.touched.insert(name.to_owned(), Some(statement.clone()));
+        self.pending.push_back(StatementEffect::Define(name.to_owned(), statement));
         Ok(())
     }
 
     /// Notes a `Close` of a statement.
     pub fn forget(&mut self, name: &str) {
+        self.touched.insert(name.to_owned(), None);
         self.pending.push_back(StatementEffect::Forget(name.to_owned()));
     }
 
@@ -138,6 +147,7 @@
     pub fn confirm(&mut self) {
         match self.pending.pop_front() {
             Some(StatementEffect::Define(name, statement)) => {
+                self.defined -= 1;
                 self.remove(&name);
                 self.bytes += statement.query.len();
                 self.lasting.insert(name, statement);
@@ -156,12 +166,14 @@
     /// The batch is over: what was not confirmed did not happen.
     pub fn end_batch(&mut self) {
         self.pending.clear();
+        self.touched.clear();
+        self.defined = 0;
     }
 
     /// Forgets everything.
     pub fn clear(&mut self) {
         self.lasting.clear();
         self.bytes = 0;
-        self.pending.clear();
+        self.end_batch();
     }
 }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -10,6 +10,7 @@
 use corktack_core::view::{GroupView, ProxyState, ProxyView, View};
 use rstest::rstest;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 fn member(name: &str) -> MemberName {
     MemberName::new(name).unwrap()
@@ -134,3 +135,18 @@
     assert_eq!(delays(1), delays(1));
     assert!(delays(1)[0] < delays(1)[5]);
 }
+
+#[rstest]
+fn backoff_keeps_its_bounds_and_depends_on_its_seed_only() {
+    let (base, longest) = (Duration::from_millis(10), Duration::from_millis(500));
+    let delays = |seed| {
+        let mut backoff = Backoff::between(seed, base, longest);
+        (0..40).map(|attempt| backoff.delay(attempt)).collect::<Vec<_>>()
+    };
+    let first = delays(7);
+    assert_eq!(first, delays(7));
+    assert_ne!(first, delays(8));
+    assert!(first[0] >= base / 2 && first[0] <= base);
+    assert!(first.iter().all(|delay| *delay >= base / 2 && *delay <= longest));
+    assert!(first[39] >= longest / 2, "the bound has grown to its end");
+}
--- a/crates/core/tests/session.rs
+++ b/crates/core/tests/session.rs
@@ -152,3 +152,20 @@
         }
     }
 }
+
+/// A batch of very many messages must not take time by their square.
+#[rstest]
+fn long_batches_are_looked_up_in() {
+    let mut statements = SessionStatements::new(10_000);
+    assert_eq!(statements.define("kept", statement("SELECT 1")), Ok(()));
+    for number in 0..200_000 {
+        statements.forget(&format!("s{number}"));
+        assert!(statements.find("kept").is_some());
+    }
+    assert_eq!(statements.define("late", statement("SELECT 2")), Ok(()), "closing takes no room");
+    statements.forget("kept");
+    assert!(statements.find("kept").is_none());
+    statements.confirm();
+    statements.end_batch();
+    assert!(statements.find("kept").is_some() && statements.find("late").is_none());
+}
