Core: a caller's text can neither stop the process nor hold an arbiter

Cause: read or write was decided with the library's parser. 64 kB of SELECT 1+1+1... gave a tree whose drop overflowed the thread's stack, which aborts the whole proxy with every caller on it (seen: signal 6); CASE WHEN, INTERVAL and EXTRACT one behind another took time by the power of two (seen: not done after 20 s, 5 s, 52 s). Ruled out: limits of depth and length before the parser. Change: the tokens alone decide, in one pass. The words that write, the list of known calls and locking clauses were there; new are the list of kinds of statements that read, and that two operators side by side make a write (an extension may define them), as does UESCAPE, whose name is not the one that is written. Not proved: a view or an attribute that calls a writing function, and a function of that kind named through UESCAPE, cannot be told from the text: a replica refuses the write, and the caller sees its error.

--- a/crates/core/src/classify/mod.rs
+++ b/crates/core/src/classify/mod.rs
@@ -1,8 +1,8 @@
 //! Decides from a statement's text where it may run.
 //!
 //! The decision is conservative: only what is surely a read is
-//! [`Classification::Read`]; a text that cannot be parsed is a write, so the
-//! primary sees it. Statements whose effect outlives their transaction cannot
+//! [`Classification::Read`]; a text that has no valid tokens is a write, so
+//! the primary sees it. Statements whose effect outlives their transaction cannot
 //! work on shared server connections and are refused before they run.
 
 mod cache;
@@ -18,7 +18,7 @@
 
 use statements::{Words, split_statements};
 
-/// Longest text that is parsed; a longer one is a write.
+/// Longest text that may be a read; a longer one is a write.
 pub const PARSED_TEXT_LIMIT: usize = 64 * 1024;
 
 /// What may be done with a text of one or more statements.
@@ -66,9 +66,7 @@
 }
 
 fn by_reads(text: &str, statements: &[Words]) -> Classification {
-    let reads = text.len() <= PARSED_TEXT_LIMIT
-        && statements.iter().all(read::reads_by_words)
-        && read::reads_by_syntax(text);
+    let reads = text.len() <= PARSED_TEXT_LIMIT && statements.iter().all(read::only_reads);
     if reads { Classification::Read } else { Classification::Write }
 }
 
--- a/crates/core/src/classify/read.rs
+++ b/crates/core/src/classify/read.rs
@@ -1,14 +1,14 @@
-//! Tells statements that surely read only.
+//! Tells statements that surely read only, by their tokens.
 //!
-//! Two tests must agree: one on the tokens, which knows the words and calls
-//! that may write or lock, and one on the parsed statement, which knows what
-//! kind of statement it is.
+//! A parser that makes a tree is not used: the library's takes time by the power of two
+//! for some texts, and a stack as deep as a chain of operators is long, and a caller may
+//! send any text. What a tree would tell is told more strictly by words: any word that
+//! writes, any call that is not known and any operator that may be an extension's make a
+//! statement a write, wherever they stand.
 
 use super::functions::{READ_FUNCTIONS, WORDS_BEFORE_PARENTHESIS};
+use super::starts_transaction;
 use super::statements::{Words, is_one_of, word};
-use sqlparser::ast::{SetExpr, Statement};
-use sqlparser::dialect::PostgreSqlDialect;
-use sqlparser::parser::Parser;
 use sqlparser::tokenizer::Token;
 
 /// Words that make a statement a write wherever they stand unquoted.
@@ -21,47 +21,34 @@
 /// Words that make a locking clause when they follow `FOR`.
 const LOCKING_WORDS: &[&str] = &["update", "share", "no", "key"];
 
-/// Whether the words allow the statement to be a read.
-pub(super) fn reads_by_words(statement: &Words) -> bool {
+/// Whether the statement surely reads only.
+pub(super) fn only_reads(statement: &Words) -> bool {
     if statement.has_any(WRITE_WORDS) || has_locking_clause(statement) {
         return false;
     }
-    if statement.is_word(0, "begin") || statement.starts_with(&["start", "transaction"]) {
+    if !is_read_statement(statement) {
+        return false;
+    }
+    if starts_transaction(statement) {
         return statement.contains(&["read", "only"]) && !statement.contains(&["read", "write"]);
     }
-    if statement.contains(&["and", "chain"]) {
+    // The words after it stand for any others.
+    if statement.has_any(&["uescape"]) {
         return false;
     }
     calls_read_only(statement) && operators_are_known(statement)
 }
 
-/// Whether every statement of the text parses as one that only reads.
-pub(super) fn reads_by_syntax(text: &str) -> bool {
-    let parsed = Parser::parse_sql(&PostgreSqlDialect {}, text);
-    parsed.is_ok_and(|statements| statements.iter().all(is_read_statement))
-}
-
-fn is_read_statement(statement: &Statement) -> bool {
-    match statement {
-        Statement::Query(query) => query.locks.is_empty() && is_read_body(&query.body),
-        Statement::ShowVariable { .. } => true,
-        Statement::StartTransaction { statements, exception, .. } => {
-            statements.is_empty() && exception.is_none()
-        }
-        Statement::Commit { chain, .. } => !chain,
-        Statement::Rollback { chain, savepoint } => !chain && savepoint.is_none(),
-        _ => false,
+/// Whether the statement is of a kind that may read only.
+fn is_read_statement(statement: &Words) -> bool {
+    let opening = statement.tokens().iter().take_while(|token| **token == Token::LParen).count();
+    if ["select", "with", "values", "table"].iter().any(|word| statement.is_word(opening, word)) {
+        return true;
     }
-}
-
-fn is_read_body(body: &SetExpr) -> bool {
-    match body {
-        SetExpr::Select(select) => select.into.is_none(),
-        SetExpr::Query(query) => query.locks.is_empty() && is_read_body(&query.body),
-        SetExpr::SetOperation { left, right, .. } => is_read_body(left) && is_read_body(right),
-        SetExpr::Values(_) | SetExpr::Table(_) => true,
-        SetExpr::Insert(_) | SetExpr::Update(_) | SetExpr::Delete(_) | SetExpr::Merge(_) => false,
+    if ["commit", "end", "rollback", "abort"].iter().any(|word| statement.is_word(0, word)) {
+        return !statement.has_any(&["to", "prepared", "chain"]);
     }
+    statement.is_word(0, "show") || starts_transaction(statement)
 }
 
 fn has_locking_clause(statement: &Words) -> bool {
@@ -95,5 +82,54 @@
 fn operators_are_known(statement: &Words) -> bool {
     let custom = |token: &Token| matches!(token, Token::CustomBinaryOperator(_));
     let qualified = statement.contains(&["operator"]);
-    !qualified && !statement.tokens().iter().any(custom)
+    !qualified && !statement.tokens().iter().any(custom) && operators_stand_alone(statement)
+}
+
+/// Whether no two operators stand together: they may be one that an extension defines.
+/// A sign after an operator of arithmetic or comparison is always one of its own.
+fn operators_stand_alone(statement: &Words) -> bool {
+    statement.tokens().windows(2).all(|pair| {
+        let is_sign = matches!(pair[1], Token::Plus | Token::Minus);
+        !is_operator(&pair[0]) || !is_operator(&pair[1]) || (is_sign && is_plain(&pair[0]))
+    })
+}
+
+fn is_plain(operator: &Token) -> bool {
+    matches!(
+        operator,
+        Token::Plus
+            | Token::Minus
+            | Token::Mul
+            | Token::Div
+            | Token::Eq
+            | Token::Neq
+            | Token::Lt
+            | Token::Gt
+            | Token::LtEq
+            | Token::GtEq
+    )
+}
+
+/// Whatever is no name, value or mark between them.
+fn is_operator(token: &Token) -> bool {
+    !matches!(
+        token,
+        Token::Word(_)
+            | Token::Number(..)
+            | Token::SingleQuotedString(_)
+            | Token::EscapedStringLiteral(_)
+            | Token::UnicodeStringLiteral(_)
+            | Token::DollarQuotedString(_)
+            | Token::NationalStringLiteral(_)
+            | Token::HexStringLiteral(_)
+            | Token::Placeholder(_)
+            | Token::Comma
+            | Token::Period
+            | Token::Colon
+            | Token::DoubleColon
+            | Token::LParen
+            | Token::RParen
+            | Token::LBracket
+            | Token::RBracket
+    )
 }
--- a/crates/core/tests/classify.rs
+++ b/crates/core/tests/classify.rs
@@ -11,6 +11,13 @@
 #[case::plain("SELECT value FROM flags WHERE id = 1")]
 #[case::allowed_functions("SELECT count(*), max(at), now() FROM flags")]
 #[case::system_schema("SELECT pg_catalog.now()")]
+#[case::parentheses("(SELECT 1) UNION (SELECT 2)")]
+#[case::signs("SELECT a+-1, b >= -2, -c FROM t WHERE d*-1 <> +3")]
+#[case::table("TABLE flags")]
+#[case::json("SELECT data->>'a' FROM t WHERE data @> '{}'")]
+#[case::arrays("SELECT a[1:2], ARRAY[1, 2] FROM t")]
+#[case::casts("SELECT a::int, $1::text FROM t")]
+#[case::rollback("ROLLBACK")]
 #[case::values("VALUES (1), (2)")]
 #[case::set_operation("SELECT 1 UNION ALL SELECT 2")]
 #[case::with_select("WITH x AS (SELECT 1) SELECT * FROM x")]
@@ -40,6 +47,11 @@
 #[case::write_after_a_read("SELECT 1; DELETE FROM t")]
 #[case::local_setting("SET LOCAL work_mem = '1MB'")]
 #[case::transaction_setting("SET TRANSACTION READ ONLY")]
+#[case::operator_of_several_tokens("SELECT a +* b FROM t")]
+#[case::operator_ending_in_a_sign("SELECT a @- b FROM t")]
+#[case::escaped_name("SELECT U&\"!006Eextval\" UESCAPE '!' ('s')")]
+#[case::commit_prepared("COMMIT PREPARED 'x'")]
+#[case::rollback_to("ROLLBACK TO SAVEPOINT s")]
 #[case::custom_operator("SELECT a OPERATOR(pg_catalog.+) b FROM t")]
 #[case::block("DO $$ BEGIN PERFORM 1; END $$")]
 #[case::call("CALL settle()")]
@@ -52,6 +64,13 @@
     assert_eq!(classify(text), Classification::Write);
 }
 
+#[rstest]
+fn long_lists_of_values_are_still_reads() {
+    let values: Vec<String> = (0..5_000).map(|number| number.to_string()).collect();
+    let text = format!("SELECT * FROM t WHERE id IN ({})", values.join(", "));
+    assert_eq!(classify(&text), Classification::Read);
+}
+
 #[rstest]
 fn a_text_too_long_to_parse_is_a_write() {
     let text = format!("SELECT '{}'", "x".repeat(PARSED_TEXT_LIMIT));
@@ -177,3 +196,47 @@
         prop_assert_ne!(classify(&format!("{prefix}{write}{suffix}")), Classification::Read);
     }
 }
+
+/// Stack of a thread that judges: that of the threads of an edge.
+const STACK_BYTES: usize = 2 * 1024 * 1024;
+
+/// A text of this many repetitions, as long as a parsed text may be.
+fn repeated(start: &str, part: &str, end: &str) -> String {
+    let count = (PARSED_TEXT_LIMIT - start.len()) / (part.len() + end.len()).max(1);
+    [start, &part.repeat(count), &end.repeat(count)].concat()
+}
+
+#[rstest]
+#[case::parentheses(repeated("SELECT 1", "", ")"))]
+#[case::nested(repeated("SELECT ", "(", ""))]
+#[case::balanced(repeated("SELECT ", "(", ")"))]
+#[case::sums(repeated("SELECT 1", "+1", ""))]
+#[case::conditions(repeated("SELECT true", " AND a", ""))]
+#[case::casts(repeated("SELECT a", "::int", ""))]
+#[case::negations(repeated("SELECT ", "NOT ", ""))]
+#[case::signs(repeated("SELECT ", "- ", ""))]
+#[case::subscripts(repeated("SELECT a", "[1]", ""))]
+#[case::unions(repeated("SELECT 1", " UNION SELECT 1", ""))]
+#[case::joins(repeated("SELECT 1 FROM a", " JOIN a USING(b)", ""))]
+#[case::tests(repeated("SELECT a", " IS NULL", ""))]
+#[case::cases(repeated("SELECT ", "CASE WHEN a THEN ", ""))]
+#[case::subqueries(repeated("SELECT ", "(SELECT ", ""))]
+#[case::comments(repeated("SELECT 1 ", "/*", ""))]
+#[case::statements(repeated("", "SELECT 1;", ""))]
+#[case::explains(repeated("", "EXPLAIN ", ""))]
+#[case::collations(repeated("SELECT a", " COLLATE b", ""))]
+#[case::nested_functions(repeated("SELECT ", "abs(", ")"))]
+#[case::nested_arrays(repeated("SELECT ", "ARRAY[", "]"))]
+#[case::nested_extracts(repeated("SELECT ", "extract(day from ", ")"))]
+#[case::nested_casts(repeated("SELECT ", "cast(", " as int)"))]
+#[case::nested_lists(repeated("SELECT a IN ", "(a IN ", ")"))]
+#[case::extracts(repeated("SELECT ", "extract ", ""))]
+#[case::intervals(repeated("SELECT ", "interval ", ""))]
+#[case::ends(repeated("SELECT ", "end (", ""))]
+#[case::ordering(repeated("SELECT a ORDER BY a", " AT TIME ZONE a", ""))]
+fn deep_texts_are_judged_on_a_small_stack(#[case] text: String) {
+    let judged = std::thread::Builder::new().stack_size(STACK_BYTES).spawn(move || {
+        let _ = StatementProfile::of(&text);
+    });
+    judged.expect("a thread starts").join().expect("it is judged");
+}
