Owner: silent back ends and lost groups end in bounded time

Cause: work in flight on a primary waited for the view to replace it. A primary that kept its connections open and said nothing, with no decision from control, held its streams and slots for ever; new writes were still sent to it and became unknown too. An owner that lost a group stopped probes and views for it, so streams still open there heard of neither silence nor a new primary, and what waited in its queue went on to use slots beside the new owner's. Ruled out: a bound on the time of a statement (a long statement on a healthy member is none of the proxy's business). Change: a member that leaves probes unanswered for `silence_timeout` (10 s, longer than a change of primary) loses its streams with their final answer and its idle connections; a primary that misses a probe gets no new writes until it answers one. A lost group is retired: idle connections close, what has not started is refused at once as NotOwner, open streams still hear of views and probes, and count again if the group comes back. Conclusion: no stream waits for a silent member longer than the bound.

--- a/crates/owner/src/exchange/mod.rs
+++ b/crates/owner/src/exchange/mod.rs
@@ -149,7 +149,7 @@
                     None => self.run_batch(&batch).await,
                 };
             }
-            let replaced = self.lease.replaced();
+            let (replaced, silent) = (self.lease.replaced(), self.lease.silent());
             let Ok(connection) = self.lease.connection() else {
                 return Step::Lost(ConnectionError::Closed);
             };
@@ -158,6 +158,7 @@
             let lost = connection.progress(true);
             tokio::select! {
                 () = replaced => return Step::Lost(ConnectionError::Closed),
+                () = silent => return Step::Lost(ConnectionError::TimedOut),
                 event = self.input.next() => if event == InputEvent::Gone {
                     return Step::Gone;
                 },
@@ -198,7 +199,7 @@
     async fn wait(&mut self) -> Option<Step> {
         let may_read = self.input.window > 0;
         let may_retry = self.request.access == Access::Read && !self.forwarded;
-        let replaced = self.lease.replaced();
+        let (replaced, silent) = (self.lease.replaced(), self.lease.silent());
         let unreachable = self.lease.unreachable();
         let Ok(connection) = self.lease.connection() else {
             return Some(Step::Lost(ConnectionError::Closed));
@@ -206,6 +207,7 @@
         tokio::select! {
             result = connection.progress(may_read) => result.err().map(Step::Lost),
             () = replaced => Some(Step::Lost(ConnectionError::Closed)),
+            () = silent => Some(Step::Lost(ConnectionError::TimedOut)),
             () = unreachable, if may_retry => Some(Step::Lost(ConnectionError::TimedOut)),
             event = self.input.next() => match event {
                 InputEvent::Gone => Some(Step::Gone),
--- a/crates/owner/src/group.rs
+++ b/crates/owner/src/group.rs
@@ -39,6 +39,10 @@
     pub primary_suspect: bool,
     /// Rises with each change of primary or term; connections made before are not pooled after.
     pub epoch: u64,
+    /// Members that leave probes unanswered, and since when.
+    pub silent_since: BTreeMap<MemberName, Instant>,
+    /// Another proxy owns the group now: what is open finishes, nothing is pooled.
+    pub retired: bool,
     /// Keyed commits before old outcomes are removed again.
     commits_to_sweep: u32,
     /// Who waits for which ticket.
@@ -105,6 +109,8 @@
             backoff: Backoff::new(seed),
             primary_suspect: false,
             epoch: 0,
+            silent_since: BTreeMap::new(),
+            retired: false,
             commits_to_sweep: 0,
             grants: HashMap::new(),
         };
--- a/crates/owner/src/groups.rs
+++ b/crates/owner/src/groups.rs
@@ -5,13 +5,13 @@
 use crate::context::Context;
 use crate::group::{CONTROL_APPLICATION_NAME, Group};
 use crate::lease;
-use crate::probe::{self, ProbeTarget};
+use crate::probe::{self, Learner, ProbeTarget};
 use corktack_core::identity::GroupName;
 use corktack_core::resources::MemberSpec;
 use corktack_core::routing::second_observer;
 use corktack_core::view::{GroupView, View};
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use tokio_util::sync::CancellationToken;
 
 /// A second observer probes this many times slower than the owner.
@@ -36,16 +36,47 @@
 impl Drop for Duty {
     fn drop(&mut self) {
         self.tasks.cancel();
+        self.probes.cancel();
     }
 }
 
+/// A group that another proxy owns now. Open streams hold it; until they have
+/// finished they must still hear of a change of primary and of silent members.
+struct RetiredGroup {
+    name: GroupName,
+    group: Weak<Group>,
+}
+
+impl RetiredGroup {
+    /// Passes a view on; false when no stream is open any more.
+    fn follow(&self, view: &View) -> bool {
+        let Some(group) = self.group.upgrade() else {
+            return false;
+        };
+        if let Some(now) = view.groups.get(&self.name) {
+            group.apply_view(now, &view.classes);
+        }
+        true
+    }
+}
+
+/// Ends what this proxy does for a group that it lost. Its probes go on by
+/// themselves for as long as streams hold the group.
+fn retire(context: &Context, name: &GroupName, duty: &mut Duty) -> Option<RetiredGroup> {
+    let group = context.remove_group(name)?;
+    group.retire();
+    duty.probes = CancellationToken::new();
+    Some(RetiredGroup { name: name.clone(), group: Arc::downgrade(&group) })
+}
+
 /// Applies each view as it comes, until the owner stops.
 pub(crate) async fn follow_view(context: Arc<Context>) {
     let mut views = context.view.clone();
     let mut duties = BTreeMap::new();
+    let mut retired = Vec::new();
     loop {
         let view = Arc::clone(&views.borrow_and_update());
-        apply(&context, &mut duties, &view);
+        apply(&context, &mut duties, &mut retired, &view);
         if views.changed().await.is_err() {
             // No further view can come; what is in force stays in force.
             return std::future::pending().await;
@@ -53,26 +84,29 @@
     }
 }
 
-fn apply(context: &Arc<Context>, duties: &mut BTreeMap<GroupName, Duty>, view: &View) {
-    duties.retain(|name, _| {
-        let keeps =
-            view.groups.get(name).is_some_and(|group| role(context, view, name, group).is_some());
+fn apply(
+    context: &Arc<Context>,
+    duties: &mut BTreeMap<GroupName, Duty>,
+    retired: &mut Vec<RetiredGroup>,
+    view: &View,
+) {
+    duties.retain(|name, duty| {
+        let keeps = view
+            .groups
+            .get(name)
+            .is_some_and(|group| role(context, view, name, group) == Some(duty.role));
         if !keeps {
-            // Open streams hold the group and finish.
-            drop(context.remove_group(name));
+            retired.extend(retire(context, name, duty));
         }
         keeps
     });
+    retired.retain(|lost| lost.follow(view));
     for (name, group) in &view.groups {
         let Some(role) = role(context, view, name, group) else {
             continue;
         };
-        if duties.get(name).is_some_and(|duty| duty.role != role) {
-            drop(context.remove_group(name));
-            duties.remove(name);
-        }
         if role == Role::Owner {
-            own(context, view, name, group, duties);
+            own(context, view, name, group, duties, retired);
         }
         let duty = duties.entry(name.clone()).or_insert_with(|| Duty::new(role));
         duty.probe_members(context, name, group);
@@ -93,12 +127,19 @@
     name: &GroupName,
     group: &Arc<GroupView>,
     duties: &mut BTreeMap<GroupName, Duty>,
+    retired: &mut Vec<RetiredGroup>,
 ) {
     if let Some(owned) = context.group(name) {
         owned.apply_view(group, &view.classes);
         return;
     }
-    let owned = Arc::new(Group::new(context, name.clone(), Arc::clone(group), &view.classes));
+    let known = retired.iter().position(|lost| &lost.name == name);
+    let known = known.and_then(|place| retired.swap_remove(place).group.upgrade());
+    let owned = known.unwrap_or_else(|| {
+        Arc::new(Group::new(context, name.clone(), Arc::clone(group), &view.classes))
+    });
+    // Streams that are still open from before count towards the same slots.
+    owned.resume();
     let duty = Duty::new(Role::Owner);
     duty.spawn(context, lease::keep_warm(Arc::clone(&owned)));
     duty.spawn(context, barrier::run(Arc::clone(&owned)));
@@ -109,7 +150,7 @@
 impl Duty {
     fn new(role: Role) -> Self {
         let tasks = CancellationToken::new();
-        let probes = tasks.child_token();
+        let probes = CancellationToken::new();
         Self { role, members: Vec::new(), database: String::new(), probes, tasks }
     }
 
@@ -125,7 +166,7 @@
         self.members = spec.members.clone();
         self.database = spec.database.clone();
         self.probes.cancel();
-        self.probes = self.tasks.child_token();
+        self.probes = CancellationToken::new();
         for member in &self.members {
             let target = self.probe_target(context, name, member);
             let observations = context.observations.clone();
@@ -152,7 +193,10 @@
             },
             interval: settings.probe_interval * slowdown,
             timeout: settings.probe_timeout,
-            learner: context.group(name).filter(|_| self.role == Role::Owner),
+            learner: match context.group(name).filter(|_| self.role == Role::Owner) {
+                Some(group) => Learner::Group(Arc::downgrade(&group)),
+                None => Learner::Nobody,
+            },
         }
     }
 }
--- a/crates/owner/src/lease.rs
+++ b/crates/owner/src/lease.rs
@@ -115,6 +115,29 @@
         }
     }
 
+    /// Waits until the member was silent for longer than the bound.
+    pub fn silent(&self) -> impl Future<Output = ()> + use<> {
+        let mut knowledge = self.group.follow_knowledge();
+        let group = Arc::clone(&self.group);
+        let member = self.destination.member.clone();
+        async move {
+            loop {
+                let since = group.with_state(|state| state.silent_since.get(&member).copied());
+                let changed = knowledge.changed();
+                let Some(since) = since else {
+                    if changed.await.is_err() {
+                        return;
+                    }
+                    continue;
+                };
+                let left = group.settings.silence_timeout.saturating_sub(since.elapsed());
+                if left.is_zero() || tokio::time::timeout(left, changed).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+
     /// Ends the lease after a whole answer, outside a transaction. The connection
     /// is reset where its session may have changed, and given back.
     pub async fn recycle(mut self) {
@@ -146,7 +169,7 @@
             return;
         };
         let refused = self.group.with_state(|state| {
-            if leaves || state.epoch != epoch {
+            if leaves || state.retired || state.epoch != epoch {
                 return Some(pooled);
             }
             state.idle.entry(member.clone()).or_default().push(pooled);
@@ -243,7 +266,7 @@
         return;
     };
     let refused = group.with_state(|state| {
-        if state.epoch != epoch {
+        if state.retired || state.epoch != epoch {
             return Some(pooled);
         }
         state.idle.entry(member.clone()).or_default().push(pooled);
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -19,6 +19,7 @@
 mod router;
 mod settings;
 mod slot;
+mod standing;
 mod stream;
 mod transcript;
 mod wire;
--- a/crates/owner/src/probe.rs
+++ b/crates/owner/src/probe.rs
@@ -6,11 +6,29 @@
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_protocol::control::{MemberHealth, Observation};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
+/// Who learns from a probe beside control.
+#[derive(Clone, Debug)]
+pub(crate) enum Learner {
+    /// Nobody: this proxy is a second observer.
+    Nobody,
+    /// The owned group, for as long as it is owned or has open streams.
+    Group(Weak<Group>),
+}
+
+impl Learner {
+    fn is_retired(&self) -> bool {
+        let Self::Group(group) = self else {
+            return false;
+        };
+        group.upgrade().is_none_or(|group| group.with_state(|state| state.retired))
+    }
+}
+
 /// One member to probe.
 #[derive(Clone, Debug)]
 pub(crate) struct ProbeTarget {
@@ -20,8 +38,8 @@
     pub login: Login,
     pub interval: Duration,
     pub timeout: Duration,
-    /// The owned group that learns from the probe; none for a second observer.
-    pub learner: Option<Arc<Group>>,
+    /// Who learns from the probe.
+    pub learner: Learner,
 }
 
 /// Probes one member until the task is stopped.
@@ -33,7 +51,17 @@
     loop {
         ticks.tick().await;
         let status = probe(&target, &mut connection).await.ok();
-        learn(&target, status.as_ref());
+        match &target.learner {
+            Learner::Nobody => {}
+            Learner::Group(group) => match group.upgrade() {
+                Some(group) => learn(&group, &target.member, status.as_ref()),
+                None => return,
+            },
+        }
+        if target.learner.is_retired() {
+            // The new owner reports to control.
+            continue;
+        }
         let health = health(status.as_ref());
         if last != Some(health) {
             last = Some(health);
@@ -90,11 +118,8 @@
     }
 }
 
-fn learn(target: &ProbeTarget, status: Option<&MemberStatus>) {
-    let Some(group) = &target.learner else {
-        return;
-    };
-    let member = &target.member;
+fn learn(group: &Arc<Group>, member: &MemberName, status: Option<&MemberStatus>) {
+    group.note_probe(member, status.is_some());
     let view = group.view();
     let is_primary = view.primary.as_ref() == Some(member);
     let term = status.filter(|status| status.role == MemberRole::Primary);
@@ -108,7 +133,10 @@
             // A member that restarted may be behind what it once reported.
             state.routing.reset_position(member, position);
         }
-        if is_primary && term.is_some_and(|term| term >= view.term) {
+        if is_primary && status.is_none() {
+            // Work sent now might stay without an answer; it waits instead.
+            state.primary_suspect = true;
+        } else if is_primary && term.is_some_and(|term| term >= view.term) {
             state.primary_suspect = false;
         }
         before.reachable != status.is_some() || (position.is_some() && before.position != position)
--- a/crates/owner/src/router.rs
+++ b/crates/owner/src/router.rs
@@ -94,8 +94,18 @@
         }
     }
 
-    /// Waits its turn and takes a server connection. Safe to cancel.
+    /// Waits its turn and takes a server connection. Safe to cancel. What has not
+    /// started when another proxy becomes the owner is left to that proxy.
     pub async fn obtain(&mut self) -> Result<Lease, Refusal> {
+        let group = Arc::clone(&self.group);
+        tokio::select! {
+            biased;
+            () = group.retired() => Err(Refusal::from(NotRunReason::NotOwner)),
+            lease = self.find_lease() => lease,
+        }
+    }
+
+    async fn find_lease(&mut self) -> Result<Lease, Refusal> {
         loop {
             let lane = self.choose_lane().await?;
             let slot = self.wait_for_slot(lane).await?;
--- a/crates/owner/src/settings.rs
+++ b/crates/owner/src/settings.rs
@@ -7,6 +7,9 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
 /// Default time after which a probe counts as unanswered.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Default time after which a silent member's work is given up: longer than a
+/// change of primary takes, so that the decision comes first where there is one.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Default time that outcomes of idempotency keys are kept.
 const OUTCOME_RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -25,6 +28,9 @@
     pub probe_interval: Duration,
     /// Time after which a probe counts as unanswered.
     pub probe_timeout: Duration,
+    /// How long a member may leave probes unanswered before work in flight there gets
+    /// its final answer and connections to it are closed.
+    pub silence_timeout: Duration,
     /// User name on server connections.
     pub back_end_user: String,
     /// How long the outcome of an idempotency key is kept; a repeat after it runs again.
@@ -42,6 +48,7 @@
             arbiters: 2,
             probe_interval: PROBE_INTERVAL,
             probe_timeout: PROBE_TIMEOUT,
+            silence_timeout: SILENCE_TIMEOUT,
             back_end_user: "corktack".to_owned(),
             outcome_retention: OUTCOME_RETENTION,
         }
--- a/crates/owner/tests/support/back_end.rs
+++ b/crates/owner/tests/support/back_end.rs
@@ -37,6 +37,8 @@
     pub connections: i32,
     /// Connections of callers that were opened.
     pub serving_connections: usize,
+    /// Connections of callers that were closed.
+    pub closed_connections: usize,
     /// Names prepared, in order.
     pub prepared: Vec<String>,
 }
@@ -121,6 +123,14 @@
         self.shared.gate.send_replace(true);
     }
 
+    /// Waits until something of the script holds; looked at after each event.
+    pub async fn wait_until(&self, holds: impl Fn(&Script) -> bool) {
+        let mut seen = self.shared.seen.subscribe();
+        while !holds(&self.script()) {
+            seen.changed().await.unwrap();
+        }
+    }
+
     /// Waits until a statement was received this often.
     pub async fn wait_for_statement(&self, text: &str, count: usize) {
         let mut seen = self.shared.seen.subscribe();
@@ -168,7 +178,12 @@
             bound: String::new(),
             output: BytesMut::new(),
         };
-        session.run().await
+        let result = session.run().await;
+        if !session.control {
+            session.script().closed_connections += 1;
+            session.shared.seen.send_modify(|count| *count += 1);
+        }
+        result
     }
 
     fn put(&mut self, message: PgWireBackendMessage) {
@@ -213,6 +228,7 @@
         self.control = application_name == "corktack-control";
         if !self.control {
             self.script().serving_connections += 1;
+            self.shared.seen.send_modify(|count| *count += 1);
         }
         let key = BackendKeyData::new(self.number, SecretKey::I32(77));
         self.put(PgWireBackendMessage::Authentication(Authentication::Ok));
--- a/crates/owner/tests/support/mod.rs
+++ b/crates/owner/tests/support/mod.rs
@@ -69,6 +69,14 @@
 impl Fleet {
     /// Three members, the first being primary of term 1.
     pub async fn start(slots: u32, queue_limit: u32) -> Self {
+        Self::start_with(slots, queue_limit, |_| {}).await
+    }
+
+    pub async fn start_with(
+        slots: u32,
+        queue_limit: u32,
+        adjust: impl Fn(&mut OwnerSettings),
+    ) -> Self {
         let mut members = Vec::new();
         for name in ["m1", "m2", "m3"] {
             members.push(FakeMember::start(name).await);
@@ -82,6 +90,7 @@
         let name = ProxyName::new("proxy-1").unwrap();
         let mut settings = OwnerSettings::new(name, Incarnation(7), zone("amba.a"));
         settings.probe_interval = Duration::from_millis(5);
+        adjust(&mut settings);
         let (sender, observations) = mpsc::unbounded_channel();
         let mut registry = Registry::default();
         let owner = Owner::start(settings, listener, receiver, sender, &mut registry).unwrap();
@@ -150,7 +159,8 @@
     /// Waits until the owner has the view in force: it first has a group added
     /// after it, whose streams it refuses for another reason than before.
     pub async fn wait_for_view(&self, edge: &mut TestEdge) {
-        let marker = GroupName::new("marker").unwrap();
+        let revision = self.views.borrow().revision.0;
+        let marker = GroupName::new(format!("marker-{revision}")).unwrap();
         self.views.send_modify(|view| {
             let mut next = View::clone(view);
             next.revision.0 += 1;
