--- a/crates/owner/tests/failover.rs
+++ b/crates/owner/tests/failover.rs
@@ -85,6 +85,30 @@
     assert_eq!(edge.answer(stream).await.failure, Some(Failure::TransactionLost));
 }
 
+#[rstest]
+#[actix_rt::test]
+async fn a_draining_primary_finishes_what_is_open_and_gets_nothing_new() {
+    let fleet = Fleet::start(2, 20).await;
+    let mut edge = fleet.edge().await;
+    let open = edge.write("BEGIN").await;
+    edge.answer(open).await;
+    fleet.change_group(|group| {
+        let leaving = group.spec.members[0].name.clone();
+        group.draining.insert(leaving);
+    });
+    fleet.wait_for_view(&mut edge).await;
+    let waiting = edge.write("write next").await;
+    fleet.wait_for_metric("corktack_owner_queue_length{group=\"calls\"} 1").await;
+    for text in ["write last", "COMMIT"] {
+        edge.batch(open, text).await;
+        edge.answer(open).await;
+    }
+    fleet.promote(1, 2);
+    assert!(edge.answer(waiting).await.ready.is_some());
+    assert_eq!(fleet.members[0].script().written, ["last"]);
+    assert_eq!(fleet.members[1].script().written, ["next"]);
+}
+
 #[rstest]
 #[actix_rt::test]
 async fn a_proxy_that_lost_a_group_refuses_new_streams_and_finishes_open_ones() {
--- a/crates/owner/tests/reads.rs
+++ b/crates/owner/tests/reads.rs
@@ -132,3 +132,44 @@
         assert_eq!(edge.answer(stream).await.rows, ["m3"]);
     }
 }
+
+#[rstest]
+#[actix_rt::test]
+async fn a_read_waits_for_a_replica_to_catch_up() {
+    let fleet = fleet_at(5, 4).await;
+    // No bound of the wait comes during the test.
+    fleet.change_group(|group| group.spec.replica_wait_ms = 60_000);
+    let mut edge = fleet.edge().await;
+    fleet.wait_for_view(&mut edge).await;
+    let stream = edge.read("read", at(5)).await;
+    let marker = edge.open_unknown_group().await;
+    edge.answer(marker).await;
+    fleet.members[2].script().index = 5;
+    let answer = edge.answer(stream).await;
+    assert_eq!(answer.rows, ["m3"]);
+    assert_eq!(answer.ready.unwrap().1, ServedBy::Replica);
+}
+
+#[rstest]
+#[actix_rt::test]
+async fn a_transaction_on_a_draining_replica_finishes() {
+    let fleet = fleet_at(5, 5).await;
+    let mut edge = fleet.edge().await;
+    let stream = edge.read("hold", at(5)).await;
+    fleet.members[1].wait_for_statement("hold", 1).await;
+    fleet.change_group(|group| {
+        let leaving = group.spec.members[1].name.clone();
+        group.draining.insert(leaving);
+    });
+    fleet.wait_for_view(&mut edge).await;
+    let other = edge.read("read", at(5)).await;
+    assert_eq!(edge.answer(other).await.rows, ["m3"]);
+    fleet.members[1].open_gate();
+    let answer = edge.answer(stream).await;
+    assert_eq!(answer.tags, ["SELECT 1"]);
+    assert_eq!(answer.ready.unwrap().1, ServedBy::Replica);
+    // Its connection is not kept.
+    fleet.members[1]
+        .wait_until(|script| script.closed_connections == script.serving_connections)
+        .await;
+}
