Owner: the group's connection limit holds for leases and warming together

Cause: a lease that found no idle connection opened one whatever the limit, and the warming task computed its room apart from it, so together they went over. Change: a connection is reserved before it is opened, by one atomic step; at the limit an idle connection to another member is closed, or the next one awaited. Lack of room says nothing about the member, which is not suspected for it. Ruled out: telling a stray answer apart once it comes inside another's answer to a simple query; the protocol has nothing to tell it by.

--- a/crates/owner/src/connection.rs
+++ b/crates/owner/src/connection.rs
@@ -41,6 +41,9 @@
     /// The back end's status row is malformed.
     #[error("back end with a malformed status")]
     Status(#[from] corktack_core::backend::StatusError),
+    /// The group's limit left no connection in time.
+    #[error("no server connection within the group's limit")]
+    NoRoom,
     /// No answer in time.
     #[error("no answer from the back end in time")]
     TimedOut,
--- a/crates/owner/src/group.rs
+++ b/crates/owner/src/group.rs
@@ -66,12 +66,17 @@
     _open: OpenConnection,
 }
 
+/// One of the connections that the group's limit allows, open or being opened.
 #[derive(Debug)]
-struct OpenConnection(Arc<AtomicU32>);
+pub(crate) struct OpenConnection {
+    open: Arc<AtomicU32>,
+    room: Arc<Notify>,
+}
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.open.fetch_sub(1, Ordering::Relaxed);
+        self.room.notify_one();
     }
 }
 
@@ -84,6 +89,8 @@
     pub barriers: BarrierQueue,
     /// Wakes the task that keeps connections warm.
     pub warm: Notify,
+    /// Wakes one that waits for a connection, when one was closed or given back.
+    pub room: Arc<Notify>,
     state: Mutex<GroupState>,
     view: watch::Sender<Arc<GroupView>>,
     /// Rises when a position or the reachability of a member changes.
@@ -120,6 +127,7 @@
             metrics: context.metrics.clone(),
             barriers: BarrierQueue::default(),
             warm: Notify::new(),
+            room: Arc::default(),
             state: Mutex::new(state),
             view: watch::Sender::new(Arc::clone(&view)),
             knowledge: watch::Sender::new(0),
@@ -219,14 +227,21 @@
         }
     }
 
-    /// Opens a new server connection within the group's limit.
+    /// Takes one of the connections that the limit allows, if any is left.
+    pub fn reserve_connection(&self) -> Option<OpenConnection> {
+        let limit = self.view().spec.connections;
+        let one_more = |open| (open < limit).then_some(open + 1);
+        self.open.fetch_update(Ordering::Relaxed, Ordering::Relaxed, one_more).ok()?;
+        Some(OpenConnection { open: Arc::clone(&self.open), room: Arc::clone(&self.room) })
+    }
+
+    /// Opens a new server connection.
     pub async fn connect(
         &self,
         member: &MemberName,
+        open: OpenConnection,
     ) -> Result<PooledConnection, crate::connection::ConnectionError> {
         let (address, login) = self.login(member, APPLICATION_NAME);
-        self.open.fetch_add(1, Ordering::Relaxed);
-        let open = OpenConnection(Arc::clone(&self.open));
         let address = address.ok_or(crate::connection::ConnectionError::Closed)?;
         let connection = ServerConnection::connect(address, &login).await?;
         Ok(PooledConnection { connection, _open: open })
--- a/crates/owner/src/lease.rs
+++ b/crates/owner/src/lease.rs
@@ -4,7 +4,7 @@
 //! the lease gives it back, clean, with [`Lease::recycle`]. A lease that is
 //! dropped closes the connection.
 
-use crate::connection::{ConnectionError, ServerConnection};
+use crate::connection::{CONNECT_TIMEOUT, ConnectionError, ServerConnection};
 use crate::group::{Group, PooledConnection};
 use crate::slot::Slot;
 use corktack_core::identity::MemberName;
@@ -61,13 +61,7 @@
     ) -> Result<Self, ConnectionError> {
         let member = &destination.member;
         let epoch = group.with_state(|state| state.epoch);
-        let pooled = match take_idle(group, member) {
-            Some(pooled) => pooled,
-            None => {
-                make_room(group, member);
-                group.connect(member).await?
-            }
-        };
+        let pooled = obtain_connection(group, member).await?;
         group.with_state(|state| state.routing.started(member));
         let group = Arc::clone(group);
         let destination = destination.clone();
@@ -176,6 +170,7 @@
             None
         });
         drop(refused);
+        self.group.room.notify_one();
     }
 }
 
@@ -218,16 +213,32 @@
     }
 }
 
-/// Closes an idle connection to another member when the limit is reached.
-fn make_room(group: &Group, member: &MemberName) {
-    if group.open_connections() < group.view().spec.connections {
-        return;
+/// An idle connection to the member, or a new one within the group's limit. At the
+/// limit an idle connection to another member is closed, or the next one awaited.
+async fn obtain_connection(
+    group: &Group,
+    member: &MemberName,
+) -> Result<PooledConnection, ConnectionError> {
+    loop {
+        if let Some(pooled) = take_idle(group, member) {
+            return Ok(pooled);
+        }
+        if let Some(open) = group.reserve_connection() {
+            return group.connect(member, open).await;
+        }
+        if !close_idle_of_others(group, member) {
+            let room = tokio::time::timeout(CONNECT_TIMEOUT, group.room.notified());
+            room.await.map_err(|_| ConnectionError::NoRoom)?;
+        }
     }
+}
+
+fn close_idle_of_others(group: &Group, member: &MemberName) -> bool {
     let closed = group.with_state(|state| {
         let others = state.idle.iter_mut().filter(|(name, _)| *name != member);
         others.max_by_key(|(_, connections)| connections.len())?.1.pop()
     });
-    drop(closed);
+    closed.is_some()
 }
 
 /// Keeps idle connections to each member; runs as long as the group is owned.
@@ -262,7 +273,10 @@
 
 async fn warm_one(group: &Group, member: &MemberName) {
     let epoch = group.with_state(|state| state.epoch);
-    let Ok(pooled) = group.connect(member).await else {
+    let Some(open) = group.reserve_connection() else {
+        return;
+    };
+    let Ok(pooled) = group.connect(member, open).await else {
         return;
     };
     let refused = group.with_state(|state| {
--- a/crates/owner/src/router.rs
+++ b/crates/owner/src/router.rs
@@ -1,5 +1,6 @@
 //! The way of one request to a lease: barrier, wait for a replica, queue, connection.
 
+use crate::connection::ConnectionError;
 use crate::group::Group;
 use crate::lease::{Destination, Lease};
 use crate::metrics::ClassLabel;
@@ -249,7 +250,8 @@
             _ = replaced => return None,
             leased = Lease::take(&self.group, slot, destination) => leased,
         };
-        if leased.is_err() {
+        // Without room for a connection nothing is known of the member.
+        if leased.as_ref().is_err_and(|error| !matches!(error, ConnectionError::NoRoom)) {
             self.note_unreachable(destination);
         }
         leased.ok()
--- a/crates/owner/tests/support/back_end.rs
+++ b/crates/owner/tests/support/back_end.rs
@@ -2,6 +2,8 @@
 //!
 //! `write X` records X at the next position; `read` answers the member's name;
 //! `big N` answers N rows; `hold` waits for [`FakeMember::open_gate`] or a cancel;
+//! `echo X` answers X after a while that depends on X, whatever is cancelled;
+//! `stray` answers once more than it was asked; `garble` answers no message;
 //! `die` cuts the connection once after [`Script::die_once`] was set; `fail` is an error.
 
 use bytes::BytesMut;
@@ -39,6 +41,10 @@
     pub serving_connections: usize,
     /// Connections of callers that were closed.
     pub closed_connections: usize,
+    /// Connections of callers allowed at once, if limited.
+    pub connection_limit: Option<usize>,
+    /// Connections of callers that were refused over the limit.
+    pub refused_connections: usize,
     /// Names prepared, in order.
     pub prepared: Vec<String>,
 }
@@ -50,6 +56,8 @@
     /// Probes and barriers wait while set.
     frozen: watch::Sender<bool>,
     cancelled: watch::Sender<i32>,
+    /// Rises to cut the connections of callers that are open.
+    cuts: watch::Sender<usize>,
     /// Rises with each statement.
     seen: watch::Sender<usize>,
 }
@@ -70,6 +78,7 @@
             gate: watch::Sender::new(false),
             frozen: watch::Sender::new(false),
             cancelled: watch::Sender::new(0),
+            cuts: watch::Sender::new(0),
             seen: watch::Sender::new(0),
         });
         shared.script.lock().unwrap().term = 1;
@@ -119,6 +128,13 @@
         }
     }
 
+    /// Cuts the connections of callers that are open now.
+    pub async fn cut_connections(&self) {
+        let open = self.script().serving_connections;
+        self.shared.cuts.send_modify(|cuts| *cuts += 1);
+        self.wait_until(|script| script.closed_connections >= open).await;
+    }
+
     pub fn open_gate(&self) {
         self.shared.gate.send_replace(true);
     }
@@ -149,6 +165,8 @@
     socket: TcpStream,
     number: i32,
     control: bool,
+    /// Counted among the connections of callers.
+    serving: bool,
     in_transaction: bool,
     failed: bool,
     pending: Vec<String>,
@@ -171,6 +189,7 @@
             socket,
             number,
             control: false,
+            serving: false,
             in_transaction: false,
             failed: false,
             pending: Vec::new(),
@@ -178,12 +197,17 @@
             bound: String::new(),
             output: BytesMut::new(),
         };
-        let result = session.run().await;
-        if !session.control {
-            session.script().closed_connections += 1;
+        let mut cuts = session.shared.cuts.subscribe();
+        let result = tokio::select! {
+            result = session.run() => Some(result),
+            _ = cuts.changed() => None,
+        };
+        drop(session.socket);
+        if session.serving {
+            session.shared.script.lock().unwrap().closed_connections += 1;
             session.shared.seen.send_modify(|count| *count += 1);
         }
-        result
+        result.unwrap_or(Ok(()))
     }
 
     fn put(&mut self, message: PgWireBackendMessage) {
@@ -207,7 +231,10 @@
                     }
                     PgWireFrontendMessage::Startup(startup) => {
                         context.awaiting_frontend_startup = false;
-                        self.start(&startup.parameters["application_name"]);
+                        if !self.start(&startup.parameters["application_name"]) {
+                            let output = self.output.split();
+                            return self.socket.write_all(&output).await;
+                        }
                     }
                     PgWireFrontendMessage::CancelRequest(cancel) => {
                         self.shared.cancelled.send_replace(cancel.pid);
@@ -224,16 +251,31 @@
         }
     }
 
-    fn start(&mut self, application_name: &str) {
+    /// False when the connection is refused.
+    fn start(&mut self, application_name: &str) -> bool {
         self.control = application_name == "corktack-control";
-        if !self.control {
+        self.serving = !self.control;
+        if self.serving {
             self.script().serving_connections += 1;
             self.shared.seen.send_modify(|count| *count += 1);
         }
+        if self.is_over_limit() {
+            self.error("53300", "too many connections");
+            return false;
+        }
         let key = BackendKeyData::new(self.number, SecretKey::I32(77));
         self.put(PgWireBackendMessage::Authentication(Authentication::Ok));
         self.put(PgWireBackendMessage::BackendKeyData(key));
         self.ready();
+        true
+    }
+
+    fn is_over_limit(&self) -> bool {
+        let mut script = self.script();
+        let open = script.serving_connections - script.closed_connections;
+        let over = !self.control && script.connection_limit.is_some_and(|limit| open > limit);
+        script.refused_connections += usize::from(over);
+        over
     }
 
     fn ready(&mut self) {
@@ -295,6 +337,13 @@
                 return Err(std::io::ErrorKind::ConnectionAborted.into());
             }
             "die" => self.finish_read(),
+            "echo" => self.echo(argument).await,
+            "stray" => {
+                self.complete("STRAY");
+                self.ready();
+                self.row(&["stray"]);
+            }
+            "garble" => self.output.extend_from_slice(&[b'D', 0, 0, 0, 0]),
             "fail" => self.error("22012", "as scripted"),
             "BEGIN" => {
                 self.in_transaction = true;
@@ -427,6 +476,14 @@
         self.complete("SELECT 1");
     }
 
+    async fn echo(&mut self, text: &str) {
+        for _ in 0..text.len() * 7 % 31 {
+            tokio::task::yield_now().await;
+        }
+        self.row(&[text]);
+        self.finish_read();
+    }
+
     async fn hold(&mut self) {
         let mut gate = self.shared.gate.subscribe();
         let mut cancelled = self.shared.cancelled.subscribe();
