--- a/crates/owner/src/router.rs
+++ b/crates/owner/src/router.rs
@@ -1,5 +1,6 @@
 //! The way of one request to a lease: barrier, wait for a replica, queue, connection.
 
+use crate::connection::ConnectionError;
 use crate::group::Group;
 use crate::lease::{Destination, Lease};
 use crate::metrics::ClassLabel;
@@ -94,8 +95,18 @@
         }
     }
 
-    /// Waits its turn and takes a server connection. Safe to cancel.
+    /// Waits its turn and takes a server connection. Safe to cancel. What has not
+    /// started when another proxy becomes the owner is left to that proxy.
     pub async fn obtain(&mut self) -> Result<Lease, Refusal> {
+        let group = Arc::clone(&self.group);
+        tokio::select! {
+            biased;
+            () = group.retired() => Err(Refusal::from(NotRunReason::NotOwner)),
+            lease = self.find_lease() => lease,
+        }
+    }
+
+    async fn find_lease(&mut self) -> Result<Lease, Refusal> {
         loop {
             let lane = self.choose_lane().await?;
             let slot = self.wait_for_slot(lane).await?;
@@ -239,7 +250,8 @@
             _ = replaced => return None,
             leased = Lease::take(&self.group, slot, destination) => leased,
         };
-        if leased.is_err() {
+        // Without room for a connection nothing is known of the member.
+        if leased.as_ref().is_err_and(|error| !matches!(error, ConnectionError::NoRoom)) {
             self.note_unreachable(destination);
         }
         leased.ok()
