Control: prove failover with a killed, a cut and a frozen primary

Cause: only a killed primary was shown, with one group. Cut and frozen ones that callers still reach, several at once, and flapping were not.

Change: tests/support/gate.rs and group.rs run a stand-in group behind gates that can be cut or frozen; callers reach members directly. tests/primary_faults.rs: three faults, each with the leader running and killed at the same moment; four primaries at once; an owner that changes its mind 400 times; a new primary that flaps inside its cooldown. A caller of the old primary writes after the new one is announced; the write must fail once the old one hears of its successor. The test proxy waits for the answer to its own heartbeat: it took an earlier one's, ran 64 ahead and was rightly cut off.

--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Cells of replicas in one process, an operator and a proxy.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod gate;
+pub mod group;
 pub mod links;
 pub mod operator;
 pub mod proxy;
--- a/crates/control/tests/support/proxy.rs
+++ b/crates/control/tests/support/proxy.rs
@@ -15,6 +15,7 @@
     pub snapshots: usize,
     pub deltas: usize,
     sequence: u64,
+    acknowledged: u64,
 }
 
 impl Proxy {
@@ -29,7 +30,7 @@
             revision: view.revision,
         };
         connection.send(hello).await.expect("the replica takes the hello");
-        Self { connection, view, snapshots: 0, deltas: 0, sequence: 0 }
+        Self { connection, view, snapshots: 0, deltas: 0, sequence: 0, acknowledged: 0 }
     }
 
     pub async fn heartbeat(&mut self, draining: bool, observations: Vec<Observation>) {
@@ -60,16 +61,24 @@
             }
             ControlMessage::HeartbeatAck { sequence, current } => {
                 assert!(sequence <= self.sequence, "an answer to a heartbeat that was sent");
+                assert!(sequence > self.acknowledged, "answers come in order");
+                self.acknowledged = sequence;
                 Some(current)
             }
         })
     }
 
-    /// Heartbeats until one is acknowledged; gives whether the replica is current.
+    /// Sends a heartbeat; gives whether the replica is current by its acknowledgement.
     pub async fn confirm(&mut self) -> Option<bool> {
-        self.heartbeat(false, Vec::new()).await;
+        self.report(Vec::new()).await
+    }
+
+    /// As [`Proxy::confirm`], with observations.
+    pub async fn report(&mut self, observations: Vec<Observation>) -> Option<bool> {
+        self.heartbeat(false, observations).await;
         loop {
-            if let Some(current) = self.step().await? {
+            let acknowledged = self.step().await?;
+            if let Some(current) = acknowledged.filter(|_| self.acknowledged == self.sequence) {
                 return Some(current);
             }
         }
