Control: a planned stop waits for its successor and answers what is under way

Three causes, found by tests/planned_stop.rs (six writers through all replicas, four planned stops of the leader, each writer resends every change):

The stopping leader ended as soon as it stepped down for the candidate, and its vote could be lost with its connections. Now it waits, up to the same two seconds, until it hears the successor. 2. After a restart the others reached a replica again only at their next attempt, up to 1 s away and so over an election timeout; a new leader whose only other voter was that replica stepped down again. Now a replica that connects is tried at once. 3. The connections between replicas ended before the requests under way did, so a change under way at a stop was never answered, and every stop with one waited its whole two seconds. Seen: a_request_under_way_at_a_stop_is_answered got an empty answer. Now the replicas' connections end after the requests.

Ruled out for 1: a hand-over that the core gives up (it asks the voter that holds the whole log and refuses proposals meanwhile).

--- a/crates/control/src/cell/inbound.rs
+++ b/crates/control/src/cell/inbound.rs
@@ -89,6 +89,9 @@
     drop(stream.set_nodelay(true));
     let mut connection = FramedRead::new(stream, FrameCodec::default());
     let Some(from) = receive_hello(&mut connection, &settings).await else { return };
+    if node.send(NodeInput::Connected(from)).is_err() {
+        return;
+    }
     loop {
         match connection.next().await {
             Some(Ok(message)) => {
--- a/crates/control/src/cell/outbound.rs
+++ b/crates/control/src/cell/outbound.rs
@@ -11,9 +11,10 @@
 use futures_util::SinkExt;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::timeout;
 use tokio_util::codec::FramedWrite;
 
@@ -39,6 +40,8 @@
 struct Link {
     address: SocketAddr,
     queue: mpsc::Sender<PeerMessage>,
+    /// Ends the wait before the next attempt to connect.
+    reachable: Arc<Notify>,
 }
 
 /// The outgoing connections of a replica.
@@ -83,14 +86,23 @@
         queued
     }
 
+    /// A replica has connected, so it can be reached: its link need not wait for its
+    /// next attempt, which may be longer than an election timeout away.
+    pub(crate) fn note_reachable(&self, replica: ReplicaId) {
+        if let Some(link) = self.links.get(&replica) {
+            link.reachable.notify_one();
+        }
+    }
+
     fn open(&self, member: &CellMember) -> Link {
         let (queue, messages) = mpsc::channel(QUEUE_MESSAGES);
         let address = member.address;
         let backoff =
             Backoff::new(BACKOFF_FIRST, BACKOFF_LAST, self.settings.seed.wrapping_add(member.id.0));
         let hello = self.hello();
-        self.arbiter.spawn(run_link(address, hello, messages, backoff));
-        Link { address, queue }
+        let reachable = Arc::new(Notify::new());
+        self.arbiter.spawn(run_link(address, hello, messages, backoff, Arc::clone(&reachable)));
+        Link { address, queue, reachable }
     }
 
     fn hello(&self) -> PeerMessage {
@@ -108,6 +120,7 @@
     hello: PeerMessage,
     mut messages: mpsc::Receiver<PeerMessage>,
     mut backoff: Backoff,
+    reachable: Arc<Notify>,
 ) {
     loop {
         if let Some(connection) = connect(address, &hello).await {
@@ -116,7 +129,12 @@
                 return;
             }
         }
-        if wait_disconnected(&mut messages, backoff.next()).await.is_err() {
+        let delay = backoff.next();
+        let closed = tokio::select! {
+            waited = wait_disconnected(&mut messages, delay) => waited.is_err(),
+            () = reachable.notified() => false,
+        };
+        if closed {
             return;
         }
     }
--- a/crates/control/src/node/handle.rs
+++ b/crates/control/src/node/handle.rs
@@ -61,6 +61,8 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Another replica has connected.
+    Connected(ReplicaId),
     /// A proposal of this process.
     Propose {
         /// What is proposed.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -72,7 +72,10 @@
 pub struct ControlHandle {
     node: NodeHandle,
     status: watch::Receiver<NodeStatus>,
+    /// Ends what serves proxies and watching operators, and asks back ends.
     trigger: StopTrigger,
+    /// Ends the connections of other replicas.
+    cell_trigger: StopTrigger,
     http: ServerHandle,
     arbiters: Vec<Arbiter>,
     thread: Option<JoinHandle<()>>,
@@ -101,7 +104,9 @@
     pub async fn stop(mut self) {
         self.transfer_leadership().await;
         self.trigger.stop();
+        // Requests under way need the other replicas to be answered.
         self.http.stop(true).await;
+        self.cell_trigger.stop();
         // The thread has ended already when it takes no more inputs.
         let _ = self.node.send(NodeInput::Stop);
         let mut status = self.status.clone();
@@ -115,7 +120,12 @@
         if alone || !leads || self.node.send(NodeInput::TransferLeadership).is_err() {
             return;
         }
-        let transferred = self.status.wait_for(|status| status.role != Role::Leader);
+        // The successor needs this replica's vote, and is known by its first heartbeat.
+        let own = self.status.borrow().leader;
+        let transferred = self.status.wait_for(|status| {
+            !status.running
+                || status.role != Role::Leader && status.leader.is_some() && status.leader != own
+        });
         // Without a successor in time the others hold an election later.
         drop(timeout(TRANSFER_TIMEOUT, transferred).await);
     }
@@ -131,6 +141,7 @@
 impl Drop for ControlHandle {
     fn drop(&mut self) {
         self.trigger.stop();
+        self.cell_trigger.stop();
         let _ = self.node.send(NodeInput::Stop);
         for arbiter in &self.arbiters {
             arbiter.stop();
@@ -195,6 +206,7 @@
     status: watch::Receiver<NodeStatus>,
     arbiters: Vec<Arbiter>,
     stop: StopSignal,
+    cell_stop: StopSignal,
 }
 
 impl Starting {
@@ -266,7 +278,7 @@
             disks: self.disks.clone(),
             metrics: self.metrics.clone(),
         };
-        let (node, stop) = (self.node.clone(), self.stop.clone());
+        let (node, stop) = (self.node.clone(), self.cell_stop.clone());
         self.first_arbiter().spawn(async move {
             match tokio::net::TcpListener::from_std(listener) {
                 Ok(listener) => accept_replicas(listener, settings, node, stop).await,
@@ -351,6 +363,7 @@
     let recovered = Recovered::open(&settings, &clock)?;
     let (inputs, received) = mpsc::channel();
     let (trigger, stop) = stop_channel();
+    let (cell_trigger, cell_stop) = stop_channel();
     let (publisher, status) = watch::channel(NodeStatus::of(&recovered.replica, recovered.applied));
     let starting = Starting {
         metrics,
@@ -362,6 +375,7 @@
         status,
         arbiters: (0..=settings.workers.max(1)).map(|_| Arbiter::new()).collect(),
         stop,
+        cell_stop,
         settings,
     };
     starting.start_cell(listeners.cell)?;
@@ -370,5 +384,5 @@
     let thread = starting.start_node(recovered, publisher, received)?;
     let http = starting.start_operators(listeners.operators)?;
     let Starting { node, status, arbiters, .. } = starting;
-    Ok(ControlHandle { node, status, trigger, http, arbiters, thread: Some(thread) })
+    Ok(ControlHandle { node, status, trigger, cell_trigger, http, arbiters, thread: Some(thread) })
 }
