Control: split the start of a replica into three files

Change: recovered.rs (what is on disk), starting.rs (the parts), replica.rs (the handle). No change of behaviour.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,9 +16,11 @@
 mod node;
 mod platform;
 mod proxies;
+mod recovered;
 mod render;
 mod replica;
 mod settings;
+mod starting;
 mod state_codec;
 mod stop;
 
--- /dev/null
+++ b/crates/control/src/starting.rs
@@ -0,0 +1,192 @@
+//! Starts the parts of a replica.
+
+use crate::back_end::BackEnds;
+use crate::cell::{Disks, InboundSettings, LinkSettings, Links, accept_replicas};
+use crate::clock::Clock;
+use crate::error::ControlError;
+use crate::feed::Feed;
+use crate::http::{Operators, serve};
+use crate::leader::LeaderDuties;
+use crate::metrics::Metrics;
+use crate::node::{NodeHandle, NodeInput, NodeParts, NodeStatus, NodeThread};
+use crate::platform::poll_platform;
+use crate::proxies::{Proofs, ProxyServer, ProxyTable, accept_proxies, send_summaries};
+use crate::recovered::Recovered;
+use crate::settings::{CellStart, ControlSettings};
+use crate::stop::StopSignal;
+use actix_rt::{Arbiter, ArbiterHandle};
+use actix_web::dev::ServerHandle;
+use prometheus_client::registry::Registry;
+use std::net::TcpListener;
+use std::sync::{Arc, mpsc};
+use std::thread::JoinHandle;
+use tokio::sync::watch;
+
+const THREAD_NAME: &str = "corktack-consensus";
+
+/// What the parts of a replica on its way up share.
+pub(crate) struct Starting {
+    pub(crate) settings: ControlSettings,
+    pub(crate) metrics: Metrics,
+    pub(crate) clock: Clock,
+    pub(crate) node: NodeHandle,
+    pub(crate) feed: Feed,
+    pub(crate) proofs: Proofs,
+    pub(crate) disks: Disks,
+    pub(crate) status: watch::Receiver<NodeStatus>,
+    pub(crate) arbiters: Vec<Arbiter>,
+    pub(crate) stop: StopSignal,
+    pub(crate) cell_stop: StopSignal,
+}
+
+impl Starting {
+    /// The arbiter of the cell's connections, of back ends and of the platform's list.
+    fn first_arbiter(&self) -> ArbiterHandle {
+        self.arbiters[0].handle()
+    }
+
+    /// The arbiters of the proxies' connections.
+    fn proxy_arbiters(&self) -> Vec<ArbiterHandle> {
+        self.arbiters[1..].iter().map(Arbiter::handle).collect()
+    }
+
+    /// Starts the consensus thread.
+    pub(crate) fn start_node(
+        &self,
+        recovered: Recovered,
+        publisher: watch::Sender<NodeStatus>,
+        inputs: mpsc::Receiver<NodeInput>,
+    ) -> Result<JoinHandle<()>, ControlError> {
+        let parts = NodeParts {
+            clock: self.clock,
+            replica: recovered.replica,
+            log: recovered.log,
+            state: recovered.state,
+            applied: recovered.applied,
+            snapshot_entries: self.settings.snapshot_entries.max(1),
+            links: self.links(),
+            feed: self.feed.clone(),
+            duties: self.duties(),
+            status: publisher,
+            metrics: self.metrics.clone(),
+        };
+        let thread = std::thread::Builder::new().name(THREAD_NAME.to_owned());
+        let run = move || NodeThread::new(parts).run(&inputs);
+        thread.spawn(run).map_err(ControlError::Thread)
+    }
+
+    fn links(&self) -> Links {
+        let settings = LinkSettings {
+            cell: self.settings.cell.clone(),
+            replica: self.settings.replica,
+            disk: self.disks.own(),
+            seed: self.settings.seed,
+        };
+        let mut links = Links::new(settings, self.first_arbiter(), self.metrics.clone());
+        match &self.settings.start {
+            CellStart::Bootstrap(cell) => links.connect(&cell.voters),
+            CellStart::Join(members) => links.connect(members),
+        }
+        links
+    }
+
+    fn duties(&self) -> LeaderDuties {
+        let back_ends = BackEnds {
+            arbiter: self.first_arbiter(),
+            node: self.node.clone(),
+            stop: self.stop.clone(),
+        };
+        LeaderDuties::new(&self.settings, back_ends, self.metrics.clone())
+    }
+
+    /// A listener of the standard library is given to the reactor of the arbiter
+    /// that accepts on it.
+    pub(crate) fn start_cell(&self, listener: TcpListener) -> Result<(), ControlError> {
+        listener.set_nonblocking(true).map_err(ControlError::Listener)?;
+        let settings = InboundSettings {
+            cell: self.settings.cell.clone(),
+            replica: self.settings.replica,
+            disks: self.disks.clone(),
+            metrics: self.metrics.clone(),
+        };
+        let (node, stop) = (self.node.clone(), self.cell_stop.clone());
+        self.first_arbiter().spawn(async move {
+            match tokio::net::TcpListener::from_std(listener) {
+                Ok(listener) => accept_replicas(listener, settings, node, stop).await,
+                Err(error) => log::error!(error:% = error; "replicas are not accepted"),
+            }
+        });
+        Ok(())
+    }
+
+    /// Accepts proxies and proves to them that the replica is current.
+    pub(crate) fn start_proxies(&self, listener: TcpListener) -> Result<(), ControlError> {
+        listener.set_nonblocking(true).map_err(ControlError::Listener)?;
+        let server = self.proxy_server();
+        let interval = self.settings.proxy_heartbeat_interval;
+        let first = self.first_arbiter();
+        // A proxy is told that this replica is cut off before it counts as silent.
+        let limit = self.settings.proxy_heartbeat_timeout / 2;
+        let proofs = self.proofs.clone();
+        first.spawn(proofs.run(interval, limit, self.node.clone(), self.stop.clone()));
+        let table = server.table.clone();
+        first.spawn(send_summaries(table, interval, self.node.clone(), self.stop.clone()));
+        let arbiters = self.proxy_arbiters();
+        first.spawn(async move {
+            match tokio::net::TcpListener::from_std(listener) {
+                Ok(listener) => accept_proxies(listener, server, arbiters).await,
+                Err(error) => log::error!(error:% = error; "proxies are not accepted"),
+            }
+        });
+        Ok(())
+    }
+
+    fn proxy_server(&self) -> ProxyServer {
+        ProxyServer {
+            node: self.node.clone(),
+            feed: self.feed.clone(),
+            table: ProxyTable::new(),
+            proofs: self.proofs.clone(),
+            metrics: self.metrics.clone(),
+            heartbeat_timeout: self.settings.proxy_heartbeat_timeout,
+            connections: Arc::default(),
+            stop: self.stop.clone(),
+        }
+    }
+
+    /// Polls the platform's list, where there is one.
+    pub(crate) fn start_platform(&self) {
+        let Some(source) = self.settings.platform.clone() else { return };
+        let (status, node, stop) = (self.status.clone(), self.node.clone(), self.stop.clone());
+        // The HTTP client stays on the thread that made it.
+        self.first_arbiter().spawn_fn(move || {
+            actix_rt::spawn(poll_platform(source, status, node, stop));
+        });
+    }
+
+    /// Serves operators.
+    pub(crate) fn start_operators(
+        &self,
+        listener: TcpListener,
+    ) -> Result<ServerHandle, ControlError> {
+        let mut registry = Registry::default();
+        self.metrics.register(&mut registry);
+        let operators = Operators {
+            cell: self.settings.cell.clone(),
+            replica: self.settings.replica,
+            node: self.node.clone(),
+            feed: self.feed.clone(),
+            proofs: self.proofs.clone(),
+            status: self.status.clone(),
+            registry: Arc::new(registry),
+            token: self.settings.operator_token.as_deref().map(Arc::from),
+            bookmark_interval: self.settings.proxy_heartbeat_interval,
+            stop: self.stop.clone(),
+        };
+        let workers = self.settings.workers.max(1);
+        let server = serve(operators, listener, workers).map_err(ControlError::Listener)?;
+        let handle = server.handle();
+        actix_rt::spawn(server);
+        Ok(handle)
+    }
+}
--- a/crates/core/src/state/resend.rs
+++ b/crates/core/src/state/resend.rs
@@ -8,7 +8,8 @@
 use std::hash::{Hash, Hasher};
 
 /// Changes remembered; the oldest are forgotten first. At 6,500 changes a day
-/// this is three days, far over the time after which a client gives up.
+/// this is three days, far over the time after which a client gives up. With the
+/// longest ids and refusals the memory adds about nine million bytes to a snapshot.
 pub const RESEND_MEMORY_LIMIT: usize = 20_000;
 
 /// Fixed keys: every replica must compute the same digest.
