--- a/crates/sim/src/run/network.rs
+++ b/crates/sim/src/run/network.rs
@@ -1,6 +1,6 @@
 //! Links between participants, and what they do to packets.
 
-use super::event::Address;
+use super::event::{Address, Packet};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeSet;
@@ -46,9 +46,12 @@
         self.blocked.contains(&(from, to))
     }
 
-    /// Delays of the copies of a packet that arrive.
-    pub fn delays(&self, random: &mut ChaCha8Rng) -> Vec<u64> {
-        let copies = 1 + usize::from(random.random_bool(self.faults.duplication));
+    /// Delays of the copies of a packet that arrive. A caller's write is a stream of one
+    /// connection, which may break but never repeats it.
+    pub fn delays(&self, random: &mut ChaCha8Rng, packet: &Packet) -> Vec<u64> {
+        let once = matches!(packet, Packet::Write { .. } | Packet::ClientWrite { .. });
+        let duplication = if once { 0.0 } else { self.faults.duplication };
+        let copies = 1 + usize::from(random.random_bool(duplication));
         let longest = self.faults.longest_delay;
         let mut delays = Vec::new();
         for _ in 0..copies {
--- a/crates/sim/src/run/world/inject.rs
+++ b/crates/sim/src/run/world/inject.rs
@@ -30,7 +30,11 @@
                 self.machines[usize::from(machine)].fail_disk_after(operations);
             }
             Fault::LoseDisk(machine) => self.lose_disk(usize::from(machine)),
-            Fault::LoseFolder(proxy) => self.proxies[usize::from(proxy)].lose_folder(),
+            Fault::LoseFolder(proxy) => {
+                let proxy = &mut self.proxies[usize::from(proxy)];
+                proxy.lose_folder();
+                proxy.start();
+            }
             Fault::Freeze(one) => {
                 self.frozen.insert(one, end);
             }
