--- a/crates/sim/src/run/client.rs
+++ b/crates/sim/src/run/client.rs
@@ -165,7 +165,9 @@
             self.rest(context);
         } else {
             self.doing = Doing::Write { write, attempts: attempts + 1, certain };
-            self.proxy = context.random.random_range(0..PROXIES);
+            if self.index < PROXIES {
+                self.proxy = context.random.random_range(0..PROXIES);
+            }
             self.send_write(context, write);
         }
     }
--- a/crates/sim/src/run/faults.rs
+++ b/crates/sim/src/run/faults.rs
@@ -17,7 +17,8 @@
 const ROUNDS: u64 = 4;
 /// From one round to the next.
 const ROUND: u64 = 6_000_000;
-/// Shortest time from the begin of a round to its end; every fault begins in its first half.
+/// Shortest time from the begin of a round to its end; a fault begins in the
+/// first half of it, those of a storm at any time.
 const SHORTEST_ROUND: u64 = 1_500_000;
 /// Restarts of one storm.
 const STORM_RESTARTS: usize = 10;
@@ -31,6 +32,8 @@
 pub(crate) enum Fault {
     /// Cuts these off from everyone else, in both directions.
     Partition(Vec<Address>),
+    /// Cuts a control machine off from the others, not from proxies.
+    CutPeers(u8),
     /// Nothing that this one sends arrives.
     Mute(Address),
     /// Nothing that is sent to this one arrives.
@@ -85,8 +88,12 @@
     let round = |number| {
         let begin = FIRST_FAULT + number * ROUND;
         let end = begin + random.random_range(SHORTEST_ROUND..ROUND - 300_000);
+        let mut latest = begin + SHORTEST_ROUND / 2;
         let drawn = match random.random_range(0..7) {
-            0 => storm(random),
+            0 => {
+                latest = end - 400_000;
+                storm(random)
+            }
             1 | 2 => vec![draw_fault(random)],
             3 => {
                 let first = draw_fault(random);
@@ -96,8 +103,7 @@
             _ => vec![draw_fault(random), draw_fault(random)],
         };
         let faults = drawn.into_iter();
-        let faults =
-            faults.map(|fault| (random.random_range(begin..begin + SHORTEST_ROUND / 2), fault));
+        let faults = faults.map(|fault| (random.random_range(begin..latest), fault));
         Round { faults: faults.collect(), end }
     };
     (0..ROUNDS).map(round).collect()
@@ -109,6 +115,9 @@
     let longest_delay = random.random_range(100_000..600_000);
     let mut faults = vec![Fault::Links(LinkFaults { loss, duplication: 0.1, longest_delay })];
     let sort = random.random_range(0..3);
+    if sort == 2 {
+        faults.push(Fault::CutPeers(random.random_range(0..MACHINES)));
+    }
     for _ in 0..STORM_RESTARTS {
         faults.push(match (sort, random.random_range(0..4)) {
             (0, 0) => Fault::Restart(LEADER),
--- a/crates/sim/src/run/proxy.rs
+++ b/crates/sim/src/run/proxy.rs
@@ -77,7 +77,9 @@
         self.view = View::default();
     }
 
+    /// Starts the process, which turns to another control machine.
     pub fn start(&mut self) {
+        self.control = (self.control + 1) % super::control::MACHINES;
         self.running = true;
         self.incarnation += 1;
     }
--- a/crates/sim/src/run/proxy/requests.rs
+++ b/crates/sim/src/run/proxy/requests.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 const REQUEST_PATIENCE: Duration = Duration::from_millis(1_500);
-/// Between two questions to a replica that has not reached the session's position.
-const REPLICA_RETRIES: u8 = 1;
+/// How long a member has to answer a read before the primary is asked.
+const MEMBER_PATIENCE: Duration = Duration::from_millis(300);
 
 #[derive(Clone, Copy, Debug)]
 enum Stage {
@@ -24,7 +24,7 @@
     Row {
         row: u8,
         needed: Position,
-        retries: u8,
+        asked_primary: bool,
     },
 }
 
@@ -107,13 +107,16 @@
         number: u64,
         (row, needed): (u8, Position),
     ) {
-        let stage = Stage::Row { row, needed, retries: REPLICA_RETRIES };
+        let stage = Stage::Row { row, needed, asked_primary: false };
         let request = self.begin(context, client, number, stage);
+        if let Some(begun) = self.requests.get_mut(&request) {
+            begun.deadline = context.now + MEMBER_PATIENCE;
+        }
         let member = context.random.random_range(0..MEMBERS);
         context.send(Address::Member(member), Packet::Read { request, row });
     }
 
-    /// A replica that is behind is asked once more, then the primary.
+    /// A replica that is behind makes the proxy ask the primary.
     fn take_row(
         &mut self,
         context: &mut Context<'_>,
@@ -122,7 +125,7 @@
         value: u32,
     ) {
         let Some(found) = self.requests.get_mut(&request) else { return };
-        let Stage::Row { row, needed, retries } = &mut found.stage else { return };
+        let Stage::Row { row, needed, asked_primary } = &mut found.stage else { return };
         if position.covers(*needed) || context.is(Variant::TokenNotChecked) {
             let answer = Some((position.merge(*needed), value));
             let packet = Packet::ClientReadDone { request: found.number, value: answer };
@@ -130,20 +133,33 @@
             self.requests.remove(&request);
             return;
         }
-        if *retries > 0 {
-            *retries -= 1;
+        if !*asked_primary {
             let row = *row;
-            if let Some(primary) = self.primary() {
-                context.send(primary, Packet::Read { request, row });
+            self.ask_primary(context, request, row);
+        }
+    }
+
+    fn ask_primary(&mut self, context: &mut Context<'_>, request: u64, row: u8) {
+        if let Some(found) = self.requests.get_mut(&request) {
+            if let Stage::Row { asked_primary, .. } = &mut found.stage {
+                *asked_primary = true;
             }
+            found.deadline = context.now + REQUEST_PATIENCE;
+        }
+        if let Some(primary) = self.primary() {
+            context.send(primary, Packet::Read { request, row });
         }
     }
 
     pub(super) fn expire_requests(&mut self, context: &mut Context<'_>) {
         let now = context.now;
         let late = self.requests.extract_if(.., |_, request| now >= request.deadline);
-        for (_, request) in late.collect::<Vec<_>>() {
+        for (number, request) in late.collect::<Vec<_>>() {
             match request.stage {
+                Stage::Row { row, asked_primary: false, .. } => {
+                    self.requests.insert(number, request);
+                    self.ask_primary(context, number, row);
+                }
                 Stage::Write => {
                     let outcome = WriteOutcome::Unknown;
                     let packet = Packet::ClientWrote { request: request.number, outcome };
--- a/crates/sim/src/run/world/inject.rs
+++ b/crates/sim/src/run/world/inject.rs
@@ -18,6 +18,14 @@
         self.faults.push(format!("{} ms to {} ms: {fault:?}", self.now / 1_000, end / 1_000));
         match fault {
             Fault::Partition(side) => self.cut(&side),
+            Fault::CutPeers(machine) => {
+                for other in (0..self.machines.len()).filter(|other| *other != usize::from(machine))
+                {
+                    let other = Address::Control(self.machines[other].index);
+                    self.network.block(Address::Control(machine), other);
+                    self.network.block(other, Address::Control(machine));
+                }
+            }
             Fault::Mute(one) => everyone().into_iter().for_each(|to| self.network.block(one, to)),
             Fault::Deaf(one) => {
                 everyone().into_iter().for_each(|from| self.network.block(from, one));
