--- a/crates/sim/src/run/control/perform.rs
+++ b/crates/sim/src/run/control/perform.rs
@@ -5,9 +5,7 @@
 use crate::run::event::{Context, Packet};
 use crate::run::history::{Note, digest};
 use crate::run::variant::Variant;
-use corktack_core::consensus::{
-    Action, Entry, HardState, Message, Payload, RequestId, Role, Snapshot,
-};
+use corktack_core::consensus::{Action, Entry, Message, Payload, RequestId, Role, Snapshot};
 use corktack_core::state::command::Outcome;
 use corktack_core::view::Revision;
 use corktack_core::watch::DeltaLog;
@@ -23,7 +21,7 @@
     ) -> Result<(), MachineError> {
         match action {
             Action::Persist { hard_state, entries } => {
-                let hard_state = hard_state.map(|found| written(context, found));
+                let hard_state = hard_state.filter(|_| !context.is(Variant::TermNotPersisted));
                 self.log.persist(hard_state, &entries)?;
             }
             Action::InstallSnapshot(snapshot) => self.install(context, &snapshot)?,
@@ -145,8 +143,3 @@
         }
     }
 }
-
-/// The hard state as it is written.
-fn written(context: &Context<'_>, found: HardState) -> HardState {
-    if context.is(Variant::VoteNotPersisted) { HardState { vote: None, ..found } } else { found }
-}
--- a/crates/sim/src/run/member/replication.rs
+++ b/crates/sim/src/run/member/replication.rs
@@ -171,6 +171,7 @@
                 }
                 Waiter::Promotion { control, index } if index <= self.commit => {
                     self.role = Role::Primary;
+                    self.note_acknowledged(context);
                     let term = self.live.promised;
                     let position = self.position(index);
                     context.send(control, Packet::Promoted(term, Ok(position)));
--- a/crates/sim/src/run/variant.rs
+++ b/crates/sim/src/run/variant.rs
@@ -23,10 +23,10 @@
     /// The failover driver asks every member to become primary, and members follow more
     /// than one primary of a term.
     PromoteEveryMember,
-    /// A control replica does not write its vote.
-    VoteNotPersisted,
-    /// A control replica comes back under its old identity after it lost its disk.
-    LostDiskKeepsIdentity,
+    /// A control replica does not write its term and vote.
+    TermNotPersisted,
+    /// A control replica does not write its log before it answers.
+    LogNotPersisted,
     /// A refused write runs all the same.
     RefusedWriteRuns,
 }
@@ -42,8 +42,8 @@
         Self::SnapshotNotCompared,
         Self::SnapshotNotProven,
         Self::PromoteEveryMember,
-        Self::VoteNotPersisted,
-        Self::LostDiskKeepsIdentity,
+        Self::TermNotPersisted,
+        Self::LogNotPersisted,
         Self::RefusedWriteRuns,
     ];
 }
--- a/crates/sim/src/run/world/inject.rs
+++ b/crates/sim/src/run/world/inject.rs
@@ -1,7 +1,6 @@
 //! Brings faults about and ends them.
 
 use super::{World, everyone};
-use crate::run::Variant;
 use crate::run::event::Address;
 use crate::run::faults::{Fault, LEADER, PRIMARY};
 use crate::run::repair::Repair;
@@ -127,12 +126,10 @@
             return;
         }
         let lost = machine.id;
-        machine.lose_disk(self.variant);
-        if self.variant != Variant::LostDiskKeepsIdentity {
-            let remove_first = self.random.random_bool(0.5);
-            let replacement = machine.id;
-            self.repairs.push(Repair { lost, replacement, remove_first });
-        }
+        machine.lose_disk();
+        let remove_first = self.random.random_bool(0.5);
+        let replacement = machine.id;
+        self.repairs.push(Repair { lost, replacement, remove_first });
     }
 
     pub(super) fn end_round(&mut self, round: usize) {
