--- a/crates/sim/src/run/world/inject.rs
+++ b/crates/sim/src/run/world/inject.rs
@@ -1,7 +1,6 @@
 //! Brings faults about and ends them.
 
 use super::{World, everyone};
-use crate::run::Variant;
 use crate::run::event::Address;
 use crate::run::faults::{Fault, LEADER, PRIMARY};
 use crate::run::repair::Repair;
@@ -18,6 +17,14 @@
         self.faults.push(format!("{} ms to {} ms: {fault:?}", self.now / 1_000, end / 1_000));
         match fault {
             Fault::Partition(side) => self.cut(&side),
+            Fault::CutPeers(machine) => {
+                for other in (0..self.machines.len()).filter(|other| *other != usize::from(machine))
+                {
+                    let other = Address::Control(self.machines[other].index);
+                    self.network.block(Address::Control(machine), other);
+                    self.network.block(other, Address::Control(machine));
+                }
+            }
             Fault::Mute(one) => everyone().into_iter().for_each(|to| self.network.block(one, to)),
             Fault::Deaf(one) => {
                 everyone().into_iter().for_each(|from| self.network.block(from, one));
@@ -30,7 +37,11 @@
                 self.machines[usize::from(machine)].fail_disk_after(operations);
             }
             Fault::LoseDisk(machine) => self.lose_disk(usize::from(machine)),
-            Fault::LoseFolder(proxy) => self.proxies[usize::from(proxy)].lose_folder(),
+            Fault::LoseFolder(proxy) => {
+                let proxy = &mut self.proxies[usize::from(proxy)];
+                proxy.lose_folder();
+                proxy.start();
+            }
             Fault::Freeze(one) => {
                 self.frozen.insert(one, end);
             }
@@ -115,12 +126,10 @@
             return;
         }
         let lost = machine.id;
-        machine.lose_disk(self.variant);
-        if self.variant != Variant::LostDiskKeepsIdentity {
-            let remove_first = self.random.random_bool(0.5);
-            let replacement = machine.id;
-            self.repairs.push(Repair { lost, replacement, remove_first });
-        }
+        machine.lose_disk();
+        let remove_first = self.random.random_bool(0.5);
+        let replacement = machine.id;
+        self.repairs.push(Repair { lost, replacement, remove_first });
     }
 
     pub(super) fn end_round(&mut self, round: usize) {
