--- a/crates/lab/src/experiment/profile_load.rs
+++ b/crates/lab/src/experiment/profile_load.rs
@@ -98,6 +98,7 @@
         violations: verification.violations,
     };
     print_report(&report);
+    fleet.write_metrics().await?;
     write_report(settings, &report, &baseline, &through)?;
     if report.violations.is_empty() && report.mixed_entries == 0 {
         return Ok(());
@@ -229,6 +230,19 @@
         controls.chain(proxies).chain(members).map(crate::process::Process::id).collect()
     }
 
+    /// Writes each proxy's metrics to a file beside its log.
+    ///
+    /// # Errors
+    /// A proxy that does not answer, or a file that cannot be written.
+    pub async fn write_metrics(&self) -> eyre::Result<()> {
+        for proxy in &self.proxies {
+            let text = fetch(&format!("http://{}/metrics", proxy.plan.telemetry)).await?;
+            let path = self.plan.folder.join(format!("{}.metrics", proxy.plan.name));
+            std::fs::write(&path, text).wrap_err_with(|| path.display().to_string())?;
+        }
+        Ok(())
+    }
+
     /// Share of reads that replicas served, over all proxies, from their metrics.
     pub async fn replica_read_share(&self) -> Option<f64> {
         let mut reads = BTreeMap::<bool, f64>::new();
