Stand-in: random numbers and the time are the same on each member

Cause: entries are statements that each member runs again, and random(), now() and CURRENT_TIMESTAMP were answered afresh by each: replicas, and the primary after a restart from its log, held other rows than those acknowledged.

Ruled out: logging changed rows instead of statements (the right depth for a database, too much for a stand-in); refusing such statements (DEFAULT CURRENT_TIMESTAMP is common).

Change: a write statement is logged with the time and the random seed of its first run, and is run again under them. random, now, current_timestamp, current_date and current_time are ours (functions.rs); now() was not known before.

Limits: date('now') and its kin, and randomblob(), are still answered by the engine itself and may differ.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,20 +1,17 @@
 //! The embedded SQL engine: connections, functions, applied position and replay.
 
-use crate::entry::{LogEntry, Value};
-use rusqlite::functions::FunctionFlags;
+use crate::entry::{Circumstances, LogEntry, Value};
+use crate::functions::{self, Circumstance};
 use rusqlite::{Connection, InterruptHandle, params_from_iter};
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Name of the engine's file inside a member's data folder.
 pub const DATABASE_FILE_NAME: &str = "state.sqlite";
-/// What `SELECT version()` answers.
-pub const VERSION_TEXT: &str = "PostgreSQL 16.0 (corktack stand-in)";
 
 const BUSY_TIMEOUT: Duration = Duration::from_secs(10);
-const SLEEP_STEP: Duration = Duration::from_millis(5);
 const STATEMENT_CACHE: usize = 64;
 const SCHEMA: &str = "CREATE TABLE IF NOT EXISTS replication_state (\
     id INTEGER PRIMARY KEY CHECK (id = 1), applied_index INTEGER NOT NULL);\
@@ -43,6 +40,7 @@
 pub struct Engine {
     connection: Connection,
     interrupt: Arc<Interrupt>,
+    circumstance: Arc<Circumstance>,
 }
 
 impl Engine {
@@ -74,9 +72,10 @@
         connection.pragma_update(None, "foreign_keys", "ON")?;
         connection.set_prepared_statement_cache_capacity(STATEMENT_CACHE);
         let cancelled = Arc::new(AtomicBool::new(false));
-        register_functions(&connection, &cancelled)?;
+        let circumstance = Arc::new(Circumstance::default());
+        functions::register(&connection, &cancelled, &circumstance)?;
         let handle = connection.get_interrupt_handle();
-        Ok(Self { connection, interrupt: Arc::new(Interrupt { cancelled, handle }) })
+        Ok(Self { connection, interrupt: Arc::new(Interrupt { cancelled, handle }), circumstance })
     }
 
     /// The connection itself.
@@ -85,6 +84,20 @@
         &self.connection
     }
 
+    /// Takes the time and a random seed for the next statement, and tells them.
+    ///
+    /// # Errors
+    /// The engine failed.
+    pub fn renew_circumstances(&self) -> rusqlite::Result<Circumstances> {
+        let mut statement = self.connection.prepare_cached(functions::CLOCK)?;
+        let fresh = Circumstances {
+            timestamp: statement.query_row([], |row| row.get(0))?,
+            seed: functions::fresh_seed(),
+        };
+        self.circumstance.set(fresh.clone());
+        Ok(fresh)
+    }
+
     /// What stops a running statement.
     #[must_use]
     pub fn interrupt(&self) -> Arc<Interrupt> {
@@ -181,6 +194,7 @@
 
     fn replay(&self, entry: &LogEntry) -> rusqlite::Result<()> {
         for write in &entry.statements {
+            self.circumstance.set(write.circumstances.clone());
             let mut statement = self.connection.prepare_cached(&write.sql)?;
             let parameters = write.parameters.iter().cloned();
             let mut rows = statement.query(params_from_iter(parameters.map(sql_value)))?;
@@ -193,30 +207,3 @@
 fn sql_value(value: Value) -> rusqlite::types::Value {
     value.into()
 }
-
-fn register_functions(
-    connection: &Connection,
-    cancelled: &Arc<AtomicBool>,
-) -> rusqlite::Result<()> {
-    let flags = FunctionFlags::SQLITE_UTF8;
-    connection.create_scalar_function("version", 0, flags, |_| Ok(VERSION_TEXT))?;
-    let cancelled = cancelled.clone();
-    connection.create_scalar_function("pg_sleep", 1, flags, move |context| {
-        let seconds = context.get::<Option<f64>>(0)?.unwrap_or(0.0);
-        sleep_until_cancelled(seconds, &cancelled)
-    })
-}
-
-/// Sleeps in short steps, so that an interruption ends it soon.
-fn sleep_until_cancelled(seconds: f64, cancelled: &AtomicBool) -> rusqlite::Result<&'static str> {
-    let length = Duration::try_from_secs_f64(seconds).unwrap_or_default();
-    let start = Instant::now();
-    while start.elapsed() < length {
-        if cancelled.load(Ordering::SeqCst) {
-            let code = rusqlite::ffi::Error::new(rusqlite::ffi::SQLITE_INTERRUPT);
-            return Err(rusqlite::Error::SqliteFailure(code, None));
-        }
-        std::thread::sleep(SLEEP_STEP.min(length.saturating_sub(start.elapsed())));
-    }
-    Ok("")
-}
--- a/crates/standin/src/entry.rs
+++ b/crates/standin/src/entry.rs
@@ -42,6 +42,15 @@
     }
 }
 
+/// What a statement found when it first ran, so that each member's copy finds the same.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Circumstances {
+    /// The time in UTC, as `YYYY-MM-DD HH:MM:SS`.
+    pub timestamp: String,
+    /// Where its random numbers begin.
+    pub seed: u64,
+}
+
 /// One write statement of a transaction with its bound parameters.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WriteStatement {
@@ -49,6 +58,8 @@
     pub sql: String,
     /// Parameters in the order of their numbers.
     pub parameters: Vec<Value>,
+    /// Time and random seed.
+    pub circumstances: Circumstances,
 }
 
 /// One transaction of the replicated log; an empty one opens a term.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod engine;
 mod entry;
 mod error;
+mod functions;
 mod group;
 mod log_file;
 mod member;
@@ -20,7 +21,7 @@
 mod sql;
 mod wire;
 
-pub use entry::{LogEntry, Value, WriteStatement};
+pub use entry::{Circumstances, LogEntry, Value, WriteStatement};
 pub use error::{DurableError, MemberError};
 pub use group::{GROUP_SIZE, Group, GroupSettings};
 pub use log_file::LOG_FILE_NAME;
--- a/crates/standin/src/session/execute.rs
+++ b/crates/standin/src/session/execute.rs
@@ -159,7 +159,10 @@
         let read = move |engine: &crate::engine::Engine| {
             let index = engine.begin_read()?;
             let result = match run::is_read_only(engine, &statement) {
-                Ok(true) => run::run(engine, &statement, &parameters)
+                Ok(true) => engine
+                    .renew_circumstances()
+                    .map_err(SqlError::from)
+                    .and_then(|_| run::run(engine, &statement, &parameters))
                     .map(|rows| ReadOutcome::Rows(rows, index)),
                 Ok(false) => Ok(ReadOutcome::Writes),
                 Err(error) => Err(error),
@@ -243,7 +246,10 @@
         let (statement, parameters) = (statement.clone(), parameters.to_vec());
         let read =
             move |engine: &crate::engine::Engine| match run::is_read_only(engine, &statement)? {
-                true => run::run(engine, &statement, &parameters),
+                true => {
+                    engine.renew_circumstances()?;
+                    run::run(engine, &statement, &parameters)
+                }
                 false if read_only => Err(SqlError::ReadOnlyTransaction),
                 false => Err(SqlError::NotPrimary),
             };
@@ -258,12 +264,13 @@
         parameters: &[Value],
     ) -> Result<(WriteTransaction, Result<RowSet, SqlError>), SqlError> {
         let WriteTransaction { engine, term, mut writes } = transaction;
-        let write = WriteStatement { sql: statement.sql.clone(), parameters: parameters.to_vec() };
-        let statement = statement.clone();
+        let (statement, parameters) = (statement.clone(), parameters.to_vec());
         let work = move |engine: &crate::engine::Engine| {
             let keeps = statement.command == Command::Savepoint
                 || !run::is_read_only(engine, &statement)? && !is_locking_read(&statement);
-            let rows = run::run(engine, &statement, &write.parameters)?;
+            let circumstances = engine.renew_circumstances()?;
+            let rows = run::run(engine, &statement, &parameters)?;
+            let write = WriteStatement { sql: statement.sql, parameters, circumstances };
             Ok((rows, keeps.then_some(write)))
         };
         let (engine, result) = self.run_on(engine, work).await?;
--- a/crates/standin/src/session/grouped.rs
+++ b/crates/standin/src/session/grouped.rs
@@ -278,8 +278,10 @@
     let QueuedWrite { statement, parameters, .. } = write;
     let run = || {
         let keeps = !run::is_read_only(engine, statement)? && !statement.locking;
+        let circumstances = engine.renew_circumstances()?;
         let rows = run::run(engine, statement, parameters)?;
-        let entry = WriteStatement { sql: statement.sql.clone(), parameters: parameters.clone() };
+        let (sql, parameters) = (statement.sql.clone(), parameters.clone());
+        let entry = WriteStatement { sql, parameters, circumstances };
         Ok((rows, keeps.then_some(entry)))
     };
     engine.in_savepoint(run)
--- a/crates/standin/tests/decoders.rs
+++ b/crates/standin/tests/decoders.rs
@@ -7,7 +7,8 @@
 use corktack_core::position::{Position, Term};
 use corktack_standin::codec::{self, CodecError};
 use corktack_standin::{
-    AppendRequest, AppendResponse, LOG_FILE_NAME, LogEntry, Member, Promise, Value, WriteStatement,
+    AppendRequest, AppendResponse, Circumstances, LOG_FILE_NAME, LogEntry, Member, Promise, Value,
+    WriteStatement,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -39,7 +40,11 @@
 fn entry() -> impl Strategy<Value = LogEntry> {
     let parameters = prop::collection::vec(value(), 0..5);
     let statement =
-        (".{0,40}", parameters).prop_map(|(sql, parameters)| WriteStatement { sql, parameters });
+        (".{0,40}", parameters, any::<u64>()).prop_map(|(sql, parameters, seed)| WriteStatement {
+            sql,
+            parameters,
+            circumstances: Circumstances { timestamp: "2026-12-02 07:00:00".to_owned(), seed },
+        });
     let statements = prop::collection::vec(statement, 0..4);
     (any::<u64>(), any::<u64>(), statements).prop_map(|(term, index, statements)| LogEntry {
         term: Term(term),
--- a/crates/standin/tests/replication.rs
+++ b/crates/standin/tests/replication.rs
@@ -40,6 +40,37 @@
     }
 }
 
+#[rstest]
+#[case::alone("INSERT INTO draws (draw, next) VALUES (random(), random())")]
+#[case::in_a_block("BEGIN; INSERT INTO draws SELECT random(), now(), random(); COMMIT")]
+#[tokio::test]
+async fn random_numbers_and_the_time_are_the_same_on_each_member(#[case] insert: &str) {
+    let test = start_group();
+    let mut primary = test.caller(0).await;
+    let create =
+        "CREATE TABLE draws (draw BIGINT, drawn TEXT DEFAULT CURRENT_TIMESTAMP, next BIGINT)";
+    primary.simple(create).await.expect("a majority runs");
+    for _ in 0..5 {
+        primary.simple(insert).await.expect("a majority runs");
+    }
+    let committed = primary.position().expect("a commit reports a position");
+    let query = "SELECT draw, drawn, next FROM draws ORDER BY draw";
+    let rows = primary.simple(query).await.expect("the primary reads");
+    let mut draws: Vec<_> = rows.iter().flat_map(|row| [&row[0], &row[2]]).collect();
+    draws.sort();
+    draws.dedup();
+    assert_eq!(draws.len(), 10, "random numbers differ");
+    assert!(rows.iter().all(|row| row[1].as_ref().is_some_and(|drawn| drawn.len() == 19)));
+    for place in [1, 2] {
+        eventually(|| async {
+            test.group.member(place).is_some_and(|member| member.applied_position() == committed)
+        })
+        .await;
+        let copy = test.caller(place).await.simple(query).await.expect("the replica reads");
+        assert_eq!(copy, rows);
+    }
+}
+
 #[rstest]
 #[tokio::test]
 async fn a_lagging_replica_reports_no_more_than_it_shows() {
