Stand-in: a member stops at once though statements run or wait

Cause: stopping a member told its threads to end and then interrupted what ran. A session that ended first took the mark of its running statement with it, and a statement that started just after the interruption was not reached either; the stop then waited for either, up to an hour for pg_sleep(3600).

Ruled out: a wait of bounded length at the stop (the worker would go on writing to a folder that is about to be opened again).

Change: what runs is interrupted before the sessions end, and whatever starts after that is interrupted as it starts.

Test: a_member_stops_though_more_statements_wait.

--- a/crates/standin/src/member.rs
+++ b/crates/standin/src/member.rs
@@ -174,10 +174,11 @@
     }
 
     fn end(&mut self) {
+        // Before the sessions end: what they left running cannot be reached after that.
+        self.shared.cancels.cancel_all();
         if let Some(stop) = self.stop.take() {
             let _ = stop.send(());
         }
-        self.shared.cancels.cancel_all();
         if let Some(thread) = self.thread.take()
             && thread.join().is_err()
         {
--- a/crates/standin/src/wire/cancel.rs
+++ b/crates/standin/src/wire/cancel.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
-use std::sync::atomic::{AtomicI32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 
@@ -13,13 +13,18 @@
     secret: i32,
     running: Mutex<Option<Arc<Interrupt>>>,
     waiting: Notify,
+    /// The member ends: nothing that starts now may run on.
+    ending: Arc<AtomicBool>,
 }
 
 impl CancelHandle {
     /// Marks what runs now, until the returned guard is dropped.
     pub fn run(self: &Arc<Self>, interrupt: Arc<Interrupt>) -> RunningGuard {
         interrupt.clear();
-        *lock(&self.running) = Some(interrupt);
+        *lock(&self.running) = Some(interrupt.clone());
+        if self.ending.load(Ordering::SeqCst) {
+            interrupt.interrupt();
+        }
         RunningGuard { handle: self.clone() }
     }
 
@@ -62,6 +67,7 @@
     next: AtomicI32,
     random: RandomState,
     handles: Mutex<HashMap<i32, Arc<CancelHandle>>>,
+    ending: Arc<AtomicBool>,
 }
 
 impl CancelRegistry {
@@ -71,8 +77,12 @@
         let mut hasher = self.random.build_hasher();
         hasher.write_i32(process);
         let secret = hasher.finish() as i32;
-        let handle =
-            Arc::new(CancelHandle { secret, running: Mutex::new(None), waiting: Notify::new() });
+        let handle = Arc::new(CancelHandle {
+            secret,
+            running: Mutex::new(None),
+            waiting: Notify::new(),
+            ending: self.ending.clone(),
+        });
         lock(&self.handles).insert(process, handle.clone());
         (CancelKey { process, secret }, handle)
     }
@@ -90,8 +100,9 @@
         }
     }
 
-    /// Interrupts everything that runs.
+    /// Interrupts everything that runs, and whatever starts from now on.
     pub fn cancel_all(&self) {
+        self.ending.store(true, Ordering::SeqCst);
         let handles: Vec<_> = lock(&self.handles).values().cloned().collect();
         handles.iter().for_each(|handle| handle.cancel());
     }
--- a/crates/standin/tests/sql.rs
+++ b/crates/standin/tests/sql.rs
@@ -169,6 +169,25 @@
     assert_eq!(holder.simple("SELECT * FROM naps").await.expect("it is there").len(), 1);
 }
 
+#[rstest]
+#[tokio::test]
+async fn a_member_stops_though_more_statements_wait() {
+    let mut test = start_group();
+    let mut sleepers = Vec::new();
+    for _ in 0..20 {
+        sleepers.push(client(test.group.postgres_addresses()[0]).await);
+    }
+    // Each sleep that is interrupted makes room for the next one on the same connection.
+    let queued = sleepers.iter().flat_map(|sleeper| std::iter::repeat_n(sleeper, 50));
+    let sleeps = queued.map(|sleeper| sleeper.simple_query("SELECT pg_sleep(3600)"));
+    let sleeping = futures_util::future::join_all(sleeps);
+    let mut sleeping = Box::pin(sleeping);
+    assert!(futures_util::poll!(&mut sleeping).is_pending());
+    test.caller(0).await.simple("SELECT 1").await.expect("it is served");
+    test.group.stop_member(0);
+    assert!(sleeping.await.iter().all(Result::is_err));
+}
+
 #[rstest]
 #[tokio::test]
 async fn the_cost_of_a_connection_is_a_setting() {
