--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,6 +3,11 @@
 //! [`Edge::start`] serves the PostgreSQL wire protocol on a listener. Each caller
 //! is a session on one arbiter; a transaction of a session is a stream to the
 //! owner of the database's group.
+//!
+//! State that arbiters share is in shards (the table of sessions), each under a lock of its own; all
+//! else belongs to one arbiter. No lock and no borrow is held across an `await`.
+
+#![deny(clippy::await_holding_lock, clippy::await_holding_refcell_ref)]
 
 mod answer;
 mod batch;
