--- a/crates/edge/tests/callers/protocol.rs
+++ b/crates/edge/tests/callers/protocol.rs
@@ -265,3 +265,22 @@
     assert_eq!(caller.ready().await, 'I');
     begin(&mut fixture, &mut caller).await;
 }
+
+#[actix_rt::test]
+async fn errors_and_notices_are_passed_byte_for_byte() {
+    let mut fixture = Fixture::start().await;
+    let mut caller = RawCaller::start(fixture.edge.address()).await;
+    caller.send(&wire::query("INSERT INTO t VALUES (1)")).await;
+    let (stream, _) = fixture.owner.open().await;
+    let notice = b"SNOTICE\0VNOTICE\0C00000\0Mtake \xc3\xa9 note\0\0".to_vec();
+    let error =
+        b"SERROR\0VERROR\0C23505\0Mduplicate\0DKey (id)=(1)\0Htry another\0P7\0p3\0qSELECT\0\
+        WPL/pgSQL\0sbilling\0ttable\0ccolumn\0dint\0nkey\0Ffile.c\0L42\0Rroutine\0\0"
+            .to_vec();
+    let messages = [wire::message('N', &notice), wire::message('E', &error)].concat();
+    fixture.owner.data(stream, messages);
+    fixture.owner.ready(stream, TransactionStatus::Idle);
+    assert_eq!(caller.read().await, ('N', notice));
+    assert_eq!(caller.read().await, ('E', error));
+    assert_eq!(caller.ready().await, 'I');
+}
--- a/crates/edge/tests/callers/startup.rs
+++ b/crates/edge/tests/callers/startup.rs
@@ -213,3 +213,19 @@
     assert_eq!(salt_of(&fixture, user).await, first, "a user has one salt");
     assert_ne!(salt_of(&fixture, "another").await, first, "and others have others");
 }
+
+#[actix_rt::test]
+async fn cancel_reaches_a_session_of_any_arbiter() {
+    let mut fixture = Fixture::with(EdgeSettings { arbiters: 4, ..settings() }).await;
+    let mut callers = Vec::new();
+    for _ in 0..32 {
+        let (mut caller, cancel) = RawCaller::start_with_cancel(fixture.edge.address()).await;
+        caller.send(&wire::query("SELECT 1")).await;
+        let (stream, _) = fixture.owner.open().await;
+        let mut other = RawCaller::connect(fixture.edge.address()).await;
+        other.send(&cancel).await;
+        assert_eq!(other.read_to_end().await, "");
+        assert_eq!(fixture.owner.next().await, EdgeMessage::Cancel { stream });
+        callers.push(caller);
+    }
+}
