--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -23,6 +23,8 @@
 
 /// Longest wait for another replica to take over at a planned stop.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the first heartbeat of the one that took over.
+const SUCCESSOR_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A control replica.
 #[derive(Debug)]
@@ -109,14 +111,14 @@
         if alone || !leads || self.node.send(NodeInput::TransferLeadership).is_err() {
             return;
         }
+        // Without a successor in time the others hold an election later.
+        let stepped_down = self.status.wait_for(|status| status.role != Role::Leader);
+        drop(timeout(TRANSFER_TIMEOUT, stepped_down).await);
         // The successor needs this replica's vote, and is known by its first heartbeat.
-        let own = self.status.borrow().leader;
-        let transferred = self.status.wait_for(|status| {
-            !status.running
-                || status.role != Role::Leader && status.leader.is_some() && status.leader != own
+        let followed = self.status.wait_for(|status| {
+            status.role == Role::Leader || status.leader.is_some() || !status.running
         });
-        // Without a successor in time the others hold an election later.
-        drop(timeout(TRANSFER_TIMEOUT, transferred).await);
+        drop(timeout(SUCCESSOR_TIMEOUT, followed).await);
     }
 
     /// The thread has left its loop, so this waits no longer than its last steps.
