Owner: one edge or one large row cannot take the link or the memory

Cause: a back-end message over the payload of a frame could not be encoded, so a single row of 8 MiB closed the link and with it all streams of that edge. Refusals were queued without bound for an edge that asks and does not read. An edge could grant any window, and send batches ahead without bound. Ruled out: a limit of streams for each link (refused ones are what piled up); cutting rows over several frames (the edge takes whole messages). Change: a message that does not fit a frame ends its stream only: a read is answered 54000, a write 08007, the connection is dropped. A window never goes above the first one; batches that wait on a stream are bounded to 8 MiB beside the first, and more close the link with a typed error. Conclusion: memory for a slow edge is bounded by its streams' windows and the backlog. The bytes themselves were not measured.

--- a/crates/owner/src/exchange/ending.rs
+++ b/crates/owner/src/exchange/ending.rs
@@ -4,6 +4,7 @@
 use crate::connection::ConnectionError;
 use crate::group::GroupState;
 use crate::router::RetryCause;
+use crate::wire::{self, WireError};
 use corktack_core::pool::outcomes::sweep_statement;
 use corktack_protocol::peer::{Access, Failure, ServedBy, TransactionStatus};
 use std::time::Duration;
@@ -11,6 +12,11 @@
 /// Longest wait for the removal of old outcomes.
 const SWEEP_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// SQLSTATE of an answer that is over a limit.
+const LIMIT_EXCEEDED: &str = "54000";
+/// Answer to a read whose answer holds a message that does not fit a frame.
+const ANSWER_REFUSED: &str = "a row of the answer is over the limit of 7.8 MiB";
+
 impl Exchange<'_> {
     /// The batch is answered: decides whether the answer counts.
     pub(super) fn end_of_batch(&mut self, status: TransactionStatus) -> Step {
@@ -106,12 +112,25 @@
         }
         let sent = self.lease.connection().map_or(0, |connection| connection.sent_bytes);
         let only_read = self.request.access == Access::Read;
+        if only_read && self.status == TransactionStatus::Idle && is_too_large(error) {
+            return self.refuse_answer();
+        }
         if nothing_ran && (only_read || sent == 0 || self.facts.only_begins) {
             return Exit::Retry(RetryCause::ConnectionLost);
         }
         Exit::Failed(self.failure_of_loss())
     }
 
+    /// The answer to a read cannot be passed on; another member would give the same.
+    fn refuse_answer(&mut self) -> Exit {
+        let Ok(message) = wire::error_response(LIMIT_EXCEEDED, ANSWER_REFUSED) else {
+            return Exit::Failed(Failure::TransactionLost);
+        };
+        self.held.extend_from_slice(&message);
+        self.answer_ready(TransactionStatus::Idle);
+        Exit::Ended
+    }
+
     pub(super) fn failure_of_loss(&mut self) -> Failure {
         let sent = self.lease.connection().map_or(0, |connection| connection.sent_bytes);
         let may_have_committed = match self.status {
@@ -125,3 +144,8 @@
         Failure::TransactionLost
     }
 }
+
+fn is_too_large(error: &ConnectionError) -> bool {
+    let limit = wire::MESSAGE_LIMIT;
+    matches!(error, ConnectionError::Wire(WireError::Length { length, .. }) if *length > limit)
+}
--- a/crates/owner/src/exchange/mod.rs
+++ b/crates/owner/src/exchange/mod.rs
@@ -139,7 +139,7 @@
 
     async fn next_batch(&mut self) -> Step {
         loop {
-            if let Some(batch) = self.input.batches.pop_front() {
+            if let Some(batch) = self.input.take_batch() {
                 let Ok(facts) = batch::facts(&batch) else {
                     return Step::Violation;
                 };
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -5,6 +5,7 @@
 //! connection, and gives it back when the back end is idle again. Ownership of a
 //! group is an optimisation: nothing here relies on there being one owner only.
 
+mod backlog;
 mod barrier;
 mod batch;
 mod connection;
--- a/crates/owner/src/link.rs
+++ b/crates/owner/src/link.rs
@@ -1,11 +1,13 @@
 //! Links from edges: frames in, frames out, streams told apart by their id.
 
+use crate::backlog::{self, LinkQueue, LinkSender};
 use crate::context::{Context, Phase};
-use crate::stream::{self, Outbound, StreamInput};
+use crate::stream::{self, Outbound, StreamInput, StreamSender};
 use corktack_protocol::frame::{FrameCodec, FrameError};
-use corktack_protocol::peer::{EdgeMessage, OwnerMessage, StreamId};
+use corktack_protocol::peer::{Batch, EdgeMessage, OwnerMessage, StreamId};
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
+use prometheus_client::metrics::gauge::Gauge;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,6 +32,9 @@
     /// The first message is not a hello, or a later one is.
     #[error("link without a proper hello")]
     Hello,
+    /// More batches than a stream may have ahead of their answers.
+    #[error("stream {stream:?} sent batches ahead of their answers")]
+    Flood { stream: StreamId },
     /// A stream id that does not rise.
     #[error("stream {offered:?} does not rise above {last:?}")]
     StreamId { offered: StreamId, last: StreamId },
@@ -63,14 +68,13 @@
     let peer = socket.peer_addr().map(|address| address.to_string()).unwrap_or_default();
     let frames: Frames = Framed::new(socket, FrameCodec::default());
     let (sink, source) = frames.split();
-    let (outbound, queue) = mpsc::unbounded_channel();
+    let (outbound, queue) = backlog::queue();
     let (ended, ends) = mpsc::unbounded_channel();
     let hello = OwnerMessage::Hello {
         proxy: context.settings.proxy.clone(),
         incarnation: context.settings.incarnation,
     };
-    // The queue's receiver is held below.
-    let _ = outbound.send(hello);
+    outbound.send(hello);
     let phase = context.phase();
     let link = Link { context, outbound, ended, streams: HashMap::new(), last: None };
     let result = tokio::select! {
@@ -87,7 +91,7 @@
 /// links are to close and nothing is left to send.
 async fn write(
     mut sink: SplitSink<Frames, OwnerMessage>,
-    mut queue: mpsc::UnboundedReceiver<OwnerMessage>,
+    mut queue: LinkQueue,
     mut phase: watch::Receiver<Phase>,
 ) -> Result<(), LinkError> {
     let mut told = false;
@@ -97,7 +101,7 @@
             told = true;
             sink.feed(OwnerMessage::Stopping).await?;
         }
-        while let Ok(message) = queue.try_recv() {
+        while let Some(message) = queue.try_recv() {
             sink.feed(message).await?;
         }
         sink.flush().await?;
@@ -116,12 +120,28 @@
     }
 }
 
+/// Counts a link as not read until it is dropped.
+struct HeldLink<'a>(&'a Gauge);
+
+impl<'a> HeldLink<'a> {
+    fn new(gauge: &'a Gauge) -> Self {
+        gauge.inc();
+        Self(gauge)
+    }
+}
+
+impl Drop for HeldLink<'_> {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 struct Link {
     context: Arc<Context>,
-    outbound: mpsc::UnboundedSender<OwnerMessage>,
+    outbound: LinkSender,
     ended: mpsc::UnboundedSender<StreamId>,
     /// Open streams. Dropping the map tells all of them that the caller is gone.
-    streams: HashMap<StreamId, mpsc::UnboundedSender<StreamInput>>,
+    streams: HashMap<StreamId, StreamSender>,
     last: Option<StreamId>,
 }
 
@@ -136,6 +156,10 @@
             _ => return Err(LinkError::Hello),
         }
         loop {
+            if self.outbound.is_full() {
+                let _held = HeldLink::new(&self.context.metrics.links_held);
+                self.outbound.has_room().await;
+            }
             tokio::select! {
                 message = source.next() => self.dispatch(message.ok_or(LinkError::Closed)??)?,
                 Some(stream) = ends.recv() => drop(self.streams.remove(&stream)),
@@ -148,14 +172,14 @@
             EdgeMessage::Hello { .. } => return Err(LinkError::Hello),
             EdgeMessage::Open { stream, request } => {
                 self.check_id(stream)?;
-                let (sender, input) = mpsc::unbounded_channel();
+                let (sender, input) = stream::channel();
                 self.streams.insert(stream, sender);
                 let outbound = Outbound::new(stream, self.outbound.clone(), self.ended.clone());
                 let context = Arc::clone(&self.context);
                 let open = context.count_stream();
                 actix_rt::spawn(stream::run(context, *request, input, outbound, open));
             }
-            EdgeMessage::Batch { stream, batch } => self.pass(stream, StreamInput::Batch(batch)),
+            EdgeMessage::Batch { stream, batch } => self.pass_batch(stream, batch)?,
             EdgeMessage::Cancel { stream } => self.pass(stream, StreamInput::Cancel),
             EdgeMessage::Close { stream } => drop(self.streams.remove(&stream)),
             EdgeMessage::Window { stream, bytes } => self.pass(stream, StreamInput::Window(bytes)),
@@ -173,10 +197,21 @@
         }
     }
 
+    fn pass_batch(&self, stream: StreamId, batch: Batch) -> Result<(), LinkError> {
+        match self.streams.get(&stream) {
+            Some(sender) if sender.is_over_limit(&batch) => Err(LinkError::Flood { stream }),
+            Some(sender) => {
+                sender.send(StreamInput::Batch(batch));
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
     /// A message for a stream that has ended crossed its end, and is dropped.
     fn pass(&self, stream: StreamId, input: StreamInput) {
         if let Some(sender) = self.streams.get(&stream) {
-            let _ = sender.send(input);
+            sender.send(input);
         }
     }
 }
--- a/crates/owner/src/metrics.rs
+++ b/crates/owner/src/metrics.rs
@@ -46,6 +46,7 @@
     pub retries: Family<GroupLabel, Counter>,
     pub refusals: Family<ReasonLabel, Counter>,
     pub discarded: Family<GroupLabel, Counter>,
+    pub links_held: Gauge,
 }
 
 fn wait_histogram() -> Histogram {
@@ -64,6 +65,7 @@
             retries: Family::default(),
             refusals: Family::default(),
             discarded: Family::default(),
+            links_held: Gauge::default(),
         };
         let all = metrics.clone();
         let registry = registry.sub_registry_with_prefix("corktack_owner");
@@ -75,6 +77,8 @@
         registry.register("retries", "Attempts after the first", all.retries);
         registry.register("refusals", "Requests refused as not run, by reason", all.refusals);
         registry.register("discarded_connections", "Connections not reused", all.discarded);
+        let held = "Links not read since their edge does not take answers";
+        registry.register("links_held", held, all.links_held);
         metrics
     }
 
--- a/crates/owner/src/stream.rs
+++ b/crates/owner/src/stream.rs
@@ -1,5 +1,6 @@
 //! One stream: a transaction from its request to its final answer.
 
+use crate::backlog::LinkSender;
 use crate::batch::{self, BatchFacts};
 use crate::context::{Context, OpenCount};
 use crate::exchange::{Exchange, Exit};
@@ -14,6 +15,7 @@
 };
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::sync::mpsc;
 
 /// SQLSTATE of a statement that was cancelled.
@@ -21,6 +23,9 @@
 /// When to come back after a refusal that does not depend on the queue, in milliseconds.
 const RETRY_AFTER_MS: u32 = 100;
 
+/// Bytes of batches that may wait on a stream beside the one that runs.
+const PENDING_BYTES: usize = 8 * 1024 * 1024;
+
 /// What the edge sends on an open stream. The end of the channel means that the
 /// caller is gone.
 #[derive(Debug)]
@@ -30,10 +35,49 @@
     Window(u32),
 }
 
+/// The link's end of a stream's input. Dropping it tells that the caller is gone.
+#[derive(Debug)]
+pub(crate) struct StreamSender {
+    inputs: mpsc::UnboundedSender<StreamInput>,
+    pending: Arc<AtomicUsize>,
+}
+
+/// The stream's end of its input.
+#[derive(Debug)]
+pub(crate) struct StreamReceiver {
+    inputs: mpsc::UnboundedReceiver<StreamInput>,
+    /// Bytes of batches that the link passed and that were not taken yet.
+    pending: Arc<AtomicUsize>,
+}
+
+/// The input of one stream.
+pub(crate) fn channel() -> (StreamSender, StreamReceiver) {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let pending = Arc::<AtomicUsize>::default();
+    let sender = StreamSender { inputs: sender, pending: Arc::clone(&pending) };
+    (sender, StreamReceiver { inputs: receiver, pending })
+}
+
+impl StreamSender {
+    /// Whether a batch would be more than a stream may have waiting.
+    pub fn is_over_limit(&self, batch: &Batch) -> bool {
+        let waiting = self.pending.load(Ordering::Relaxed);
+        waiting > 0 && waiting + batch.messages.len() > PENDING_BYTES
+    }
+
+    pub fn send(&self, input: StreamInput) {
+        if let StreamInput::Batch(batch) = &input {
+            self.pending.fetch_add(batch.messages.len(), Ordering::Relaxed);
+        }
+        // A stream that has ended takes nothing more.
+        let _ = self.inputs.send(input);
+    }
+}
+
 /// What a stream reacts to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum InputEvent {
-    /// A batch was added to [`Input::batches`].
+    /// A batch came, for [`Input::take_batch`].
     Batch,
     /// The caller asked to cancel.
     Cancel,
@@ -46,24 +90,33 @@
 /// The input side of a stream.
 #[derive(Debug)]
 pub(crate) struct Input {
-    receiver: mpsc::UnboundedReceiver<StreamInput>,
+    receiver: StreamReceiver,
     /// Batches that came and are not sent yet.
-    pub batches: VecDeque<Batch>,
+    batches: VecDeque<Batch>,
     /// Bytes of answers that may be sent; negative after a message larger than the rest.
     pub window: i64,
 }
 
 impl Input {
+    /// The first batch that came and was not taken yet.
+    pub fn take_batch(&mut self) -> Option<Batch> {
+        let batch = self.batches.pop_front()?;
+        self.receiver.pending.fetch_sub(batch.messages.len(), Ordering::Relaxed);
+        Some(batch)
+    }
+
     /// The next event. Safe to cancel.
     pub async fn next(&mut self) -> InputEvent {
-        match self.receiver.recv().await {
+        match self.receiver.inputs.recv().await {
             Some(StreamInput::Batch(batch)) => {
                 self.batches.push_back(batch);
                 InputEvent::Batch
             }
             Some(StreamInput::Cancel) => InputEvent::Cancel,
             Some(StreamInput::Window(bytes)) => {
-                self.window += i64::from(bytes);
+                // No edge may let answers pile up here beyond the first window.
+                let window = self.window + i64::from(bytes);
+                self.window = window.min(i64::from(INITIAL_WINDOW_BYTES));
                 InputEvent::Window
             }
             None => InputEvent::Gone,
@@ -75,16 +128,12 @@
 #[derive(Debug)]
 pub(crate) struct Outbound {
     stream: StreamId,
-    link: mpsc::UnboundedSender<OwnerMessage>,
+    link: LinkSender,
     ended: mpsc::UnboundedSender<StreamId>,
 }
 
 impl Outbound {
-    pub fn new(
-        stream: StreamId,
-        link: mpsc::UnboundedSender<OwnerMessage>,
-        ended: mpsc::UnboundedSender<StreamId>,
-    ) -> Self {
+    pub fn new(stream: StreamId, link: LinkSender, ended: mpsc::UnboundedSender<StreamId>) -> Self {
         Self { stream, link, ended }
     }
 
@@ -105,8 +154,7 @@
     }
 
     fn send(&self, message: OwnerMessage) {
-        // A link that is gone has no one to answer.
-        let _ = self.link.send(message);
+        self.link.send(message);
     }
 }
 
@@ -128,7 +176,7 @@
 pub(crate) async fn run(
     context: Arc<Context>,
     request: OpenRequest,
-    receiver: mpsc::UnboundedReceiver<StreamInput>,
+    receiver: StreamReceiver,
     outbound: Outbound,
     _open: OpenCount,
 ) {
--- a/crates/owner/src/wire.rs
+++ b/crates/owner/src/wire.rs
@@ -2,6 +2,7 @@
 //! `pgwire` only where their content matters.
 
 use bytes::{Buf, BytesMut};
+use corktack_protocol::frame::PAYLOAD_LIMIT;
 use pgwire::error::PgWireError;
 use pgwire::messages::data::DataRow;
 use pgwire::messages::response::{ErrorResponse, ReadyForQuery, TransactionStatus as ReadyStatus};
@@ -12,8 +13,9 @@
 const HEADER_BYTES: usize = 5;
 /// Bytes of the length, which counts itself.
 const LENGTH_BYTES: usize = 4;
-/// Largest message that is passed on.
-const MESSAGE_LIMIT: usize = 64 * 1024 * 1024;
+/// Largest message that is passed on: it fits one frame of a link, together with
+/// what is held before it.
+pub(crate) const MESSAGE_LIMIT: usize = PAYLOAD_LIMIT - 128 * 1024;
 /// Field of an `ErrorResponse` that holds the SQLSTATE.
 const SQLSTATE_FIELD: u8 = b'C';
 
--- a/crates/owner/tests/support/back_end.rs
+++ b/crates/owner/tests/support/back_end.rs
@@ -2,6 +2,7 @@
 //!
 //! `write X` records X at the next position; `read` answers the member's name;
 //! `big N` answers N rows; `hold` waits for [`FakeMember::open_gate`] or a cancel;
+//! `huge` answers a row of nine MiB;
 //! `echo X` answers X after a while that depends on X, whatever is cancelled;
 //! `stray` answers once more than it was asked; `garble` answers no message;
 //! `die` cuts the connection once after [`Script::die_once`] was set; `fail` is an error.
@@ -344,6 +345,11 @@
                 self.row(&["stray"]);
             }
             "garble" => self.output.extend_from_slice(&[b'D', 0, 0, 0, 0]),
+            "huge" => {
+                let filler = "x".repeat(9 * 1024 * 1024);
+                self.row(&[&filler]);
+                self.finish_read();
+            }
             "fail" => self.error("22012", "as scripted"),
             "BEGIN" => {
                 self.in_transaction = true;
--- a/crates/owner/tests/support/edge.rs
+++ b/crates/owner/tests/support/edge.rs
@@ -4,7 +4,7 @@
 use bytes::BytesMut;
 use corktack_core::identity::{ClassName, GroupName, Incarnation, ProxyName};
 use corktack_core::position::Position;
-use corktack_protocol::frame::FrameCodec;
+use corktack_protocol::frame::{FrameCodec, FrameError};
 use corktack_protocol::peer::{
     Access, Batch, EdgeMessage, Failure, OpenRequest, OwnerMessage, PreparedStatement, ServedBy,
     StreamId, TransactionStatus,
@@ -14,7 +14,7 @@
 use pgwire::messages::simplequery::Query;
 use pgwire::messages::{DecodeContext, Message, PgWireBackendMessage};
 use std::net::SocketAddr;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::codec::Framed;
 
 pub struct TestEdge {
@@ -94,17 +94,40 @@
 
 impl TestEdge {
     pub async fn connect(address: SocketAddr) -> Self {
-        let socket = TcpStream::connect(address).await.unwrap();
+        Self::over(TcpStream::connect(address).await.unwrap()).await
+    }
+
+    /// Connects with a small buffer for what comes.
+    pub async fn connect_narrow(address: SocketAddr) -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        Self::over(socket.connect(address).await.unwrap()).await
+    }
+
+    async fn over(socket: TcpStream) -> Self {
         let frames = Framed::new(socket, FrameCodec::default());
         let mut edge = Self { frames, next: 0, waiting: Vec::new() };
-        let proxy = ProxyName::new("proxy-2").unwrap();
-        edge.send(EdgeMessage::Hello { proxy, incarnation: Incarnation(3) }).await;
+        edge.hello().await;
         assert!(matches!(edge.receive().await, Some(OwnerMessage::Hello { .. })));
         edge
     }
 
+    pub async fn hello(&mut self) {
+        let proxy = ProxyName::new("proxy-2").unwrap();
+        self.send(EdgeMessage::Hello { proxy, incarnation: Incarnation(3) }).await;
+    }
+
+    pub fn into_frames(self) -> Framed<TcpStream, FrameCodec<EdgeMessage, OwnerMessage>> {
+        self.frames
+    }
+
     pub async fn send(&mut self, message: EdgeMessage) {
-        self.frames.send(message).await.unwrap();
+        self.try_send(message).await.unwrap();
+    }
+
+    /// Sends on a link that the owner may have closed.
+    pub async fn try_send(&mut self, message: EdgeMessage) -> Result<(), FrameError> {
+        self.frames.send(message).await
     }
 
     pub async fn send_raw(&mut self, bytes: &[u8]) {
