Owner: what waits for a slot sleeps through commits

Change: a channel of its own for the loss of the group. The cost of the wake-ups was not measured; it was found by reading.

--- /dev/null
+++ b/crates/core/tests/retry.rs
@@ -0,0 +1,38 @@
+//! Retry budget and backoff.
+
+use corktack_core::retry::{Backoff, RetryBudget};
+use rstest::rstest;
+use std::time::Duration;
+
+/// Retries taken until the budget refuses one.
+fn retries(budget: &mut RetryBudget) -> usize {
+    std::iter::repeat_with(|| budget.try_retry()).take_while(|taken| *taken).count()
+}
+
+#[rstest]
+fn a_full_budget_allows_a_burst_and_then_a_share_of_requests() {
+    let mut budget = RetryBudget::default();
+    assert_eq!(retries(&mut budget), 50);
+    (0..20).for_each(|_| budget.request());
+    assert_eq!(retries(&mut budget), 4);
+}
+
+#[rstest]
+fn requests_without_retries_do_not_save_up_more_than_the_burst() {
+    let mut budget = RetryBudget::default();
+    (0..10_000).for_each(|_| budget.request());
+    assert_eq!(retries(&mut budget), 50);
+}
+
+#[rstest]
+#[case::first(1)]
+#[case::second(2)]
+fn delays_rise_to_a_bound_and_depend_on_the_seed_only(#[case] seed: u64) {
+    let (mut one, mut other) = (Backoff::new(seed), Backoff::new(seed));
+    for attempt in 0..100 {
+        let delay = one.delay(attempt);
+        assert_eq!(delay, other.delay(attempt));
+        let ceiling = Duration::from_millis(2 << attempt.min(10)).min(Duration::from_millis(100));
+        assert!(delay <= ceiling && delay >= ceiling / 2, "{delay:?} at attempt {attempt}");
+    }
+}
--- a/crates/owner/src/group.rs
+++ b/crates/owner/src/group.rs
@@ -93,6 +93,9 @@
     pub room: Arc<Notify>,
     state: Mutex<GroupState>,
     view: watch::Sender<Arc<GroupView>>,
+    /// Wakes what waits when the group is retired. Apart from `knowledge`, which
+    /// changes with each commit, so that a long queue sleeps through those.
+    pub retirement: watch::Sender<bool>,
     /// Rises when a position or the reachability of a member changes.
     knowledge: watch::Sender<u64>,
     open: Arc<AtomicU32>,
@@ -130,6 +133,7 @@
             room: Arc::default(),
             state: Mutex::new(state),
             view: watch::Sender::new(Arc::clone(&view)),
+            retirement: watch::Sender::new(false),
             knowledge: watch::Sender::new(0),
             open: Arc::default(),
             origin: context.now(),
--- a/crates/owner/src/standing.rs
+++ b/crates/owner/src/standing.rs
@@ -13,22 +13,20 @@
             std::mem::take(&mut state.idle)
         });
         drop(closed);
-        self.knowledge_changed();
+        self.retirement.send_replace(true);
     }
 
     /// Takes the group up again after [`Group::retire`].
     pub fn resume(&self) {
         self.with_state(|state| state.retired = false);
+        self.retirement.send_replace(false);
     }
 
     /// Waits until the group is retired.
     pub async fn retired(&self) {
-        let mut knowledge = self.follow_knowledge();
-        while !self.with_state(|state| state.retired) {
-            if knowledge.changed().await.is_err() {
-                return;
-            }
-        }
+        let mut retirement = self.retirement.subscribe();
+        // The sender lives in the group.
+        let _ = retirement.wait_for(|retired| *retired).await;
     }
 
     /// Records whether a probe of a member was answered.
