--- a/crates/sim/src/run/control.rs
+++ b/crates/sim/src/run/control.rs
@@ -1,16 +1,15 @@
 //! A control machine: the core's replica on the log of `corktack-storage`, the control
 //! state, and the duties of a leader.
 
+mod disk;
 mod duties;
 mod perform;
 mod serve;
 
 use super::event::{Address, Context, Packet};
 use super::history::Note;
-use super::variant::Variant;
 use corktack_core::consensus::{
-    CellConfig, CellMember, ConsensusSettings, Event, HardState, Message, Replica, RequestId, Role,
-    Snapshot,
+    CellConfig, CellMember, ConsensusSettings, Event, Message, Replica, RequestId, Role, Snapshot,
 };
 use corktack_core::failover::ProposalId;
 use corktack_core::identity::ReplicaId;
@@ -37,9 +36,6 @@
 /// Bytes of a segment; small, so that segments follow each other.
 const SEGMENT_BYTES: u64 = 4_096;
 
-/// Entries that a machine forgets at a crash when it does not write its log.
-const FORGOTTEN_ENTRIES: usize = 3;
-
 /// Why a machine had to end.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum MachineError {
@@ -162,44 +158,6 @@
         })
     }
 
-    /// Ends the process; of every file's unsynced tail a drawn part stays.
-    pub fn crash(&mut self, context: &mut Context<'_>) {
-        use rand::Rng;
-        if context.is(Variant::LogNotPersisted) && self.process.is_some() {
-            self.forget_last_entries();
-        }
-        self.process = None;
-        self.disk.crash(|bytes| context.random.random_range(0..=bytes));
-    }
-
-    /// Makes the disk as if the last entries had not been written, for a broken variant.
-    fn forget_last_entries(&mut self) {
-        let settings = ReplicaLogSettings { segment_bytes: SEGMENT_BYTES };
-        let Ok((_, persisted)) = MemoryLog::open_on(self.disk.clone(), settings) else { return };
-        let disk = MemoryDisk::new();
-        let settings = ReplicaLogSettings { segment_bytes: SEGMENT_BYTES };
-        let Ok((mut log, _)) = MemoryLog::open_on(disk.clone(), settings) else { return };
-        let kept = persisted.entries.len().saturating_sub(FORGOTTEN_ENTRIES);
-        let hard_state = HardState { commit: 0, ..persisted.hard_state };
-        let installed = persisted.snapshot.is_none_or(|it| log.install_snapshot(&it).is_ok());
-        if installed && log.persist(Some(hard_state), &persisted.entries[..kept]).is_ok() {
-            self.disk = disk;
-        }
-    }
-
-    /// Lets the disk fail after some more changes, which ends the process inside a write.
-    pub fn fail_disk_after(&mut self, operations: u64) {
-        self.disk.fail_after(operations);
-    }
-
-    /// Ends the process and empties its disk; it comes back under a new identity.
-    pub fn lose_disk(&mut self) {
-        self.process = None;
-        self.disk = MemoryDisk::new();
-        self.id = ReplicaId(self.id.0 + IDENTITIES_PER_LIFE);
-        self.first_cell = None;
-    }
-
     pub fn is_running(&self) -> bool {
         self.process.is_some()
     }
