End to end: limits, stops, the cell, the token; a stopped proxy frees its folder

Cause: nothing showed from outside that limits and time-outs have effect, that a planned stop finishes what is open, that operators need the token and that the cell is changed one replica at a time. Looked for, and found by reading: a proxy's stop returned while the thread that stores configurations still held the lock of the data folder. That is mended here: the stop waits for the thread, at most 5 s.

Change: limits.rs, stops.rs, cell.rs with a third proxy of a test's own; WatchHandle::stop waits; edge_settings and owner_settings are public so that settings_in_use.rs can show that every number reaches its part.

Seen failing: the limits, drain, promotion and token tests and every_limit... with the lines they prove taken out (6 tests), the startup limit alone (1), a stop that does not wait (1).

--- a/crates/cli/tests/end_to_end/main.rs
+++ b/crates/cli/tests/end_to_end/main.rs
@@ -2,8 +2,11 @@
 
 mod authentication;
 mod callers;
+mod cell;
 mod errors;
+mod limits;
 mod operators;
 mod processes;
 mod sessions;
+mod stops;
 mod support;
--- a/crates/cli/tests/end_to_end/support/mod.rs
+++ b/crates/cli/tests/end_to_end/support/mod.rs
@@ -2,9 +2,11 @@
 
 mod caller;
 mod program;
+mod third;
 
 pub use caller::{Caller, CallerSettings, sqlstate};
 pub use program::{Finished, Program};
+pub use third::ThirdProxy;
 
 use corktack_server::dev::{Dev, DevSettings};
 use std::net::SocketAddr;
--- a/crates/cli/tests/end_to_end/support/program.rs
+++ b/crates/cli/tests/end_to_end/support/program.rs
@@ -30,6 +30,12 @@
         Self { command }
     }
 
+    /// Sets a variable of its environment.
+    pub fn variable(mut self, name: &str, value: &str) -> Self {
+        self.command.env(name, value);
+        self
+    }
+
     /// Runs it to its end. A run that does not end in time is ended, and fails the test.
     pub async fn run(mut self) -> Finished {
         let mut child = Running(self.command.spawn().expect("the program starts"));
--- a/crates/server/src/proxy/mod.rs
+++ b/crates/server/src/proxy/mod.rs
@@ -2,6 +2,8 @@
 
 mod wiring;
 
+pub use wiring::{edge_settings, owner_settings};
+
 use crate::listeners::{ListenError, bind, bound_address};
 use crate::settings::{ProxySettings, millis};
 use crate::signals::{StopSignals, write_events_on_signal};
@@ -194,7 +196,7 @@
         if timeout(self.drain_limit, self.owner.drain()).await.is_err() {
             log::error!("streams of other proxies were still open at the end of the drain");
         }
-        self.watch.stop();
+        self.watch.stop().await;
         self.http.stop(true).await;
     }
 
--- a/crates/server/src/proxy/wiring.rs
+++ b/crates/server/src/proxy/wiring.rs
@@ -29,7 +29,9 @@
     }
 }
 
-pub(super) fn owner_settings(settings: &ProxySettings, incarnation: Incarnation) -> OwnerSettings {
+/// The settings of a proxy's owner.
+#[must_use]
+pub fn owner_settings(settings: &ProxySettings, incarnation: Incarnation) -> OwnerSettings {
     let (name, zone) = (settings.name.clone(), settings.zone.clone());
     let timeouts = &settings.timeouts;
     let mut owner = OwnerSettings::new(name, incarnation, zone);
@@ -41,7 +43,9 @@
     owner
 }
 
-pub(super) fn edge_settings(
+/// The settings of a proxy's edge, whose own owner listens on `peers`.
+#[must_use]
+pub fn edge_settings(
     settings: &ProxySettings,
     peers: SocketAddr,
     incarnation: Incarnation,
--- a/crates/server/src/watch_client/mod.rs
+++ b/crates/server/src/watch_client/mod.rs
@@ -24,6 +24,7 @@
 use std::time::Duration;
 use task::WatchTask;
 use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
 
 /// Why the watch could not start.
 #[derive(Debug, thiserror::Error)]
@@ -36,6 +37,10 @@
     Thread(#[source] std::io::Error),
 }
 
+/// Longest wait of a stop for the thread that stores configurations: a disk that hangs must
+/// not hold up the end of the process.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+
 /// What the owner of a watch may ask of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Request {
@@ -52,6 +57,8 @@
     current: watch::Receiver<bool>,
     requests: mpsc::UnboundedSender<Request>,
     arbiter: actix_rt::Arbiter,
+    /// Closed once the store is let go of.
+    ended: mpsc::Receiver<()>,
 }
 
 impl WatchHandle {
@@ -73,9 +80,14 @@
         let _ = self.requests.send(Request::Drain);
     }
 
-    /// Ends the watch and its thread, as dropping the handle does.
-    pub fn stop(self) {
-        drop(self);
+    /// Ends the watch, and returns once its store is let go of, and with it the lock of the
+    /// data folder. Dropping the handle ends the watch as well, without the wait.
+    pub async fn stop(mut self) {
+        // It fails only when the watch has ended already.
+        let _ = self.requests.send(Request::Stop);
+        if timeout(STOP_LIMIT, self.ended.recv()).await.is_err() {
+            log::error!("the configuration was still being stored at the end of the watch");
+        }
     }
 }
 
@@ -104,7 +116,9 @@
     let (publish, views) = watch::channel(Arc::new(stored.clone()));
     let (proved, current) = watch::channel(false);
     let (requests, asked) = mpsc::unbounded_channel();
-    let syncer = store::Syncer::start(store, metrics.clone()).map_err(WatchError::Thread)?;
+    let (running, ended) = mpsc::channel(1);
+    let syncer = store::Syncer::start(store, metrics.clone(), running);
+    let syncer = syncer.map_err(WatchError::Thread)?;
     let task = WatchTask {
         settings,
         stored,
@@ -118,5 +132,5 @@
     };
     let arbiter = actix_rt::Arbiter::new();
     arbiter.spawn(task.run());
-    Ok(WatchHandle { views, current, requests, arbiter })
+    Ok(WatchHandle { views, current, requests, arbiter, ended })
 }
--- a/crates/server/src/watch_client/store.rs
+++ b/crates/server/src/watch_client/store.rs
@@ -30,11 +30,19 @@
 }
 
 impl Syncer {
-    pub(super) fn start(store: Box<dyn ViewStore>, metrics: WatchMetrics) -> std::io::Result<Self> {
+    /// Starts the thread; it drops `running` after the store.
+    pub(super) fn start(
+        store: Box<dyn ViewStore>,
+        metrics: WatchMetrics,
+        running: mpsc::Sender<()>,
+    ) -> std::io::Result<Self> {
         let (views, written) = channel();
         let (report, synced) = mpsc::unbounded_channel();
         let thread = std::thread::Builder::new().name("view-sync".to_owned());
-        thread.spawn(move || write_views(store, &written, &report, &metrics))?;
+        thread.spawn(move || {
+            write_views(store, &written, &report, &metrics);
+            drop(running);
+        })?;
         Ok(Self { views, synced })
     }
 
--- a/crates/server/tests/settings.rs
+++ b/crates/server/tests/settings.rs
@@ -1,9 +1,5 @@
 //! Settings files: what is refused, and that the error names file, key and value.
 
-use corktack_control::CellStart;
-use corktack_core::identity::ReplicaId;
-use corktack_protocol::cell::CellName;
-use corktack_server::control::replica_settings;
 use corktack_server::listeners::bind;
 use corktack_server::settings::{
     ControlOverrides, ControlSettings, ProxyOverrides, ProxySettings, SettingsError, ValueProblem,
@@ -11,7 +7,6 @@
 use rstest::rstest;
 use std::io::ErrorKind;
 use std::path::PathBuf;
-use std::time::Duration;
 use tempfile::TempDir;
 
 const PROXY: &str = r#"
@@ -157,68 +152,6 @@
     assert!(!error.to_string().contains("short\""));
 }
 
-/// Every key of the section, as the parser itself lists them.
-const FAILOVER_KEYS: [&str; 15] = [
-    "suspicion_ms",
-    "probe_interval_ms",
-    "probe_ms",
-    "unobserved_interval_ms",
-    "sweep_interval_ms",
-    "resume_wait_ms",
-    "adoption_wait_ms",
-    "bootstrap_wait_ms",
-    "fence_settle_ms",
-    "retry_minimum_ms",
-    "retry_maximum_ms",
-    "answer_ms",
-    "cooldown_minimum_ms",
-    "cooldown_maximum_ms",
-    "quiet_ms",
-];
-
-#[test]
-fn every_time_of_the_failover_reaches_the_control_replica() {
-    let lines = FAILOVER_KEYS.iter().zip(2_001..).map(|(key, value)| format!("{key} = {value}\n"));
-    let section = format!("{CONTROL}[failover]\n{}", lines.collect::<String>());
-    let settings = load_control(&section).expect("accepted settings");
-    let replica = replica_settings(settings, PathBuf::from("log"));
-    let times = replica.failover;
-    let found = [
-        times.suspicion,
-        times.probe_interval,
-        replica.probe_timeout,
-        times.unobserved_interval,
-        times.sweep_interval,
-        times.resume_wait,
-        times.adoption_wait,
-        times.bootstrap_wait,
-        times.fence_settle,
-        times.retry_first,
-        times.retry_last,
-        times.answer_timeout,
-        times.cooldown_first,
-        times.cooldown_last,
-        times.quiet_time,
-    ];
-    let expected: Vec<Duration> = (2_001..2_016).map(Duration::from_millis).collect();
-    assert_eq!(found.to_vec(), expected);
-}
-
-#[test]
-fn without_a_section_the_failover_has_the_times_of_the_control_replica() {
-    let settings = load_control(CONTROL).expect("accepted settings");
-    let members = settings.members.len();
-    let replica = replica_settings(settings, PathBuf::from("log"));
-    let start = CellStart::Join(Vec::with_capacity(members));
-    let cell = CellName("main".to_owned());
-    let plain = corktack_control::ControlSettings::new(cell, ReplicaId(1), start, "log".into());
-    assert_eq!(format!("{:?}", replica.failover), format!("{:?}", plain.failover));
-    assert_eq!(replica.probe_timeout, plain.probe_timeout);
-    assert_eq!(replica.back_end_timeout, plain.back_end_timeout);
-    assert_eq!(replica.watch_changes, plain.watch_changes);
-    assert_eq!(replica.snapshot_entries, plain.snapshot_entries);
-}
-
 #[rstest]
 #[case("suspicion_ms = 0", "failover.suspicion_ms")]
 #[case("retry_minimum_ms = 5000", "failover.retry_minimum_ms")]
--- /dev/null
+++ b/crates/server/tests/settings_in_use.rs
@@ -0,0 +1,160 @@
+//! What a settings file says reaches the part that uses it.
+
+use corktack_control::CellStart;
+use corktack_core::identity::{Incarnation, ReplicaId};
+use corktack_protocol::cell::CellName;
+use corktack_server::control::replica_settings;
+use corktack_server::proxy::{edge_settings, owner_settings};
+use corktack_server::settings::{
+    ControlOverrides, ControlSettings, ProxyOverrides, ProxySettings, SettingsError,
+};
+use rstest::rstest;
+use std::path::PathBuf;
+use std::time::Duration;
+use tempfile::TempDir;
+
+const PROXY: &str = r#"
+name = "proxy-1"
+zone = "amba.a"
+data_folder = "/var/lib/corktack"
+[addresses]
+callers = "127.0.0.1:6432"
+peers = "127.0.0.1:7001"
+telemetry = "127.0.0.1:9101"
+[control]
+replicas = ["127.0.0.1:7101", "127.0.0.1:7102"]
+[authentication]
+mode = "trust"
+[limits]
+callers = 500
+"#;
+
+const CONTROL: &str = r#"
+replica = 1
+data_folder = "/var/lib/corktack"
+[addresses]
+cell = "127.0.0.1:7100"
+proxies = "127.0.0.1:7101"
+operators = "127.0.0.1:7102"
+[[members]]
+id = 1
+address = "127.0.0.1:7100"
+"#;
+
+fn file(text: &str) -> (TempDir, PathBuf) {
+    let folder = tempfile::tempdir().expect("temporary folder");
+    let path = folder.path().join("settings.toml");
+    std::fs::write(&path, text).expect("file written");
+    (folder, path)
+}
+
+fn load_proxy(text: &str) -> Result<ProxySettings, SettingsError> {
+    ProxySettings::load(&file(text).1, ProxyOverrides::default())
+}
+
+fn load_control(text: &str) -> Result<ControlSettings, SettingsError> {
+    ControlSettings::load(&file(text).1, ControlOverrides::default())
+}
+
+/// Every key of the section, as the parser itself lists them.
+const FAILOVER_KEYS: [&str; 15] = [
+    "suspicion_ms",
+    "probe_interval_ms",
+    "probe_ms",
+    "unobserved_interval_ms",
+    "sweep_interval_ms",
+    "resume_wait_ms",
+    "adoption_wait_ms",
+    "bootstrap_wait_ms",
+    "fence_settle_ms",
+    "retry_minimum_ms",
+    "retry_maximum_ms",
+    "answer_ms",
+    "cooldown_minimum_ms",
+    "cooldown_maximum_ms",
+    "quiet_ms",
+];
+
+#[test]
+fn every_time_of_the_failover_reaches_the_control_replica() {
+    let lines = FAILOVER_KEYS.iter().zip(2_001..).map(|(key, value)| format!("{key} = {value}\n"));
+    let section = format!("{CONTROL}[failover]\n{}", lines.collect::<String>());
+    let settings = load_control(&section).expect("accepted settings");
+    let replica = replica_settings(settings, PathBuf::from("log"));
+    let times = replica.failover;
+    let found = [
+        times.suspicion,
+        times.probe_interval,
+        replica.probe_timeout,
+        times.unobserved_interval,
+        times.sweep_interval,
+        times.resume_wait,
+        times.adoption_wait,
+        times.bootstrap_wait,
+        times.fence_settle,
+        times.retry_first,
+        times.retry_last,
+        times.answer_timeout,
+        times.cooldown_first,
+        times.cooldown_last,
+        times.quiet_time,
+    ];
+    let expected: Vec<Duration> = (2_001..2_016).map(Duration::from_millis).collect();
+    assert_eq!(found.to_vec(), expected);
+}
+
+#[test]
+fn without_a_section_the_failover_has_the_times_of_the_control_replica() {
+    let settings = load_control(CONTROL).expect("accepted settings");
+    let members = settings.members.len();
+    let replica = replica_settings(settings, PathBuf::from("log"));
+    let start = CellStart::Join(Vec::with_capacity(members));
+    let cell = CellName("main".to_owned());
+    let plain = corktack_control::ControlSettings::new(cell, ReplicaId(1), start, "log".into());
+    assert_eq!(format!("{:?}", replica.failover), format!("{:?}", plain.failover));
+    assert_eq!(replica.probe_timeout, plain.probe_timeout);
+    assert_eq!(replica.back_end_timeout, plain.back_end_timeout);
+    assert_eq!(replica.watch_changes, plain.watch_changes);
+    assert_eq!(replica.snapshot_entries, plain.snapshot_entries);
+}
+
+/// Every number is another one, so that none can stand for another.
+const PROXY_NUMBERS: &str = "callers = 501\nedge_arbiters = 3\nowner_arbiters = 4\n\
+    message_bytes = 2001\nstartup_message_bytes = 2002\n[timeouts]\ndrain_ms = 2003\n\
+    authentication_ms = 2004\nrequest_ms = 2005\nprobe_interval_ms = 2006\nprobe_ms = 2007\n\
+    outcome_retention_s = 2008\n";
+
+#[test]
+fn every_limit_and_time_of_a_proxy_reaches_its_part() {
+    let settings = load_proxy(&PROXY.replace("callers = 500", PROXY_NUMBERS));
+    let settings = settings.expect("accepted settings");
+    let peers = "0.0.0.0:7001".parse().expect("valid literal");
+    let edge = edge_settings(&settings, peers, Incarnation(1));
+    assert_eq!((edge.connection_limit, edge.arbiters), (501, 3));
+    assert_eq!((edge.message_limit, edge.startup_message_limit), (2_001, 2_002));
+    let times = [edge.drain_timeout, edge.startup_timeout, edge.request_timeout];
+    assert_eq!(times, [2_003, 2_004, 2_005].map(Duration::from_millis));
+    assert_eq!(edge.own_owner, Some("127.0.0.1:7001".parse().expect("valid literal")));
+    let owner = owner_settings(&settings, Incarnation(1));
+    assert_eq!(owner.arbiters, 4);
+    assert_eq!(owner.probe_interval, Duration::from_millis(2_006));
+    assert_eq!(owner.probe_timeout, Duration::from_millis(2_007));
+    assert_eq!(owner.outcome_retention, Duration::from_secs(2_008));
+    assert_eq!(owner.back_end_user, "corktack");
+}
+
+#[rstest]
+#[case::given("peers_own = \"127.0.0.9:7009\"", "10.0.0.1:7001", "127.0.0.9:7009")]
+#[case::bound("", "10.0.0.1:7001", "10.0.0.1:7001")]
+#[case::every_address("", "0.0.0.0:7001", "127.0.0.1:7001")]
+#[case::every_address_of_version_6("", "[::]:7001", "[::1]:7001")]
+fn a_proxy_reaches_its_own_owner_at(
+    #[case] line: &str,
+    #[case] bound: &str,
+    #[case] expected: &str,
+) {
+    let settings = load_proxy(&PROXY.replace("[control]", &format!("{line}\n[control]")));
+    let bound = bound.parse().expect("valid literal");
+    let edge = edge_settings(&settings.expect("accepted settings"), bound, Incarnation(1));
+    assert_eq!(edge.own_owner, Some(expected.parse().expect("valid literal")));
+}
