--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,9 +16,12 @@
 mod node;
 mod platform;
 mod proxies;
+mod recovered;
 mod render;
 mod replica;
 mod settings;
+mod starting;
+mod state_codec;
 mod stop;
 
 pub use error::{ControlError, RequestError};
--- a/crates/core/src/classify/mod.rs
+++ b/crates/core/src/classify/mod.rs
@@ -1,8 +1,8 @@
 //! Decides from a statement's text where it may run.
 //!
 //! The decision is conservative: only what is surely a read is
-//! [`Classification::Read`]; a text that cannot be parsed is a write, so the
-//! primary sees it. Statements whose effect outlives their transaction cannot
+//! [`Classification::Read`]; a text that has no valid tokens is a write, so
+//! the primary sees it. Statements whose effect outlives their transaction cannot
 //! work on shared server connections and are refused before they run.
 
 mod cache;
@@ -18,7 +18,7 @@
 
 use statements::{Words, split_statements};
 
-/// Longest text that is parsed; a longer one is a write.
+/// Longest text that may be a read; a longer one is a write.
 pub const PARSED_TEXT_LIMIT: usize = 64 * 1024;
 
 /// What may be done with a text of one or more statements.
@@ -66,12 +66,30 @@
 }
 
 fn by_reads(text: &str, statements: &[Words]) -> Classification {
-    let reads = text.len() <= PARSED_TEXT_LIMIT
-        && statements.iter().all(read::reads_by_words)
-        && read::reads_by_syntax(text);
+    let reads = text.len() <= PARSED_TEXT_LIMIT && statements.iter().all(read::only_reads);
     if reads { Classification::Read } else { Classification::Write }
 }
 
+/// What a text that has run leaves behind of a transaction block.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BlockEffect {
+    /// The block there was, or none.
+    #[default]
+    None,
+    /// An open block.
+    Opens,
+    /// No block.
+    Ends,
+}
+
+impl BlockEffect {
+    /// The effect of this text and then another.
+    #[must_use]
+    pub fn then(self, later: Self) -> Self {
+        if later == Self::None { self } else { later }
+    }
+}
+
 /// What the proxy must know of a text before it runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StatementProfile {
@@ -81,6 +99,10 @@
     pub may_commit: bool,
     /// Whether it only starts a transaction: running it twice harms nobody.
     pub only_starts_transaction: bool,
+    /// Whether it only ends a transaction block.
+    pub only_ends_transaction: bool,
+    /// What it leaves behind of a transaction block.
+    pub block: BlockEffect,
 }
 
 impl StatementProfile {
@@ -92,7 +114,12 @@
             classification: classify(text),
             may_commit: statements.as_deref().is_none_or(|all| all.iter().any(commits)),
             only_starts_transaction: statements
+                .as_deref()
                 .is_some_and(|all| all.len() == 1 && all.iter().all(starts_transaction)),
+            only_ends_transaction: statements
+                .as_deref()
+                .is_some_and(|all| all.len() == 1 && block_effect(all) == BlockEffect::Ends),
+            block: statements.as_deref().map_or(BlockEffect::None, block_effect),
         }
     }
 }
@@ -104,3 +131,19 @@
 fn starts_transaction(statement: &Words) -> bool {
     statement.is_word(0, "begin") || statement.starts_with(&["start", "transaction"])
 }
+
+fn block_effect(statements: &[Words]) -> BlockEffect {
+    statements.iter().map(effect_of_one).fold(BlockEffect::None, BlockEffect::then)
+}
+
+fn effect_of_one(statement: &Words) -> BlockEffect {
+    let ends = ["commit", "end", "rollback", "abort"].iter().any(|word| statement.is_word(0, word));
+    let of_prepared = statement.is_word(1, "prepared");
+    if starts_transaction(statement) || (ends && statement.contains(&["and", "chain"])) {
+        BlockEffect::Opens
+    } else if ends && !of_prepared && !statement.contains(&["to"]) {
+        BlockEffect::Ends
+    } else {
+        BlockEffect::None
+    }
+}
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -2,9 +2,10 @@
 
 use crate::link::LinkPool;
 use crate::metrics::EdgeMetrics;
-use crate::retry::RetryBudget;
+use crate::retry::Retries;
 use crate::sessions::SessionTable;
 use crate::settings::EdgeSettings;
+use crate::startup::Credentials;
 use corktack_core::classify::{ProfileCache, StatementProfile};
 use corktack_core::view::View;
 use std::cell::RefCell;
@@ -39,8 +40,10 @@
     pub drain: watch::Receiver<DrainPhase>,
     /// Profiles of recent texts.
     pub profiles: RefCell<ProfileCache>,
+    /// What callers must know, unless every one is believed.
+    pub credentials: Option<Credentials>,
     /// Retries that are left.
-    pub retries: RefCell<RetryBudget>,
+    pub retries: RefCell<Retries>,
 }
 
 impl ArbiterContext {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -47,6 +47,9 @@
     pub proxy: ProxyName,
     /// This life of the process.
     pub incarnation: Incarnation,
+    /// Where the owner in this process listens, if the way there need not leave the
+    /// machine: used in place of the address that the configuration gives it.
+    pub local_owner: Option<SocketAddr>,
     /// Threads that serve callers.
     pub arbiters: usize,
     /// Callers' connections at once.
@@ -63,10 +66,10 @@
     pub authentication: Authentication,
     /// Longest wait until a request starts, and for any message of its answer.
     pub request_timeout: Duration,
+    /// Seed of the waits before a request is sent again.
+    pub retry_seed: u64,
     /// Longest wait of a drain for transactions in flight.
     pub drain_timeout: Duration,
-    /// Where this process's own owner is reached, whatever address it announces to others.
-    pub own_owner: Option<SocketAddr>,
 }
 
 impl EdgeSettings {
@@ -76,6 +79,7 @@
         Self {
             proxy,
             incarnation,
+            local_owner: None,
             arbiters: 2,
             connection_limit: 10_000,
             startup_message_limit: 8 * 1024,
@@ -84,8 +88,8 @@
             default_class,
             authentication: Authentication::Trust,
             request_timeout: Duration::from_secs(30),
+            retry_seed: rand::random(),
             drain_timeout: Duration::from_secs(60),
-            own_owner: None,
         }
     }
 }
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -1,6 +1,6 @@
 //! Names, addresses and files of a fleet before it is started.
 
-use super::ports::free_addresses;
+use super::ports::free_address;
 use crate::profile::Profile;
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -69,6 +69,9 @@
     pub proxies: Vec<ProxyPlan>,
     /// Groups, one a region in turn.
     pub groups: Vec<GroupPlan>,
+    /// Time between an owner's probes of a member, in milliseconds; the default of
+    /// `corktack proxy` when absent.
+    pub probe_interval_ms: Option<u32>,
 }
 
 impl FleetPlan {
@@ -86,24 +89,31 @@
         let proxies = (0..proxies).map(|n| plan_proxy(&profile, n)).collect::<Result<_, _>>()?;
         let groups = (0..profile.groups as usize).map(|n| plan_group(&profile, n));
         let groups = groups.collect::<Result<_, _>>()?;
-        Ok(Self { profile, folder: folder.to_owned(), controls, proxies, groups })
+        let folder = folder.to_owned();
+        Ok(Self { profile, folder, controls, proxies, groups, probe_interval_ms: None })
+    }
+
+    /// The same fleet with another time between an owner's probes, if one is given.
+    #[must_use]
+    pub fn with_probe_interval(mut self, probe_interval_ms: Option<u32>) -> Self {
+        self.probe_interval_ms = probe_interval_ms;
+        self
     }
 }
 
 fn plan_control(id: u64) -> std::io::Result<ControlPlan> {
-    let addresses = free_addresses(3)?;
-    Ok(ControlPlan { id, cell: addresses[0], proxies: addresses[1], operators: addresses[2] })
+    let (cell, proxies, operators) = (free_address()?, free_address()?, free_address()?);
+    Ok(ControlPlan { id, cell, proxies, operators })
 }
 
 fn plan_proxy(profile: &Profile, number: usize) -> std::io::Result<ProxyPlan> {
-    let addresses = free_addresses(3)?;
     let region = &profile.regions[number % profile.regions.len()];
     Ok(ProxyPlan {
         name: format!("proxy-{}", number + 1),
         zone: format!("{region}.1"),
-        callers: addresses[0],
-        peers: addresses[1],
-        telemetry: addresses[2],
+        callers: free_address()?,
+        peers: free_address()?,
+        telemetry: free_address()?,
     })
 }
 
@@ -111,12 +121,11 @@
     let region = &profile.regions[number % profile.regions.len()];
     let name = format!("{}-{}", profile.name, number + 1);
     let members = (1..=profile.members).map(|member| {
-        let addresses = free_addresses(2)?;
         Ok(MemberPlan {
             name: format!("{name}-m{member}"),
             zone: format!("{region}.{member}"),
-            sql: addresses[0],
-            replication: addresses[1],
+            sql: free_address()?,
+            replication: free_address()?,
         })
     });
     let members = members.collect::<std::io::Result<_>>()?;
@@ -153,6 +162,13 @@
     data_folder: &'a Path,
     addresses: ProxyFileAddresses,
     control: ProxyFileControl,
+    timeouts: ProxyFileTimeouts,
+}
+
+#[derive(Debug, Serialize)]
+struct ProxyFileTimeouts {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    probe_interval_ms: Option<u32>,
 }
 
 #[derive(Debug, Serialize)]
@@ -214,6 +230,7 @@
                 telemetry: proxy.telemetry,
             },
             control: ProxyFileControl { replicas: controls },
+            timeouts: ProxyFileTimeouts { probe_interval_ms: self.probe_interval_ms },
         })
     }
 }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -18,7 +18,10 @@
 mod probe;
 mod router;
 mod settings;
+mod slot;
+mod standing;
 mod stream;
+mod transcript;
 mod wire;
 
 use crate::context::Context;
--- a/crates/owner/src/router.rs
+++ b/crates/owner/src/router.rs
@@ -1,8 +1,10 @@
 //! The way of one request to a lease: barrier, wait for a replica, queue, connection.
 
-use crate::group::{Group, Slot};
+use crate::connection::ConnectionError;
+use crate::group::Group;
 use crate::lease::{Destination, Lease};
 use crate::metrics::ClassLabel;
+use crate::slot::{GivenUp, Slot};
 use corktack_core::admission::{AdmissionError, Lane};
 use corktack_core::identity::ClassName;
 use corktack_core::position::Position;
@@ -29,6 +31,20 @@
     }
 }
 
+impl From<AdmissionError> for Refusal {
+    fn from(error: AdmissionError) -> Self {
+        let (reason, retry_after_ms) = match error {
+            AdmissionError::QueueFull { retry_after_ms } => {
+                (NotRunReason::QueueFull, retry_after_ms)
+            }
+            AdmissionError::TooLate { retry_after_ms } => {
+                (NotRunReason::QueueTimeout, retry_after_ms)
+            }
+        };
+        Self { reason, retry_after_ms: Some(retry_after_ms) }
+    }
+}
+
 /// Why a request that did not run, or only read, is tried again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RetryCause {
@@ -79,8 +95,18 @@
         }
     }
 
-    /// Waits its turn and takes a server connection. Safe to cancel.
+    /// Waits its turn and takes a server connection. Safe to cancel. What has not
+    /// started when another proxy becomes the owner is left to that proxy.
     pub async fn obtain(&mut self) -> Result<Lease, Refusal> {
+        let group = Arc::clone(&self.group);
+        tokio::select! {
+            biased;
+            () = group.retired() => Err(Refusal::from(NotRunReason::NotOwner)),
+            lease = self.find_lease() => lease,
+        }
+    }
+
+    async fn find_lease(&mut self) -> Result<Lease, Refusal> {
         loop {
             let lane = self.choose_lane().await?;
             let slot = self.wait_for_slot(lane).await?;
@@ -183,16 +209,17 @@
 
     async fn wait_for_slot(&mut self, lane: Lane) -> Result<Slot, Refusal> {
         let started = Instant::now();
-        let pending = self.group.enqueue(&self.class, lane, self.deadline).map_err(|error| {
-            let AdmissionError::QueueFull { retry_after_ms } = error;
-            Refusal { reason: NotRunReason::QueueFull, retry_after_ms: Some(retry_after_ms) }
-        })?;
+        let enqueued = self.group.enqueue(&self.class, lane, self.deadline);
+        let pending = enqueued.map_err(Refusal::from)?;
         let slot = pending.wait(self.deadline).await;
         let label =
             ClassLabel { group: self.group.name.to_string(), class: self.class.to_string() };
         let waited = started.elapsed().as_secs_f64();
         self.group.metrics.queue_wait.get_or_create(&label).observe(waited);
-        slot.ok_or_else(|| self.late(lane))
+        slot.map_err(|given_up| match given_up {
+            GivenUp::Late => self.late(lane),
+            GivenUp::Displaced => Refusal::from(NotRunReason::QueueFull),
+        })
     }
 
     fn late(&self, lane: Lane) -> Refusal {
@@ -223,7 +250,8 @@
             _ = replaced => return None,
             leased = Lease::take(&self.group, slot, destination) => leased,
         };
-        if leased.is_err() {
+        // Without room for a connection nothing is known of the member.
+        if leased.as_ref().is_err_and(|error| !matches!(error, ConnectionError::NoRoom)) {
             self.note_unreachable(destination);
         }
         leased.ok()
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -10,8 +10,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tempfile::TempDir;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 use tokio_postgres::tls::NoTlsStream;
-use tokio_postgres::{Client, Config, Connection, Error, NoTls, SimpleQueryMessage};
+use tokio_postgres::{CancelToken, Client, Config, Connection, Error, NoTls, SimpleQueryMessage};
 
 /// Most attempts of a poll, and the pause between two.
 const ATTEMPTS: usize = 1000;
@@ -46,9 +48,12 @@
 /// A client whose connection is driven by its own calls, so that parameters can be read.
 pub struct Caller {
     pub client: Client,
-    connection: Connection<tokio_postgres::Socket, NoTlsStream>,
+    connection: Option<CallerConnection>,
+    position: Option<Position>,
 }
 
+type CallerConnection = Connection<tokio_postgres::Socket, NoTlsStream>;
+
 pub fn config(address: SocketAddr) -> Config {
     let mut config = Config::new();
     config.host(address.ip().to_string()).port(address.port()).user("clerk").dbname("cdr");
@@ -62,15 +67,22 @@
 
     pub async fn connect_with(config: &Config) -> Result<Self, Error> {
         let (client, connection) = config.connect(NoTls).await?;
-        Ok(Self { client, connection })
+        Ok(Self { client, connection: Some(connection), position: None })
     }
 
     pub async fn simple(&mut self, sql: &str) -> Result<Vec<Vec<Option<String>>>, Error> {
-        let request = self.client.simple_query(sql);
-        let messages = drive(&mut self.connection, request).await?;
+        let messages = self.messages(sql).await?;
         Ok(messages.iter().filter_map(row_texts).collect())
     }
 
+    pub async fn messages(&mut self, sql: &str) -> Result<Vec<SimpleQueryMessage>, Error> {
+        let request = self.client.simple_query(sql);
+        let result = drive(&mut self.connection, request).await;
+        let reported = self.connection.as_ref().and_then(|open| open.parameter(POSITION_PARAMETER));
+        self.position = reported.and_then(|text| text.parse().ok()).or(self.position);
+        result
+    }
+
     pub async fn status(&mut self) -> MemberStatus {
         let rows = self.simple(SHOW_STATUS).await.unwrap();
         let columns: Vec<_> = rows[0].iter().map(Option::as_deref).collect();
@@ -79,21 +91,28 @@
 
     /// The position the member reported last.
     pub fn position(&self) -> Option<Position> {
-        self.connection.parameter(POSITION_PARAMETER)?.parse().ok()
+        self.position
     }
 }
 
 /// Waits for a request while its connection is driven.
-pub async fn drive<T>(
-    connection: &mut Connection<tokio_postgres::Socket, NoTlsStream>,
+///
+/// A connection that ended is dropped at once: it owns the senders of the answers
+/// it still owed, and a request waits for ever while one of them lives.
+async fn drive<T>(
+    connection: &mut Option<CallerConnection>,
     request: impl Future<Output = Result<T, Error>>,
 ) -> Result<T, Error> {
     tokio::pin!(request);
-    tokio::select! {
-        biased;
-        result = &mut request => result,
-        _ = connection => request.await,
+    if let Some(open) = connection {
+        tokio::select! {
+            biased;
+            result = &mut request => return result,
+            _ = open => {}
+        }
     }
+    drop(connection.take());
+    request.await
 }
 
 fn row_texts(message: &SimpleQueryMessage) -> Option<Vec<Option<String>>> {
@@ -116,6 +135,18 @@
     error.code().map_or("closed", |state| state.code())
 }
 
+/// Sends a cancel request and waits until the member has dealt with it and closed the
+/// connection, so that it cannot reach a later statement.
+pub async fn cancel(token: &CancelToken, address: SocketAddr) {
+    let stream = std::net::TcpStream::connect(address).expect("the member listens");
+    stream.set_nonblocking(true).expect("a socket takes the option");
+    let sending = stream.try_clone().and_then(TcpStream::from_std).expect("a socket is cloned");
+    let mut closing = TcpStream::from_std(stream).expect("a socket is handed over");
+    token.cancel_query_raw(sending, NoTls).await.expect("the member takes the request");
+    let mut answer = Vec::new();
+    closing.read_to_end(&mut answer).await.expect("the member closes the connection");
+}
+
 /// Polls until a condition holds, for a bounded number of attempts.
 pub async fn eventually<F: Future<Output = bool>>(mut condition: impl FnMut() -> F) {
     for _ in 0..ATTEMPTS {
