--- a/crates/cli/tests/end_to_end/sessions.rs
+++ b/crates/cli/tests/end_to_end/sessions.rs
@@ -70,3 +70,17 @@
     let (term, index) = numbers.unwrap_or_else(|| panic!("{token:?} is no token of demo"));
     (term.parse().expect("a term"), index.parse().expect("an index"))
 }
+
+#[actix_rt::test]
+async fn a_repeated_write_under_one_key_runs_once_on_any_proxy() {
+    let dev = start_dev().await;
+    let (first, second) = (caller(&dev, 0).await, caller(&dev, 1).await);
+    first.batch_execute("CREATE TABLE beds (id INT)").await.expect("table made");
+    for session in [&first, &second, &first] {
+        let key = "SET corktack.idempotency_key = 'admission-1'";
+        session.batch_execute(key).await.expect("key set");
+        session.batch_execute("INSERT INTO beds VALUES (1)").await.expect("outcome of the first");
+    }
+    assert_eq!(second.value(COUNT).await, "1");
+    dev.stop().await;
+}
--- a/crates/server/src/proxy/wiring.rs
+++ b/crates/server/src/proxy/wiring.rs
@@ -39,6 +39,7 @@
     owner.back_end_user.clone_from(&settings.back_end_user);
     owner.probe_interval = millis(timeouts.probe_interval_ms);
     owner.probe_timeout = millis(timeouts.probe_ms);
+    owner.silence_timeout = millis(timeouts.member_silence_ms);
     owner.outcome_retention = Duration::from_secs(timeouts.outcome_retention_s.into());
     owner
 }
--- a/crates/server/src/settings/proxy/check.rs
+++ b/crates/server/src/settings/proxy/check.rs
@@ -108,6 +108,7 @@
         range("timeouts.request_ms", self.timeouts.request_ms)?;
         range("timeouts.probe_interval_ms", self.timeouts.probe_interval_ms)?;
         range("timeouts.probe_ms", self.timeouts.probe_ms)?;
+        range("timeouts.member_silence_ms", self.timeouts.member_silence_ms)?;
         let retention = self.timeouts.outcome_retention_s;
         check.range("timeouts.outcome_retention_s", retention, 1..=u64::from(u32::MAX))
     }
--- a/crates/server/src/settings/proxy/sections.rs
+++ b/crates/server/src/settings/proxy/sections.rs
@@ -172,6 +172,9 @@
     pub probe_interval_ms: u32,
     /// Time after which a probe counts as unanswered, in milliseconds. Default 200.
     pub probe_ms: u32,
+    /// How long a member may leave probes unanswered before work in flight there gets its
+    /// final answer and connections to it are closed, in milliseconds. Default 10000.
+    pub member_silence_ms: u32,
     /// How long the outcome of an idempotency key is kept, in seconds; a repeat after it
     /// runs again. Default 86400.
     pub outcome_retention_s: u32,
@@ -187,6 +190,7 @@
             request_ms: 30_000,
             probe_interval_ms: 50,
             probe_ms: 200,
+            member_silence_ms: 10_000,
             outcome_retention_s: 86_400,
         }
     }
--- a/crates/server/tests/settings_in_use.rs
+++ b/crates/server/tests/settings_in_use.rs
@@ -121,7 +121,7 @@
 /// Every number is another one, so that none can stand for another.
 const PROXY_NUMBERS: &str = "callers = 501\nedge_arbiters = 3\nowner_arbiters = 4\n\
     message_bytes = 2001\nstartup_message_bytes = 2002\n[timeouts]\ndrain_ms = 2003\n\
-    authentication_ms = 2004\nrequest_ms = 2005\nprobe_interval_ms = 2006\nprobe_ms = 2007\n\
+    authentication_ms = 2004\nrequest_ms = 2005\nprobe_interval_ms = 2006\nprobe_ms = 2007\nmember_silence_ms = 2009\n\
     outcome_retention_s = 2008\n";
 
 #[test]
@@ -134,11 +134,12 @@
     assert_eq!((edge.message_limit, edge.startup_message_limit), (2_001, 2_002));
     let times = [edge.drain_timeout, edge.startup_timeout, edge.request_timeout];
     assert_eq!(times, [2_003, 2_004, 2_005].map(Duration::from_millis));
-    assert_eq!(edge.own_owner, Some("127.0.0.1:7001".parse().expect("valid literal")));
+    assert_eq!(edge.local_owner, Some("127.0.0.1:7001".parse().expect("valid literal")));
     let owner = owner_settings(&settings, Incarnation(1));
     assert_eq!(owner.arbiters, 4);
     assert_eq!(owner.probe_interval, Duration::from_millis(2_006));
     assert_eq!(owner.probe_timeout, Duration::from_millis(2_007));
+    assert_eq!(owner.silence_timeout, Duration::from_millis(2_009));
     assert_eq!(owner.outcome_retention, Duration::from_secs(2_008));
     assert_eq!(owner.back_end_user, "corktack");
 }
@@ -156,5 +157,5 @@
     let settings = load_proxy(&PROXY.replace("[control]", &format!("{line}\n[control]")));
     let bound = bound.parse().expect("valid literal");
     let edge = edge_settings(&settings.expect("accepted settings"), bound, Incarnation(1));
-    assert_eq!(edge.own_owner, Some(expected.parse().expect("valid literal")));
+    assert_eq!(edge.local_owner, Some(expected.parse().expect("valid literal")));
 }
