--- a/crates/server/src/proxy/wiring.rs
+++ b/crates/server/src/proxy/wiring.rs
@@ -29,7 +29,9 @@
     }
 }
 
-pub(super) fn owner_settings(settings: &ProxySettings, incarnation: Incarnation) -> OwnerSettings {
+/// The settings of a proxy's owner.
+#[must_use]
+pub fn owner_settings(settings: &ProxySettings, incarnation: Incarnation) -> OwnerSettings {
     let (name, zone) = (settings.name.clone(), settings.zone.clone());
     let timeouts = &settings.timeouts;
     let mut owner = OwnerSettings::new(name, incarnation, zone);
@@ -37,11 +39,14 @@
     owner.back_end_user.clone_from(&settings.back_end_user);
     owner.probe_interval = millis(timeouts.probe_interval_ms);
     owner.probe_timeout = millis(timeouts.probe_ms);
+    owner.silence_timeout = millis(timeouts.member_silence_ms);
     owner.outcome_retention = Duration::from_secs(timeouts.outcome_retention_s.into());
     owner
 }
 
-pub(super) fn edge_settings(
+/// The settings of a proxy's edge, whose own owner listens on `peers`.
+#[must_use]
+pub fn edge_settings(
     settings: &ProxySettings,
     peers: SocketAddr,
     incarnation: Incarnation,
