--- a/crates/sim/src/run/control.rs
+++ b/crates/sim/src/run/control.rs
@@ -31,8 +31,9 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(60);
 /// Entries after which the log is compacted; small, so that snapshots are sent.
 const COMPACT_AFTER: u64 = 24;
-/// Changes held for watchers; small, so that proxies need snapshots.
-const DELTA_LIMIT: usize = 6;
+/// Changes held for watchers; few, so that proxies need snapshots, or enough to go back
+/// to the start.
+pub(crate) const DELTA_LIMITS: [usize; 2] = [6, 10_000];
 /// Bytes of a segment; small, so that segments follow each other.
 const SEGMENT_BYTES: u64 = 4_096;
 
@@ -71,6 +72,7 @@
     proven: Vec<(u64, Address, Incarnation)>,
     next_request: u64,
     snapshot_index: u64,
+    delta_limit: usize,
     duties: Option<Duties>,
 }
 
@@ -81,6 +83,7 @@
     disk: MemoryDisk,
     first_cell: Option<CellConfig>,
     starts: u64,
+    delta_limit: usize,
     process: Option<Process>,
 }
 
@@ -102,13 +105,14 @@
 }
 
 impl Machine {
-    pub fn new(index: u8) -> Self {
+    pub fn new(index: u8, delta_limit: usize) -> Self {
         Self {
             index,
             id: ReplicaId(u64::from(index) + 1),
             disk: MemoryDisk::new(),
             first_cell: Some(first_cell()),
             starts: 0,
+            delta_limit,
             process: None,
         }
     }
@@ -145,7 +149,7 @@
         Ok(Process {
             replica,
             log,
-            feed: DeltaLog::with_limit(state.view_revision(), DELTA_LIMIT),
+            feed: DeltaLog::with_limit(state.view_revision(), self.delta_limit),
             state,
             outcomes: BTreeMap::new(),
             proposals: BTreeMap::new(),
@@ -154,6 +158,7 @@
             proven: Vec::new(),
             next_request: 0,
             snapshot_index,
+            delta_limit: self.delta_limit,
             duties: None,
         })
     }
--- a/crates/sim/src/run/control/perform.rs
+++ b/crates/sim/src/run/control/perform.rs
@@ -1,7 +1,7 @@
 //! What a machine does with the actions of its replica.
 
 use super::duties::Duties;
-use super::{DELTA_LIMIT, MachineError, Origin, Process, machine_of};
+use super::{MachineError, Origin, Process, machine_of};
 use crate::run::event::{Context, Packet};
 use crate::run::history::{Note, digest};
 use crate::run::variant::Variant;
@@ -67,7 +67,7 @@
         self.log.install_snapshot(snapshot)?;
         self.snapshot_index = snapshot.index;
         self.outcomes.clear();
-        self.feed = DeltaLog::with_limit(self.state.view_revision(), DELTA_LIMIT);
+        self.feed = DeltaLog::with_limit(self.state.view_revision(), self.delta_limit);
         self.note_view(context);
         self.answer_applied(context);
         Ok(())
--- a/crates/sim/src/run/world.rs
+++ b/crates/sim/src/run/world.rs
@@ -3,7 +3,7 @@
 mod inject;
 
 use super::client::{CLIENTS, Client};
-use super::control::{MACHINES, Machine};
+use super::control::{DELTA_LIMITS, MACHINES, Machine};
 use super::event::{Address, Context, Packet};
 use super::faults::{Round, draw, everyone};
 use super::history::History;
@@ -78,6 +78,8 @@
     pub fn new(seed: u64, variant: Variant, keep_lines: bool) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let rounds = draw(&mut random);
+        // One seed of six keeps the whole history of the view.
+        let delta_limit = DELTA_LIMITS[usize::from(seed % 6 == 5)];
         let clock = |random: &mut ChaCha8Rng| Clock {
             origin: random.random_range(0..1_000_000_000),
             rate: random.random_range(CLOCK_RATES),
@@ -95,7 +97,7 @@
             frozen: BTreeMap::new(),
             network: Network::new(),
             rounds,
-            machines: (0..MACHINES).map(Machine::new).collect(),
+            machines: (0..MACHINES).map(|one| Machine::new(one, delta_limit)).collect(),
             proxies: (0..PROXIES).map(Proxy::new).collect(),
             members: (0..MEMBERS).map(|one| Member::new(one, member_name(one))).collect(),
             clients: (0..CLIENTS).map(Client::new).collect(),
