Edge: a key waits for the write that runs under it

Cause: a driver that prepares first sends Parse, Describe and Sync; that batch took the idempotency key with it, so the Execute that followed ran without one and could run twice.

--- a/crates/edge/src/session/forward.rs
+++ b/crates/edge/src/session/forward.rs
@@ -85,8 +85,9 @@
         uncertain: &mut Option<GroupName>,
     ) -> Result<Result<BatchOutcome, Rejection>, SessionEnd> {
         let deadline = Instant::now() + self.context.settings.request_timeout;
-        let writes = plan.access == Access::Write;
-        let key = if writes { self.idempotency_key.take() } else { None };
+        // A batch that only prepares a write leaves the key to the one that runs it.
+        let runs_write = plan.access == Access::Write && plan.executes;
+        let key = if runs_write { self.idempotency_key.take() } else { None };
         let mut view = self.context.view.clone();
         let mut attempt = 0;
         loop {
--- a/crates/edge/src/session/plan.rs
+++ b/crates/edge/src/session/plan.rs
@@ -44,6 +44,8 @@
     pub may_commit: bool,
     /// Whether running it twice harms nobody.
     pub repeatable: bool,
+    /// Whether anything runs; otherwise it only prepares.
+    pub executes: bool,
     /// What it leaves behind of a transaction block.
     pub block: BlockEffect,
 }
@@ -110,6 +112,7 @@
     may_commit: bool,
     /// Whether everything that runs only starts a transaction.
     repeatable: bool,
+    executes: bool,
     block: BlockEffect,
 }
 
@@ -127,6 +130,7 @@
             writes: false,
             may_commit: false,
             repeatable: true,
+            executes: false,
             block: BlockEffect::None,
         }
     }
@@ -138,6 +142,7 @@
             Message::Bind(bind) => self.take_bind(bind),
             Message::Describe(describe) => self.take_describe(describe),
             Message::Execute(execute) => {
+                self.executes = true;
                 let name = execute.name.as_deref().unwrap_or_default();
                 self.use_portal(name);
                 if let Some(statement) = self.portals.get(name) {
@@ -151,6 +156,7 @@
     }
 
     fn take_query(&mut self, query: &Query) -> Result<(), Rejection> {
+        self.executes = true;
         let profile = self.cache.profile(&query.query);
         self.use_text(&profile)?;
         self.block = self.block.then(profile.block);
@@ -266,7 +272,8 @@
             batch: Batch { prepared: prepared.collect(), messages: self.output.to_vec() },
             access: if self.writes { Access::Write } else { Access::Read },
             may_commit: self.may_commit,
-            repeatable: self.repeatable,
+            repeatable: self.repeatable || !self.executes,
+            executes: self.executes,
             block: self.block,
         }
     }
--- a/crates/edge/tests/callers/protocol.rs
+++ b/crates/edge/tests/callers/protocol.rs
@@ -284,3 +284,21 @@
     assert_eq!(caller.read().await, ('E', error));
     assert_eq!(caller.ready().await, 'I');
 }
+
+/// Drivers prepare a statement before they run it; the key belongs to the run.
+#[rstest]
+#[actix_rt::test]
+async fn idempotency_key_waits_until_a_prepared_write_runs() {
+    let Fixture { mut owner, edge, .. } = Fixture::start().await;
+    let mut caller = RawCaller::start(edge.address()).await;
+    caller.send(&wire::query("SET corktack.idempotency_key = 'order-7'")).await;
+    caller.read_until_ready().await;
+    let insert = parse("w", "INSERT INTO t VALUES (1)");
+    caller.send(&[insert, target('D', 'S', "w"), sync()].concat()).await;
+    let prepared = owner.serve_one("").await;
+    assert_eq!(prepared.idempotency_key, None, "nothing runs yet");
+    caller.read_until_ready().await;
+    caller.send(&[bind("", "w"), execute("", 0), sync()].concat()).await;
+    let run = owner.serve_one("").await;
+    assert_eq!(run.idempotency_key.as_deref(), Some("order-7"));
+}
