Add hollow back ends to the lab's scale runs

Cause: groups of a scale run named members that nobody served, so control could not be measured while it replaces primaries. Ruled out: the stand-in, which keeps a log on disk and runs SQL; 2,199 of them do not fit one machine. Change: scale/group.rs holds term, role and position of a group's members in memory, scale/back_end.rs answers the contract's statements for them over loopback sockets; a member dies closed or silent.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,11 +3,18 @@
 use corktack_lab::experiment::failover::{FailoverSettings, Fault, run_failovers};
 use corktack_lab::experiment::profile_load::{ProfileLoadSettings, run_profile};
 use corktack_lab::profile::Profile;
+use corktack_lab::scale::group::Life;
+use corktack_lab::scale::hollow_fleet::HollowSize;
+use corktack_lab::scale::plan::TARGET_NODES;
 use corktack_lab::scale::run::{ScaleSettings, run as run_scale};
+use corktack_lab::scale::zone_loss::{self, ZoneLossSettings};
 use eyre::eyre;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// Event loops of hollow nodes and back ends, beside the one of the run.
+const HOLLOW_THREADS: usize = 3;
+
 mod flags {
     use std::path::PathBuf;
 
@@ -40,6 +47,21 @@
                 /// Folder of the processes and the report.
                 optional --folder folder: PathBuf
             }
+            /// Loses a zone of hollow nodes and back ends, or restarts many nodes at once.
+            cmd zone-loss {
+                /// Hollow nodes.
+                optional --nodes count: u32
+                /// Control replicas.
+                optional --controls count: u64
+                /// Number of the zone that is lost, from 0.
+                optional --zone number: u32
+                /// Lost back ends leave connections open and unanswered, not closed.
+                optional --silent
+                /// Instead of the loss, restart so many nodes at once.
+                optional --restarts count: u32
+                /// Folder of the processes and the report.
+                optional --folder folder: PathBuf
+            }
             /// Measures what control costs with hollow nodes.
             cmd scale {
                 /// Numbers of nodes, separated by commas.
@@ -65,6 +87,7 @@
             flags::CorktackLabCmd::Load(load) => run_load(load).await,
             flags::CorktackLabCmd::Failover(failover) => run_failover(failover).await,
             flags::CorktackLabCmd::Scale(scale) => run_scale_sizes(scale).await,
+            flags::CorktackLabCmd::ZoneLoss(loss) => run_zone_loss(loss).await,
         }
     })
 }
@@ -115,6 +138,21 @@
     run_scale(&settings).await
 }
 
+async fn run_zone_loss(flags: flags::ZoneLoss) -> eyre::Result<()> {
+    let settings = ZoneLossSettings {
+        size: HollowSize {
+            nodes: flags.nodes.unwrap_or(TARGET_NODES),
+            controls: flags.controls.unwrap_or(9),
+            threads: HOLLOW_THREADS,
+        },
+        zone: flags.zone.unwrap_or(0),
+        death: if flags.silent { Life::Silent } else { Life::Refusing },
+        restarts: flags.restarts,
+        folder: folder(flags.folder.as_deref())?,
+    };
+    zone_loss::run(&settings).await
+}
+
 fn profile(name: &str) -> eyre::Result<Profile> {
     Profile::by_name(name).ok_or_else(|| eyre!("{name:?} is not carte or huts"))
 }
--- a/crates/lab/src/scale/node.rs
+++ b/crates/lab/src/scale/node.rs
@@ -1,7 +1,9 @@
 //! A hollow node: the real watch of control over a real connection, and nothing else.
 
+use super::loss::{FollowedLoss, Loss};
+use super::observe::{Changed, Observer};
 use corktack_core::time::Timestamp;
-use corktack_core::view::{Revision, View};
+use corktack_core::view::View;
 use corktack_protocol::control::{ControlMessage, Observation, ProxyMessage};
 use corktack_protocol::frame::FrameCodec;
 use corktack_server::watch_client::state::{Action, Event, WatchSettings, WatchState};
@@ -12,19 +14,17 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 use tokio_util::codec::{FramedRead, FramedWrite};
 use tokio_util::io::{InspectReader, InspectWriter};
 
-type Reader = FramedRead<
-    InspectReader<OwnedReadHalf, Box<dyn FnMut(&[u8]) + Send>>,
-    FrameCodec<ProxyMessage, ControlMessage>,
->;
-type Writer = FramedWrite<
-    InspectWriter<OwnedWriteHalf, Box<dyn FnMut(&[u8]) + Send>>,
-    FrameCodec<ProxyMessage, ControlMessage>,
->;
+/// Counts bytes as they pass.
+type Count = Box<dyn FnMut(&[u8]) + Send>;
+type Reader =
+    FramedRead<InspectReader<OwnedReadHalf, Count>, FrameCodec<ProxyMessage, ControlMessage>>;
+type Writer =
+    FramedWrite<InspectWriter<OwnedWriteHalf, Count>, FrameCodec<ProxyMessage, ControlMessage>>;
 
 /// Longest time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -53,6 +53,10 @@
     Observe(Vec<Observation>),
     /// Lose the connection and the configuration, as a restarted process would.
     Restart,
+    /// Tell the configuration in force.
+    Show(oneshot::Sender<View>),
+    /// Tell a loss which replacements are in force here.
+    Follow(Arc<Loss>),
 }
 
 /// A node as the run sees it.
@@ -71,17 +75,34 @@
     connection: Option<(Reader, Writer)>,
     counters: Arc<Counters>,
     revision: Arc<AtomicU64>,
+    observer: Option<Observer>,
+    loss: Option<FollowedLoss>,
+    changed: Changed,
 }
 
-/// Starts a node on the current event loop.
+/// Starts a node on the current event loop; it ends when its handle is dropped.
 #[must_use]
-pub fn start(settings: WatchSettings, counters: Arc<Counters>) -> NodeHandle {
+pub fn start(
+    settings: WatchSettings,
+    counters: Arc<Counters>,
+    observer: Option<Observer>,
+) -> NodeHandle {
     let (requests, asked) = mpsc::unbounded_channel();
     let revision = Arc::new(AtomicU64::new(0));
     let origin = Instant::now();
     let state = WatchState::new(settings.clone(), View::default(), Timestamp::ZERO);
     let shared = Arc::clone(&revision);
-    let node = Node { settings, state, origin, connection: None, counters, revision: shared };
+    let node = Node {
+        settings,
+        state,
+        origin,
+        connection: None,
+        counters,
+        revision: shared,
+        observer,
+        loss: None,
+        changed: Changed::default(),
+    };
     tokio::spawn(node.run(asked));
     NodeHandle { revision, requests }
 }
@@ -99,9 +120,24 @@
                     }
                 },
                 () = tokio::time::sleep_until(deadline) => Event::Tick,
+                now = probe_due(self.observer.as_ref()) => match self.look(now) {
+                    Some(event) => event,
+                    None => continue,
+                },
                 request = asked.recv() => match request {
                     Some(Request::Observe(observations)) => Event::Observed(observations),
                     Some(Request::Restart) => self.restart(),
+                    Some(Request::Show(asker)) => {
+                        // One that asked and went away needs no answer.
+                        let _ = asker.send(self.state.in_force().clone());
+                        continue;
+                    }
+                    Some(Request::Follow(loss)) => {
+                        let mut followed = FollowedLoss::new(loss);
+                        followed.follow(self.state.in_force(), &Changed::everything());
+                        self.loss = Some(followed);
+                        continue;
+                    }
                     None => return,
                 },
             };
@@ -114,6 +150,7 @@
         self.settings.incarnation.0 += 1;
         self.state = WatchState::new(self.settings.clone(), View::default(), self.now());
         self.revision.store(0, Ordering::Relaxed);
+        self.observer = self.observer.take().map(Observer::restarted);
         Event::Tick
     }
 
@@ -121,7 +158,26 @@
         Timestamp(self.origin.elapsed().as_micros() as u64)
     }
 
-    fn count_message(&self, message: ControlMessage) -> Event {
+    /// What probes that are due saw.
+    fn look(&mut self, now: Instant) -> Option<Event> {
+        let observations = self.observer.as_mut()?.look(now);
+        (!observations.is_empty()).then_some(Event::Observed(observations))
+    }
+
+    /// Shows the configuration that is now in force to those who follow it.
+    fn publish(&mut self) {
+        let view = self.state.in_force();
+        if let Some(observer) = &mut self.observer {
+            observer.follow(Instant::now(), view, &self.changed);
+        }
+        if let Some(loss) = &mut self.loss {
+            loss.follow(view, &self.changed);
+        }
+        self.revision.store(view.revision.0, Ordering::Relaxed);
+    }
+
+    fn count_message(&mut self, message: ControlMessage) -> Event {
+        self.changed = Changed::by(&message);
         self.counters.messages_in.fetch_add(1, Ordering::Relaxed);
         if matches!(message, ControlMessage::Snapshot(_)) {
             self.counters.snapshots.fetch_add(1, Ordering::Relaxed);
@@ -159,15 +215,23 @@
                 sent.is_err().then_some(Event::Disconnected)
             }
             Action::Publish => {
-                let Revision(revision) = self.state.in_force().revision;
-                self.revision.store(revision, Ordering::Relaxed);
-                Some(Event::Synced(Revision(revision)))
+                self.publish();
+                Some(Event::Synced(self.state.in_force().revision))
             }
             Action::Current => None,
         }
     }
 }
 
+/// Waits until a probe is due; for ever where there are none.
+async fn probe_due(observer: Option<&Observer>) -> Instant {
+    let Some(due) = observer.and_then(Observer::deadline) else {
+        return std::future::pending().await;
+    };
+    tokio::time::sleep_until(due).await;
+    Instant::now()
+}
+
 /// The next message; `None` when the connection is lost. Waits for ever without one.
 async fn receive(connection: &mut Option<(Reader, Writer)>) -> Option<ControlMessage> {
     let Some((reader, _)) = connection else { return std::future::pending().await };
@@ -187,10 +251,7 @@
     Some((reader, writer))
 }
 
-fn counter(
-    counters: &Arc<Counters>,
-    which: fn(&Counters) -> &AtomicU64,
-) -> Box<dyn FnMut(&[u8]) + Send> {
+fn counter(counters: &Arc<Counters>, which: fn(&Counters) -> &AtomicU64) -> Count {
     let counters = Arc::clone(counters);
     Box::new(move |bytes| {
         which(&counters).fetch_add(bytes.len() as u64, Ordering::Relaxed);
--- a/crates/lab/src/scale/plan.rs
+++ b/crates/lab/src/scale/plan.rs
@@ -88,11 +88,24 @@
 /// # Errors
 /// Errors of the names and of the YAML library.
 pub fn group_manifest(group: u32, port: u16, slots: u32) -> eyre::Result<String> {
+    let addresses = std::array::from_fn(|member| member_address(group, member as u32, port));
+    group_manifest_at(group, addresses, slots)
+}
+
+/// Manifest of one group with this many slots and its members at these addresses.
+///
+/// # Errors
+/// Errors of the names and of the YAML library.
+pub fn group_manifest_at(
+    group: u32,
+    addresses: [SocketAddr; MEMBERS as usize],
+    slots: u32,
+) -> eyre::Result<String> {
     let mut members = Vec::new();
-    for member in 0..MEMBERS {
+    for (member, address) in (0..).zip(addresses) {
         members.push(json!({
             "name": member_name(group, member),
-            "address": member_address(group, member, port),
+            "address": address,
             "zone": zone(group + member)?,
         }));
     }
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -2,13 +2,14 @@
 
 use super::fit::Fit;
 use super::node::{self, Counters, NodeHandle};
+use super::nodes::{revisions, start_arbiters, start_nodes, wait_above, wait_until_equal};
 use super::plan::{self, TARGET_NODES};
 use crate::fleet::plan::FleetPlan;
 use crate::fleet::{Fleet, Programs};
 use crate::profile::Profile;
 use crate::report;
 use crate::usage::Usage;
-use eyre::{WrapErr, bail};
+use eyre::WrapErr;
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -17,10 +18,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Longest wait until all nodes have a configuration.
-const CONVERGE_TIMEOUT: Duration = Duration::from_secs(120);
-/// Time between two looks at the nodes.
-const LOOK_INTERVAL: Duration = Duration::from_millis(2);
 /// Budget for control: share of a core a node.
 const PROCESSOR_BUDGET_PERCENT: f64 = 2.5;
 /// Budget for control: bytes a second a node.
@@ -113,7 +110,12 @@
     let before = Usage::of_this_process()?.resident_bytes;
     let fleet = Fleet::start(plan, Programs::beside_this_one()?).await?;
     let counters = Arc::new(Counters::default());
-    let handles = start_nodes(settings, nodes, &replicas, &counters).await?;
+    let start = |number| {
+        let settings = plan::node_settings(number, &replicas)?;
+        let counters = Arc::clone(&counters);
+        Ok(move || node::start(settings, counters, None))
+    };
+    let handles = start_nodes(&start_arbiters(settings.threads), nodes, start).await?;
     eprintln!("{nodes} nodes: connected to {} control replicas", settings.controls);
 
     let groups = plan::groups_for(nodes);
@@ -165,55 +167,6 @@
     processor.as_secs_f64() / seconds * 100.0
 }
 
-async fn start_nodes(
-    settings: &ScaleSettings,
-    nodes: u32,
-    replicas: &[SocketAddr],
-    counters: &Arc<Counters>,
-) -> eyre::Result<Vec<NodeHandle>> {
-    let arbiters: Vec<_> = (0..settings.threads).map(|_| actix_rt::Arbiter::new()).collect();
-    let (sender, mut started) = tokio::sync::mpsc::unbounded_channel();
-    for number in 0..nodes {
-        let settings = plan::node_settings(number, replicas)?;
-        let (sender, counters) = (sender.clone(), Arc::clone(counters));
-        arbiters[number as usize % arbiters.len()].spawn_fn(move || {
-            let _ = sender.send(node::start(settings, counters));
-        });
-    }
-    drop(sender);
-    let mut handles = Vec::new();
-    while let Some(handle) = started.recv().await {
-        handles.push(handle);
-    }
-    Ok(handles)
-}
-
-/// Waits until all nodes have the same revision, above zero, for a while.
-async fn wait_until_equal(handles: &[NodeHandle]) -> eyre::Result<u64> {
-    const STABLE: Duration = Duration::from_secs(2);
-    let deadline = Instant::now() + CONVERGE_TIMEOUT;
-    let mut since = Instant::now();
-    let mut last = 0;
-    while Instant::now() < deadline {
-        let (lowest, highest) = revisions(handles);
-        if lowest != highest || lowest != last || lowest == 0 {
-            since = Instant::now();
-            last = highest;
-        }
-        if since.elapsed() >= STABLE {
-            return Ok(lowest);
-        }
-        tokio::time::sleep(LOOK_INTERVAL).await;
-    }
-    let (lowest, highest) = revisions(handles);
-    bail!("nodes did not converge: revisions {lowest} to {highest}");
-}
-
-fn revisions(handles: &[NodeHandle]) -> (u64, u64) {
-    let all = || handles.iter().map(|handle| handle.revision.load(Ordering::Relaxed));
-    (all().min().unwrap_or(0), all().max().unwrap_or(0))
-}
-
 async fn measure_changes(
     settings: &ScaleSettings,
     fleet: &Fleet,
@@ -239,17 +192,6 @@
     Ok((times, bytes as f64 / f64::from(settings.changes.max(1))))
 }
 
-async fn wait_above(handles: &[NodeHandle], revision: u64) -> eyre::Result<()> {
-    let deadline = Instant::now() + CONVERGE_TIMEOUT;
-    while Instant::now() < deadline {
-        if revisions(handles).0 > revision {
-            return Ok(());
-        }
-        tokio::time::sleep(LOOK_INTERVAL).await;
-    }
-    bail!("a change was not in force everywhere within {CONVERGE_TIMEOUT:?}");
-}
-
 fn sample(fleet: &Fleet, counters: &Counters) -> eyre::Result<Sample> {
     let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
     let controls: Result<Vec<Usage>, _> =
@@ -292,8 +234,11 @@
     );
 }
 
+/// A figure's name, and the figure of one size.
+type Series = (&'static str, fn(&SizeResult) -> f64);
+
 fn print_fits(results: &[SizeResult]) {
-    let series: [(&str, fn(&SizeResult) -> f64); 5] = [
+    let series: [Series; 5] = [
         ("leader, percent of a core", |it| {
             it.controls.first().map_or(0.0, |c| c.processor_percent)
         }),
