Tell when a zone's replacement begins, reaches the first and all nodes

Cause: the time until all survivors have a new primary does not say which part is decision, procedure or distribution. Change: the zone loss run also gives when the first survivor knew that a primary is being replaced and when it had one, the revisions that the loss caused, and this process's own processor time.

--- a/crates/lab/src/scale/loss.rs
+++ b/crates/lab/src/scale/loss.rs
@@ -21,6 +21,10 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Mark {
     having: usize,
+    /// When the first of all saw the change begin: no part, or a live one.
+    begun: Option<Duration>,
+    /// When the first of all had one.
+    first: Option<Duration>,
     /// When the last of all had one; none while any has not.
     complete: Option<Duration>,
 }
@@ -83,10 +87,26 @@
     /// one for each group whose replacement all have.
     #[must_use]
     pub fn millis(&self, part: Part) -> Vec<f64> {
+        self.sorted_millis(part, |mark| mark.complete)
+    }
+
+    /// Times until the first survivor had one.
+    #[must_use]
+    pub fn first_millis(&self, part: Part) -> Vec<f64> {
+        self.sorted_millis(part, |mark| mark.first)
+    }
+
+    /// Times until the first survivor knew that a part is being replaced.
+    #[must_use]
+    pub fn begun_millis(&self, part: Part) -> Vec<f64> {
+        self.sorted_millis(part, |mark| mark.begun)
+    }
+
+    fn sorted_millis(&self, part: Part, time: fn(&Mark) -> Option<Duration>) -> Vec<f64> {
         let marks = self.lock();
         let of_part = marks.iter().filter(|((_, it), _)| *it == part);
-        let complete = of_part.filter_map(|(_, mark)| mark.complete);
-        let mut millis: Vec<f64> = complete.map(|it| it.as_secs_f64() * 1_000.0).collect();
+        let times = of_part.filter_map(|(_, mark)| time(mark));
+        let mut millis: Vec<f64> = times.map(|it| it.as_secs_f64() * 1_000.0).collect();
         millis.sort_by(f64::total_cmp);
         millis
     }
@@ -97,14 +117,31 @@
         self.lock().values().all(|mark| mark.complete.is_some())
     }
 
+    /// Notes that a part is no longer the lost one.
+    fn note_begun(&self, name: &GroupName, part: Part) {
+        if let Some(mark) = self.lock().get_mut(&(name.clone(), part)) {
+            mark.begun.get_or_insert_with(|| self.at.elapsed());
+        }
+    }
+
     fn note(&self, name: &GroupName, part: Part, has: bool) {
         let mut marks = self.lock();
         let Some(mark) = marks.get_mut(&(name.clone(), part)) else { return };
+        if has {
+            mark.first.get_or_insert_with(|| self.at.elapsed());
+        }
         mark.having = if has { mark.having + 1 } else { mark.having.saturating_sub(1) };
         mark.complete = (mark.having >= self.survivors).then(|| self.at.elapsed());
     }
 }
 
+fn is_absent(group: &GroupView, part: Part) -> bool {
+    match part {
+        Part::Primary => group.primary.is_none(),
+        Part::Owner => group.owner.is_none(),
+    }
+}
+
 /// What one node has in force of a loss's replacements.
 #[derive(Debug)]
 pub struct FollowedLoss {
@@ -127,6 +164,9 @@
                 let Some(had) = self.has.get_mut(&(name.clone(), part)) else { continue };
                 let group = view.groups.get(name);
                 let has = group.is_some_and(|group| self.loss.is_live(group, part));
+                if has || group.is_some_and(|group| is_absent(group, part)) {
+                    self.loss.note_begun(name, part);
+                }
                 if std::mem::replace(had, has) != has {
                     self.loss.note(name, part, has);
                 }
--- a/crates/lab/src/scale/zone_loss.rs
+++ b/crates/lab/src/scale/zone_loss.rs
@@ -8,6 +8,7 @@
 use super::restarts;
 use super::samples::{SAMPLE_INTERVAL, Samples, Spread, UseOverTime, load_average};
 use crate::report;
+use crate::usage::Usage;
 use corktack_core::routing::second_observer;
 use corktack_core::view::View;
 use serde::Serialize;
@@ -61,11 +62,19 @@
     pub owners_lost: usize,
     /// Milliseconds until all survivors had a live primary, of the groups that lost theirs.
     pub primary_millis: Spread,
+    /// Milliseconds until the first survivor knew that the primary is being replaced.
+    pub begun_millis: Spread,
+    /// Milliseconds until the first survivor had a live primary.
+    pub first_millis: Spread,
     /// Milliseconds until all survivors had a live owner, of the groups that lost theirs.
     pub owner_millis: Spread,
     /// Milliseconds for one core to choose the second observers of all groups, as every
     /// real proxy does at every change of its configuration.
     pub second_observers_millis: f64,
+    /// Revisions that the loss caused.
+    pub revisions: u64,
+    /// Processor time of this process, the nodes and back ends, as percent of a core.
+    pub own_processor_percent: f64,
     /// Use before the loss.
     pub quiet: UseOverTime,
     /// Use from the loss until the end.
@@ -122,7 +131,9 @@
     for node in &fleet.nodes {
         node.handle.requests.send(Request::Follow(Arc::clone(&loss)))?;
     }
+    let before = Usage::of_this_process()?.processor;
     let samples = sample_loss(&fleet, &loss).await?;
+    let own = (Usage::of_this_process()?.processor - before).as_secs_f64();
     Ok(ZoneLossResult {
         nodes: nodes as u32,
         groups: fleet.groups,
@@ -134,8 +145,12 @@
         primaries_lost: loss.count(Part::Primary),
         owners_lost: loss.count(Part::Owner),
         primary_millis: Spread::of(&loss.millis(Part::Primary)),
+        begun_millis: Spread::of(&loss.begun_millis(Part::Primary)),
+        first_millis: Spread::of(&loss.first_millis(Part::Primary)),
         owner_millis: Spread::of(&loss.millis(Part::Owner)),
         second_observers_millis: second_observers_millis(&view),
+        revisions: fleet.view().await?.revision.0 - view.revision.0,
+        own_processor_percent: own / loss.elapsed().as_secs_f64() * 100.0,
         quiet,
         loss: samples.summary(survivors),
     })
@@ -196,6 +211,13 @@
              {min:.0} / {median:.0} / {p99:.0} / {max:.0} ms (min / median / p99 / max)"
         );
     }
+    for (what, spread) in [("begun", result.begun_millis), ("first", result.first_millis)] {
+        let Spread { min, median, p99, max, .. } = spread;
+        println!(
+            "  primary, {what} on the first survivor after {min:.0} / {median:.0} / {p99:.0} / \
+             {max:.0} ms"
+        );
+    }
     let missed = result.primaries_lost - result.primary_millis.count;
     let within = missed == 0 && result.primary_millis.max <= BUDGET.as_secs_f64() * 1_000.0;
     let verdict = if within { "kept" } else { "missed" };
@@ -206,6 +228,9 @@
     );
     println!(" before the loss:");
     result.quiet.print();
-    println!(" from the loss:");
+    println!(
+        " from the loss, {} revisions, this process {:.0} % of a core:",
+        result.revisions, result.own_processor_percent
+    );
     result.loss.print();
 }
--- a/crates/lab/tests/zone_loss.rs
+++ b/crates/lab/tests/zone_loss.rs
@@ -153,11 +153,17 @@
 
     let begun = change(&mut view, |group| group.primary = None);
     nodes.iter_mut().for_each(|node| node.follow(&view, &begun));
+    assert_eq!(loss.begun_millis(Part::Primary).len(), 1);
+    assert_eq!(
+        (loss.begun_millis(Part::Owner).len(), loss.first_millis(Part::Primary).len()),
+        (0, 0)
+    );
     assert!(loss.millis(Part::Primary).is_empty());
 
     let changed = change(&mut view, |group| group.primary = Some(member(1)));
     nodes[0].follow(&view, &changed);
     nodes[0].follow(&view, &changed);
+    assert_eq!(loss.first_millis(Part::Primary).len(), 1);
     assert!(loss.millis(Part::Primary).is_empty());
     nodes[1].follow(&view, &changed);
     assert_eq!((loss.millis(Part::Primary).len(), loss.millis(Part::Owner).len()), (1, 0));
