--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,12 +3,19 @@
 use corktack_lab::experiment::failover::{FailoverSettings, Fault, run_failovers};
 use corktack_lab::experiment::profile_load::{ProfileLoadSettings, run_profile};
 use corktack_lab::profile::Profile;
+use corktack_lab::scale::group::Life;
+use corktack_lab::scale::hollow_fleet::HollowSize;
+use corktack_lab::scale::plan::TARGET_NODES;
 use corktack_lab::scale::proxy::{ProxyCostSettings, run as measure_proxy_cost};
 use corktack_lab::scale::run::{ScaleSettings, run as run_scale};
+use corktack_lab::scale::zone_loss::{self, ZoneLossSettings};
 use eyre::{WrapErr, eyre};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// Event loops of hollow nodes and back ends, beside the one of the run.
+const HOLLOW_THREADS: usize = 3;
+
 mod flags {
     use std::path::PathBuf;
 
@@ -60,6 +67,21 @@
                 /// Folder of the processes and the report.
                 optional --folder folder: PathBuf
             }
+            /// Loses a zone of hollow nodes and back ends, or restarts many nodes at once.
+            cmd zone-loss {
+                /// Hollow nodes.
+                optional --nodes count: u32
+                /// Control replicas.
+                optional --controls count: u64
+                /// Number of the zone that is lost, from 0.
+                optional --zone number: u32
+                /// Lost back ends leave connections open and unanswered, not closed.
+                optional --silent
+                /// Instead of the loss, restart so many nodes at once.
+                optional --restarts count: u32
+                /// Folder of the processes and the report.
+                optional --folder folder: PathBuf
+            }
             /// Measures what control costs with hollow nodes.
             cmd scale {
                 /// Numbers of nodes, separated by commas.
@@ -86,6 +108,7 @@
             flags::CorktackLabCmd::Failover(failover) => run_failover(failover).await,
             flags::CorktackLabCmd::ProxyCost(cost) => run_proxy_cost(cost).await,
             flags::CorktackLabCmd::Scale(scale) => run_scale_sizes(scale).await,
+            flags::CorktackLabCmd::ZoneLoss(loss) => run_zone_loss(loss).await,
         }
     })
 }
@@ -153,6 +176,21 @@
     numbers.wrap_err_with(|| format!("{text:?} is not a list of numbers"))
 }
 
+async fn run_zone_loss(flags: flags::ZoneLoss) -> eyre::Result<()> {
+    let settings = ZoneLossSettings {
+        size: HollowSize {
+            nodes: flags.nodes.unwrap_or(TARGET_NODES),
+            controls: flags.controls.unwrap_or(9),
+            threads: HOLLOW_THREADS,
+        },
+        zone: flags.zone.unwrap_or(0),
+        death: if flags.silent { Life::Silent } else { Life::Refusing },
+        restarts: flags.restarts,
+        folder: folder(flags.folder.as_deref())?,
+    };
+    zone_loss::run(&settings).await
+}
+
 fn profile(name: &str) -> eyre::Result<Profile> {
     Profile::by_name(name).ok_or_else(|| eyre!("{name:?} is not carte or huts"))
 }
