--- a/crates/owner/src/settings.rs
+++ b/crates/owner/src/settings.rs
@@ -3,8 +3,9 @@
 use corktack_core::identity::{Incarnation, ProxyName, ZoneName};
 use std::time::Duration;
 
-/// Default time between two probes of a member.
-const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// Default time between two probes of a member: four times the bytes of a shorter 50 ms
+/// would spend the network that a node has for control, see docs/CAPACITY.md.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 /// Default time after which a probe counts as unanswered.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Default time after which a silent member's work is given up: longer than a
--- a/crates/server/src/settings/proxy/sections.rs
+++ b/crates/server/src/settings/proxy/sections.rs
@@ -168,7 +168,7 @@
     /// Longest wait until a request starts, and for any message of its answer, in
     /// milliseconds. Default 30000.
     pub request_ms: u32,
-    /// Time between two probes of a member of an owned group, in milliseconds. Default 50.
+    /// Time between two probes of a member of an owned group, in milliseconds. Default 200.
     pub probe_interval_ms: u32,
     /// Time after which a probe counts as unanswered, in milliseconds. Default 200.
     pub probe_ms: u32,
@@ -188,7 +188,7 @@
             drain_ms: 60_000,
             authentication_ms: 10_000,
             request_ms: 30_000,
-            probe_interval_ms: 50,
+            probe_interval_ms: 200,
             probe_ms: 200,
             member_silence_ms: 10_000,
             outcome_retention_s: 86_400,
