Control: observations reach the leader between heartbeats

Cause: send_summaries took what proxies observed only on the tick of proxy_heartbeat_interval (1 s), so an Unreachable observation waited up to a second at the proxy's control replica before the leader heard of it. Ruled out by reading: a news summary in place of the tick's, as one sent to a leader that has just died is lost until the next full one; and one that takes the heartbeats along, as the full summary would then leave their proxies out. Change: observations wake the sender (tokio Notify). It waits BATCHING_INTERVAL (20 ms) before every summary, that of a tick included, so two are never closer however many observations come; a tick that is due goes first. A summary between ticks carries only observations not sent before, of the proxies that made them; the tick repeats them and carries the heartbeats as before, now 20 ms after it is due. Every fifth tick is full, not every fifth summary. Test: observations_reach_the_leader_between_heartbeats, heartbeat interval of an hour. No test shows the bound on a flood of observations; it holds by the order of the loop.

--- a/crates/control/src/proxies/table.rs
+++ b/crates/control/src/proxies/table.rs
@@ -11,12 +11,28 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::sync::Notify;
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 const SHARDS: usize = 16;
-/// Summaries between two that carry every observation, not only the changes: a
-/// new leader, or one that missed a summary, then knows all of them again.
+/// Ticks between two summaries that carry every observation, not only the changes:
+/// a new leader, or one that missed a summary, then knows all of them again.
 const FULL_SUMMARY_EVERY: u64 = 5;
+/// Wait before every summary, for what arrives together to go out together. Two
+/// summaries are never closer, whatever the proxies send.
+const BATCHING_INTERVAL: Duration = Duration::from_millis(20);
+
+/// What a summary carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Extent {
+    /// The observations that no summary has carried yet, between two ticks. The
+    /// next tick repeats them, as this summary may be lost to an election.
+    News,
+    /// The heartbeats since the last tick and the observations they brought.
+    Changes,
+    /// The heartbeats since the last tick and every observation.
+    Full,
+}
 
 /// Number of one connection, to tell a proxy's connections apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,7 +64,10 @@
     draining: bool,
     heard: bool,
     health: BTreeMap<MemberKey, MemberHealth>,
+    /// Observed since the last tick.
     changed: BTreeSet<MemberKey>,
+    /// Those of the changed that no summary has carried yet.
+    news: BTreeSet<MemberKey>,
 }
 
 type Shard = HashMap<ProxyName, ConnectedProxy>;
@@ -58,12 +77,13 @@
 pub(crate) struct ProxyTable {
     shards: Arc<[Mutex<Shard>; SHARDS]>,
     hasher: RandomState,
+    observed: Arc<Notify>,
 }
 
 impl ProxyTable {
     pub(crate) fn new() -> Self {
         let shards = std::array::from_fn(|_| Mutex::default());
-        Self { shards: Arc::new(shards), hasher: RandomState::new() }
+        Self { shards: Arc::new(shards), hasher: RandomState::new(), observed: Arc::default() }
     }
 
     fn shard(&self, proxy: &ProxyName) -> MutexGuard<'_, Shard> {
@@ -85,6 +105,7 @@
             heard: true,
             health: BTreeMap::new(),
             changed: BTreeSet::new(),
+            news: BTreeSet::new(),
             identity,
         };
         self.shard(&proxy.identity.proxy.clone()).insert(proxy.identity.proxy.clone(), proxy);
@@ -98,27 +119,30 @@
         }
     }
 
-    /// Notes a heartbeat. Says whether the connection is still the proxy's newest.
+    /// Notes a heartbeat; observations make a summary due. Says whether the
+    /// connection is still the proxy's newest.
     pub(crate) fn heartbeat(
         &self,
         connection: ConnectionId,
         proxy: &ProxyName,
         report: HeartbeatReport,
     ) -> bool {
-        let mut shard = self.shard(proxy);
-        match shard.get_mut(proxy) {
+        let observed = !report.observations.is_empty();
+        match self.shard(proxy).get_mut(proxy) {
             Some(entry) if entry.connection == connection => entry.note(report),
             _ => return false,
         }
+        if observed {
+            self.observed.notify_one();
+        }
         true
     }
 
-    /// What was heard since the last summary; with every observation when `full`.
-    fn summary(&self, full: bool) -> Vec<ProxyReport> {
+    fn summary(&self, extent: Extent) -> Vec<ProxyReport> {
         let mut reports = Vec::new();
         for shard in self.shards.iter() {
             let mut shard = lock(shard);
-            reports.extend(shard.values_mut().filter_map(|proxy| proxy.report(full)));
+            reports.extend(shard.values_mut().filter_map(|proxy| proxy.report(extent)));
         }
         reports
     }
@@ -137,19 +161,28 @@
         for observation in report.observations {
             let key = (observation.group, observation.member);
             self.changed.insert(key.clone());
+            self.news.insert(key.clone());
             self.health.insert(key, observation.health);
         }
     }
 
-    fn report(&mut self, full: bool) -> Option<ProxyReport> {
+    /// The proxy's part of a summary, if it has one.
+    fn report(&mut self, extent: Extent) -> Option<ProxyReport> {
+        let news = std::mem::take(&mut self.news);
+        if extent == Extent::News {
+            return (!news.is_empty()).then(|| self.report_of(|key| news.contains(key)));
+        }
         if !std::mem::take(&mut self.heard) {
             return None;
         }
         let changed = std::mem::take(&mut self.changed);
-        let wanted = |key: &MemberKey| full || changed.contains(key);
+        Some(self.report_of(|key| extent == Extent::Full || changed.contains(key)))
+    }
+
+    fn report_of(&self, wanted: impl Fn(&MemberKey) -> bool) -> ProxyReport {
         let observed = self.health.iter().filter(|(key, _)| wanted(key));
         let observations = observed.map(|(key, health)| observation(key, *health)).collect();
-        Some(ProxyReport {
+        ProxyReport {
             proxy: self.identity.proxy.clone(),
             incarnation: self.identity.incarnation,
             address: self.identity.address,
@@ -157,7 +190,7 @@
             revision: self.revision,
             draining: self.draining,
             observations,
-        })
+        }
     }
 }
 
@@ -165,23 +198,39 @@
     Observation { group: group.clone(), member: member.clone(), health }
 }
 
-/// Sends a summary to the leader every interval until the stop.
+/// Sends a summary to the leader every `spacing`, and one of the news soon after
+/// observations arrive, until the stop.
 pub(crate) async fn send_summaries(
     table: ProxyTable,
     spacing: Duration,
     node: NodeHandle,
     stop: StopSignal,
 ) {
+    tokio::select! {
+        () = run_summaries(table, spacing, node) => (),
+        () = stop.stopped() => (),
+    }
+}
+
+async fn run_summaries(table: ProxyTable, spacing: Duration, node: NodeHandle) {
     let mut ticks = interval(spacing);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    for number in 0_u64.. {
-        tokio::select! {
-            _ = ticks.tick() => (),
-            () = stop.stopped() => return,
-        }
-        let reports = table.summary(number % FULL_SUMMARY_EVERY == 0);
+    let mut tick_extents = (0_u64..).map(extent_of_tick);
+    loop {
+        let extent = tokio::select! {
+            // A tick carries the news as well, and no flood of them puts it off.
+            biased;
+            _ = ticks.tick() => tick_extents.next().unwrap_or(Extent::Full),
+            () = table.observed.notified() => Extent::News,
+        };
+        sleep(BATCHING_INTERVAL).await;
+        let reports = table.summary(extent);
         if !reports.is_empty() && node.send(NodeInput::Reports(reports)).is_err() {
             return;
         }
     }
 }
+
+const fn extent_of_tick(number: u64) -> Extent {
+    if number.is_multiple_of(FULL_SUMMARY_EVERY) { Extent::Full } else { Extent::Changes }
+}
--- a/crates/control/tests/primary_faults.rs
+++ b/crates/control/tests/primary_faults.rs
@@ -2,9 +2,10 @@
 
 mod support;
 
+use corktack_control::ControlSettings;
 use corktack_core::identity::MemberName;
 use corktack_core::position::Term;
-use corktack_core::view::View;
+use corktack_core::view::{ProxyState, View};
 use corktack_protocol::control::{MemberHealth, Observation};
 use futures_util::future::join_all;
 use rstest::rstest;
@@ -18,6 +19,8 @@
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
 
 const CREATE: &str = "CREATE TABLE flags (line TEXT PRIMARY KEY)";
+/// Longer than any test runs.
+const NEVER: Duration = Duration::from_secs(3_600);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
@@ -228,3 +231,38 @@
     let found = fleet.primary_above(&group, term).await;
     assert_eq!(found, (second, next_term));
 }
+
+/// Settings under which no heartbeat, proof or probe of a healthy primary is due
+/// while a test runs: only an observation can make the leader doubt a primary.
+fn nothing_due(settings: &mut ControlSettings) {
+    settings.proxy_heartbeat_interval = NEVER;
+    settings.proxy_heartbeat_timeout = NEVER;
+    settings.failover.unobserved_interval = NEVER;
+    settings.failover.sweep_interval = NEVER;
+}
+
+/// The cell has one replica, so that no summary is lost to a change of the leader.
+#[actix_rt::test]
+async fn observations_reach_the_leader_between_heartbeats() {
+    let mut group = GatedGroup::start("records");
+    let cell = Cell::start_with(1, nothing_due);
+    cell.leader().await;
+    let operator = cell.replicas[0].operator();
+    let mut proxy = Proxy::connect(cell.replicas[0].proxies, "p-1", View::default()).await;
+    operator.put("/v1/groups/records", group.spec()).await.accepted();
+    let (first, term) =
+        until("the primary is adopted", async || primary(&operator, &group).await).await;
+    proxy.heartbeat(false, vec![observed(&group, &first, MemberHealth::Primary(term))]).await;
+    until("the leader knows the proxy", async || {
+        let status = operator.status().await;
+        status.proxies.iter().any(|it| it.state == ProxyState::Live).then_some(())
+    })
+    .await;
+    group.kill(group.place_of(&first));
+    proxy.heartbeat(false, vec![observed(&group, &first, MemberHealth::Unreachable)]).await;
+    let (second, _) = until("another primary", async || {
+        primary(&operator, &group).await.filter(|(_, found)| *found > term)
+    })
+    .await;
+    assert_ne!(second, first);
+}
