Tests: a failover of a stand-in group promotes the most advanced member

Cause: `a_repeat_after_a_failover_gets_the_first_answer` hung in 3 of 5 runs of all tests, at the test's own PROMOTE. Ruled out: the owner, which the statement does not pass through. What a stand-in should answer when a member that is behind is promoted is its own matter; it waits for ever now.

--- a/crates/owner/tests/keyed.rs
+++ b/crates/owner/tests/keyed.rs
@@ -58,12 +58,12 @@
     let fleet = fleet(2, 2).await;
     let mut edge = fleet.edge(0).await;
     let first = send(&mut edge, "order-7", INSERT).await;
-    fleet.fail_over(1, 2).await;
+    let primary = fleet.fail_over(1, 2).await;
     let mut edge = fleet.edge(1).await;
     let repeat = send(&mut edge, "order-7", INSERT).await;
     assert_eq!((repeat.rows, repeat.tags), (first.rows, first.tags));
     assert!(repeat.positions[0].covers(first.positions[0]));
-    assert_eq!(charges(&fleet, 1).await, ["1"]);
+    assert_eq!(charges(&fleet, primary).await, ["1"]);
 }
 
 #[rstest]
--- a/crates/owner/tests/sessions.rs
+++ b/crates/owner/tests/sessions.rs
@@ -82,12 +82,12 @@
     for _ in 0..3 {
         streams.push(edge.write("INSERT INTO charge (note) VALUES ('tail')").await);
     }
-    fleet.fail_over(1, 2).await;
+    let primary = fleet.fail_over(1, 2).await;
     for stream in streams {
         edge.answer(stream).await;
     }
     let token = write(&mut edge, "after").await.positions.last().copied();
-    let committed = fleet.sql(1, COUNT).await;
+    let committed = fleet.sql(primary, COUNT).await;
     fleet.owners[0].change_group(|group| group.spec.replica_wait_ms = 20_000);
     for minimum in [token, None].into_iter().cycle().take(20) {
         let answer = read(&mut edge, minimum).await;
--- a/crates/owner/tests/support/group.rs
+++ b/crates/owner/tests/support/group.rs
@@ -116,11 +116,16 @@
         TestEdge::connect(self.owners[owner].owner.address()).await
     }
 
-    /// Fences two members at a term, promotes one and tells the owners.
-    pub async fn fail_over(&self, to: usize, term: u64) {
-        for place in [to, (to + 1) % GROUP_SIZE] {
+    /// Fences two members at a term, promotes the most advanced of them, the first
+    /// of equal ones, and tells the owners. Returns its place.
+    pub async fn fail_over(&self, first: usize, term: u64) -> usize {
+        let second = (first + 1) % GROUP_SIZE;
+        for place in [first, second] {
             self.sql(place, &format!("ALTER SYSTEM FENCE TERM {term}")).await;
         }
+        let last =
+            |place| self.group.member(place).expect("the member runs").status().last_position;
+        let to = if last(second) > last(first) { second } else { first };
         self.sql(to, &format!("ALTER SYSTEM PROMOTE TERM {term}")).await;
         let primary = self.member(to);
         for owner in &self.owners {
@@ -129,6 +134,7 @@
                 group.term = Term(term);
             });
         }
+        to
     }
 
     /// Runs a statement on a member, past owners and relay; first column of its rows.
