--- a/crates/edge/src/error.rs
+++ b/crates/edge/src/error.rs
@@ -61,6 +61,12 @@
     /// The encoding is not served.
     #[error("client encoding {0:?} is not supported, use UTF8")]
     Encoding(String),
+    /// A request does not fit into a frame to the owner.
+    #[error("request with its prepared statements is over {0} bytes, not run")]
+    RequestTooLarge(usize),
+    /// An idempotency key is too long.
+    #[error("idempotency key of more than {0} bytes")]
+    KeyTooLong(usize),
     /// No group serves the database.
     #[error("database {0:?} does not exist")]
     UnknownDatabase(String),
@@ -76,6 +82,12 @@
     /// The proxy is stopping.
     #[error("proxy is stopping, reconnect; a request that crossed this message was not run")]
     Stopping,
+    /// A new caller, or a request that still waits, meets a proxy that is stopping.
+    #[error("proxy is stopping, not run")]
+    Draining,
+    /// The transaction block failed, and waits for its end.
+    #[error("current transaction is aborted, commands ignored until end of transaction block")]
+    TransactionAborted,
     /// The session's token is malformed.
     #[error(transparent)]
     Token(#[from] TokenError),
@@ -152,14 +164,16 @@
         match self {
             Self::MalformedStartup | Self::MalformedMessage(_) => "08P01",
             Self::NotUtf8 => "22021",
-            Self::MessageTooLarge { .. } | Self::BatchTooLarge(_) => "54000",
+            Self::MessageTooLarge { .. } | Self::BatchTooLarge(_) | Self::RequestTooLarge(_) => {
+                "54000"
+            }
             Self::NoUser => "28000",
             Self::UnknownDatabase(_) => "3D000",
             Self::TooManyConnections => "53300",
             Self::Authentication(_) => "28P01",
             Self::StartupTimeout => "57P05",
             Self::Stopping => "57P01",
-            Self::Token(_) => "22023",
+            Self::Token(_) | Self::KeyTooLong(_) => "22023",
             Self::ProtocolVersion(..)
             | Self::Encoding(_)
             | Self::Unsupported(_)
@@ -167,7 +181,7 @@
             | Self::MixedBatch => "0A000",
             Self::Statement(StatementError::Duplicate(_)) => "42P05",
             Self::Statement(StatementError::Unknown(_)) => "26000",
-            Self::Statement(StatementError::TooMany(_)) => "54000",
+            Self::Statement(StatementError::TooMany(_) | StatementError::TooMuchText(_)) => "54000",
             Self::NotRun { reason: NotRunReason::QueueFull, .. } => "53300",
             Self::NotRun { reason: NotRunReason::QueueTimeout, .. } => "53400",
             Self::NotRun { .. } => "57P03",
@@ -175,6 +189,8 @@
             Self::UnknownPortal(_) => "34000",
             Self::ReadInterrupted | Self::Cancelled => "57014",
             Self::TransactionLost => "40001",
+            Self::TransactionAborted => "25P02",
+            Self::Draining => "57P03",
         }
     }
 
@@ -184,7 +200,7 @@
         let retry_after_ms = match self {
             Self::NotRun { retry_after_ms, .. } => *retry_after_ms,
             Self::TooManyConnections => CONNECTION_RETRY_MS,
-            Self::Stopping => 0,
+            Self::Stopping | Self::Draining => 0,
             _ => return None,
         };
         Some(format!("retry_after_ms={retry_after_ms}"))
--- a/crates/edge/src/session/forward.rs
+++ b/crates/edge/src/session/forward.rs
@@ -1,39 +1,19 @@
 //! Sends a batch to the group's owner, and again where that is safe.
 
 use super::answer_stream::Answered;
-use super::outcome::{OWNER_RETRY_MS, outcome_of};
+use super::outcome::outcome_of;
+use super::owner_wait::{Lost, NoOwner};
 use super::plan::ForwardPlan;
 use super::{Loss, OpenTransaction, Progress, Session, Verdict, judge};
 use crate::error::{Rejection, SessionEnd};
 use crate::link::OwnerStream;
 use crate::metrics::Outcome;
-use crate::retry::backoff;
-use crate::route::{OwnerRoute, group_of_database, owner_of};
 use corktack_core::binding::choose_class;
+use corktack_core::classify::BlockEffect;
 use corktack_core::identity::GroupName;
-use corktack_core::view::View;
-use corktack_protocol::peer::{
-    Access, Failure, NotRunReason, OpenRequest, ServedBy, TransactionStatus,
-};
-use std::sync::Arc;
-use std::time::Duration;
-use tokio::sync::watch;
+use corktack_protocol::peer::{Access, OpenRequest, ServedBy, TransactionStatus};
 use tokio::time::Instant;
 
-/// Why no owner was found in time.
-enum NoOwner {
-    /// The caller gets this answer.
-    Rejected(Rejection),
-    /// The session is over.
-    Ended(SessionEnd),
-}
-
-impl From<SessionEnd> for NoOwner {
-    fn from(end: SessionEnd) -> Self {
-        Self::Ended(end)
-    }
-}
-
 /// How a batch ended, and whether the answer held an error.
 type BatchOutcome = (Outcome, bool);
 
@@ -43,7 +23,15 @@
         self.registration.cancelled.mark_unchanged();
         match self.transaction.take() {
             Some(transaction) => self.continue_transaction(transaction, plan).await,
-            None => self.open_transaction(plan).await,
+            None => {
+                let opens = plan.block == BlockEffect::Opens;
+                let (outcome, failed) = self.open_transaction(plan).await?;
+                // What the caller wrote behind its BEGIN must not run on its own.
+                if opens && outcome != Outcome::Done && self.caller.has_more_input() {
+                    self.abandon_transaction();
+                }
+                Ok((outcome, failed))
+            }
         }
     }
 
@@ -53,12 +41,14 @@
         plan: ForwardPlan,
     ) -> Result<BatchOutcome, SessionEnd> {
         let OpenTransaction { mut stream, group, access } = transaction;
+        let ends = plan.block == BlockEffect::Ends;
         let mut progress = Progress {
             access,
             first_batch: false,
             answered: false,
             may_commit: plan.may_commit,
             repeatable: false,
+            keyed: false,
         };
         stream.send(plan.batch);
         match self.pass_answer(&mut stream, &group, &mut progress).await? {
@@ -68,59 +58,95 @@
             }
             Answered::Lost(loss) => {
                 let (Verdict::Retry(rejection) | Verdict::Final(rejection)) = judge(loss, progress);
-                Ok(self.give_up(&rejection))
+                let outcome = self.give_up(&rejection);
+                if !ends {
+                    self.abandon_transaction();
+                }
+                Ok(outcome)
             }
         }
     }
 
     async fn open_transaction(&mut self, plan: ForwardPlan) -> Result<BatchOutcome, SessionEnd> {
+        let mut uncertain = None;
+        match self.try_owners(&plan, &mut uncertain).await? {
+            Ok(outcome) => Ok(outcome),
+            // Whatever became of a later try, the earlier one may have run.
+            Err(_) if uncertain.is_some() => Ok(self.give_up(&Rejection::Unknown)),
+            Err(rejection) => Ok(self.give_up(&rejection)),
+        }
+    }
+
+    /// Sends the batch until it is answered or given up on. `uncertain` becomes the
+    /// group in which a try may have run a write.
+    async fn try_owners(
+        &mut self,
+        plan: &ForwardPlan,
+        uncertain: &mut Option<GroupName>,
+    ) -> Result<Result<BatchOutcome, Rejection>, SessionEnd> {
         let deadline = Instant::now() + self.context.settings.request_timeout;
-        let writes = plan.access == Access::Write;
-        let key = if writes { self.idempotency_key.take() } else { None };
-        self.context.retries.borrow_mut().earn();
+        // A batch that only prepares a write leaves the key to the one that runs it.
+        let runs_write = plan.access == Access::Write && plan.executes;
+        let key = if runs_write { self.idempotency_key.take() } else { None };
         let mut view = self.context.view.clone();
         let mut attempt = 0;
         loop {
             let (group, route) = match self.find_owner(&mut view, deadline).await {
                 Ok(found) => found,
-                Err(NoOwner::Rejected(rejection)) => return Ok(self.give_up(&rejection)),
+                Err(NoOwner::Rejected(rejection)) => return Ok(Err(rejection)),
                 Err(NoOwner::Ended(end)) => return Err(end),
             };
-            let request = self.open_request(&plan, &group, key.clone(), deadline);
-            let mut progress = Progress {
-                access: plan.access,
-                first_batch: true,
-                answered: false,
-                may_commit: plan.may_commit,
-                repeatable: plan.repeatable,
-            };
-            let loss = match self.open_stream(&route, request) {
-                Ok(mut stream) => {
-                    match self.pass_answer(&mut stream, &group, &mut progress).await? {
-                        Answered::Ready { status, served_by, failed } => {
-                            self.end_of_batch(stream, &group, plan.access, status, served_by);
-                            return Ok((Outcome::Done, failed));
-                        }
-                        Answered::Lost(loss) => loss,
-                    }
-                }
-                Err(loss) => loss,
-            };
-            let rejection = match judge(loss, progress) {
-                Verdict::Final(rejection) => return Ok(self.give_up(&rejection)),
-                Verdict::Retry(rejection) => rejection,
+            // Another group's database does not know the key.
+            if uncertain.as_ref().is_some_and(|tried| *tried != group) {
+                return Ok(Err(Rejection::Unknown));
+            }
+            if attempt == 0 {
+                self.context.retries.borrow_mut().request(&group, &self.context.view_now());
+            }
+            let request = self.open_request(plan, &group, key.clone(), deadline);
+            let stream = self.context.links.link(&route.owner, route.address).open(request);
+            let lost = match self.first_answer(plan, stream, &group, key.is_some()).await? {
+                Ok(outcome) => return Ok(Ok(outcome)),
+                Err((loss, progress)) => match judge(loss, progress) {
+                    Verdict::Final(rejection) => return Ok(Err(rejection)),
+                    Verdict::Retry(rejection) => Lost { loss, rejection, attempt },
+                },
             };
-            let wait = backoff(attempt, &mut rand::rng());
-            if let Some(rejection) = self.cannot_retry(rejection, wait, deadline) {
-                return Ok(self.give_up(&rejection));
+            if lost.rejection == Rejection::Unknown {
+                *uncertain = Some(group.clone());
             }
-            if let Some(rejection) = self.pause(&mut view, wait).await? {
-                return Ok(self.give_up(&rejection));
+            if let Some(rejection) = self.prepare_retry(lost, &group, &mut view, deadline).await? {
+                return Ok(Err(rejection));
             }
             attempt += 1;
         }
     }
 
+    /// Passes on the answer to the batch that opens a transaction.
+    async fn first_answer(
+        &mut self,
+        plan: &ForwardPlan,
+        mut stream: OwnerStream,
+        group: &GroupName,
+        keyed: bool,
+    ) -> Result<Result<BatchOutcome, (Loss, Progress)>, SessionEnd> {
+        let mut progress = Progress {
+            access: plan.access,
+            first_batch: true,
+            answered: false,
+            may_commit: plan.may_commit,
+            repeatable: plan.repeatable,
+            keyed,
+        };
+        Ok(match self.pass_answer(&mut stream, group, &mut progress).await? {
+            Answered::Ready { status, served_by, failed } => {
+                self.end_of_batch(stream, group, plan.access, status, served_by);
+                Ok((Outcome::Done, failed))
+            }
+            Answered::Lost(loss) => Err((loss, progress)),
+        })
+    }
+
     fn open_request(
         &self,
         plan: &ForwardPlan,
@@ -141,83 +167,6 @@
         }
     }
 
-    fn open_stream(&self, route: &OwnerRoute, request: OpenRequest) -> Result<OwnerStream, Loss> {
-        let link = self.context.links.link(&route.owner, route.address);
-        if link.is_stopping() {
-            let reason = NotRunReason::Stopping;
-            return Err(Loss::Failed(Failure::NotRun { reason, retry_after_ms: OWNER_RETRY_MS }));
-        }
-        Ok(link.open(request))
-    }
-
-    /// The group of the session's database and its owner; waits for an owner.
-    async fn find_owner(
-        &mut self,
-        view: &mut watch::Receiver<Arc<View>>,
-        deadline: Instant,
-    ) -> Result<(GroupName, OwnerRoute), NoOwner> {
-        loop {
-            let now = view.borrow_and_update().clone();
-            let Some((name, group)) = group_of_database(&now, &self.identity.database) else {
-                return Err(NoOwner::Rejected(not_run(NotRunReason::UnknownGroup)));
-            };
-            let reason = match owner_of(&now, group) {
-                Ok(route) => return Ok((name.clone(), route)),
-                Err(reason) => reason,
-            };
-            let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return Err(NoOwner::Rejected(not_run(reason)));
-            }
-            if let Some(rejection) = self.pause(view, left).await? {
-                return Err(NoOwner::Rejected(rejection));
-            }
-        }
-    }
-
-    /// The final answer when a request must not be sent again.
-    fn cannot_retry(
-        &self,
-        rejection: Rejection,
-        wait: Duration,
-        deadline: Instant,
-    ) -> Option<Rejection> {
-        if Instant::now() + wait >= deadline {
-            return Some(rejection);
-        }
-        if self.context.retries.borrow_mut().spend() {
-            self.context.metrics.retries.inc();
-            return None;
-        }
-        match rejection {
-            Rejection::NotRun { retry_after_ms, .. } => {
-                Some(Rejection::NotRun { reason: NotRunReason::RetryBudget, retry_after_ms })
-            }
-            other => Some(other),
-        }
-    }
-
-    /// Waits, at most until the configuration in force is another than the one last
-    /// seen. Something is returned when the caller cancels.
-    async fn pause(
-        &mut self,
-        view: &mut watch::Receiver<Arc<View>>,
-        wait: Duration,
-    ) -> Result<Option<Rejection>, SessionEnd> {
-        let wake = Instant::now() + wait;
-        loop {
-            let read_ahead = self.caller.may_read_ahead();
-            tokio::select! {
-                () = tokio::time::sleep_until(wake) => return Ok(None),
-                Ok(()) = view.changed() => return Ok(None),
-                Ok(()) = self.registration.cancelled.changed() => {
-                    return Ok(Some(Rejection::Cancelled));
-                }
-                result = self.caller.read_more(), if read_ahead => result?,
-            }
-        }
-    }
-
     fn end_of_batch(
         &mut self,
         stream: OwnerStream,
@@ -241,7 +190,3 @@
         (outcome_of(rejection), true)
     }
 }
-
-fn not_run(reason: NotRunReason) -> Rejection {
-    Rejection::NotRun { reason, retry_after_ms: OWNER_RETRY_MS }
-}
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -2,6 +2,7 @@
 
 use corktack_core::identity::{ClassName, Incarnation, ProxyName};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// How callers prove who they are.
@@ -46,6 +47,9 @@
     pub proxy: ProxyName,
     /// This life of the process.
     pub incarnation: Incarnation,
+    /// Where the owner in this process listens, if the way there need not leave the
+    /// machine: used in place of the address that the configuration gives it.
+    pub local_owner: Option<SocketAddr>,
     /// Threads that serve callers.
     pub arbiters: usize,
     /// Callers' connections at once.
@@ -62,6 +66,8 @@
     pub authentication: Authentication,
     /// Longest wait until a request starts, and for any message of its answer.
     pub request_timeout: Duration,
+    /// Seed of the waits before a request is sent again.
+    pub retry_seed: u64,
     /// Longest wait of a drain for transactions in flight.
     pub drain_timeout: Duration,
 }
@@ -73,6 +79,7 @@
         Self {
             proxy,
             incarnation,
+            local_owner: None,
             arbiters: 2,
             connection_limit: 10_000,
             startup_message_limit: 8 * 1024,
@@ -81,6 +88,7 @@
             default_class,
             authentication: Authentication::Trust,
             request_timeout: Duration::from_secs(30),
+            retry_seed: rand::random(),
             drain_timeout: Duration::from_secs(60),
         }
     }
--- /dev/null
+++ b/crates/edge/tests/callers/main.rs
@@ -0,0 +1,15 @@
+//! What callers of an edge meet, by concern.
+#![allow(clippy::unwrap_used)]
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod drain;
+mod hostile;
+mod link;
+mod protocol;
+mod refused;
+mod retries;
+mod startup;
+mod tokens;
+mod uncertain;
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -3,7 +3,7 @@
 pub mod manifests;
 pub mod plan;
 mod ports;
-mod ready;
+pub mod ready;
 pub mod verify;
 
 use crate::link::{Link, LinkError, LinkState};
@@ -13,6 +13,9 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// Option that lets a control replica found the cell on an empty folder.
+const BOOTSTRAP: &str = "--bootstrap";
+
 /// Why a fleet could not be started or used.
 #[derive(Debug, thiserror::Error)]
 pub enum FleetError {
@@ -24,6 +27,9 @@
         /// Why.
         source: std::io::Error,
     },
+    /// The folder holds files already, perhaps those of an earlier fleet.
+    #[error("{0} is not empty; give each run a folder of its own")]
+    FolderInUse(PathBuf),
     /// A settings file could not be written.
     #[error("settings cannot be encoded")]
     Settings(#[from] toml::ser::Error),
@@ -37,12 +43,14 @@
     #[error(transparent)]
     Link(#[from] LinkError),
     /// Something did not become ready in time.
-    #[error("{what} was not ready within {waited:?}")]
+    #[error("{what} was not ready within {waited:?}; the last look gave: {last}")]
     NotReady {
         /// What was waited for.
         what: String,
         /// How long.
         waited: Duration,
+        /// What the last look gave.
+        last: String,
     },
     /// A command of the product failed.
     #[error("{command} ended with {status}: {output}")]
@@ -135,7 +143,7 @@
     /// # Errors
     /// The first [`FleetError`]; what was started is killed.
     pub async fn start(plan: FleetPlan, programs: Programs) -> Result<Self, FleetError> {
-        create_folder(&plan.folder)?;
+        create_empty_folder(&plan.folder)?;
         let controls = start_controls(&plan, &programs)?;
         let mut groups = Vec::new();
         for group in &plan.groups {
@@ -211,8 +219,12 @@
     let name = format!("control-{}", control.id);
     let settings = plan.folder.join(format!("{name}.toml"));
     write_file(&settings, &plan.control_file(control, &plan.folder.join(&name))?)?;
-    let arguments = ["control", "--settings", &settings.to_string_lossy()].map(str::to_owned);
-    Ok(Process::start(&name, &programs.corktack, arguments.to_vec(), &plan.folder)?)
+    let arguments =
+        ["control", "--settings", &settings.to_string_lossy(), BOOTSTRAP].map(str::to_owned);
+    let mut process = Process::start(&name, &programs.corktack, arguments.to_vec(), &plan.folder)?;
+    // Only an empty folder of the first start may found the cell: a wiped one must not.
+    process.drop_argument(BOOTSTRAP);
+    Ok(process)
 }
 
 async fn start_proxy(
@@ -299,9 +311,15 @@
     arguments
 }
 
-fn create_folder(path: &Path) -> Result<(), FleetError> {
-    std::fs::create_dir_all(path)
-        .map_err(|source| FleetError::File { path: path.to_owned(), source })
+/// Makes the folder of a fleet. One that holds an earlier fleet is refused: its control
+/// replicas would go on with members that are no longer there.
+fn create_empty_folder(path: &Path) -> Result<(), FleetError> {
+    let failed = |source| FleetError::File { path: path.to_owned(), source };
+    std::fs::create_dir_all(path).map_err(failed)?;
+    if std::fs::read_dir(path).map_err(failed)?.next().is_some() {
+        return Err(FleetError::FolderInUse(path.to_owned()));
+    }
+    Ok(())
 }
 
 fn write_file(path: &Path, text: &str) -> Result<(), FleetError> {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,8 +3,9 @@
 use corktack_lab::experiment::failover::{FailoverSettings, Fault, run_failovers};
 use corktack_lab::experiment::profile_load::{ProfileLoadSettings, run_profile};
 use corktack_lab::profile::Profile;
+use corktack_lab::scale::proxy::{ProxyCostSettings, run as measure_proxy_cost};
 use corktack_lab::scale::run::{ScaleSettings, run as run_scale};
-use eyre::eyre;
+use eyre::{WrapErr, eyre};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
                 optional --rate factor: f64
                 /// Seed of arrivals and choices.
                 optional --seed seed: u64
+                /// Milliseconds between an owner's probes of a member.
+                optional --probe-interval millis: u32
                 /// Folder of the processes and the report.
                 optional --folder folder: PathBuf
             }
@@ -37,6 +40,23 @@
                 optional --profile name: String
                 /// Runs, each on a fresh fleet.
                 optional --runs count: u32
+                /// Milliseconds between an owner's probes of a member.
+                optional --probe-interval millis: u32
+                /// Folder of the processes and the report.
+                optional --folder folder: PathBuf
+            }
+            /// Measures what a real proxy costs as edge and as owner.
+            cmd proxy-cost {
+                /// Idle callers' connections, separated by commas.
+                optional --connections counts: String
+                /// Statements a second, separated by commas.
+                optional --rates rates: String
+                /// Groups owned, separated by commas.
+                optional --groups counts: String
+                /// Seconds of each point.
+                optional --seconds seconds: u64
+                /// Milliseconds between an owner's probes of a member.
+                optional --probe-interval millis: u32
                 /// Folder of the processes and the report.
                 optional --folder folder: PathBuf
             }
@@ -64,6 +84,7 @@
         match flags.subcommand {
             flags::CorktackLabCmd::Load(load) => run_load(load).await,
             flags::CorktackLabCmd::Failover(failover) => run_failover(failover).await,
+            flags::CorktackLabCmd::ProxyCost(cost) => run_proxy_cost(cost).await,
             flags::CorktackLabCmd::Scale(scale) => run_scale_sizes(scale).await,
         }
     })
@@ -82,6 +103,7 @@
             duration: Duration::from_secs(flags.seconds.unwrap_or(20)),
             rate: flags.rate.unwrap_or(1.0),
             seed: flags.seed.unwrap_or(1),
+            probe_interval_ms: flags.probe_interval,
             folder: folder(flags.folder.as_deref())?,
         };
         run_profile(&settings).await?;
@@ -95,16 +117,15 @@
         fault: flags.fault.parse::<Fault>()?,
         with_control_leader: flags.with_control_leader,
         runs: flags.runs.unwrap_or(5),
+        probe_interval_ms: flags.probe_interval,
         folder: folder(flags.folder.as_deref())?,
     };
     run_failovers(&settings).await
 }
 
 async fn run_scale_sizes(flags: flags::Scale) -> eyre::Result<()> {
-    let sizes = flags.sizes.as_deref().unwrap_or("275,550,1100");
-    let sizes: Result<Vec<u32>, _> = sizes.split(',').map(str::parse).collect();
     let settings = ScaleSettings {
-        sizes: sizes?,
+        sizes: numbers(flags.sizes.as_deref().unwrap_or("275,550,1100"))?,
         controls: flags.controls.unwrap_or(9),
         quiet: Duration::from_secs(flags.quiet.unwrap_or(20)),
         changes: flags.changes.unwrap_or(20),
@@ -115,6 +136,23 @@
     run_scale(&settings).await
 }
 
+async fn run_proxy_cost(flags: flags::ProxyCost) -> eyre::Result<()> {
+    let settings = ProxyCostSettings {
+        connections: numbers(flags.connections.as_deref().unwrap_or("0,1000,2000,4000"))?,
+        rates: numbers(flags.rates.as_deref().unwrap_or("100,200,400,800"))?,
+        groups: numbers(flags.groups.as_deref().unwrap_or("1,4,12"))?,
+        duration: Duration::from_secs(flags.seconds.unwrap_or(10)),
+        probe_interval_ms: flags.probe_interval,
+        folder: folder(flags.folder.as_deref())?,
+    };
+    measure_proxy_cost(&settings).await
+}
+
+fn numbers(text: &str) -> eyre::Result<Vec<u32>> {
+    let numbers: Result<Vec<u32>, _> = text.split(',').map(str::parse).collect();
+    numbers.wrap_err_with(|| format!("{text:?} is not a list of numbers"))
+}
+
 fn profile(name: &str) -> eyre::Result<Profile> {
     Profile::by_name(name).ok_or_else(|| eyre!("{name:?} is not carte or huts"))
 }
--- a/crates/server/src/dev/mod.rs
+++ b/crates/server/src/dev/mod.rs
@@ -164,6 +164,18 @@
         &self.ready
     }
 
+    /// The control replicas, for further proxies to join.
+    #[must_use]
+    pub fn control(&self) -> &[ControlProcess] {
+        &self.control
+    }
+
+    /// The proxies, to look at and to reach.
+    #[must_use]
+    pub fn proxies(&self) -> &[ProxyHandle] {
+        &self.proxies
+    }
+
     /// The stand-in group, to stop and restart its members.
     pub const fn group(&mut self) -> &mut Group {
         &mut self.group
--- a/crates/server/src/proxy/mod.rs
+++ b/crates/server/src/proxy/mod.rs
@@ -2,9 +2,10 @@
 
 mod wiring;
 
+pub use wiring::{edge_settings, owner_settings};
+
 use crate::listeners::{ListenError, bind, bound_address};
-use crate::settings::ProxySettings;
-use crate::settings::proxy::millis;
+use crate::settings::{ProxySettings, millis};
 use crate::signals::{StopSignals, write_events_on_signal};
 use crate::telemetry::http::{Readiness, SharedRegistry, serve, with_registry};
 use crate::telemetry::{TelemetryError, install};
@@ -13,8 +14,8 @@
 use corktack_core::identity::{Incarnation, ProxyName};
 use corktack_core::view::{ProxyState, Revision, View};
 use corktack_edge::{Edge, EdgeError, EdgeHandle};
-use corktack_storage::{DataFolder, StorageError};
 use corktack_owner::{Owner, OwnerError, OwnerHandle};
+use corktack_storage::{DataFolder, StorageError};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
@@ -109,7 +110,7 @@
         Owner::start(owner_settings, listeners.peers, watch.views(), observations, registry)
     })?;
     wait_until_current(&watch, millis(settings.timeouts.startup_ms)).await;
-    let edge_settings = wiring::edge_settings(&settings, incarnation);
+    let edge_settings = wiring::edge_settings(&settings, addresses.peers, incarnation);
     let edge = with_registry(&registry, |registry| {
         Edge::start(edge_settings, listeners.callers, watch.views(), registry)
     })?;
@@ -195,7 +196,7 @@
         if timeout(self.drain_limit, self.owner.drain()).await.is_err() {
             log::error!("streams of other proxies were still open at the end of the drain");
         }
-        self.watch.stop();
+        self.watch.stop().await;
         self.http.stop(true).await;
     }
 
--- a/crates/server/src/settings/error.rs
+++ b/crates/server/src/settings/error.rs
@@ -29,17 +29,22 @@
         reason: String,
     },
     /// A value is well formed and not allowed.
-    #[error("settings file {}: {key} = {value}: {problem}", file.display())]
-    Value {
-        /// The file.
-        file: PathBuf,
-        /// Path of the key.
-        key: &'static str,
-        /// The value.
-        value: String,
-        /// What is wrong with it.
-        problem: ValueProblem,
-    },
+    #[error(transparent)]
+    Value(Box<SettingsValueError>),
+}
+
+/// A value that is well formed and not allowed.
+#[derive(Debug, thiserror::Error)]
+#[error("settings file {}: {key} = {value}: {problem}", file.display())]
+pub struct SettingsValueError {
+    /// The file.
+    pub file: PathBuf,
+    /// Path of the key.
+    pub key: &'static str,
+    /// The value.
+    pub value: String,
+    /// What is wrong with it.
+    pub problem: ValueProblem,
 }
 
 /// What is wrong with a value.
@@ -57,6 +62,18 @@
     /// Two values that must rise do not.
     #[error("must not be above {0}")]
     Above(&'static str),
+    /// Of two values that must differ, the one that must be larger is not.
+    #[error("must be above {0}")]
+    NotAbove(&'static str),
+    /// It has no effect without another setting.
+    #[error("has no effect without {0}")]
+    Needs(&'static str),
+    /// It is empty.
+    #[error("must not be empty")]
+    EmptyText,
+    /// It is no path of HTTP.
+    #[error("must begin with /")]
+    NoPath,
     /// An address that others can reach takes callers or operators without authentication.
     #[error("is not a loopback address, which needs authentication: {0}")]
     Unauthenticated(&'static str),
@@ -91,7 +108,8 @@
         value: impl ToString,
         problem: ValueProblem,
     ) -> SettingsError {
-        SettingsError::Value { file: self.file.to_owned(), key, value: value.to_string(), problem }
+        let (file, value) = (self.file.to_owned(), value.to_string());
+        SettingsError::Value(Box::new(SettingsValueError { file, key, value, problem }))
     }
 
     /// Refuses a number outside its range.
@@ -108,6 +126,38 @@
         Err(self.refuse(key, value, ValueProblem::Range(allowed)))
     }
 
+    /// Refuses a value that is above the larger one.
+    pub(super) fn rising(
+        &self,
+        (key, value): (&'static str, u32),
+        (limit_key, limit): (&'static str, u32),
+    ) -> Result<(), SettingsError> {
+        if value > limit {
+            return Err(self.refuse(key, value, ValueProblem::Above(limit_key)));
+        }
+        Ok(())
+    }
+
+    /// Refuses an empty text.
+    pub(super) fn not_empty(&self, key: &'static str, text: &str) -> Result<(), SettingsError> {
+        if text.is_empty() {
+            return Err(self.refuse(key, "\"\"", ValueProblem::EmptyText));
+        }
+        Ok(())
+    }
+
+    /// Refuses an address without a port, where one is given.
+    pub(super) fn port(
+        &self,
+        key: &'static str,
+        address: Option<SocketAddr>,
+    ) -> Result<(), SettingsError> {
+        match address.filter(|address| address.port() == 0) {
+            Some(address) => Err(self.refuse(key, address, ValueProblem::NoPort)),
+            None => Ok(()),
+        }
+    }
+
     /// Refuses an address that others can reach, unless callers prove who they are.
     pub(super) fn authenticated(
         &self,
--- a/crates/server/tests/settings.rs
+++ b/crates/server/tests/settings.rs
@@ -37,10 +37,16 @@
 address = "127.0.0.1:7100"
 "#;
 
+/// Whoever names users expects that others are kept out; `trust` would let everybody in.
+const USERS_WITHOUT_SCRAM: &str =
+    "mode = \"trust\"\n[[authentication.users]]\nname = \"app\"\npassword = \"secret\"";
+const USER_WITHOUT_PASSWORD: &str =
+    "mode = \"scram\"\n[[authentication.users]]\nname = \"app\"\npassword = \"\"";
+
 fn file(text: &str) -> (TempDir, PathBuf) {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = tempfile::tempdir().expect("temporary folder");
     let path = folder.path().join("settings.toml");
-    std::fs::write(&path, text).unwrap();
+    std::fs::write(&path, text).expect("file written");
     (folder, path)
 }
 
@@ -55,12 +61,12 @@
 #[test]
 fn flags_override_the_file() {
     let overrides = ProxyOverrides {
-        zone: Some("cuyo.b".parse().unwrap()),
-        callers: Some("127.0.0.1:5433".parse().unwrap()),
+        zone: Some("cuyo.b".parse().expect("valid literal")),
+        callers: Some("127.0.0.1:5433".parse().expect("valid literal")),
         data_folder: Some("/elsewhere".into()),
         ..ProxyOverrides::default()
     };
-    let settings = ProxySettings::load(&file(PROXY).1, overrides).unwrap();
+    let settings = ProxySettings::load(&file(PROXY).1, overrides).expect("accepted settings");
     assert_eq!(settings.zone.as_str(), "cuyo.b");
     assert_eq!(settings.addresses.callers.port(), 5433);
     assert_eq!(settings.data_folder, PathBuf::from("/elsewhere"));
@@ -80,7 +86,7 @@
     #[case] to: &str,
     #[case] named: &str,
 ) {
-    let error = load_proxy(&PROXY.replace(from, to)).unwrap_err();
+    let error = load_proxy(&PROXY.replace(from, to)).expect_err("must be refused");
     let SettingsError::Form { text, .. } = &error else { panic!("{error:?}") };
     assert!(text.contains(named), "{text}");
     assert!(error.to_string().contains("settings.toml"), "{error}");
@@ -96,19 +102,29 @@
 #[case("mode = \"trust\"", "mode = \"scram\"", "authentication.users")]
 #[case("[limits]\ncallers = 500", "[timeouts]\nhandover_ms = 0", "timeouts.handover_ms")]
 #[case("[control]", "[control]\nheartbeat_interval_ms = 4000", "control.heartbeat_interval_ms")]
+#[case("[control]", "[control]\nretry_minimum_ms = 3000", "control.retry_minimum_ms")]
+#[case("callers = 500", "startup_message_bytes = 10", "limits.startup_message_bytes")]
+#[case("[control]", "peers_own = \"127.0.0.1:0\"\n[control]", "addresses.peers_own")]
+#[case("[control]", "peers_announced = \"127.0.0.1:0\"\n[control]", "addresses.peers_announced")]
+#[case("zone =", "back_end_user = \"\"\nzone =", "back_end_user")]
+#[case("mode = \"trust\"", USERS_WITHOUT_SCRAM, "authentication.users.name")]
+#[case("mode = \"trust\"", USER_WITHOUT_PASSWORD, "authentication.users.password")]
 fn a_bad_value_names_file_key_and_value(#[case] from: &str, #[case] to: &str, #[case] key: &str) {
-    let error = load_proxy(&PROXY.replace(from, to)).unwrap_err();
-    let SettingsError::Value { key: found, value, .. } = &error else { panic!("{error:?}") };
-    assert_eq!(*found, key);
+    let error = load_proxy(&PROXY.replace(from, to)).expect_err("must be refused");
+    let SettingsError::Value(found) = &error else { panic!("{error:?}") };
+    assert_eq!(found.key, key);
     let text = error.to_string();
-    assert!(text.contains("settings.toml") && text.contains(&format!("{key} = {value}")), "{text}");
+    assert!(
+        text.contains("settings.toml") && text.contains(&format!("{key} = {}", found.value)),
+        "{text}"
+    );
 }
 
 #[test]
 fn callers_on_other_machines_need_scram_users() {
     let open = PROXY.replace("127.0.0.1:6432", "10.0.0.1:6432");
     let scram = "mode = \"scram\"\n[[authentication.users]]\nname = \"app\"\npassword = \"secret\"";
-    let settings = load_proxy(&open.replace("mode = \"trust\"", scram)).unwrap();
+    let settings = load_proxy(&open.replace("mode = \"trust\"", scram)).expect("accepted settings");
     assert_eq!(settings.authentication.users[0].name, "app");
     assert!(!format!("{settings:?}").contains("secret"));
 }
@@ -116,15 +132,10 @@
 #[test]
 fn operators_on_other_machines_need_a_token() {
     let open = CONTROL.replace("127.0.0.1:7102", "10.0.0.1:7102");
-    let error = load_control(&open).unwrap_err();
-    assert!(matches!(
-        error,
-        SettingsError::Value {
-            key: "addresses.operators",
-            problem: ValueProblem::Unauthenticated(_),
-            ..
-        }
-    ));
+    let error = load_control(&open).expect_err("must be refused");
+    let SettingsError::Value(found) = &error else { panic!("{error:?}") };
+    assert_eq!(found.key, "addresses.operators");
+    assert!(matches!(found.problem, ValueProblem::Unauthenticated(_)), "{error}");
     let token = format!("operator_token = \"0123456789abcdef\"\n{open}");
     assert!(load_control(&token).is_ok());
 }
@@ -135,12 +146,34 @@
 #[case("127.0.0.1:7101", "127.0.0.1:7100", "addresses.proxies")]
 #[case("replica = 1", "replica = 1\noperator_token = \"short\"", "operator_token")]
 fn a_bad_control_value_names_its_key(#[case] from: &str, #[case] to: &str, #[case] key: &str) {
-    let error = load_control(&CONTROL.replacen(from, to, 1)).unwrap_err();
-    let SettingsError::Value { key: found, .. } = &error else { panic!("{error:?}") };
-    assert_eq!(*found, key);
+    let error = load_control(&CONTROL.replacen(from, to, 1)).expect_err("must be refused");
+    let SettingsError::Value(found) = &error else { panic!("{error:?}") };
+    assert_eq!(found.key, key);
     assert!(!error.to_string().contains("short\""));
 }
 
+#[rstest]
+#[case("suspicion_ms = 0", "failover.suspicion_ms")]
+#[case("retry_minimum_ms = 5000", "failover.retry_minimum_ms")]
+#[case("cooldown_minimum_ms = 70000", "failover.cooldown_minimum_ms")]
+#[case("answer_ms = 1000", "failover.answer_ms")]
+#[case("probe_ms = 3000", "failover.answer_ms")]
+fn a_bad_time_of_the_failover_names_its_key(#[case] line: &str, #[case] key: &str) {
+    let error = load_control(&format!("{CONTROL}[failover]\n{line}\n")).expect_err("refused");
+    let SettingsError::Value(found) = &error else { panic!("{error:?}") };
+    assert_eq!(found.key, key);
+}
+
+#[rstest]
+#[case("path = \"machines\"", "platform.path")]
+#[case("poll_interval_ms = 0", "platform.poll_interval_ms")]
+fn a_bad_platform_list_names_its_key(#[case] line: &str, #[case] key: &str) {
+    let section = format!("{CONTROL}[platform]\naddress = \"127.0.0.1:8500\"\n{line}\n");
+    let error = load_control(&section).expect_err("refused");
+    let SettingsError::Value(found) = &error else { panic!("{error:?}") };
+    assert_eq!(found.key, key);
+}
+
 #[test]
 fn a_joining_replica_need_not_be_a_member() {
     let joining = CONTROL.replacen("replica = 1", "replica = 4\njoin = true", 1);
@@ -149,9 +182,10 @@
 
 #[test]
 fn a_taken_port_names_setting_and_address() {
-    let first = bind("addresses.callers", "127.0.0.1:0".parse().unwrap()).unwrap();
-    let address = first.local_addr().unwrap();
-    let error = bind("addresses.callers", address).unwrap_err();
+    let first = bind("addresses.callers", "127.0.0.1:0".parse().expect("valid literal"))
+        .expect("free port");
+    let address = first.local_addr().expect("bound address");
+    let error = bind("addresses.callers", address).expect_err("must be refused");
     assert_eq!(error.source.kind(), ErrorKind::AddrInUse);
     assert!(error.to_string().contains(&format!("addresses.callers = {address}")), "{error}");
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,9 +6,11 @@
 //! under a term before a commit is acknowledged.
 
 mod applier;
+pub mod codec;
 mod engine;
 mod entry;
 mod error;
+mod functions;
 mod group;
 mod log_file;
 mod member;
@@ -19,7 +21,7 @@
 mod sql;
 mod wire;
 
-pub use entry::{LogEntry, Value, WriteStatement};
+pub use entry::{Circumstances, LogEntry, Value, WriteStatement};
 pub use error::{DurableError, MemberError};
 pub use group::{GROUP_SIZE, Group, GroupSettings};
 pub use log_file::LOG_FILE_NAME;
@@ -27,4 +29,6 @@
     DEFAULT_CONNECTION_COST, DEFAULT_CONNECTION_LIMIT, FIRST_TERM, Member, MemberHandle,
     MemberSettings, Peer, bind_loopback,
 };
+pub use promise::Promise;
+pub use replication::message::{AppendOutcome, AppendRequest, AppendResponse};
 pub use replication::{ReplicationStatus, Role};
