Owner: second observers are kept from view to view

Cause: at every change of the view the owner worked out the second observer of every group by weighing all proxies, so a revision cost proxies times groups, without yielding, whatever had changed. Ruled out: weighing again what a changed owner touches: weights depend on names only, so the two heaviest live proxies answer for every owner. Change: `routing::SecondObservers` in the core, without I/O, keeps the four heaviest live proxies of each group. One that leaves is dropped; one that comes costs one weight a group and is kept only if heavier than one that is kept; all are weighed only when fewer than two are left, and for a new group. `second_observer` stays as the definition. The owner's duties are a struct that holds it. Conclusion: a revision costs a weight a group for each proxy that came, and all of them for the few groups that lost three of their four, not all for all; the first view still grows with the square.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -1,5 +1,9 @@
 //! Which member of a group serves a transaction, and which proxies observe a group.
 
+mod observers;
+
+pub use observers::SecondObservers;
+
 use crate::identity::{GroupName, MemberName, ProxyName, ZoneName};
 use crate::position::{Position, Term};
 use crate::view::{GroupView, ProxyState, View};
@@ -174,7 +178,7 @@
 }
 
 /// The second observer of a group: the live proxy of the highest weight that is
-/// not its owner.
+/// not its owner. [`SecondObservers`] gives the same without weighing all each time.
 #[must_use]
 pub fn second_observer<'view>(
     view: &'view View,
--- /dev/null
+++ b/crates/core/tests/observers.rs
@@ -0,0 +1,160 @@
+//! Second observers kept from view to view are those of weighing all proxies.
+#![allow(clippy::unwrap_used)]
+
+use corktack_core::identity::{GroupName, Incarnation, ProxyName, ZoneName};
+use corktack_core::position::Term;
+use corktack_core::resources::DatabaseGroupSpec;
+use corktack_core::routing::{SecondObservers, second_observer};
+use corktack_core::view::{GroupView, ProxyState, ProxyView, View};
+use proptest::prelude::*;
+use proptest::sample::select;
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+const PROXIES: usize = 12;
+const GROUPS: usize = 8;
+
+fn proxy_name(number: usize) -> ProxyName {
+    ProxyName::new(format!("x{number}")).unwrap()
+}
+
+fn group_name(number: usize) -> GroupName {
+    GroupName::new(format!("g{number}")).unwrap()
+}
+
+fn proxy(state: ProxyState) -> ProxyView {
+    ProxyView {
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: ZoneName::new("amba.a").unwrap(),
+        incarnation: Incarnation(1),
+        state,
+    }
+}
+
+fn group(owner: Option<ProxyName>) -> Arc<GroupView> {
+    let spec = DatabaseGroupSpec {
+        database: "calls".into(),
+        members: Vec::new(),
+        slots: 1,
+        connections: 1,
+        queue_limit: 1,
+        queue_timeout_ms: 1,
+        replica_wait_ms: 1,
+    };
+    Arc::new(GroupView { spec, primary: None, term: Term(1), owner, draining: BTreeSet::new() })
+}
+
+fn view(proxies: usize, groups: usize) -> View {
+    let mut view = View::default();
+    for number in 0..proxies {
+        view.proxies.insert(proxy_name(number), proxy(ProxyState::Live));
+    }
+    for number in 0..groups {
+        view.groups.insert(group_name(number), group(Some(proxy_name(number % proxies))));
+    }
+    view
+}
+
+fn check(observers: &SecondObservers, view: &View) -> Result<(), TestCaseError> {
+    for (name, group) in &view.groups {
+        let kept = observers.of(name, group.owner.as_ref());
+        prop_assert_eq!(kept, second_observer(view, name, group), "{:?}", name);
+    }
+    Ok(())
+}
+
+#[derive(Clone, Debug)]
+enum Change {
+    Proxy(usize, Option<ProxyState>),
+    Group(usize, Option<usize>),
+    NoGroup(usize),
+}
+
+impl Change {
+    fn apply(&self, view: &mut View) {
+        match *self {
+            Self::Proxy(number, Some(state)) => {
+                view.proxies.insert(proxy_name(number), proxy(state));
+            }
+            Self::Proxy(number, None) => drop(view.proxies.remove(&proxy_name(number))),
+            Self::Group(number, owner) => {
+                view.groups.insert(group_name(number), group(owner.map(proxy_name)));
+            }
+            Self::NoGroup(number) => drop(view.groups.remove(&group_name(number))),
+        }
+    }
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    use ProxyState::{Down, Draining, Live};
+    let states = vec![Some(Live), Some(Live), Some(Live), Some(Draining), Some(Down), None];
+    prop_oneof![
+        6 => (0..PROXIES, select(states)).prop_map(|(number, state)| Change::Proxy(number, state)),
+        2 => (0..GROUPS, proptest::option::of(0..PROXIES))
+            .prop_map(|(number, owner)| Change::Group(number, owner)),
+        1 => (0..GROUPS).prop_map(Change::NoGroup),
+    ]
+}
+
+/// Views that follow each other, each by some changes of the one before.
+fn revisions() -> impl Strategy<Value = Vec<Vec<Change>>> {
+    proptest::collection::vec(proptest::collection::vec(change(), 0..5), 1..60)
+}
+
+fn fixed_cases() -> ProptestConfig {
+    let rng_seed = proptest::test_runner::RngSeed::Fixed(0x00c0_ffee);
+    ProptestConfig { cases: 256, failure_persistence: None, rng_seed, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(fixed_cases())]
+
+    #[test]
+    fn kept_observers_are_those_of_weighing_all(
+        proxies in 1..=PROXIES,
+        revisions in revisions(),
+    ) {
+        let mut view = view(proxies, GROUPS);
+        let mut observers = SecondObservers::default();
+        observers.follow(&view);
+        check(&observers, &view)?;
+        for changes in revisions {
+            changes.iter().for_each(|change| change.apply(&mut view));
+            observers.follow(&view);
+            check(&observers, &view)?;
+        }
+    }
+}
+
+#[rstest]
+fn only_what_changed_is_weighed() {
+    let mut view = view(PROXIES, GROUPS);
+    let mut observers = SecondObservers::default();
+    assert_eq!(observers.follow(&view), PROXIES * GROUPS);
+    assert_eq!(observers.follow(&view), 0);
+    // A change of owner, also to the second observer itself.
+    let name = group_name(0);
+    let former = observers.of(&name, Some(&proxy_name(0))).cloned();
+    view.groups.insert(name.clone(), group(former.clone()));
+    assert_eq!(observers.follow(&view), 0);
+    assert_ne!(observers.of(&name, former.as_ref()), former.as_ref());
+    // A proxy that came, one that left, a group that came.
+    view.proxies.insert(proxy_name(PROXIES), proxy(ProxyState::Live));
+    assert_eq!(observers.follow(&view), GROUPS);
+    view.proxies.insert(proxy_name(1), proxy(ProxyState::Down));
+    assert_eq!(observers.follow(&view), 0);
+    view.groups.insert(group_name(GROUPS), group(None));
+    assert_eq!(observers.follow(&view), PROXIES);
+}
+
+#[rstest]
+fn a_deleted_group_has_no_second_observer() {
+    let mut view = view(PROXIES, GROUPS);
+    let mut observers = SecondObservers::default();
+    observers.follow(&view);
+    assert!(observers.of(&group_name(0), None).is_some());
+    view.groups.remove(&group_name(0));
+    assert_eq!(observers.follow(&view), 0);
+    assert_eq!(observers.of(&group_name(0), None), None);
+}
--- a/crates/owner/src/groups.rs
+++ b/crates/owner/src/groups.rs
@@ -8,7 +8,7 @@
 use crate::probe::{self, Learner, ProbeTarget};
 use corktack_core::identity::GroupName;
 use corktack_core::resources::MemberSpec;
-use corktack_core::routing::second_observer;
+use corktack_core::routing::SecondObservers;
 use corktack_core::view::{GroupView, View};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Weak};
@@ -72,11 +72,10 @@
 /// Applies each view as it comes, until the owner stops.
 pub(crate) async fn follow_view(context: Arc<Context>) {
     let mut views = context.view.clone();
-    let mut duties = BTreeMap::new();
-    let mut retired = Vec::new();
+    let mut duties = Duties::default();
     loop {
         let view = Arc::clone(&views.borrow_and_update());
-        apply(&context, &mut duties, &mut retired, &view);
+        duties.apply(&context, &view);
         if views.changed().await.is_err() {
             // No further view can come; what is in force stays in force.
             return std::future::pending().await;
@@ -84,67 +83,83 @@
     }
 }
 
-fn apply(
-    context: &Arc<Context>,
-    duties: &mut BTreeMap<GroupName, Duty>,
-    retired: &mut Vec<RetiredGroup>,
-    view: &View,
-) {
-    duties.retain(|name, duty| {
-        let keeps = view
-            .groups
-            .get(name)
-            .is_some_and(|group| role(context, view, name, group) == Some(duty.role));
-        if !keeps {
-            retired.extend(retire(context, name, duty));
-        }
-        keeps
-    });
-    retired.retain(|lost| lost.follow(view));
-    for (name, group) in &view.groups {
-        let Some(role) = role(context, view, name, group) else {
-            continue;
-        };
-        if role == Role::Owner {
-            own(context, view, name, group, duties, retired);
+/// What this proxy does for all groups under the view applied last.
+#[derive(Default)]
+struct Duties {
+    duties: BTreeMap<GroupName, Duty>,
+    retired: Vec<RetiredGroup>,
+    observers: SecondObservers,
+}
+
+impl Duties {
+    fn apply(&mut self, context: &Arc<Context>, view: &View) {
+        self.observers.follow(view);
+        self.end_lost(context, view);
+        self.retired.retain(|lost| lost.follow(view));
+        for (name, group) in &view.groups {
+            let Some(role) = role(context, &self.observers, name, group) else {
+                continue;
+            };
+            if role == Role::Owner {
+                self.own(context, view, name, group);
+            }
+            let duty = self.duties.entry(name.clone()).or_insert_with(|| Duty::new(role));
+            duty.probe_members(context, name, group);
         }
-        let duty = duties.entry(name.clone()).or_insert_with(|| Duty::new(role));
-        duty.probe_members(context, name, group);
     }
-}
 
-fn role(context: &Context, view: &View, name: &GroupName, group: &GroupView) -> Option<Role> {
-    let proxy = &context.settings.proxy;
-    if group.owner.as_ref() == Some(proxy) {
-        return Some(Role::Owner);
+    fn end_lost(&mut self, context: &Context, view: &View) {
+        let Self { duties, retired, observers } = self;
+        duties.retain(|name, duty| {
+            let keeps = view
+                .groups
+                .get(name)
+                .is_some_and(|group| role(context, observers, name, group) == Some(duty.role));
+            if !keeps {
+                retired.extend(retire(context, name, duty));
+            }
+            keeps
+        });
+    }
+
+    fn own(
+        &mut self,
+        context: &Arc<Context>,
+        view: &View,
+        name: &GroupName,
+        group: &Arc<GroupView>,
+    ) {
+        if let Some(owned) = context.group(name) {
+            owned.apply_view(group, &view.classes);
+            return;
+        }
+        let known = self.retired.iter().position(|lost| &lost.name == name);
+        let known = known.and_then(|place| self.retired.swap_remove(place).group.upgrade());
+        let owned = known.unwrap_or_else(|| {
+            Arc::new(Group::new(context, name.clone(), Arc::clone(group), &view.classes))
+        });
+        // Streams that are still open from before count towards the same slots.
+        owned.resume();
+        let duty = Duty::new(Role::Owner);
+        duty.spawn(context, lease::keep_warm(Arc::clone(&owned)));
+        duty.spawn(context, barrier::run(Arc::clone(&owned)));
+        self.duties.insert(name.clone(), duty);
+        context.insert_group(name.clone(), owned);
     }
-    (second_observer(view, name, group) == Some(proxy)).then_some(Role::Observer)
 }
 
-fn own(
-    context: &Arc<Context>,
-    view: &View,
+fn role(
+    context: &Context,
+    observers: &SecondObservers,
     name: &GroupName,
-    group: &Arc<GroupView>,
-    duties: &mut BTreeMap<GroupName, Duty>,
-    retired: &mut Vec<RetiredGroup>,
-) {
-    if let Some(owned) = context.group(name) {
-        owned.apply_view(group, &view.classes);
-        return;
+    group: &GroupView,
+) -> Option<Role> {
+    let proxy = &context.settings.proxy;
+    let owner = group.owner.as_ref();
+    if owner == Some(proxy) {
+        return Some(Role::Owner);
     }
-    let known = retired.iter().position(|lost| &lost.name == name);
-    let known = known.and_then(|place| retired.swap_remove(place).group.upgrade());
-    let owned = known.unwrap_or_else(|| {
-        Arc::new(Group::new(context, name.clone(), Arc::clone(group), &view.classes))
-    });
-    // Streams that are still open from before count towards the same slots.
-    owned.resume();
-    let duty = Duty::new(Role::Owner);
-    duty.spawn(context, lease::keep_warm(Arc::clone(&owned)));
-    duty.spawn(context, barrier::run(Arc::clone(&owned)));
-    duties.insert(name.clone(), duty);
-    context.insert_group(name.clone(), owned);
+    (observers.of(name, owner) == Some(proxy)).then_some(Role::Observer)
 }
 
 impl Duty {
