--- a/crates/control/src/http/resources.rs
+++ b/crates/control/src/http/resources.rs
@@ -102,8 +102,8 @@
             Ok(HttpResponse::Ok().insert_header(header).json(body))
         }
         Outcome::Refused(refusal) => Err(refusal.into()),
-        // Only batches of the leader end like this.
-        Outcome::Batch { .. } => Err(RequestError::OutcomeForgotten.into()),
+        // Only batches of the leader and changes of the registry end like these.
+        Outcome::Batch { .. } | Outcome::Registry(_) => Err(RequestError::OutcomeForgotten.into()),
     }
 }
 
--- /dev/null
+++ b/crates/control/src/joining.rs
@@ -0,0 +1,86 @@
+//! A replica without a cell asks other replicas to be added to theirs.
+
+use crate::node::{NodeHandle, NodeInput, NodeStatus};
+use crate::stop::StopSignal;
+use corktack_core::consensus::{CellConfig, CellMember};
+use corktack_protocol::control::{ControlMessage, ProxyMessage};
+use corktack_protocol::frame::FrameCodec;
+use futures_util::{SinkExt, StreamExt};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+
+/// Pause between two questions.
+const ASK_INTERVAL: Duration = Duration::from_millis(300);
+/// Longest wait for one answer, its connection included.
+const ANSWER_LIMIT: Duration = Duration::from_millis(700);
+
+/// A replica that wants to belong to a cell.
+pub(crate) struct Joining {
+    pub(crate) member: CellMember,
+    pub(crate) through: Vec<SocketAddr>,
+    pub(crate) status: watch::Receiver<NodeStatus>,
+    pub(crate) node: NodeHandle,
+}
+
+impl Joining {
+    /// Asks in turn until the stop, whenever the replica hears of no leader.
+    pub(crate) async fn run(self, stop: StopSignal) {
+        tokio::select! {
+            () = self.ask_all() => (),
+            () = stop.stopped() => (),
+        }
+    }
+
+    async fn ask_all(&self) {
+        for turn in 0.. {
+            let targets = self.targets();
+            if self.is_outside() && !targets.is_empty() {
+                self.ask(targets[turn % targets.len()]).await;
+            }
+            sleep(ASK_INTERVAL).await;
+        }
+    }
+
+    /// The replicas configured and those of the cell that the log names: either may be gone.
+    fn targets(&self) -> Vec<SocketAddr> {
+        let port = self.through.first().map_or(0, SocketAddr::port);
+        let status = self.status.borrow();
+        let known = status.cell.voters.iter().map(|it| SocketAddr::new(it.address.ip(), port));
+        let mut targets: Vec<SocketAddr> = self.through.iter().copied().chain(known).collect();
+        targets.retain(|target| target.ip() != self.member.address.ip());
+        targets.sort_unstable();
+        targets.dedup();
+        targets
+    }
+
+    /// A voter that hears no leader takes part in elections and needs no one to add it.
+    fn is_outside(&self) -> bool {
+        let status = self.status.borrow();
+        let votes = status.cell.voters.iter().any(|voter| voter.id == self.member.id);
+        status.leader.is_none() && !votes
+    }
+
+    async fn ask(&self, target: SocketAddr) {
+        let Ok(Some(cell)) = timeout(ANSWER_LIMIT, question(target, &self.member)).await else {
+            log::debug!(replica:% = target; "no answer to the question to join");
+            return;
+        };
+        // The thread has ended already when it takes no more inputs.
+        let _ = self.node.send(NodeInput::CellLearned(cell));
+    }
+}
+
+async fn question(target: SocketAddr, member: &CellMember) -> Option<CellConfig> {
+    let stream = TcpStream::connect(target).await.ok()?;
+    let codec = FrameCodec::<ProxyMessage, ControlMessage>::default();
+    let mut frames = Framed::new(stream, codec);
+    frames.send(ProxyMessage::Join { member: member.clone() }).await.ok()?;
+    match frames.next().await? {
+        Ok(ControlMessage::Cell(cell)) => Some(cell),
+        _ => None,
+    }
+}
--- a/crates/control/src/node/handle.rs
+++ b/crates/control/src/node/handle.rs
@@ -5,7 +5,7 @@
 use crate::cell::PeerMessage;
 use crate::error::RequestError;
 use crate::feed::{Feed, SnapshotFrame};
-use corktack_core::consensus::{CellChange, Rejection};
+use corktack_core::consensus::{CellChange, CellConfig, CellMember, Rejection};
 use corktack_core::identity::{Incarnation, ProxyName, ReplicaId};
 use corktack_core::membership::PlatformList;
 use corktack_core::state::ControlState;
@@ -82,6 +82,10 @@
     BackEnd(BackEndResult),
     /// The platform's list was polled.
     Platform(PlatformList),
+    /// A replica without a cell asks to be added.
+    Join(CellMember),
+    /// Another replica told which cell it belongs to.
+    CellLearned(CellConfig),
     /// Hand leadership over.
     TransferLeadership,
     /// End the thread.
--- a/crates/control/src/node/inputs.rs
+++ b/crates/control/src/node/inputs.rs
@@ -28,6 +28,8 @@
             NodeInput::Platform(list) => {
                 self.parts.duties.take_platform(self.parts.clock.now(), list)
             }
+            NodeInput::Join(member) => self.take_join(member),
+            NodeInput::CellLearned(cell) => self.learn_cell(&cell),
             NodeInput::TransferLeadership => batch.events.push(Event::TransferLeadership),
             NodeInput::Stop => batch.stop = true,
         }
@@ -37,6 +39,7 @@
         match message {
             PeerMessage::Consensus(message) => batch.events.push(Event::Message { from, message }),
             PeerMessage::Proxies { reports } => self.take_reports(reports),
+            PeerMessage::Join { member } => self.take_join(member),
             PeerMessage::Forward { request, command } => {
                 batch.events.extend(self.take_forward(from, request, &command));
             }
@@ -50,7 +53,7 @@
         }
     }
 
-    fn leads(&self) -> bool {
+    pub(super) fn leads(&self) -> bool {
         self.parts.replica.role() == Role::Leader
     }
 
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -10,6 +10,7 @@
 mod inputs;
 mod outcomes;
 mod pending;
+mod repair;
 mod status;
 mod thread;
 
--- a/crates/control/src/node/thread.rs
+++ b/crates/control/src/node/thread.rs
@@ -3,6 +3,7 @@
 use super::handle::{NodeInput, ProxyRevisions, ReadTask, StateReader};
 use super::outcomes::Outcomes;
 use super::pending::Pending;
+use super::repair::RepairState;
 use super::status::NodeStatus;
 use crate::cell::{Links, PeerMessage};
 use crate::clock::Clock;
@@ -12,6 +13,7 @@
 use crate::metrics::Metrics;
 use corktack_core::consensus::{Action, Event, Message, Replica, Role};
 use corktack_core::identity::ReplicaId;
+use corktack_core::registry::CellRepair;
 use corktack_core::state::ControlState;
 use corktack_core::time::Timestamp;
 use corktack_storage::ReplicaLog;
@@ -36,6 +38,7 @@
     pub(crate) links: Links,
     pub(crate) feed: Feed,
     pub(crate) duties: LeaderDuties,
+    pub(crate) cell_repair: Option<CellRepair>,
     pub(crate) status: watch::Sender<NodeStatus>,
     pub(crate) metrics: Metrics,
 }
@@ -60,6 +63,7 @@
     pub(super) revision_queries: HashMap<u64, oneshot::Sender<ProxyRevisions>>,
     pub(super) last_query: u64,
     pub(super) snapshot_index: u64,
+    pub(super) repair: RepairState,
     next_housekeeping: Timestamp,
 }
 
@@ -80,6 +84,7 @@
             revision_queries: HashMap::new(),
             last_query: 0,
             snapshot_index: parts.applied,
+            repair: RepairState::default(),
             next_housekeeping: parts.clock.now(),
             parts,
         }
@@ -131,6 +136,8 @@
         let duties = self.parts.duties.next_deadline();
         let deadline = self.parts.replica.next_deadline().min(self.next_housekeeping);
         let deadline = duties.map_or(deadline, |duties| deadline.min(duties));
+        let repairs = self.parts.cell_repair.is_some() && self.leads();
+        let deadline = if repairs { deadline.min(self.repair.next_deadline()) } else { deadline };
         deadline - self.parts.clock.now()
     }
 
@@ -166,7 +173,8 @@
         let now = self.parts.clock.now();
         let proposals = self.parts.duties.advance(now, &self.parts.state);
         let events = proposals.into_iter().filter_map(|proposal| self.duty_event(proposal));
-        let events = events.collect();
+        let mut events: Vec<_> = events.collect();
+        events.extend(self.repair_cell(now));
         self.step(events, Vec::new())?;
         self.parts.duties.note_primaries(now, &self.parts.state);
         Ok(())
--- a/crates/control/src/proxies/connection.rs
+++ b/crates/control/src/proxies/connection.rs
@@ -4,7 +4,9 @@
 use super::table::{ConnectionId, HeartbeatReport, ProxyIdentity};
 use crate::error::RequestError;
 use crate::feed::{FeedStep, encode_frame};
+use crate::node::{NodeInput, NodeStatus};
 use bytes::Bytes;
+use corktack_core::consensus::{CellConfig, CellMember};
 use corktack_core::identity::ProxyName;
 use corktack_core::view::Revision;
 use corktack_core::watch::WatchCursor;
@@ -16,6 +18,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::watch;
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 
@@ -56,7 +59,11 @@
     drop(stream.set_nodelay(true));
     let (read_half, write_half) = stream.into_split();
     let mut reader = FramedRead::new(read_half, FrameCodec::default());
-    let Ok((identity, revision)) = receive_hello(&mut reader).await else { return };
+    let (identity, revision) = match receive_hello(&mut reader).await {
+        Ok(First::Proxy(identity, revision)) => (identity, revision),
+        Ok(First::Joiner(member)) => return answer_joiner(member, write_half, &server).await,
+        Err(_) => return,
+    };
     let proxy = identity.proxy.clone();
     server.table.connect(id, identity, revision);
     server.metrics.proxies_connected.inc();
@@ -70,12 +77,32 @@
     }
 }
 
-async fn receive_hello(reader: &mut Reader) -> Result<(ProxyIdentity, Revision), ConnectionError> {
+/// What a connection begins with.
+enum First {
+    /// A proxy and the revision that it has.
+    Proxy(ProxyIdentity, Revision),
+    /// A replica that asks to be added to the cell.
+    Joiner(CellMember),
+}
+
+/// Passes the question on, and tells the joiner whom to expect.
+async fn answer_joiner(member: CellMember, mut write_half: OwnedWriteHalf, server: &ProxyServer) {
+    if server.node.send(NodeInput::Join(member)).is_err() {
+        return;
+    }
+    let cell = server.status.borrow().cell.clone();
+    let Ok(frame) = encode_frame(ControlMessage::Cell(cell)) else { return };
+    // A joiner that does not hear the answer asks again.
+    drop(timeout(SEND_TIMEOUT, write_half.write_all(&frame)).await);
+}
+
+async fn receive_hello(reader: &mut Reader) -> Result<First, ConnectionError> {
     let message = timeout(HELLO_TIMEOUT, reader.next()).await;
     match message.map_err(|_| ConnectionError::Silent)? {
         Some(Ok(ProxyMessage::Hello { proxy, incarnation, address, zone, revision })) => {
-            Ok((ProxyIdentity { proxy, incarnation, address, zone }, revision))
+            Ok(First::Proxy(ProxyIdentity { proxy, incarnation, address, zone }, revision))
         }
+        Some(Ok(ProxyMessage::Join { member })) => Ok(First::Joiner(member)),
         Some(Ok(_)) => Err(ConnectionError::OutOfPlace),
         Some(Err(error)) => Err(error.into()),
         None => Err(ConnectionError::Closed),
@@ -102,7 +129,9 @@
 
     async fn run(&mut self) -> Result<(), ConnectionError> {
         let mut feed = self.server.feed.subscribe();
+        let mut status = self.server.status.clone();
         self.prove_and_catch_up().await?;
+        let mut told = self.send_cell(&mut status, CellConfig::default()).await?;
         let mut acknowledgements = FuturesOrdered::new();
         loop {
             tokio::select! {
@@ -126,6 +155,10 @@
                     self.send_deltas().await?;
                     self.send(&encode_frame(acknowledgement)?).await?;
                 }
+                changed = status.changed() => {
+                    changed.map_err(|_| ConnectionError::Closed)?;
+                    told = self.send_cell(&mut status, told).await?;
+                }
                 changed = feed.changed() => {
                     changed.map_err(|_| ConnectionError::Closed)?;
                     self.send_deltas().await?;
@@ -161,6 +194,19 @@
         }
     }
 
+    /// Tells the proxy which replicas there are, if that changed; returns what it was told.
+    async fn send_cell(
+        &mut self,
+        status: &mut watch::Receiver<NodeStatus>,
+        told: CellConfig,
+    ) -> Result<CellConfig, ConnectionError> {
+        let cell = status.borrow_and_update().cell.clone();
+        if cell != told {
+            self.send(&encode_frame(ControlMessage::Cell(cell.clone()))?).await?;
+        }
+        Ok(cell)
+    }
+
     /// Sends what was applied since the last time, in order and without gaps.
     async fn send_deltas(&mut self) -> Result<(), ConnectionError> {
         loop {
--- a/crates/control/src/proxies/server.rs
+++ b/crates/control/src/proxies/server.rs
@@ -5,13 +5,14 @@
 use super::table::{ConnectionId, ProxyTable};
 use crate::feed::Feed;
 use crate::metrics::Metrics;
-use crate::node::NodeHandle;
+use crate::node::{NodeHandle, NodeStatus};
 use crate::stop::StopSignal;
 use actix_rt::ArbiterHandle;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// Pause after a failed accept (out of file descriptors, most likely).
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
@@ -27,6 +28,7 @@
     pub(crate) heartbeat_timeout: Duration,
     pub(crate) connections: Arc<AtomicU64>,
     pub(crate) stop: StopSignal,
+    pub(crate) status: watch::Receiver<NodeStatus>,
 }
 
 impl ProxyServer {
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -7,6 +7,7 @@
 use crate::node::{NodeHandle, NodeInput, NodeStatus};
 use crate::proxies::Proofs;
 use crate::recovered::Recovered;
+use crate::registry::RegistryHandle;
 use crate::settings::{ControlListeners, ControlSettings};
 use crate::starting::Starting;
 use crate::stop::{StopTrigger, stop_channel};
@@ -61,6 +62,7 @@
 
 /// A running control replica. Dropping it stops it without handing leadership over.
 pub struct ControlHandle {
+    registry: RegistryHandle,
     node: NodeHandle,
     status: watch::Receiver<NodeStatus>,
     /// Ends what serves proxies and watching operators, and asks back ends.
@@ -85,6 +87,12 @@
         self.status.borrow().clone()
     }
 
+    /// The registry of back ends and the configuration document.
+    #[must_use]
+    pub fn registry(&self) -> RegistryHandle {
+        self.registry.clone()
+    }
+
     /// Wakes at each change of the status.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<NodeStatus> {
@@ -167,8 +175,19 @@
     starting.start_cell(listeners.cell)?;
     starting.start_proxies(listeners.proxies)?;
     starting.start_platform();
+    starting.start_joining();
     let thread = starting.start_node(recovered, publisher, received)?;
     let http = starting.start_operators(listeners.operators)?;
+    let registry = RegistryHandle::new(&starting);
     let Starting { node, status, arbiters, .. } = starting;
-    Ok(ControlHandle { node, status, trigger, cell_trigger, http, arbiters, thread: Some(thread) })
+    Ok(ControlHandle {
+        registry,
+        node,
+        status,
+        trigger,
+        cell_trigger,
+        http,
+        arbiters,
+        thread: Some(thread),
+    })
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -2,6 +2,7 @@
 
 use corktack_core::consensus::{CellConfig, CellMember};
 use corktack_core::identity::{Incarnation, ReplicaId};
+use corktack_core::registry::CellRepairSettings;
 use corktack_protocol::cell::CellName;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -78,6 +79,16 @@
     pub operator_token: Option<String>,
     /// Threads of the resource interface, and arbiters of the proxies' watch.
     pub workers: usize,
+    /// How the leader grows and repairs the cell by itself; without it operators do.
+    pub cell_repair: Option<CellRepairSettings>,
+    /// How long after its start a replica leaves registry changes unacknowledged while the
+    /// cell has fewer voters than it should have: with few voters, fewer lost disks than
+    /// tolerated could lose them.
+    pub formation_grace: Duration,
+    /// Where a replica without a cell asks to be added: proxy addresses of other replicas.
+    pub join_through: Vec<SocketAddr>,
+    /// Address at which other replicas reach this one, needed to join a cell.
+    pub cell_address: Option<SocketAddr>,
     /// Seed of the jitter of elections and reconnections.
     pub seed: u64,
 }
@@ -104,6 +115,10 @@
             request_timeout: DEFAULT_REQUEST_TIMEOUT,
             platform: None,
             operator_token: None,
+            cell_repair: None,
+            formation_grace: Duration::ZERO,
+            join_through: Vec::new(),
+            cell_address: None,
             workers: DEFAULT_WORKERS,
             seed: replica.0,
         }
--- a/crates/control/src/starting.rs
+++ b/crates/control/src/starting.rs
@@ -6,6 +6,7 @@
 use crate::error::ControlError;
 use crate::feed::Feed;
 use crate::http::{Operators, serve};
+use crate::joining::Joining;
 use crate::leader::LeaderDuties;
 use crate::metrics::Metrics;
 use crate::node::{NodeHandle, NodeInput, NodeParts, NodeStatus, NodeThread};
@@ -16,6 +17,8 @@
 use crate::stop::StopSignal;
 use actix_rt::{Arbiter, ArbiterHandle};
 use actix_web::dev::ServerHandle;
+use corktack_core::consensus::CellMember;
+use corktack_core::registry::CellRepair;
 use prometheus_client::registry::Registry;
 use std::net::TcpListener;
 use std::sync::{Arc, mpsc};
@@ -67,6 +70,7 @@
             links: self.links(),
             feed: self.feed.clone(),
             duties: self.duties(),
+            cell_repair: self.settings.cell_repair.map(CellRepair::new),
             status: publisher,
             metrics: self.metrics.clone(),
         };
@@ -150,10 +154,27 @@
             metrics: self.metrics.clone(),
             heartbeat_timeout: self.settings.proxy_heartbeat_timeout,
             connections: Arc::default(),
+            status: self.status.clone(),
             stop: self.stop.clone(),
         }
     }
 
+    /// Asks other replicas to add this one to their cell, as long as it belongs to none.
+    pub(crate) fn start_joining(&self) {
+        let Some(address) = self.settings.cell_address else { return };
+        if self.settings.join_through.is_empty() {
+            return;
+        }
+        let joining = Joining {
+            member: CellMember { id: self.settings.replica, address },
+            through: self.settings.join_through.clone(),
+            status: self.status.clone(),
+            node: self.node.clone(),
+        };
+        let stop = self.stop.clone();
+        self.first_arbiter().spawn(joining.run(stop));
+    }
+
     /// Polls the platform's list, where there is one.
     pub(crate) fn start_platform(&self) {
         let Some(source) = self.settings.platform.clone() else { return };
--- a/crates/control/tests/support/proxy.rs
+++ b/crates/control/tests/support/proxy.rs
@@ -59,6 +59,7 @@
                 self.deltas += 1;
                 None
             }
+            ControlMessage::Cell(_) => None,
             ControlMessage::HeartbeatAck { sequence, current } => {
                 assert!(sequence <= self.sequence, "an answer to a heartbeat that was sent");
                 assert!(sequence > self.acknowledged, "answers come in order");
--- a/crates/core/src/consensus/accessors.rs
+++ b/crates/core/src/consensus/accessors.rs
@@ -2,10 +2,13 @@
 
 use super::CellConfig;
 use super::Role;
+use super::progress::Progress;
 use super::replica::{Replica, RoleState};
 use crate::identity::ReplicaId;
 use crate::position::Term;
+use crate::registry::CellMemberHealth;
 use crate::time::Timestamp;
+use std::collections::BTreeMap;
 
 impl Replica {
     pub(super) fn is_leader(&self) -> bool {
@@ -88,4 +91,15 @@
         };
         self.forwarded.next_deadline(&self.settings).map_or(own, |reads| own.min(reads))
     }
+
+    /// What the leader knows of the other replicas of its cell; none elsewhere.
+    #[must_use]
+    pub fn member_health(&self, now: Timestamp) -> BTreeMap<ReplicaId, CellMemberHealth> {
+        let RoleState::Leader(leader) = &self.role else { return BTreeMap::new() };
+        let health = |(id, progress): (&ReplicaId, &Progress)| {
+            let silent_for = now.saturating_since(progress.last_heard);
+            (*id, CellMemberHealth { silent_for, caught_up: self.is_caught_up(now, *id) })
+        };
+        leader.progress.iter().map(health).collect()
+    }
 }
--- a/crates/core/src/consensus/membership.rs
+++ b/crates/core/src/consensus/membership.rs
@@ -82,7 +82,7 @@
 
     /// Whether a learner holds nearly all that is committed and answers. One that
     /// lags would count for the majority without being able to form it.
-    fn is_caught_up(&self, now: Timestamp, id: ReplicaId) -> bool {
+    pub(super) fn is_caught_up(&self, now: Timestamp, id: ReplicaId) -> bool {
         let RoleState::Leader(leader) = &self.role else { return false };
         leader.progress.get(&id).is_some_and(|progress| {
             let lag = self.hard_state.commit.saturating_sub(progress.match_index);
--- a/crates/core/src/failover/manager.rs
+++ b/crates/core/src/failover/manager.rs
@@ -177,6 +177,6 @@
             refusal.map_or(StepResult::Accepted, |(_, why)| StepResult::Refused(why.clone()))
         }
         Some(Outcome::Refused(refusal)) => StepResult::Refused(refusal.clone()),
-        Some(Outcome::Accepted { .. }) | None => StepResult::Unknown,
+        Some(Outcome::Accepted { .. } | Outcome::Registry(_)) | None => StepResult::Unknown,
     }
 }
--- /dev/null
+++ b/crates/core/src/gateway/freshness.rs
@@ -0,0 +1,109 @@
+//! How much of a group's log a read must see.
+//!
+//! A gateway knows committed positions from answers that only a primary gives. Each counts from
+//! the moment *before* the question was sent: whatever was acknowledged earlier is in it.
+
+use crate::position::Position;
+use crate::time::Timestamp;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Samples closer to each other than this say nothing new of any staleness bound.
+const SAMPLE_SPACING: Duration = Duration::from_millis(40);
+/// How long samples are kept; no staleness bound served from replicas is longer.
+const RETENTION: Duration = Duration::from_secs(10);
+
+/// A position and when it came to be known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KnownPosition {
+    /// The position.
+    pub position: Position,
+    /// When the answer that carried it was received.
+    pub known_at: Timestamp,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    asked_at: Timestamp,
+    position: Position,
+}
+
+/// Committed positions of one group's primary over the last seconds.
+#[derive(Clone, Debug, Default)]
+pub struct Freshness {
+    /// By the time of the question.
+    samples: VecDeque<Sample>,
+    latest: Option<Sample>,
+}
+
+impl Freshness {
+    /// Notes a position that a proven primary told in answer to a question sent at `asked_at`.
+    ///
+    /// A lower index than an earlier question brought says that a change of primary rolled the
+    /// difference back: no member will ever hold it, so nothing may wait for it.
+    pub fn note(&mut self, asked_at: Timestamp, position: Position) {
+        if self.latest.is_some_and(|latest| latest.asked_at > asked_at) {
+            return;
+        }
+        for sample in &mut self.samples {
+            if sample.position.index > position.index {
+                sample.position = position;
+            }
+        }
+        let sample = Sample { asked_at, position };
+        self.latest = Some(sample);
+        let spaced =
+            self.samples.back().is_none_or(|last| asked_at - last.asked_at >= SAMPLE_SPACING);
+        if spaced {
+            self.samples.push_back(sample);
+        }
+        while self.samples.front().is_some_and(|first| asked_at - first.asked_at > RETENTION) {
+            self.samples.pop_front();
+        }
+    }
+
+    /// A position that holds every commit acknowledged more than `staleness` before `began`; the
+    /// lowest known. None when no question is young enough: the primary must be asked.
+    #[must_use]
+    pub fn floor(&self, began: Timestamp, staleness: Duration) -> Option<Position> {
+        let young = |sample: &&Sample| sample.asked_at + staleness >= began;
+        let sample = self.samples.iter().find(young).or(self.latest.as_ref().filter(young))?;
+        Some(sample.position)
+    }
+
+    /// Time since the question of the newest sample; none without one.
+    #[must_use]
+    pub fn age(&self, now: Timestamp) -> Option<Duration> {
+        self.latest.map(|latest| now - latest.asked_at)
+    }
+
+    /// What a session's own commit asks of a read, after changes of primary that may have rolled
+    /// it back: those were seen by a question sent after the commit was acknowledged.
+    #[must_use]
+    pub fn clip(&self, own: KnownPosition) -> Position {
+        match self.latest {
+            Some(latest)
+                if latest.asked_at > own.known_at && latest.position.index < own.position.index =>
+            {
+                latest.position
+            }
+            _ => own.position,
+        }
+    }
+
+    /// The position a read must see: the floor and the session's own commits.
+    #[must_use]
+    pub fn needed(
+        &self,
+        began: Timestamp,
+        staleness: Duration,
+        own: Option<KnownPosition>,
+    ) -> Option<Position> {
+        let floor = self.floor(began, staleness)?;
+        let own = own.map(|own| self.clip(own));
+        Some(match own {
+            Some(own) if (own.index, own.term) > (floor.index, floor.term) => own,
+            _ => floor,
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/mod.rs
@@ -0,0 +1,12 @@
+//! Decisions of a gateway: how fresh a member must be, how a pooled connection is brought to a
+//! session's state, which member a read is offered to, and who waits before whom.
+
+mod freshness;
+mod member_choice;
+mod profile;
+mod wait_queue;
+
+pub use freshness::{Freshness, KnownPosition};
+pub use member_choice::{Distance, MemberLoad, choose_reader};
+pub use profile::{ConnectionProfile, SessionProfile, UnknownName};
+pub use wait_queue::{Ticket, WaitQueue, WaitingFor};
--- /dev/null
+++ b/crates/core/src/registry/mod.rs
@@ -0,0 +1,17 @@
+//! Back ends that register themselves, and the configuration as one versioned document.
+//!
+//! Beside the resources that operators declare one by one, a deployment may hand its whole
+//! configuration over as one [`Document`] and let its back ends register by heartbeat. Both are
+//! part of the control state: a change is acknowledged only once the log has committed it.
+
+mod back_end;
+mod cell_repair;
+mod document;
+mod state;
+
+pub use back_end::{BackEndReport, BackEndRole, BackEndState, RegisteredBackEnd};
+pub use cell_repair::{CellMemberHealth, CellRepair, CellRepairSettings};
+pub use document::{
+    Consistency, Document, DocumentError, DocumentLimits, RouteRule, ServiceRule, StoredDocument,
+};
+pub use state::{Promotion, RegistryChanges, RegistryCommand, RegistryOutcome, RegistryState};
--- a/crates/core/src/state/change_set.rs
+++ b/crates/core/src/state/change_set.rs
@@ -2,6 +2,7 @@
 
 use super::ControlState;
 use crate::identity::{BindingName, ClassName, GroupName, ProxyName};
+use crate::registry::RegistryChanges;
 use crate::view::ViewChange;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -14,6 +15,7 @@
     pub classes: BTreeSet<ClassName>,
     pub bindings: BTreeSet<BindingName>,
     pub proxies: BTreeSet<ProxyName>,
+    pub registry: RegistryChanges,
 }
 
 impl ChangeSet {
@@ -35,6 +37,23 @@
             Some(binding) => ViewChange::PutBinding(name, binding.spec.clone()),
             None => ViewChange::DeleteBinding(name),
         });
-        proxies.chain(groups).chain(classes).chain(bindings).collect()
+        let registry = registry_changes(self.registry, state);
+        proxies.chain(groups).chain(classes).chain(bindings).chain(registry).collect()
     }
 }
+
+/// The document before the back ends of its groups, and those before who shall lead.
+fn registry_changes(changes: RegistryChanges, state: &ControlState) -> Vec<ViewChange> {
+    let registry = &state.registry;
+    let document = registry.document().filter(|_| changes.document);
+    let document = document.map(|stored| ViewChange::PutDocument(Arc::clone(&stored.document)));
+    let back_ends = changes.back_ends.into_iter().map(|member| match registry.back_end(&member) {
+        Some(back_end) => ViewChange::PutBackEnd(member, Arc::clone(back_end)),
+        None => ViewChange::DeleteBackEnd(member),
+    });
+    let promotions = changes.promotions.into_iter().filter_map(|group| {
+        let promotion = registry.promotion(&group)?.clone();
+        Some(ViewChange::PutPromotion(group, promotion))
+    });
+    document.into_iter().chain(back_ends).chain(promotions).collect()
+}
--- a/crates/core/src/state/command.rs
+++ b/crates/core/src/state/command.rs
@@ -2,6 +2,7 @@
 
 use crate::identity::{GroupName, Incarnation, MemberName, ProxyName, ZoneName};
 use crate::position::Term;
+use crate::registry::{RegistryCommand, RegistryOutcome};
 use crate::resources::{ResourceKey, ResourceSpec, ResourceVersion};
 use crate::view::{Revision, ViewChange};
 use serde::{Deserialize, Serialize};
@@ -95,6 +96,8 @@
     Failover(Vec<(GroupName, FailoverStep)>),
     /// Members that the platform's list calls leaving (true) or no longer (false). Batched.
     MembersLeaving(Vec<(GroupName, MemberName, bool)>),
+    /// A change of the registry of back ends and the configuration document.
+    Registry(Box<RegistryCommand>),
 }
 
 /// Why a command changed nothing.
@@ -148,6 +151,8 @@
     },
     /// Nothing was changed.
     Refused(Refusal),
+    /// A change of the registry was applied.
+    Registry(RegistryOutcome),
 }
 
 /// Result of applying one command.
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -18,6 +18,7 @@
 pub use resend::RESEND_MEMORY_LIMIT;
 
 use crate::identity::{BindingName, ClassName, GroupName, ProxyName};
+use crate::registry::{RegistryChanges, RegistryState};
 use crate::resources::{BindingSpec, Kind, PriorityClassSpec, ResourceKey, ResourceSpec};
 use crate::state::change_set::ChangeSet;
 use crate::state::command::{Applied, ChangeId, Command, Outcome, ResourceOperation};
@@ -38,6 +39,7 @@
     bindings: BTreeMap<BindingName, Declared<BindingSpec>>,
     proxies: BTreeMap<ProxyName, ProxyRecord>,
     resends: ResendMemory,
+    registry: RegistryState,
 }
 
 impl ControlState {
@@ -76,6 +78,12 @@
             Command::ProxiesDraining(batch) => self.proxies_draining(batch, changed),
             Command::Failover(batch) => self.apply_failover(batch, changed),
             Command::MembersLeaving(batch) => self.members_leaving(batch, changed),
+            Command::Registry(command) => {
+                let mut touched = RegistryChanges::default();
+                let outcome = self.registry.apply(revision, *command, &mut touched);
+                changed.registry = touched;
+                return Outcome::Registry(outcome);
+            }
         };
         Outcome::Batch { refused }
     }
@@ -137,9 +145,18 @@
             classes: classes.collect(),
             bindings: bindings.collect(),
             proxies: proxies.collect(),
+            document: self.registry.document().map(|stored| Arc::clone(&stored.document)),
+            back_ends: self.registry.back_ends().map(|(k, v)| (k.clone(), Arc::clone(v))).collect(),
+            promotions: self.registry.promotions().map(|(k, v)| (k.clone(), v.clone())).collect(),
         }
     }
 
+    /// The back ends that registered, the document in force and who shall lead.
+    #[must_use]
+    pub const fn registry(&self) -> &RegistryState {
+        &self.registry
+    }
+
     /// One resource as stored.
     #[must_use]
     pub fn get(&self, key: &ResourceKey) -> Option<StoredResource> {
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -4,6 +4,7 @@
     BindingName, ClassName, GroupName, Incarnation, MemberName, ProxyName, ZoneName,
 };
 use crate::position::Term;
+use crate::registry::{Document, Promotion, RegisteredBackEnd};
 use crate::resources::{BindingSpec, DatabaseGroupSpec, PriorityClassSpec};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -74,6 +75,14 @@
     PutProxy(ProxyName, ProxyView),
     /// A proxy was forgotten.
     DeleteProxy(ProxyName),
+    /// Another configuration document is in force.
+    PutDocument(Arc<Document>),
+    /// A registered back end came or changed.
+    PutBackEnd(MemberName, Arc<RegisteredBackEnd>),
+    /// A registered back end left.
+    DeleteBackEnd(MemberName),
+    /// It was decided who shall lead a group of registered back ends.
+    PutPromotion(GroupName, Promotion),
 }
 
 /// The changes of one revision.
@@ -98,6 +107,12 @@
     pub bindings: BTreeMap<BindingName, BindingSpec>,
     /// The proxies.
     pub proxies: BTreeMap<ProxyName, ProxyView>,
+    /// The configuration document, where a deployment uses one.
+    pub document: Option<Arc<Document>>,
+    /// The back ends that registered themselves.
+    pub back_ends: BTreeMap<MemberName, Arc<RegisteredBackEnd>>,
+    /// The last decision on who leads each of their groups.
+    pub promotions: BTreeMap<GroupName, Promotion>,
 }
 
 /// A delta or snapshot that must not be applied.
@@ -155,6 +170,12 @@
             ViewChange::DeleteBinding(name) => drop(self.bindings.remove(&name)),
             ViewChange::PutProxy(name, proxy) => drop(self.proxies.insert(name, proxy)),
             ViewChange::DeleteProxy(name) => drop(self.proxies.remove(&name)),
+            ViewChange::PutDocument(document) => self.document = Some(document),
+            ViewChange::PutBackEnd(name, back_end) => drop(self.back_ends.insert(name, back_end)),
+            ViewChange::DeleteBackEnd(name) => drop(self.back_ends.remove(&name)),
+            ViewChange::PutPromotion(group, promotion) => {
+                self.promotions.insert(group, promotion);
+            }
         }
     }
 }
--- a/crates/core/src/watch/deltas.rs
+++ b/crates/core/src/watch/deltas.rs
@@ -7,6 +7,9 @@
 /// Changes held over all recent deltas; about 10 MB at 600 bytes each.
 pub const DELTA_CHANGE_LIMIT: usize = 16_384;
 
+/// Routes of a document that count as one change, by their encoded size.
+const ROUTES_PER_CHANGE: usize = 4;
+
 /// Most changes given to a watcher in one step, so that one that is far behind
 /// does not hold up the others of its thread.
 const STEP_CHANGE_LIMIT: usize = 1_024;
@@ -35,7 +38,7 @@
         if changes.is_empty() {
             return;
         }
-        let weight = changes.len();
+        let weight = changes.iter().map(weight).sum();
         self.log.push(revision, weight, Arc::new(Delta { revision, changes }));
     }
 
@@ -54,6 +57,14 @@
     }
 }
 
+/// How many changes of ordinary size a change counts as.
+fn weight(change: &ViewChange) -> usize {
+    match change {
+        ViewChange::PutDocument(document) => 1 + document.routes.len() / ROUTES_PER_CHANGE,
+        _ => 1,
+    }
+}
+
 /// What to send to a watcher next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchStep {
@@ -100,7 +111,7 @@
         let mut changes = 0;
         let mut step = Vec::new();
         for delta in deltas {
-            changes += delta.changes.len();
+            changes += delta.changes.iter().map(weight).sum::<usize>();
             if changes > STEP_CHANGE_LIMIT && !step.is_empty() {
                 break;
             }
--- a/crates/core/src/watch/events.rs
+++ b/crates/core/src/watch/events.rs
@@ -94,7 +94,7 @@
     }
 }
 
-/// The event of one change of the view; none for a proxy, which is no resource.
+/// The event of one change of the view; none for what is no resource.
 fn event(
     state: &ControlState,
     revision: Revision,
@@ -112,7 +112,12 @@
         ViewChange::PutBinding(name, _) | ViewChange::DeleteBinding(name) => {
             (ResourceKey::Binding(name.clone()), None)
         }
-        ViewChange::PutProxy(..) | ViewChange::DeleteProxy(_) => return None,
+        ViewChange::PutProxy(..)
+        | ViewChange::DeleteProxy(_)
+        | ViewChange::PutDocument(_)
+        | ViewChange::PutBackEnd(..)
+        | ViewChange::DeleteBackEnd(_)
+        | ViewChange::PutPromotion(..) => return None,
     };
     let Some(resource) = state.get(&key) else {
         let resource = before.filter(|resource| resource.key == key)?.clone();
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -135,7 +135,9 @@
         match self.apply(Command::Resource { change, operation }).outcome {
             Outcome::Accepted { version, .. } => Ok(version),
             Outcome::Refused(refusal) => Err(refusal),
-            batch @ Outcome::Batch { .. } => panic!("a resource has no batch: {batch:?}"),
+            other @ (Outcome::Batch { .. } | Outcome::Registry(_)) => {
+                panic!("a resource has another outcome: {other:?}")
+            }
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/dial.rs
@@ -0,0 +1,53 @@
+//! Opens connections to members.
+
+use crate::connection::MemberConnection;
+use crate::error::{DialError, LinkError};
+use crate::settings::GatewaySettings;
+use crate::wire::Wire;
+use corktack_core::identity::{GroupName, MemberName};
+use corktack_core::statement::{MemberRequest, ReadyState, Reply};
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Opens a connection and waits until the member is ready for statements.
+pub(crate) async fn dial<W: Wire>(
+    wire: &W,
+    settings: &GatewaySettings,
+    group: &GroupName,
+    member: &MemberName,
+    address: SocketAddr,
+) -> Result<(MemberConnection<W>, ReadyState), DialError> {
+    let opening = open(wire, settings, group, member, address);
+    let opened = timeout(settings.dial_timeout, opening).await;
+    opened.map_err(|_| DialError::Link(LinkError::TimedOut))?
+}
+
+async fn open<W: Wire>(
+    wire: &W,
+    settings: &GatewaySettings,
+    group: &GroupName,
+    member: &MemberName,
+    address: SocketAddr,
+) -> Result<(MemberConnection<W>, ReadyState), DialError> {
+    let stream = TcpStream::connect(address).await.map_err(LinkError::Io)?;
+    tune(&stream, settings).map_err(LinkError::Io)?;
+    let mut connection = MemberConnection::new(wire.clone(), stream);
+    let start = MemberRequest::Start {
+        group: group.as_str(),
+        who: &settings.name,
+        member: member.as_str(),
+    };
+    connection.send(&start).await?;
+    match connection.read_reply().await? {
+        Reply::Ready(ready) => Ok((connection, ready)),
+        Reply::Error { code, text } => Err(DialError::Refused { code, text }),
+        _ => Err(LinkError::Closed.into()),
+    }
+}
+
+/// A far end that went dark is noticed by the kernel, not only by the next statement.
+fn tune(stream: &TcpStream, settings: &GatewaySettings) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(settings.unacknowledged_limit))
+}
--- /dev/null
+++ b/crates/gateway/src/error.rs
@@ -0,0 +1,79 @@
+//! Why a gateway could not start or serve.
+
+use corktack_core::identity::MemberName;
+use corktack_core::statement::ErrorCode;
+
+/// Why a gateway could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum GatewayError {
+    /// The listener cannot be used.
+    #[error("the listener for callers cannot be used")]
+    Listener(#[source] std::io::Error),
+}
+
+/// Bytes that are no message of the wire.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum WireError {
+    /// A message is longer than the wire allows.
+    #[error("a message of more than {limit} bytes")]
+    TooLong {
+        /// The limit.
+        limit: usize,
+    },
+    /// A field is missing or has no meaning.
+    #[error("{field} is missing or has no meaning")]
+    Field {
+        /// The field.
+        field: &'static str,
+    },
+    /// The bytes are no text.
+    #[error("a message that is no text")]
+    Encoding,
+}
+
+/// Why a connection to a member gave no answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum LinkError {
+    /// The connection failed or was closed.
+    #[error("the connection failed")]
+    Io(#[from] std::io::Error),
+    /// The member closed it.
+    #[error("the member closed the connection")]
+    Closed,
+    /// The member speaks something else.
+    #[error(transparent)]
+    Wire(#[from] WireError),
+    /// No answer came in time.
+    #[error("no answer in time")]
+    TimedOut,
+}
+
+/// Why a member could not be connected to; nothing ran.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum DialError {
+    /// It cannot be reached.
+    #[error(transparent)]
+    Link(#[from] LinkError),
+    /// It refuses the connection.
+    #[error("refused with {code:?}: {text}")]
+    Refused {
+        /// Its reason.
+        code: ErrorCode,
+        /// Its text.
+        text: String,
+    },
+}
+
+/// Why no connection was to be had.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum AcquireError {
+    /// None became free in the time allowed.
+    #[error("no connection became free in time")]
+    NoneFree,
+    /// No member that could serve can be reached now.
+    #[error("no member can be reached")]
+    NoMember,
+    /// One member could not be connected to; another may.
+    #[error("member {0} cannot be connected to")]
+    Unreachable(MemberName),
+}
--- /dev/null
+++ b/crates/gateway/src/group.rs
@@ -0,0 +1,342 @@
+//! A group of back ends as this gateway uses it.
+
+use crate::connection::MemberConnection;
+use crate::dial::dial;
+use crate::error::{AcquireError, DialError};
+use crate::lease::Lease;
+use crate::member::Member;
+use crate::settings::GatewaySettings;
+use crate::wire::Wire;
+use corktack_core::gateway::{
+    Distance, Freshness, SessionProfile, Ticket, WaitQueue, WaitingFor, choose_reader,
+};
+use corktack_core::identity::{GroupName, MemberName};
+use corktack_core::registry::{BackEndRole, Promotion, RegisteredBackEnd};
+use corktack_core::statement::ErrorCode;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout_at};
+
+/// How long a member that said it is no primary is not asked again, unless control says it is.
+const NOT_PRIMARY_PAUSE: Duration = Duration::from_millis(150);
+/// Pause between two looks while no member that could serve can be reached.
+const NO_MEMBER_PAUSE: Duration = Duration::from_millis(30);
+
+/// Who could serve a statement.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Target {
+    /// The primary.
+    Primary,
+    /// Any member but those that have already refused it.
+    Reader {
+        /// Members that refused it.
+        refused: BTreeSet<MemberName>,
+    },
+}
+
+/// A wish for a connection.
+#[derive(Clone, Debug)]
+pub(crate) struct Wish<'s> {
+    pub(crate) target: Target,
+    pub(crate) session: &'s SessionProfile,
+    pub(crate) priority: u32,
+    /// When waiting for a connection ends.
+    pub(crate) give_up: Instant,
+}
+
+/// What the registry says of a group.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct GroupFacts {
+    pub(crate) members: BTreeMap<MemberName, Arc<RegisteredBackEnd>>,
+    pub(crate) promotion: Option<Promotion>,
+    /// Connections a member that this gateway may have.
+    pub(crate) connection_share: usize,
+    /// Gateways that share each member.
+    pub(crate) gateways: usize,
+}
+
+struct GroupState<W: Wire> {
+    members: BTreeMap<MemberName, Member<W>>,
+    promotion: Option<Promotion>,
+    /// The member that last acted as primary.
+    proven_primary: Option<MemberName>,
+    not_primary_until: BTreeMap<MemberName, Instant>,
+    waiting: WaitQueue<oneshot::Sender<()>>,
+}
+
+/// A group of back ends as this gateway uses it.
+pub(crate) struct Group<W: Wire> {
+    pub(crate) name: GroupName,
+    wire: W,
+    settings: Rc<GatewaySettings>,
+    state: RefCell<GroupState<W>>,
+    pub(crate) freshness: RefCell<Freshness>,
+}
+
+/// The next step towards a connection.
+enum Step<W: Wire> {
+    Use(MemberName, MemberConnection<W>),
+    Dial(MemberName, Arc<RegisteredBackEnd>),
+    Wait,
+    NoMember,
+}
+
+impl<W: Wire> Group<W> {
+    pub(crate) fn new(name: GroupName, wire: W, settings: Rc<GatewaySettings>) -> Self {
+        let state = GroupState {
+            members: BTreeMap::new(),
+            promotion: None,
+            proven_primary: None,
+            not_primary_until: BTreeMap::new(),
+            waiting: WaitQueue::default(),
+        };
+        let freshness = RefCell::default();
+        Self { name, wire, settings, state: RefCell::new(state), freshness }
+    }
+
+    /// Takes what the registry says now. Members that left get no new work.
+    pub(crate) fn follow(&self, facts: &GroupFacts) {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        state.members.retain(|name, _| facts.members.contains_key(name));
+        for (name, back_end) in &facts.members {
+            let distance = Distance::between(&self.settings.zone, &back_end.zone);
+            let new = || Member::new(Arc::clone(back_end), distance);
+            let member = state.members.entry(name.clone()).or_insert_with(new);
+            member.follow(back_end, now);
+            member.share(facts.connection_share, facts.gateways);
+        }
+        if state.promotion != facts.promotion {
+            state.promotion.clone_from(&facts.promotion);
+            state.not_primary_until.clear();
+            state.proven_primary = None;
+        }
+    }
+
+    /// A place in the order of waiters.
+    pub(crate) fn ticket(&self, priority: u32) -> Ticket {
+        self.state.borrow_mut().waiting.ticket(priority)
+    }
+
+    /// Waits for a connection to a member that could serve the wish.
+    pub(crate) async fn acquire(
+        self: &Rc<Self>,
+        wish: &Wish<'_>,
+    ) -> Result<Lease<W>, AcquireError> {
+        let ticket = self.ticket(wish.priority);
+        loop {
+            let step = self.state.borrow_mut().step(wish, ticket, &self.settings);
+            match step {
+                Step::Use(member, connection) => {
+                    return Ok(Lease::new(Rc::clone(self), member, connection));
+                }
+                Step::Dial(member, back_end) => {
+                    return self.open(member, &back_end).await;
+                }
+                Step::Wait => self.wait(wish, ticket).await?,
+                Step::NoMember => {
+                    let until = Instant::now() + NO_MEMBER_PAUSE;
+                    if until >= wish.give_up {
+                        return Err(AcquireError::NoMember);
+                    }
+                    tokio::time::sleep_until(until).await;
+                }
+            }
+        }
+    }
+
+    async fn wait(&self, wish: &Wish<'_>, ticket: Ticket) -> Result<(), AcquireError> {
+        let (waker, woken) = oneshot::channel();
+        let what = match wish.target {
+            Target::Primary => WaitingFor::Primary,
+            Target::Reader { .. } => WaitingFor::AnyMember,
+        };
+        self.state.borrow_mut().waiting.wait(ticket, what, waker);
+        let woken = timeout_at(wish.give_up, woken).await;
+        self.state.borrow_mut().waiting.leave(ticket);
+        woken.map(drop).map_err(|_| AcquireError::NoneFree)
+    }
+
+    async fn open(
+        self: &Rc<Self>,
+        member: MemberName,
+        back_end: &RegisteredBackEnd,
+    ) -> Result<Lease<W>, AcquireError> {
+        let place = OpenPlace { group: Rc::clone(self), member: Some(member.clone()) };
+        let dialed = dial(&self.wire, &self.settings, &self.name, &member, back_end.address).await;
+        match dialed {
+            Ok((connection, _)) => {
+                self.with_member(&member, Member::note_reached);
+                place.keep();
+                Ok(Lease::new(Rc::clone(self), member, connection))
+            }
+            Err(error) => {
+                log::info!(
+                    group:% = self.name, member:% = member, error:% = error;
+                    "member cannot be connected to"
+                );
+                let now = Instant::now();
+                self.with_member(&member, |it| match &error {
+                    DialError::Refused { code: ErrorCode::TooManyConnections, .. } => {
+                        it.note_full(now);
+                    }
+                    _ => it.note_unreachable(now),
+                });
+                Err(AcquireError::Unreachable(member))
+            }
+        }
+    }
+
+    /// Runs `change` on a member that is still there.
+    pub(crate) fn with_member(&self, name: &MemberName, change: impl FnOnce(&mut Member<W>)) {
+        if let Some(member) = self.state.borrow_mut().members.get_mut(name) {
+            change(member);
+        }
+    }
+
+    /// Takes a connection back; it is kept where the member still takes work.
+    pub(crate) fn give_back(&self, name: &MemberName, connection: MemberConnection<W>) {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        let Some(member) = state.members.get_mut(name) else { return connection.terminate() };
+        if member.draining_since.is_some() && !member.takes_writes(now, self.settings.drain_limit)
+            || member.open > member.limit
+        {
+            member.open -= 1;
+            connection.terminate();
+        } else {
+            member.idle.push(connection);
+        }
+        state.wake_next(name);
+    }
+
+    /// A connection is gone.
+    pub(crate) fn closed(&self, name: &MemberName) {
+        let mut state = self.state.borrow_mut();
+        if let Some(member) = state.members.get_mut(name) {
+            member.open = member.open.saturating_sub(1);
+        }
+        state.wake_next(name);
+    }
+
+    /// A member acted as only the primary can.
+    pub(crate) fn note_primary(&self, name: &MemberName) {
+        let mut state = self.state.borrow_mut();
+        if state.proven_primary.as_ref() != Some(name) {
+            log::info!(group:% = self.name, member:% = name; "primary found");
+            state.proven_primary = Some(name.clone());
+        }
+        state.not_primary_until.remove(name);
+    }
+
+    /// A member refused what only the primary takes.
+    pub(crate) fn note_not_primary(&self, name: &MemberName) {
+        let mut state = self.state.borrow_mut();
+        if state.proven_primary.as_ref() == Some(name) {
+            state.proven_primary = None;
+        }
+        let until = Instant::now() + NOT_PRIMARY_PAUSE;
+        state.not_primary_until.insert(name.clone(), until);
+    }
+}
+
+/// A connection being opened counts as open; the place is given back if it never is.
+struct OpenPlace<W: Wire> {
+    group: Rc<Group<W>>,
+    member: Option<MemberName>,
+}
+
+impl<W: Wire> OpenPlace<W> {
+    fn keep(mut self) {
+        self.member = None;
+    }
+}
+
+impl<W: Wire> Drop for OpenPlace<W> {
+    fn drop(&mut self) {
+        if let Some(member) = self.member.take() {
+            self.group.closed(&member);
+        }
+    }
+}
+
+impl<W: Wire> GroupState<W> {
+    fn step(&mut self, wish: &Wish<'_>, ticket: Ticket, settings: &GatewaySettings) -> Step<W> {
+        let now = Instant::now();
+        let chosen = match &wish.target {
+            Target::Primary => self.primary(now, settings),
+            Target::Reader { refused } => self.reader(now, refused),
+        };
+        let Some(name) = chosen else { return Step::NoMember };
+        let what = match wish.target {
+            Target::Primary => WaitingFor::Primary,
+            Target::Reader { .. } => WaitingFor::AnyMember,
+        };
+        let overtaken = self.waiting.someone_before(ticket, what);
+        let Some(member) = self.members.get_mut(&name) else { return Step::NoMember };
+        if overtaken || !member.has_room(now) {
+            return Step::Wait;
+        }
+        if let Some(connection) = member.take_idle(wish.session) {
+            return Step::Use(name, connection);
+        }
+        if member.open >= member.limit {
+            return Step::Wait;
+        }
+        member.open += 1;
+        Step::Dial(name, Arc::clone(&member.back_end))
+    }
+
+    /// The member to try as primary: the one that proved to be, the one promoted last, one that
+    /// calls itself primary, then the others.
+    fn primary(&self, now: Instant, settings: &GatewaySettings) -> Option<MemberName> {
+        let promoted = self.promotion.as_ref().map(|promotion| &promotion.target);
+        let rank = |name: &MemberName, member: &Member<W>| {
+            if self.proven_primary.as_ref() == Some(name) {
+                0
+            } else if promoted == Some(name) {
+                1
+            } else if member.back_end.role == BackEndRole::Primary {
+                2
+            } else {
+                3
+            }
+        };
+        let excluded =
+            |name: &MemberName| self.not_primary_until.get(name).is_some_and(|until| now < *until);
+        let able = self.members.iter().filter(|(name, member)| {
+            member.takes_writes(now, settings.drain_limit) && !excluded(name)
+        });
+        able.min_by_key(|(name, member)| rank(name, member)).map(|(name, _)| name.clone())
+    }
+
+    /// The member to offer a read to. Those that lagged or had no room come after the others.
+    fn reader(&self, now: Instant, refused: &BTreeSet<MemberName>) -> Option<MemberName> {
+        let able: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(name, member)| member.takes_reads(now) && !refused.contains(*name))
+            .collect();
+        let choose = |able: Vec<(&MemberName, &Member<W>)>| {
+            let loads: Vec<_> = able.iter().map(|(_, member)| member.load()).collect();
+            choose_reader(&loads).map(|place| able[place].0.clone())
+        };
+        let good = able.iter().copied().filter(|(_, member)| !member.is_passed_over(now));
+        let free = good.clone().filter(|(_, member)| member.has_room(now));
+        choose(free.collect()).or_else(|| choose(good.collect())).or_else(|| choose(able))
+    }
+
+    /// Wakes the first who could use a connection to this member.
+    fn wake_next(&mut self, name: &MemberName) {
+        let may_lead = self.proven_primary.as_ref().is_none_or(|primary| primary == name);
+        while let Some(waker) = self.waiting.next(may_lead) {
+            if waker.send(()).is_ok() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/handle.rs
@@ -0,0 +1,181 @@
+//! Starts and stops a gateway.
+
+use crate::drain::drain;
+use crate::error::GatewayError;
+use crate::group::{Group, Target, Wish};
+use crate::metrics::Metrics;
+use crate::routes::Routes;
+use crate::session::serve_caller;
+use crate::settings::GatewaySettings;
+use crate::wire::Wire;
+use corktack_core::gateway::SessionProfile;
+use corktack_core::identity::GroupName;
+use corktack_core::statement::{Access, OwnStatement};
+use corktack_core::time::Timestamp;
+use corktack_core::view::View;
+use prometheus_client::registry::Registry;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+/// Pause after a failed accept (out of file descriptors, most likely).
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Part of a staleness bound after which the primary is asked again, so that reads find a
+/// position young enough.
+const REFRESH_PART: f64 = 0.4;
+/// Longest time that a question for the primary's position may take.
+const REFRESH_LIMIT: Duration = Duration::from_millis(600);
+/// Priority of the product's own questions: they make room for callers' reads.
+const REFRESH_PRIORITY: u32 = 0;
+
+/// What all sessions of a gateway share.
+pub(crate) struct Shared<W: Wire> {
+    pub(crate) wire: W,
+    pub(crate) settings: Rc<GatewaySettings>,
+    pub(crate) routes: Routes<W>,
+    pub(crate) metrics: Metrics,
+    pub(crate) sessions: Cell<usize>,
+    pub(crate) stopping: Cell<bool>,
+    pub(crate) stop_began: Notify,
+    pub(crate) transactions_over: Notify,
+    pub(crate) session_ended: Notify,
+    refreshing: RefCell<BTreeSet<GroupName>>,
+    origin: Instant,
+}
+
+impl<W: Wire> Shared<W> {
+    /// The steady time since the start of the gateway.
+    pub(crate) fn now(&self) -> Timestamp {
+        Timestamp::ZERO + self.origin.elapsed()
+    }
+
+    /// Asks the primary for its position in the background when the last answer grows old.
+    pub(crate) fn refresh_if_due(self: &Rc<Self>, group: &Rc<Group<W>>, staleness: Duration) {
+        let age = group.freshness.borrow().age(self.now());
+        let young = age.is_some_and(|age| age < staleness.mul_f64(REFRESH_PART));
+        if young || !self.refreshing.borrow_mut().insert(group.name.clone()) {
+            return;
+        }
+        let (shared, group) = (Rc::clone(self), Rc::clone(group));
+        actix_rt::spawn(async move {
+            shared.refresh(&group).await;
+            shared.refreshing.borrow_mut().remove(&group.name);
+        });
+    }
+
+    async fn refresh(&self, group: &Rc<Group<W>>) {
+        let give_up = Instant::now() + REFRESH_LIMIT;
+        let session = SessionProfile::default();
+        let target = Target::Primary;
+        let wish = Wish { target, session: &session, priority: REFRESH_PRIORITY, give_up };
+        let Ok(mut lease) = group.acquire(&wish).await else { return };
+        let asked_at = self.now();
+        let begin = OwnStatement::Begin { access: Access::Write, after: None };
+        let Ok(answer) = lease.connection().run_own(&begin, give_up).await else {
+            group.with_member(&lease.member, |it| it.note_unreachable(Instant::now()));
+            return;
+        };
+        if answer.outcome.is_err() {
+            group.note_not_primary(&lease.member);
+            return;
+        }
+        lease.in_transaction = true;
+        group.note_primary(&lease.member);
+        if let Some(position) = answer.ready.position {
+            group.freshness.borrow_mut().note(asked_at, position);
+        }
+        let rolled_back = lease.connection().run_own(&OwnStatement::Rollback, give_up).await;
+        lease.in_transaction = !rolled_back.is_ok_and(|answer| answer.outcome.is_ok());
+    }
+}
+
+/// A gateway.
+#[derive(Debug)]
+pub struct Gateway;
+
+impl Gateway {
+    /// Serves callers on a bound listener, on this arbiter, by the configuration of `views`.
+    ///
+    /// # Errors
+    /// [`GatewayError::Listener`]; nothing runs then.
+    pub fn start<W: Wire>(
+        settings: GatewaySettings,
+        wire: W,
+        listener: std::net::TcpListener,
+        views: watch::Receiver<Arc<View>>,
+        registry: &mut Registry,
+    ) -> Result<GatewayHandle<W>, GatewayError> {
+        listener.set_nonblocking(true).map_err(GatewayError::Listener)?;
+        let listener = TcpListener::from_std(listener).map_err(GatewayError::Listener)?;
+        let settings = Rc::new(settings);
+        let shared = Rc::new(Shared {
+            routes: Routes::new(wire.clone(), Rc::clone(&settings)),
+            wire,
+            settings,
+            metrics: Metrics::register(registry),
+            sessions: Cell::new(0),
+            stopping: Cell::new(false),
+            stop_began: Notify::new(),
+            transactions_over: Notify::new(),
+            session_ended: Notify::new(),
+            refreshing: RefCell::default(),
+            origin: Instant::now(),
+        });
+        actix_rt::spawn(follow_views(Rc::clone(&shared), views));
+        actix_rt::spawn(accept(listener, Rc::clone(&shared)));
+        Ok(GatewayHandle { shared })
+    }
+}
+
+/// A running gateway.
+pub struct GatewayHandle<W: Wire> {
+    shared: Rc<Shared<W>>,
+}
+
+impl<W: Wire> std::fmt::Debug for GatewayHandle<W> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("GatewayHandle").finish_non_exhaustive()
+    }
+}
+
+impl<W: Wire> GatewayHandle<W> {
+    /// Whether there is a configuration to serve by.
+    #[must_use]
+    pub fn has_document(&self) -> bool {
+        self.shared.routes.has_document()
+    }
+
+    /// Ends sessions as they become quiet; returns once all are over or their time is up.
+    pub async fn drain(&self) {
+        drain(&self.shared).await;
+    }
+}
+
+async fn follow_views<W: Wire>(shared: Rc<Shared<W>>, mut views: watch::Receiver<Arc<View>>) {
+    loop {
+        let view = Arc::clone(&views.borrow_and_update());
+        shared.routes.follow(&view);
+        if views.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn accept<W: Wire>(listener: TcpListener, shared: Rc<Shared<W>>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                actix_rt::spawn(serve_caller(stream, Rc::clone(&shared)));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "a caller cannot be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lease.rs
@@ -0,0 +1,53 @@
+//! A connection that one statement or transaction uses.
+
+use crate::connection::MemberConnection;
+use crate::group::Group;
+use crate::wire::Wire;
+use corktack_core::identity::MemberName;
+use std::rc::Rc;
+
+/// A connection in use. It goes back to its member when dropped, unless an answer is still
+/// outstanding or a transaction may be open on it: then it is closed, which rolls back.
+pub(crate) struct Lease<W: Wire> {
+    group: Rc<Group<W>>,
+    pub(crate) member: MemberName,
+    connection: Option<MemberConnection<W>>,
+    /// Set while a transaction may be open.
+    pub(crate) in_transaction: bool,
+}
+
+impl<W: Wire> Lease<W> {
+    pub(crate) fn new(
+        group: Rc<Group<W>>,
+        member: MemberName,
+        connection: MemberConnection<W>,
+    ) -> Self {
+        Self { group, member, connection: Some(connection), in_transaction: false }
+    }
+
+    pub(crate) fn group(&self) -> &Rc<Group<W>> {
+        &self.group
+    }
+
+    /// Notes that the member has ended the transaction.
+    pub(crate) fn end_transaction(&mut self) {
+        self.in_transaction = false;
+    }
+
+    /// The connection; there until the lease ends.
+    pub(crate) fn connection(&mut self) -> &mut MemberConnection<W> {
+        self.connection.as_mut().expect("a lease has its connection until it is dropped")
+    }
+}
+
+impl<W: Wire> Drop for Lease<W> {
+    fn drop(&mut self) {
+        let Some(connection) = self.connection.take() else { return };
+        if connection.is_settled() && !self.in_transaction {
+            self.group.give_back(&self.member, connection);
+        } else {
+            drop(connection);
+            self.group.closed(&self.member);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,26 @@
+//! Sessions of callers served from pooled connections to registered back ends.
+//!
+//! Every gateway holds a share of each member's connections, so that no loss of one gateway stops
+//! a group and reads stay in their zone. The wire is a [`Wire`] handed in; the decisions are
+//! those of [`corktack_core::gateway`] and [`corktack_core::registry`]. A gateway runs on the
+//! arbiter that starts it.
+
+mod answer;
+mod connection;
+mod dial;
+mod drain;
+mod error;
+mod group;
+mod handle;
+mod lease;
+mod member;
+mod metrics;
+mod routes;
+mod session;
+mod settings;
+mod wire;
+
+pub use error::{GatewayError, WireError};
+pub use handle::{Gateway, GatewayHandle};
+pub use settings::GatewaySettings;
+pub use wire::Wire;
--- /dev/null
+++ b/crates/gateway/src/member.rs
@@ -0,0 +1,155 @@
+//! One member as this gateway uses it: its idle connections, its load, its troubles.
+
+use crate::connection::MemberConnection;
+use crate::wire::Wire;
+use corktack_core::gateway::{Distance, MemberLoad, SessionProfile};
+use corktack_core::registry::{BackEndState, RegisteredBackEnd};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Weight of the newest statement in the mean time of a statement.
+const LATENCY_WEIGHT: f64 = 0.1;
+/// First and longest pause after a member could not be connected to.
+const UNREACHABLE_FIRST: Duration = Duration::from_millis(100);
+const UNREACHABLE_LAST: Duration = Duration::from_secs(2);
+/// How long a member that lacked a position is passed over while others can serve.
+const LAGGING_PAUSE: Duration = Duration::from_millis(150);
+/// How long a member that had no room is passed over while others can serve.
+const BUSY_PAUSE: Duration = Duration::from_millis(50);
+/// How long a refused connection keeps the gateway from asking for more of them.
+const FULL_PAUSE: Duration = Duration::from_secs(1);
+
+/// A member as this gateway uses it.
+#[derive(Debug)]
+pub(crate) struct Member<W: Wire> {
+    pub(crate) back_end: Arc<RegisteredBackEnd>,
+    pub(crate) idle: Vec<MemberConnection<W>>,
+    /// Connections in use, idle or being opened.
+    pub(crate) open: usize,
+    /// Connections that this gateway may have open.
+    pub(crate) limit: usize,
+    /// Gateways that share the member's capacity.
+    gateways: usize,
+    latency: Duration,
+    failures: u32,
+    unreachable_until: Option<Instant>,
+    passed_over_until: Option<Instant>,
+    full_until: Option<Instant>,
+    pub(crate) draining_since: Option<Instant>,
+}
+
+impl<W: Wire> Member<W> {
+    pub(crate) fn new(back_end: Arc<RegisteredBackEnd>, distance: Distance) -> Self {
+        Self {
+            back_end,
+            idle: Vec::new(),
+            open: 0,
+            limit: 1,
+            gateways: 1,
+            latency: distance.expected_latency(),
+            failures: 0,
+            unreachable_until: None,
+            passed_over_until: None,
+            full_until: None,
+            draining_since: None,
+        }
+    }
+
+    /// Takes what the registry says now.
+    pub(crate) fn follow(&mut self, back_end: &Arc<RegisteredBackEnd>, now: Instant) {
+        if self.back_end.address != back_end.address {
+            self.idle.clear();
+        }
+        self.back_end = Arc::clone(back_end);
+        if back_end.state == BackEndState::Draining {
+            self.draining_since.get_or_insert(now);
+        }
+    }
+
+    /// Sets this gateway's share of the member.
+    pub(crate) fn share(&mut self, limit: usize, gateways: usize) {
+        self.limit = limit;
+        self.gateways = gateways.max(1);
+    }
+
+    /// Whether it takes reads as far as is known.
+    pub(crate) fn takes_reads(&self, now: Instant) -> bool {
+        self.draining_since.is_none() && !is_pending(self.unreachable_until, now)
+    }
+
+    /// Whether it takes writes as far as is known, if it is the primary: one that is leaving does
+    /// until it is replaced, or until the end of its time.
+    pub(crate) fn takes_writes(&self, now: Instant, drain_limit: Duration) -> bool {
+        let leaving = self.draining_since.is_some_and(|since| now - since >= drain_limit);
+        !leaving && !is_pending(self.unreachable_until, now)
+    }
+
+    /// Whether others should be preferred for a moment.
+    pub(crate) fn is_passed_over(&self, now: Instant) -> bool {
+        is_pending(self.passed_over_until, now)
+    }
+
+    /// Whether a statement could be sent there now.
+    pub(crate) fn has_room(&self, now: Instant) -> bool {
+        !self.idle.is_empty() || (self.open < self.limit && !is_pending(self.full_until, now))
+    }
+
+    pub(crate) fn load(&self) -> MemberLoad {
+        MemberLoad {
+            latency: self.latency,
+            running: self.open - self.idle.len(),
+            capacity_share: f64::from(self.back_end.capacity) / self.gateways as f64,
+        }
+    }
+
+    /// Takes the idle connection that is nearest to the session's values.
+    pub(crate) fn take_idle(&mut self, session: &SessionProfile) -> Option<MemberConnection<W>> {
+        while !self.idle.is_empty() {
+            // The last one used comes first among equals, so that the others may rest.
+            let places = self.idle.iter().enumerate().rev();
+            let nearest = places.min_by_key(|(_, idle)| idle.profile.distance(session));
+            let place = nearest.map(|(place, _)| place)?;
+            let connection = self.idle.remove(place);
+            if !connection.is_broken() {
+                return Some(connection);
+            }
+            self.open -= 1;
+        }
+        None
+    }
+
+    pub(crate) fn note_latency(&mut self, latency: Duration) {
+        let old = self.latency.mul_f64(1.0 - LATENCY_WEIGHT);
+        self.latency = old + latency.mul_f64(LATENCY_WEIGHT);
+    }
+
+    pub(crate) fn note_reached(&mut self) {
+        self.failures = 0;
+        self.unreachable_until = None;
+    }
+
+    pub(crate) fn note_unreachable(&mut self, now: Instant) {
+        let pause = UNREACHABLE_FIRST.saturating_mul(1 << self.failures.min(8));
+        self.failures += 1;
+        self.unreachable_until = Some(now + pause.min(UNREACHABLE_LAST));
+        self.open -= self.idle.len();
+        self.idle.clear();
+    }
+
+    pub(crate) fn note_full(&mut self, now: Instant) {
+        self.full_until = Some(now + FULL_PAUSE);
+    }
+
+    pub(crate) fn note_lagging(&mut self, now: Instant) {
+        self.passed_over_until = Some(now + LAGGING_PAUSE);
+    }
+
+    pub(crate) fn note_busy(&mut self, now: Instant) {
+        self.passed_over_until = Some(now + BUSY_PAUSE);
+    }
+}
+
+fn is_pending(until: Option<Instant>, now: Instant) -> bool {
+    until.is_some_and(|until| now < until)
+}
--- /dev/null
+++ b/crates/gateway/src/routes.rs
@@ -0,0 +1,108 @@
+//! The configuration in force, as sessions look it up.
+
+use crate::group::{Group, GroupFacts};
+use crate::settings::GatewaySettings;
+use crate::wire::Wire;
+use corktack_core::identity::GroupName;
+use corktack_core::registry::{Document, RouteRule};
+use corktack_core::view::{ProxyState, View};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Part of a member's connections that the gateways share; the rest is for control's questions
+/// and for shares that move.
+const SHARED_PART: f64 = 0.9;
+
+/// How a session's statements are served.
+#[derive(Clone)]
+pub(crate) struct Route<W: Wire> {
+    pub(crate) rule: Rc<RouteRule>,
+    pub(crate) group: Rc<Group<W>>,
+    pub(crate) transaction_idle: Duration,
+}
+
+/// The routes in force.
+pub(crate) struct Routes<W: Wire> {
+    wire: W,
+    settings: Rc<GatewaySettings>,
+    groups: RefCell<BTreeMap<GroupName, Rc<Group<W>>>>,
+    routes: RefCell<BTreeMap<String, Route<W>>>,
+    document: RefCell<Option<Arc<Document>>>,
+}
+
+impl<W: Wire> Routes<W> {
+    pub(crate) fn new(wire: W, settings: Rc<GatewaySettings>) -> Self {
+        Self {
+            wire,
+            settings,
+            groups: RefCell::default(),
+            routes: RefCell::default(),
+            document: RefCell::default(),
+        }
+    }
+
+    /// Whether there is a document to go by.
+    pub(crate) fn has_document(&self) -> bool {
+        self.document.borrow().is_some()
+    }
+
+    /// The route of a database name in force now.
+    pub(crate) fn find(&self, database: &str) -> Option<Route<W>> {
+        self.routes.borrow().get(database).cloned()
+    }
+
+    /// Puts a view in force.
+    pub(crate) fn follow(&self, view: &View) {
+        let Some(document) = &view.document else { return };
+        self.follow_groups(view, document);
+        let held = self.document.borrow().clone();
+        if held.is_none_or(|held| !Arc::ptr_eq(&held, document)) {
+            log::info!(version = document.version, revision = view.revision.0; "document in force");
+            self.follow_document(document);
+        }
+    }
+
+    fn follow_groups(&self, view: &View, document: &Document) {
+        let live = view.proxies.values().filter(|proxy| proxy.state == ProxyState::Live).count();
+        let mut facts: BTreeMap<&GroupName, GroupFacts> = BTreeMap::new();
+        for service in &document.services {
+            let gateways = live.max(1);
+            let shared = f64::from(service.max_connections) * SHARED_PART / gateways as f64;
+            let group = facts.entry(&service.name).or_default();
+            group.connection_share = (shared as usize).max(1);
+            group.gateways = gateways;
+            group.promotion = view.promotions.get(&service.name).cloned();
+        }
+        for (member, back_end) in &view.back_ends {
+            if let Some(group) = facts.get_mut(&back_end.group) {
+                group.members.insert(member.clone(), Arc::clone(back_end));
+            }
+        }
+        let mut groups = self.groups.borrow_mut();
+        groups.retain(|name, _| facts.contains_key(name));
+        for (name, facts) in facts {
+            let new = || Rc::new(self.new_group(name));
+            groups.entry(name.clone()).or_insert_with(new).follow(&facts);
+        }
+    }
+
+    fn new_group(&self, name: &GroupName) -> Group<W> {
+        Group::new(name.clone(), self.wire.clone(), Rc::clone(&self.settings))
+    }
+
+    fn follow_document(&self, document: &Arc<Document>) {
+        let groups = self.groups.borrow();
+        let transaction_idle = document.limits.transaction_idle;
+        let route = |rule: &RouteRule| {
+            let group = Rc::clone(groups.get(&rule.group)?);
+            let route = Route { rule: Rc::new(rule.clone()), group, transaction_idle };
+            Some((rule.database.clone(), route))
+        };
+        let routes = document.routes.iter().filter_map(route).collect();
+        *self.routes.borrow_mut() = routes;
+        *self.document.borrow_mut() = Some(Arc::clone(document));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/session/mod.rs
@@ -0,0 +1,123 @@
+//! One caller's session: its values, its own commits, its transaction.
+
+mod alone;
+mod response;
+mod serve;
+mod statement;
+mod transaction;
+
+pub(crate) use serve::serve_caller;
+
+use crate::handle::Shared;
+use crate::routes::Route;
+use crate::wire::Wire;
+use corktack_core::gateway::{KnownPosition, SessionProfile};
+use corktack_core::position::Position;
+use corktack_core::statement::{ErrorCode, PreparedShape, Request, Statement};
+use response::Response;
+use std::rc::Rc;
+use transaction::Transaction;
+
+/// One caller's session.
+pub(crate) struct Session<W: Wire> {
+    shared: Rc<Shared<W>>,
+    database: String,
+    profile: SessionProfile,
+    /// The session's last commit.
+    own_commit: Option<KnownPosition>,
+    transaction: Transaction<W>,
+}
+
+impl<W: Wire> Session<W> {
+    fn new(shared: Rc<Shared<W>>, database: String) -> Self {
+        Self {
+            shared,
+            database,
+            profile: SessionProfile::default(),
+            own_commit: None,
+            transaction: Transaction::None,
+        }
+    }
+
+    /// Serves one statement.
+    async fn handle(&mut self, request: Request) -> Response {
+        if self.transaction.is_failed() {
+            return self.handle_after_failure(&request);
+        }
+        match request.statement {
+            Statement::Malformed => self.own_failure(ErrorCode::Malformed, "no such statement"),
+            Statement::Set { name, value } => {
+                self.profile.set(name, value);
+                self.own_success()
+            }
+            Statement::Prepare { name, shape } => {
+                self.profile.prepare(name, shape);
+                self.own_success()
+            }
+            Statement::Deallocate { ref name } => match self.profile.deallocate(name) {
+                Ok(()) => self.own_success(),
+                Err(unknown) => self.own_failure(ErrorCode::UnknownStatement, &unknown.to_string()),
+            },
+            Statement::Begin { access } => self.begin(access),
+            Statement::Commit => self.commit(&request).await,
+            Statement::Rollback => self.rollback(),
+            Statement::Run(_) | Statement::Execute { .. } => self.run(&request).await,
+        }
+    }
+
+    async fn run(&mut self, request: &Request) -> Response {
+        let shape = match self.prepared_shape(request) {
+            Ok(shape) => shape,
+            Err(response) => return response,
+        };
+        if self.transaction.is_none() {
+            match self.route() {
+                Some(route) => self.run_alone(&route, request, shape.as_ref()).await,
+                None => self.unknown_database(),
+            }
+        } else {
+            self.run_inside(request, shape.as_ref()).await
+        }
+    }
+
+    /// The shape that an execution runs; none for a plain statement.
+    fn prepared_shape(&mut self, request: &Request) -> Result<Option<PreparedShape>, Response> {
+        let Statement::Execute { name, .. } = &request.statement else { return Ok(None) };
+        match self.profile.shape(name) {
+            Ok(shape) => Ok(Some(shape.clone())),
+            Err(unknown) => {
+                let text = unknown.to_string();
+                Err(self.own_failure(ErrorCode::UnknownStatement, &text))
+            }
+        }
+    }
+
+    /// The route in force now; a change binds from the next transaction on.
+    fn route(&self) -> Option<Route<W>> {
+        self.shared.routes.find(&self.database)
+    }
+
+    fn unknown_database(&self) -> Response {
+        Response::failure(ErrorCode::UnknownDatabase, &self.database, self.transaction.state())
+    }
+
+    /// The product's own success.
+    fn own_success(&self) -> Response {
+        Response::own_success(self.transaction.state())
+    }
+
+    /// The product's own failure; inside a transaction it fails the transaction.
+    fn own_failure(&mut self, code: ErrorCode, text: &str) -> Response {
+        if !self.transaction.is_none() {
+            self.transaction = Transaction::Failed;
+        }
+        Response::failure(code, text, self.transaction.state())
+    }
+
+    fn note_own_commit(&mut self, position: Option<Position>) {
+        let known_at = self.shared.now();
+        if let Some(position) = position {
+            self.own_commit = Some(KnownPosition { position, known_at });
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/session/response.rs
@@ -0,0 +1,78 @@
+//! What a caller is answered.
+
+use crate::answer::{Answer, Failure};
+use crate::wire::Wire;
+use bytes::BytesMut;
+use corktack_core::position::Position;
+use corktack_core::statement::{ErrorCode, ReadyState, Reply, TransactionState};
+
+/// When a caller that was refused for lack of room should come back.
+const RETRY_AFTER_MILLIS: u64 = 200;
+
+/// The whole answer to one statement of a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Response {
+    rows: Vec<String>,
+    outcome: Result<Option<String>, Failure>,
+    ready: ReadyState,
+}
+
+impl Response {
+    /// A member's answer, in the session's state.
+    pub(crate) fn of(answer: Answer, state: TransactionState) -> Self {
+        let ready = ReadyState { state, position: answer.ready.position };
+        Self { rows: answer.rows, outcome: answer.outcome, ready }
+    }
+
+    /// A success that no member was asked for.
+    pub(crate) fn own_success(state: TransactionState) -> Self {
+        let ready = ReadyState { state, position: None };
+        Self { rows: Vec::new(), outcome: Ok(None), ready }
+    }
+
+    /// A failure in the product's own words.
+    pub(crate) fn failure(code: ErrorCode, text: &str, state: TransactionState) -> Self {
+        let failure = Failure { code, text: text.to_owned() };
+        let ready = ReadyState { state, position: None };
+        Self { rows: Vec::new(), outcome: Err(failure), ready }
+    }
+
+    /// A refusal of something that did not run, with when to come back.
+    pub(crate) fn refusal(why: &str, state: TransactionState) -> Self {
+        let text = format!("not run: {why}; retry_after_ms={RETRY_AFTER_MILLIS}");
+        Self::failure(ErrorCode::Busy, &text, state)
+    }
+
+    /// A failure in a member's words.
+    pub(crate) fn member_failure(failure: Failure, state: TransactionState) -> Self {
+        let ready = ReadyState { state, position: None };
+        Self { rows: Vec::new(), outcome: Err(failure), ready }
+    }
+
+    /// The code of a failure.
+    pub(crate) fn code(&self) -> Option<ErrorCode> {
+        self.outcome.as_ref().err().map(|failure| failure.code)
+    }
+
+    /// The text of a failure.
+    pub(crate) fn text(&self) -> &str {
+        self.outcome.as_ref().err().map_or("", |failure| &failure.text)
+    }
+
+    /// Position told with the answer.
+    pub(crate) const fn position(&self) -> Option<Position> {
+        self.ready.position
+    }
+
+    pub(crate) fn encode<W: Wire>(self, wire: &W, buffer: &mut BytesMut) {
+        for row in self.rows {
+            wire.encode_reply(&Reply::Row(row), buffer);
+        }
+        let last = match self.outcome {
+            Ok(signature) => Reply::Complete(signature),
+            Err(Failure { code, text }) => Reply::Error { code, text },
+        };
+        wire.encode_reply(&last, buffer);
+        wire.encode_reply(&Reply::Ready(self.ready), buffer);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/session/transaction.rs
@@ -0,0 +1,356 @@
+//! Transactions: begun at a member with their first statement, ended there.
+
+use super::Session;
+use super::alone::{Bounds, ROLLBACK_LIMIT};
+use super::response::Response;
+use super::statement::{Unanswered, access_of, roll_back_later};
+use crate::answer::Failure;
+use crate::error::AcquireError;
+use crate::group::{Target, Wish};
+use crate::lease::Lease;
+use crate::routes::Route;
+use crate::wire::Wire;
+use corktack_core::registry::Consistency;
+use corktack_core::statement::{Access, ErrorCode, PreparedShape, Request, TransactionState};
+use corktack_core::time::Timestamp;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A session's transaction.
+pub(super) enum Transaction<W: Wire> {
+    /// None is open.
+    None,
+    /// The caller began one; no member has been asked for anything yet.
+    Begun { access: Access, began: Timestamp, route: Route<W> },
+    /// One is open at a member.
+    Open(Box<OpenTransaction<W>>),
+    /// It failed and was rolled back; its end is still to come.
+    Failed,
+}
+
+/// A transaction that is open at a member.
+pub(super) struct OpenTransaction<W: Wire> {
+    route: Route<W>,
+    lease: Lease<W>,
+    wrote: bool,
+    /// Whether values were set or statements prepared inside it: a rollback may undo them.
+    aligned_inside: bool,
+}
+
+impl<W: Wire> OpenTransaction<W> {
+    /// Rolls back behind the caller's back.
+    fn abandon(mut self) {
+        if self.aligned_inside {
+            self.lease.connection().profile.mark_unknown();
+        }
+        if self.lease.connection().is_settled() {
+            roll_back_later(self.lease, ROLLBACK_LIMIT);
+        }
+    }
+}
+
+impl<W: Wire> Transaction<W> {
+    pub(super) const fn is_none(&self) -> bool {
+        matches!(self, Self::None)
+    }
+
+    pub(super) const fn is_failed(&self) -> bool {
+        matches!(self, Self::Failed)
+    }
+
+    pub(super) const fn state(&self) -> TransactionState {
+        match self {
+            Self::None => TransactionState::Idle,
+            Self::Begun { .. } | Self::Open(_) => TransactionState::Open,
+            Self::Failed => TransactionState::Failed,
+        }
+    }
+
+    /// How long it may rest between two statements; none outside a transaction.
+    pub(super) fn idle_limit(&self) -> Option<Duration> {
+        let route = match self {
+            Self::Begun { route, .. } => route,
+            Self::Open(open) => &open.route,
+            Self::None | Self::Failed => return None,
+        };
+        Some(route.transaction_idle).filter(|limit| !limit.is_zero())
+    }
+
+    /// Rolls back what is open; the session goes on in a failed transaction.
+    pub(super) fn fail(&mut self) {
+        if let Self::Open(open) = std::mem::replace(self, Self::Failed) {
+            open.abandon();
+        }
+    }
+}
+
+impl<W: Wire> Session<W> {
+    pub(super) fn begin(&mut self, access: Access) -> Response {
+        if !self.transaction.is_none() {
+            self.transaction.fail();
+            return self.own_failure(ErrorCode::Malformed, "a transaction is open already");
+        }
+        let Some(route) = self.route() else { return self.unknown_database() };
+        let began = self.shared.now();
+        self.transaction = Transaction::Begun { access, began, route };
+        self.own_success()
+    }
+
+    pub(super) fn rollback(&mut self) -> Response {
+        if let Transaction::Open(open) = std::mem::replace(&mut self.transaction, Transaction::None)
+        {
+            open.abandon();
+        }
+        self.own_success()
+    }
+
+    /// Only the end is taken after a failure.
+    pub(super) fn handle_after_failure(&mut self, request: &Request) -> Response {
+        use corktack_core::statement::Statement;
+        match request.statement {
+            Statement::Rollback => {
+                self.transaction = Transaction::None;
+                self.own_success()
+            }
+            Statement::Commit => {
+                self.transaction = Transaction::None;
+                self.own_failure(
+                    ErrorCode::Aborted,
+                    "the transaction had failed and is rolled back",
+                )
+            }
+            _ => self.own_failure(ErrorCode::Malformed, "the transaction has failed"),
+        }
+    }
+
+    /// Runs a statement inside the transaction.
+    pub(super) async fn run_inside(
+        &mut self,
+        request: &Request,
+        shape: Option<&PreparedShape>,
+    ) -> Response {
+        let mut open = match std::mem::replace(&mut self.transaction, Transaction::Failed) {
+            Transaction::Open(open) => open,
+            Transaction::Begun { access, began, route } => {
+                match self.open_transaction(access, began, route).await {
+                    Ok(open) => Box::new(open),
+                    Err(response) => return response,
+                }
+            }
+            Transaction::None | Transaction::Failed => {
+                return self.own_failure(ErrorCode::Malformed, "no transaction is open");
+            }
+        };
+        let wrote = access_of(request, shape) == Access::Write;
+        let deadline = Instant::now() + open.route.rule.statement_timeout;
+        let answer = self.run_open(&mut open, request, shape, deadline).await;
+        match answer {
+            Ok(answer) if answer.outcome.is_ok() => {
+                open.wrote |= wrote;
+                self.transaction = Transaction::Open(open);
+                Response::of(answer, TransactionState::Open)
+            }
+            Ok(answer) => {
+                if let Err(failure) = &answer.outcome {
+                    Self::note_refusal(&open.lease, failure, Instant::now());
+                }
+                open.abandon();
+                Response::of(answer, TransactionState::Failed)
+            }
+            Err(unanswered) => Self::fail_open(*open, unanswered),
+        }
+    }
+
+    async fn run_open(
+        &self,
+        open: &mut OpenTransaction<W>,
+        request: &Request,
+        shape: Option<&PreparedShape>,
+        deadline: Instant,
+    ) -> Result<crate::answer::Answer, Unanswered> {
+        let before = open.lease.connection().profile.clone();
+        let prepared = self.align(&mut open.lease, shape, deadline).await?;
+        open.aligned_inside |= open.lease.connection().profile != before;
+        Self::pass_on(&mut open.lease, request, prepared.as_deref(), None, deadline).await
+    }
+
+    /// Nothing of a transaction whose commit was not sent is kept: the connection is closed, or
+    /// the transaction is rolled back on it.
+    fn fail_open(open: OpenTransaction<W>, unanswered: Unanswered) -> Response {
+        match unanswered {
+            Unanswered::NotSent(error) | Unanswered::Sent(error) => {
+                Self::note_lost(&open.lease, &error);
+                let text = format!("rolled back: {error}");
+                Response::failure(ErrorCode::Aborted, &text, TransactionState::Failed)
+            }
+            Unanswered::Refused(failure) => {
+                open.abandon();
+                Response::member_failure(failure, TransactionState::Failed)
+            }
+        }
+    }
+
+    /// Begins the transaction at a member that may serve it.
+    async fn open_transaction(
+        &self,
+        access: Access,
+        began: Timestamp,
+        route: Route<W>,
+    ) -> Result<OpenTransaction<W>, Response> {
+        let bounds = Bounds::of(&route, began);
+        let replicas =
+            access == Access::Read && !matches!(route.rule.consistency, Consistency::Linearizable);
+        let mut refused = BTreeSet::new();
+        let mut why = String::new();
+        loop {
+            let needed = if replicas { self.needed_position(&route, began) } else { None };
+            let target = match needed {
+                Some(_) => Target::Reader { refused: refused.clone() },
+                None => Target::Primary,
+            };
+            let wish = Wish {
+                target,
+                session: &self.profile,
+                priority: route.rule.priority,
+                give_up: bounds.give_up,
+            };
+            let acquired = route.group.acquire(&wish).await;
+            let mut lease = match acquired {
+                Ok(lease) => lease,
+                Err(AcquireError::Unreachable(member)) if Instant::now() < bounds.give_up => {
+                    refused.insert(member);
+                    continue;
+                }
+                Err(AcquireError::NoMember)
+                    if !refused.is_empty() && Instant::now() < bounds.give_up =>
+                {
+                    refused.clear();
+                    continue;
+                }
+                Err(error) => return Err(Self::refuse_begin(&error, &why)),
+            };
+            let begun = match needed {
+                Some(_) => self.begin_reading(&mut lease, needed, bounds.deadline).await,
+                None => self.begin_writing(&mut lease, bounds.deadline).await,
+            };
+            let unanswered = match begun {
+                Ok(()) => {
+                    return Ok(OpenTransaction {
+                        route,
+                        lease,
+                        wrote: false,
+                        aligned_inside: false,
+                    });
+                }
+                Err(unanswered) => unanswered,
+            };
+            refused.insert(lease.member.clone());
+            why = Self::note_unanswered(&lease, &unanswered);
+            if Instant::now() >= bounds.give_up {
+                return Err(Self::refuse_begin(&AcquireError::NoMember, &why));
+            }
+        }
+    }
+
+    fn refuse_begin(error: &AcquireError, why: &str) -> Response {
+        let text = if why.is_empty() { error.to_string() } else { format!("{error} ({why})") };
+        Response::refusal(&text, TransactionState::Failed)
+    }
+
+    /// Remembers why a transaction could not begin at a member.
+    fn note_unanswered(lease: &Lease<W>, unanswered: &Unanswered) -> String {
+        match unanswered {
+            Unanswered::NotSent(error) | Unanswered::Sent(error) => {
+                Self::note_lost(lease, error);
+                format!("{error} at {}", lease.member)
+            }
+            Unanswered::Refused(Failure { code, .. }) => {
+                let failure = Failure { code: *code, text: String::new() };
+                Self::note_refusal(lease, &failure, Instant::now());
+                format!("{code:?} at {}", lease.member)
+            }
+        }
+    }
+
+    async fn begin_writing(
+        &self,
+        lease: &mut Lease<W>,
+        deadline: Instant,
+    ) -> Result<(), Unanswered> {
+        self.align(lease, None, deadline).await?;
+        self.begin_as_primary(lease, deadline).await
+    }
+
+    async fn begin_reading(
+        &self,
+        lease: &mut Lease<W>,
+        needed: Option<corktack_core::position::Position>,
+        deadline: Instant,
+    ) -> Result<(), Unanswered> {
+        self.align(lease, None, deadline).await?;
+        let answer = Self::begin_at(lease, Access::Read, needed, deadline).await?;
+        answer.outcome.map(drop).map_err(Unanswered::Refused)
+    }
+
+    /// Passes the commit on. Without an answer nobody knows what became of it.
+    pub(super) async fn commit(&mut self, request: &Request) -> Response {
+        let mut open = match std::mem::replace(&mut self.transaction, Transaction::None) {
+            Transaction::Open(open) => open,
+            Transaction::Begun { access, began, route } => {
+                match self.open_transaction(access, began, route).await {
+                    Ok(open) => Box::new(open),
+                    Err(response) => {
+                        self.transaction = Transaction::Failed;
+                        return response;
+                    }
+                }
+            }
+            Transaction::None | Transaction::Failed => {
+                return self.own_failure(ErrorCode::Malformed, "no transaction is open");
+            }
+        };
+        let asked_at = self.shared.now();
+        let deadline = Instant::now() + open.route.rule.statement_timeout;
+        let answer = Self::pass_on(&mut open.lease, request, None, None, deadline).await;
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(Unanswered::Sent(error) | Unanswered::NotSent(error)) => {
+                Self::note_lost(&open.lease, &error);
+                let text = format!("the commit may have taken effect: {error}");
+                return Response::failure(ErrorCode::InDoubt, &text, TransactionState::Idle);
+            }
+            Err(Unanswered::Refused(failure)) => {
+                return Response::member_failure(failure, TransactionState::Idle);
+            }
+        };
+        if answer.outcome.is_ok() {
+            open.lease.in_transaction = false;
+            if open.wrote {
+                self.note_commit(&open, asked_at, answer.ready.position);
+            }
+            return Response::of(answer, TransactionState::Idle);
+        }
+        let state = answer.ready.state;
+        if state == TransactionState::Idle {
+            open.lease.in_transaction = false;
+            open.lease.connection().profile.mark_unknown();
+        } else {
+            self.transaction = Transaction::Failed;
+            open.abandon();
+        }
+        Response::of(answer, self.transaction.state())
+    }
+
+    fn note_commit(
+        &mut self,
+        open: &OpenTransaction<W>,
+        asked_at: Timestamp,
+        position: Option<corktack_core::position::Position>,
+    ) {
+        let Some(position) = position else { return };
+        open.route.group.note_primary(&open.lease.member);
+        open.route.group.freshness.borrow_mut().note(asked_at, position);
+        self.note_own_commit(Some(position));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,23 @@
+//! Settings of a gateway.
+
+use corktack_core::identity::ZoneName;
+use std::time::Duration;
+
+/// Settings of a gateway.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewaySettings {
+    /// Who connections to members say they are from.
+    pub name: String,
+    /// Its zone, for the choice of near members.
+    pub zone: ZoneName,
+    /// Longest wait for a new connection to a member.
+    pub dial_timeout: Duration,
+    /// How long data may stay unacknowledged before a connection counts as lost.
+    pub unacknowledged_limit: Duration,
+    /// How long a draining primary that was not replaced yet still gets work.
+    pub drain_limit: Duration,
+    /// How long sessions go on at a planned stop while new callers are led elsewhere.
+    pub notice: Duration,
+    /// How long open transactions may go on after that, and again until they are cut.
+    pub transaction_grace: Duration,
+}
--- a/crates/lab/src/scale/observe.rs
+++ b/crates/lab/src/scale/observe.rs
@@ -49,7 +49,7 @@
         let mut changed = Self::default();
         match message {
             ControlMessage::Snapshot(_) => return Self::everything(),
-            ControlMessage::HeartbeatAck { .. } => {}
+            ControlMessage::HeartbeatAck { .. } | ControlMessage::Cell(_) => {}
             ControlMessage::Delta(delta) => {
                 for change in &delta.changes {
                     match change {
--- a/crates/lab/src/scale/plan.rs
+++ b/crates/lab/src/scale/plan.rs
@@ -48,6 +48,7 @@
         silence_timeout: Duration::from_secs(3),
         retry_minimum: Duration::from_millis(50),
         retry_maximum: Duration::from_secs(2),
+        follows_cell: false,
         seed: u64::from(number),
     })
 }
--- a/crates/protocol/src/cell.rs
+++ b/crates/protocol/src/cell.rs
@@ -61,6 +61,11 @@
         /// The proxies heard of since the last summary.
         reports: Vec<ProxyReport>,
     },
+    /// A replica without a cell asks to be added; passed on to the leader.
+    Join {
+        /// The replica that asks.
+        member: corktack_core::consensus::CellMember,
+    },
     /// A command forwarded to the leader.
     Forward {
         /// Number for the answer.
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -1,5 +1,6 @@
 //! Between a proxy and the control replica it watches.
 
+use corktack_core::consensus::{CellConfig, CellMember};
 use corktack_core::identity::{GroupName, Incarnation, MemberName, ProxyName, ZoneName};
 use corktack_core::position::Term;
 use corktack_core::view::{Delta, Revision, View};
@@ -47,6 +48,12 @@
         /// Revision it has in force; zero for none.
         revision: Revision,
     },
+    /// Only message of a connection: a control replica without a cell asks to be added to this
+    /// one. Answered with [`ControlMessage::Cell`].
+    Join {
+        /// The replica that asks.
+        member: CellMember,
+    },
     /// Sent at the heartbeat interval.
     Heartbeat {
         /// Rises by one each time.
@@ -67,6 +74,9 @@
     Snapshot(Box<View>),
     /// Changes after the last snapshot or delta, in order and without gaps.
     Delta(Delta),
+    /// The replicas of the cell, as this one knows them; sent at first and on change. Proxies
+    /// reach each of them at its address and the port that their own settings name.
+    Cell(CellConfig),
     /// Answer to a heartbeat.
     HeartbeatAck {
         /// Sequence of the heartbeat.
--- /dev/null
+++ b/crates/server/src/deployment.rs
@@ -0,0 +1,243 @@
+//! A deployment whose back ends register themselves and whose configuration is one document.
+//!
+//! Processes of such a deployment know little: their own machine, a few seeds and the bounds that
+//! must be kept. Every timer follows from the bounds, here and nowhere else.
+
+use crate::listeners::{ListenError, bind};
+use crate::signals::StopSignals;
+use crate::watch_client::state::WatchSettings;
+use crate::watch_client::{self, NotKept, WatchError, WatchHandle};
+use corktack_control::{
+    ControlError, ControlHandle, ControlListeners, ControlReplica, ControlSettings, find_identity,
+};
+use corktack_core::identity::{Incarnation, NameError, ProxyName, ZoneName};
+use corktack_core::registry::CellRepairSettings;
+use corktack_gateway::{Gateway, GatewayError, GatewayHandle, GatewaySettings, Wire};
+use corktack_protocol::cell::CellName;
+use prometheus_client::registry::Registry;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Name of the one cell of a deployment.
+const CELL: &str = "deployment";
+/// Time between heartbeats of the leader, and the shortest time without one before an election:
+/// several round trips between regions, and few wake-ups on small machines.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(120);
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time between heartbeats of a gateway, and without a proof before it changes replica.
+const WATCH_INTERVAL: Duration = Duration::from_millis(500);
+const WATCH_SILENCE: Duration = Duration::from_millis(1_500);
+const WATCH_RETRY_FIRST: Duration = Duration::from_millis(50);
+const WATCH_RETRY_LAST: Duration = Duration::from_millis(500);
+const CONNECT_LIMIT: Duration = Duration::from_millis(700);
+/// Log entries after which a snapshot is made: an entry may hold a whole document.
+const SNAPSHOT_ENTRIES: u64 = 64;
+/// Changes kept for gateways, counted by size.
+const WATCH_CHANGES: usize = 1_024;
+/// Longest time that a change waits for its outcome; callers ask another replica sooner.
+const REQUEST_LIMIT: Duration = Duration::from_millis(2_500);
+/// Longest wait for a connection to a member.
+const DIAL_LIMIT: Duration = Duration::from_millis(600);
+/// How long data to a member may stay unacknowledged.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(2);
+
+/// Why a process of a deployment could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum DeploymentError {
+    /// A name of the machine is not valid.
+    #[error("machine name or zone")]
+    Name(#[from] NameError),
+    /// An address cannot be listened on.
+    #[error(transparent)]
+    Listen(#[from] ListenError),
+    /// The control replica cannot start.
+    #[error(transparent)]
+    Control(#[from] ControlError),
+    /// The watch of control cannot start.
+    #[error(transparent)]
+    Watch(#[from] WatchError),
+    /// The gateway cannot start.
+    #[error(transparent)]
+    Gateway(#[from] GatewayError),
+    /// Signals cannot be listened for.
+    #[error("signals cannot be listened for")]
+    Signals(#[source] std::io::Error),
+    /// The machine has no disk, and the role needs one.
+    #[error("the role needs a data folder")]
+    NoDataFolder,
+}
+
+/// Bounds that the deployment must keep.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DeploymentBounds {
+    /// Time at a planned stop until the process is killed.
+    pub stop_grace: Duration,
+    /// Time that a back end serves on after it was acknowledged as leaving.
+    pub drain: Duration,
+    /// Replicas that may be lost at once.
+    pub tolerated_losses: usize,
+    /// Time after which a replica that came back counts as there.
+    pub catch_up: Duration,
+}
+
+/// What a process knows of its deployment.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Name of the machine.
+    pub name: String,
+    /// Its address.
+    pub machine: IpAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// First of the ports for what processes say to each other; the same on all machines.
+    pub first_port: u16,
+    /// Machines with control replicas.
+    pub seeds: Vec<IpAddr>,
+    /// Whether the whole deployment starts for the first time.
+    pub bootstrap: bool,
+    /// Folder of the disk, on machines that have one.
+    pub data_folder: Option<PathBuf>,
+    /// Bounds that must be kept.
+    pub bounds: DeploymentBounds,
+}
+
+impl Deployment {
+    fn cell_port(&self) -> u16 {
+        self.first_port
+    }
+
+    fn proxies_port(&self) -> u16 {
+        self.first_port + 1
+    }
+
+    fn operators_port(&self) -> u16 {
+        self.first_port + 2
+    }
+
+    fn at_seeds(&self, port: u16) -> Vec<SocketAddr> {
+        self.seeds.iter().map(|seed| SocketAddr::new(*seed, port)).collect()
+    }
+
+    /// Starts the control replica of this machine, inside an actix system.
+    ///
+    /// # Errors
+    /// [`DeploymentError`]; nothing runs then.
+    pub fn start_control(&self) -> Result<ControlHandle, DeploymentError> {
+        let folder = self.data_folder.clone().ok_or(DeploymentError::NoDataFolder)?;
+        let own = SocketAddr::new(self.machine, self.cell_port());
+        let seeds = self.at_seeds(self.cell_port());
+        let identity = find_identity(&folder, own, &seeds, self.bootstrap)?;
+        let cell = CellName(CELL.to_owned());
+        let mut settings = ControlSettings::new(cell, identity.replica, identity.start(), folder);
+        settings.incarnation = Incarnation(rand::random());
+        settings.election_timeout = ELECTION_TIMEOUT;
+        settings.heartbeat_interval = HEARTBEAT_INTERVAL;
+        settings.proxy_heartbeat_interval = WATCH_INTERVAL;
+        settings.proxy_heartbeat_timeout = WATCH_SILENCE * 2;
+        settings.snapshot_entries = SNAPSHOT_ENTRIES;
+        settings.watch_changes = WATCH_CHANGES;
+        settings.request_timeout = REQUEST_LIMIT;
+        settings.workers = 1;
+        settings.cell_address = Some(own);
+        settings.join_through = self.at_seeds(self.proxies_port());
+        settings.formation_grace = self.bounds.catch_up;
+        settings.cell_repair = Some(CellRepairSettings {
+            voters: 2 * self.bounds.tolerated_losses + 1,
+            replace_after: self.bounds.catch_up,
+        });
+        let listeners = ControlListeners {
+            cell: bind("cell", own)?,
+            proxies: bind("proxies", SocketAddr::new(self.machine, self.proxies_port()))?,
+            operators: bind("operators", (Ipv4Addr::LOCALHOST, self.operators_port()).into())?,
+        };
+        log::info!(machine = self.name.as_str(), replica = identity.replica.0; "control starts");
+        Ok(ControlReplica::start(settings, listeners, &mut Registry::default())?)
+    }
+
+    /// Starts the gateway of this machine, inside an actix system; it serves callers at `callers`.
+    ///
+    /// # Errors
+    /// [`DeploymentError`]; nothing runs then.
+    pub fn start_gateway<W: Wire>(
+        &self,
+        wire: W,
+        callers: SocketAddr,
+    ) -> Result<RunningGateway<W>, DeploymentError> {
+        let listener = bind("callers", callers)?;
+        let mut registry = Registry::default();
+        let (observations, observed) = mpsc::unbounded_channel();
+        let settings = self.watch_settings()?;
+        let store = Box::new(NotKept);
+        let watch = watch_client::start(settings, CONNECT_LIMIT, store, observed, &mut registry)?;
+        let settings = self.gateway_settings();
+        let gateway = Gateway::start(settings, wire, listener, watch.views(), &mut registry)?;
+        log::info!(machine = self.name.as_str(), callers:% = callers; "gateway starts");
+        Ok(RunningGateway { watch, gateway, _observations: observations })
+    }
+
+    fn watch_settings(&self) -> Result<WatchSettings, DeploymentError> {
+        Ok(WatchSettings {
+            proxy: ProxyName::new(self.name.as_str())?,
+            incarnation: Incarnation(rand::random()),
+            address: SocketAddr::new(self.machine, self.cell_port()),
+            zone: self.zone.clone(),
+            replicas: self.at_seeds(self.proxies_port()),
+            heartbeat_interval: WATCH_INTERVAL,
+            silence_timeout: WATCH_SILENCE,
+            retry_minimum: WATCH_RETRY_FIRST,
+            retry_maximum: WATCH_RETRY_LAST,
+            follows_cell: true,
+            seed: rand::random(),
+        })
+    }
+
+    fn gateway_settings(&self) -> GatewaySettings {
+        GatewaySettings {
+            name: self.name.clone(),
+            zone: self.zone.clone(),
+            dial_timeout: DIAL_LIMIT,
+            unacknowledged_limit: UNACKNOWLEDGED_LIMIT,
+            drain_limit: self.bounds.drain / 2,
+            notice: self.bounds.stop_grace / 3,
+            transaction_grace: self.bounds.stop_grace / 6,
+        }
+    }
+}
+
+/// A gateway with its watch of control.
+#[derive(Debug)]
+pub struct RunningGateway<W: Wire> {
+    watch: WatchHandle,
+    gateway: GatewayHandle<W>,
+    _observations: mpsc::UnboundedSender<corktack_protocol::control::Observation>,
+}
+
+impl<W: Wire> RunningGateway<W> {
+    /// Waits until the configuration in force is proved to be current and callers can be served.
+    pub async fn until_ready(&self) {
+        let mut current = self.watch.current();
+        let mut views = self.watch.views();
+        // Both end only with the process.
+        drop(current.wait_for(|current| *current).await);
+        drop(views.wait_for(|view| view.document.is_some()).await);
+    }
+
+    /// Stops as planned: tells control, gives callers notice, ends sessions as they fall quiet.
+    pub async fn stop(self) {
+        self.watch.drain();
+        self.gateway.drain().await;
+        self.watch.stop().await;
+    }
+}
+
+/// Waits for the signal that asks for a planned stop.
+///
+/// # Errors
+/// [`DeploymentError::Signals`].
+pub async fn until_stopped() -> Result<(), DeploymentError> {
+    let mut signals = StopSignals::listen().map_err(DeploymentError::Signals)?;
+    signals.received().await;
+    Ok(())
+}
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod control;
+pub mod deployment;
 pub mod dev;
 pub mod listeners;
 pub mod manifest;
--- a/crates/server/src/proxy/wiring.rs
+++ b/crates/server/src/proxy/wiring.rs
@@ -25,6 +25,7 @@
         silence_timeout: millis(control.silence_timeout_ms),
         retry_minimum: millis(control.retry_minimum_ms),
         retry_maximum: millis(control.retry_maximum_ms),
+        follows_cell: false,
         seed: rand::random(),
     }
 }
--- a/crates/server/src/telemetry/mod.rs
+++ b/crates/server/src/telemetry/mod.rs
@@ -103,6 +103,21 @@
     Ok(events)
 }
 
+/// Installs a log that only prints, on standard output, for machines without a disk: own records of
+/// level info and above, of other libraries warnings (or what `RUST_LOG` says).
+///
+/// # Errors
+/// [`TelemetryError::Installed`] when the process has a logger already.
+pub fn install_printer() -> Result<(), TelemetryError> {
+    let environment = env_logger::Env::default().default_filter_or("warn,corktack=info");
+    let mut builder = env_logger::Builder::from_env(environment);
+    let printer = builder.target(env_logger::Target::Stdout).build();
+    let level = printer.filter();
+    log::set_boxed_logger(Box::new(printer))?;
+    log::set_max_level(level);
+    Ok(())
+}
+
 /// Adds to the panic hook: the panic becomes a record, and the ring is written out at once.
 pub fn write_on_panic(events: Arc<EventLog>) {
     let earlier = std::panic::take_hook();
--- a/crates/server/src/watch_client/mod.rs
+++ b/crates/server/src/watch_client/mod.rs
@@ -13,7 +13,7 @@
 
 pub use metrics::WatchMetrics;
 pub use state::WatchSettings;
-pub use store::ViewStore;
+pub use store::{NotKept, ViewStore};
 pub use view_file::ViewFile;
 
 use corktack_core::view::View;
--- a/crates/server/src/watch_client/state.rs
+++ b/crates/server/src/watch_client/state.rs
@@ -4,6 +4,7 @@
 //! machine keeps the configuration in anything that is [`InForce`]: a proxy keeps the whole
 //! [`View`], a hollow node only its revision, so that thousands fit in one process.
 
+use corktack_core::consensus::CellConfig;
 use corktack_core::identity::{GroupName, Incarnation, MemberName, ProxyName, ZoneName};
 use corktack_core::time::Timestamp;
 use corktack_core::view::{Delta, Revision, View, ViewError};
@@ -18,6 +19,9 @@
 /// Shortest time between two heartbeats that observations cause.
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Replicas that are remembered.
+const REPLICA_LIMIT: usize = 16;
+
 /// A configuration that rises with each change and never falls.
 pub trait InForce {
     /// The revision in force.
@@ -107,6 +111,9 @@
     pub retry_minimum: Duration,
     /// Longest wait before another replica is tried.
     pub retry_maximum: Duration,
+    /// Whether the replicas that control names take the place of those configured: so it is where
+    /// all of them serve proxies at one port.
+    pub follows_cell: bool,
     /// Seed of the order of replicas and of the jitter.
     pub seed: u64,
 }
@@ -343,12 +350,32 @@
                 let taken = self.in_force.apply(delta);
                 self.take(taken)
             }
+            ControlMessage::Cell(cell) => {
+                self.follow_cell(&cell);
+                Vec::new()
+            }
             ControlMessage::HeartbeatAck { sequence, current } => {
                 self.acknowledged(now, sequence, current)
             }
         }
     }
 
+    /// Later connections go to the replicas that there are now, at the port of those configured.
+    fn follow_cell(&mut self, cell: &CellConfig) {
+        let Some(port) = self.settings.replicas.first().map(SocketAddr::port) else { return };
+        let addresses = cell.voters.iter().map(|voter| SocketAddr::new(voter.address.ip(), port));
+        let mut replicas: Vec<SocketAddr> = addresses.collect();
+        if !self.settings.follows_cell || replicas.is_empty() {
+            return;
+        }
+        replicas.shuffle(&mut self.rng);
+        // Those known before stay behind them, for the day when all the others are gone.
+        let former = std::mem::take(&mut self.settings.replicas);
+        replicas.extend(former.into_iter().filter(|it| !cell_has(cell, *it)));
+        replicas.truncate(REPLICA_LIMIT);
+        self.settings.replicas = replicas;
+    }
+
     /// What is not newer is dropped: configuration never reverts.
     fn take(&mut self, taken: Result<(), ViewError>) -> Vec<Action> {
         if taken.is_err() {
@@ -391,3 +418,7 @@
         self.phase = Phase::Waiting(now + wait);
     }
 }
+
+fn cell_has(cell: &CellConfig, replica: SocketAddr) -> bool {
+    cell.voters.iter().any(|voter| voter.address.ip() == replica.ip())
+}
--- a/crates/server/src/watch_client/store.rs
+++ b/crates/server/src/watch_client/store.rs
@@ -23,6 +23,20 @@
     fn save(&mut self, view: &View) -> Result<(), StorageError>;
 }
 
+/// Keeps nothing, for a proxy without a disk: it waits for control at each start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NotKept;
+
+impl ViewStore for NotKept {
+    fn load(&self) -> Result<Option<View>, StorageError> {
+        Ok(None)
+    }
+
+    fn save(&mut self, _view: &View) -> Result<(), StorageError> {
+        Ok(())
+    }
+}
+
 /// Writes configurations on a thread of its own, so that no event loop waits for the disk.
 pub(super) struct Syncer {
     views: Sender<Arc<View>>,
--- a/crates/server/tests/watch_client.rs
+++ b/crates/server/tests/watch_client.rs
@@ -41,6 +41,7 @@
         silence_timeout: Duration::from_millis(100),
         retry_minimum: Duration::from_millis(5),
         retry_maximum: Duration::from_millis(20),
+        follows_cell: false,
         seed: 1,
     };
     let (_, observations) = mpsc::unbounded_channel();
--- a/crates/server/tests/watch_state.rs
+++ b/crates/server/tests/watch_state.rs
@@ -29,6 +29,7 @@
         silence_timeout: Duration::from_secs(3),
         retry_minimum: Duration::from_millis(50),
         retry_maximum: Duration::from_secs(2),
+        follows_cell: false,
         seed,
     }
 }
