--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -9,6 +9,7 @@
 
 use crate::back_end::{BackEndCall, BackEndResult, BackEnds, Operation};
 use crate::metrics::{Metrics, PhaseLabel};
+use crate::registry_calls::{RegistryAnswer, RegistryCaller};
 use crate::settings::ControlSettings;
 use convert::{failover_event, heartbeat, observed};
 use corktack_core::failover::{
@@ -16,13 +17,14 @@
 };
 use corktack_core::identity::{GroupName, MemberName, ProxyName};
 use corktack_core::membership::{Membership, MembershipSettings, PlatformList};
+use corktack_core::registry::{PromotionAction, PromotionDuty, PromotionSettings, ReachReport};
 use corktack_core::state::ControlState;
 use corktack_core::state::command::{Command, FailoverStep, Outcome};
 use corktack_core::time::Timestamp;
-use corktack_core::view::Revision;
+use corktack_core::view::{ProxyState, Revision};
 use corktack_protocol::cell::ProxyReport;
 use corktack_protocol::control::{MemberHealth, Observation};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 /// Longest time between two looks at the proxies' heartbeats.
@@ -39,6 +41,8 @@
 enum Duty {
     Membership,
     Failover(ProposalId),
+    /// What is decided is read from the state.
+    Promotion,
 }
 
 /// A command that the leader's duties want in the log.
@@ -55,6 +59,7 @@
     call_timeout: Duration,
     probe_timeout: Duration,
     back_ends: BackEnds,
+    registry: Option<RegistryCaller>,
     metrics: Metrics,
     /// Counts the times this replica became leader.
     leadership: u64,
@@ -71,13 +76,19 @@
     membership_open: usize,
     failover: FailoverManager,
     failover_due: Timestamp,
+    promotion: PromotionDuty,
     followed: Option<Revision>,
     observed: HashMap<ObservationKey, MemberHealth>,
     begun: HashMap<GroupName, Timestamp>,
 }
 
 impl LeaderDuties {
-    pub(crate) fn new(settings: &ControlSettings, back_ends: BackEnds, metrics: Metrics) -> Self {
+    pub(crate) fn new(
+        settings: &ControlSettings,
+        back_ends: BackEnds,
+        registry: Option<RegistryCaller>,
+        metrics: Metrics,
+    ) -> Self {
         let timeout = settings.proxy_heartbeat_timeout;
         Self {
             membership: MembershipSettings {
@@ -89,6 +100,7 @@
             call_timeout: settings.back_end_timeout,
             probe_timeout: settings.probe_timeout,
             back_ends,
+            registry,
             metrics,
             leadership: 0,
             leading: None,
@@ -139,6 +151,16 @@
                 }
             }
         }
+        if let Some(registry) = &self.registry {
+            for action in leading.promotion_actions(now, state) {
+                match action {
+                    PromotionAction::Propose(command) => {
+                        propose(Duty::Promotion, Command::Registry(Box::new(command)));
+                    }
+                    action => registry.start(action),
+                }
+            }
+        }
         for (target, operation) in calls {
             self.call(target, operation);
         }
@@ -161,6 +183,7 @@
         let Some(leading) = self.leading.as_mut().filter(|_| current) else { return };
         match id.duty {
             Duty::Membership => leading.take_membership_outcome(now),
+            Duty::Promotion => (),
             Duty::Failover(proposal) => leading.take_failover_outcome(now, proposal, outcome),
         }
     }
@@ -188,6 +211,19 @@
         }
     }
 
+    /// Takes an answer about registered back ends.
+    pub(crate) fn take_registry_answer(&mut self, now: Timestamp, answer: RegistryAnswer) {
+        let Some(leading) = &mut self.leading else { return };
+        match answer {
+            RegistryAnswer::Status(call, status) => {
+                leading.promotion.take_status(&call.group, &call.member, status);
+            }
+            RegistryAnswer::Promotion(group, fence, answer) => {
+                leading.promotion.take_answer(now, &group, fence, answer);
+            }
+        }
+    }
+
     /// Takes the platform's list.
     pub(crate) fn take_platform(&mut self, now: Timestamp, list: PlatformList) {
         if let Some(leading) = &mut self.leading {
@@ -218,6 +254,7 @@
             membership_open: 0,
             failover: FailoverManager::new(failover.clone()),
             failover_due: now,
+            promotion: PromotionDuty::new(PromotionSettings::default()),
             followed: None,
             observed: HashMap::new(),
             begun: HashMap::new(),
@@ -253,6 +290,13 @@
         actions
     }
 
+    fn promotion_actions(&mut self, now: Timestamp, state: &ControlState) -> Vec<PromotionAction> {
+        let live = state.proxies().filter(|(_, proxy)| proxy.state == ProxyState::Live);
+        let live: BTreeSet<ProxyName> = live.map(|(name, _)| name.clone()).collect();
+        self.promotion.retain_gateways(&live);
+        self.promotion.advance(now, state.registry(), live.len())
+    }
+
     fn note_begun(&mut self, now: Timestamp, command: &Command) {
         let Command::Failover(steps) = command else { return };
         let begun = steps.iter().filter(|(_, step)| matches!(step, FailoverStep::Begin { .. }));
@@ -286,6 +330,10 @@
     fn take_observations(&mut self, now: Timestamp, report: ProxyReport, state: &ControlState) {
         for observation in report.observations {
             let Observation { group, member, health } = &observation;
+            if state.registry().back_end(member).is_some() {
+                self.promotion.report(reach_report(&report.proxy, &observation));
+                continue;
+            }
             let owner = state.group(group).and_then(|group| group.view.owner.as_ref());
             let key = (report.proxy.clone(), group.clone(), member.clone());
             let known = self.observed.insert(key, *health);
@@ -296,3 +344,12 @@
         }
     }
 }
+
+fn reach_report(gateway: &ProxyName, observation: &Observation) -> ReachReport {
+    ReachReport {
+        gateway: gateway.clone(),
+        group: observation.group.clone(),
+        member: observation.member.clone(),
+        reached: observation.health != MemberHealth::Unreachable,
+    }
+}
--- a/crates/control/src/node/handle.rs
+++ b/crates/control/src/node/handle.rs
@@ -5,6 +5,7 @@
 use crate::cell::PeerMessage;
 use crate::error::RequestError;
 use crate::feed::{Feed, SnapshotFrame};
+use crate::registry_calls::RegistryAnswer;
 use corktack_core::consensus::{CellChange, CellConfig, CellMember, Rejection};
 use corktack_core::identity::{Incarnation, ProxyName, ReplicaId};
 use corktack_core::membership::PlatformList;
@@ -82,6 +83,8 @@
     BackEnd(BackEndResult),
     /// The platform's list was polled.
     Platform(PlatformList),
+    /// An answer to the leader about registered back ends.
+    Registry(RegistryAnswer),
     /// A replica without a cell asks to be added.
     Join(CellMember),
     /// Another replica told which cell it belongs to.
--- a/crates/control/src/node/inputs.rs
+++ b/crates/control/src/node/inputs.rs
@@ -28,6 +28,9 @@
             NodeInput::Platform(list) => {
                 self.parts.duties.take_platform(self.parts.clock.now(), list)
             }
+            NodeInput::Registry(answer) => {
+                self.parts.duties.take_registry_answer(self.parts.clock.now(), answer);
+            }
             NodeInput::Join(member) => self.take_join(member),
             NodeInput::CellLearned(cell) => self.learn_cell(&cell),
             NodeInput::TransferLeadership => batch.events.push(Event::TransferLeadership),
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,11 +1,13 @@
 //! Settings of a control replica.
 
+use crate::registry_calls::RegistryCalls;
 use corktack_core::consensus::{CellConfig, CellMember};
 use corktack_core::identity::{Incarnation, ReplicaId};
 use corktack_core::registry::CellRepairSettings;
 use corktack_protocol::cell::CellName;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 const DEFAULT_ELECTION_TIMEOUT: Duration = Duration::from_millis(300);
@@ -81,6 +83,8 @@
     pub workers: usize,
     /// How the leader grows and repairs the cell by itself; without it operators do.
     pub cell_repair: Option<CellRepairSettings>,
+    /// How the leader reaches registered back ends; without it their primaries are not replaced.
+    pub registry_calls: Option<Arc<dyn RegistryCalls>>,
     /// How long after its start a replica leaves registry changes unacknowledged while the
     /// cell has fewer voters than it should have: with few voters, fewer lost disks than
     /// tolerated could lose them.
@@ -116,6 +120,7 @@
             platform: None,
             operator_token: None,
             cell_repair: None,
+            registry_calls: None,
             formation_grace: Duration::ZERO,
             join_through: Vec::new(),
             cell_address: None,
--- a/crates/control/src/starting.rs
+++ b/crates/control/src/starting.rs
@@ -13,6 +13,7 @@
 use crate::platform::poll_platform;
 use crate::proxies::{Proofs, ProxyServer, ProxyTable, accept_proxies, send_summaries};
 use crate::recovered::Recovered;
+use crate::registry_calls::RegistryCaller;
 use crate::settings::{CellStart, ControlSettings};
 use crate::stop::StopSignal;
 use actix_rt::{Arbiter, ArbiterHandle};
@@ -100,7 +101,14 @@
             node: self.node.clone(),
             stop: self.stop.clone(),
         };
-        LeaderDuties::new(&self.settings, back_ends, self.metrics.clone())
+        let calls = self.settings.registry_calls.clone();
+        let registry = calls.map(|calls| RegistryCaller {
+            calls,
+            arbiter: self.first_arbiter(),
+            node: self.node.clone(),
+            stop: self.stop.clone(),
+        });
+        LeaderDuties::new(&self.settings, back_ends, registry, self.metrics.clone())
     }
 
     /// A listener of the standard library is given to the reactor of the arbiter
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -7,6 +7,7 @@
 mod back_end;
 mod cell_repair;
 mod document;
+mod promotion;
 mod state;
 
 pub use back_end::{BackEndReport, BackEndRole, BackEndState, RegisteredBackEnd};
@@ -14,4 +15,7 @@
 pub use document::{
     Consistency, Document, DocumentError, DocumentLimits, RouteRule, ServiceRule, StoredDocument,
 };
+pub use promotion::{
+    PromotionAction, PromotionAnswer, PromotionDuty, PromotionSettings, ReachReport,
+};
 pub use state::{Promotion, RegistryChanges, RegistryCommand, RegistryOutcome, RegistryState};
--- /dev/null
+++ b/crates/core/src/registry/promotion.rs
@@ -0,0 +1,505 @@
+//! Replaces primaries of registered groups through an outside authority.
+//!
+//! Only the leader of the cell does this. A decision stands in the log before the authority is
+//! called, and its index fences the call: a later decision has a higher fence, so that a call that
+//! is carried out late is refused once the newer one was seen, and no two leaders share a fence.
+//!
+//! The candidate is the most advanced member, asked after the primary is out of reach. Where
+//! commits are acknowledged only once replicas hold them, the replicas are first held from
+//! receiving, all of them answer, and none is chosen that is behind another.
+
+use super::back_end::{BackEndRole, BackEndState, RegisteredBackEnd};
+use super::state::{RegistryCommand, RegistryState};
+use crate::identity::{GroupName, MemberName, ProxyName};
+use crate::position::Position;
+use crate::statement::MemberStatus;
+use crate::time::Timestamp;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Part of the gateways whose word is enough, without a look of the leader's own.
+const SUSPECTING_PART: f64 = 0.3;
+
+/// Settings of the duty.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromotionSettings {
+    /// How long answers of the members are waited for before the best of them is taken.
+    pub answers_limit: Duration,
+    /// How long a promoted member may take to lead before another decision.
+    pub lead_limit: Duration,
+    /// Pause before a call without an answer is made again.
+    pub call_pause: Duration,
+    /// How long a group may be without a primary before one is chosen.
+    pub vacancy_limit: Duration,
+    /// How long a member that the authority refused is not chosen again.
+    pub refused_pause: Duration,
+}
+
+impl Default for PromotionSettings {
+    fn default() -> Self {
+        Self {
+            answers_limit: Duration::from_millis(250),
+            lead_limit: Duration::from_millis(3_500),
+            call_pause: Duration::from_millis(300),
+            vacancy_limit: Duration::from_secs(3),
+            refused_pause: Duration::from_secs(3),
+        }
+    }
+}
+
+/// What a gateway found when it used a member as primary.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReachReport {
+    /// The gateway.
+    pub gateway: ProxyName,
+    /// The group.
+    pub group: GroupName,
+    /// The member.
+    pub member: MemberName,
+    /// Whether it could be reached.
+    pub reached: bool,
+}
+
+/// What the authority answered to a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PromotionAnswer {
+    /// It carries the call out.
+    Accepted,
+    /// It refuses: the fence is too low, or the member is not running.
+    Refused,
+    /// No answer: the call may be carried out later.
+    Unknown,
+}
+
+/// What the leader must do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PromotionAction {
+    /// Ask a member for its status.
+    Ask {
+        /// Its group.
+        group: GroupName,
+        /// The member.
+        member: MemberName,
+        /// Where it is.
+        address: SocketAddr,
+        /// Whether to keep it from receiving before it answers.
+        hold: bool,
+    },
+    /// Let a member receive again that was held for a choice that is not made.
+    Release {
+        /// Its group.
+        group: GroupName,
+        /// The member.
+        member: MemberName,
+        /// Where it is.
+        address: SocketAddr,
+    },
+    /// Put a decision into the log.
+    Propose(RegistryCommand),
+    /// Call the authority.
+    Call {
+        /// The group.
+        group: GroupName,
+        /// The member that shall lead.
+        target: MemberName,
+        /// The fence of the decision.
+        fence: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+enum Phase {
+    /// The primary serves, as far as is known.
+    Steady,
+    /// The suspected primary is asked by the leader itself.
+    Verifying { since: Timestamp, primary: MemberName },
+    /// The members are asked how far they are.
+    Asking { since: Timestamp, answers: BTreeMap<MemberName, Option<MemberStatus>> },
+    /// The decision is on its way into the log.
+    Deciding { since: Timestamp, target: MemberName },
+    /// The authority is called until the member leads.
+    Calling {
+        since: Timestamp,
+        target: MemberName,
+        fence: u64,
+        next_call: Timestamp,
+        in_flight: bool,
+        accepted: bool,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct GroupDuty {
+    phase: Phase,
+    vacant_since: Option<Timestamp>,
+    refused: BTreeMap<MemberName, Timestamp>,
+    /// The fence of a decision made by this leadership; those of others are not acted on.
+    known_fence: u64,
+}
+
+/// Replaces primaries of registered groups; lasts as long as one leadership.
+#[derive(Clone, Debug)]
+pub struct PromotionDuty {
+    settings: PromotionSettings,
+    groups: BTreeMap<GroupName, GroupDuty>,
+    unreached: BTreeMap<(GroupName, MemberName), BTreeSet<ProxyName>>,
+}
+
+impl GroupDuty {
+    fn new(known_fence: u64) -> Self {
+        Self { phase: Phase::Steady, vacant_since: None, refused: BTreeMap::new(), known_fence }
+    }
+}
+
+/// The member that leads a group as far as the registry knows.
+fn primary_of(state: &RegistryState, group: &GroupName) -> Option<MemberName> {
+    let leads = |member: &MemberName| {
+        state.back_end(member).is_some_and(|it| it.role == BackEndRole::Primary)
+    };
+    let promoted = state.promotion(group).map(|promotion| promotion.target.clone());
+    promoted.filter(leads).or_else(|| {
+        let mut members = state.back_ends().filter(|(_, it)| it.group == *group);
+        members.find(|(_, it)| it.role == BackEndRole::Primary).map(|(name, _)| name.clone())
+    })
+}
+
+fn candidates<'s>(
+    state: &'s RegistryState,
+    group: &'s GroupName,
+) -> impl Iterator<Item = (&'s MemberName, &'s RegisteredBackEnd)> {
+    let members = state.back_ends().map(|(name, it)| (name, it.as_ref()));
+    members.filter(move |(_, it)| it.group == *group && it.state == BackEndState::Ready)
+}
+
+impl PromotionDuty {
+    /// The duty of a new leadership.
+    #[must_use]
+    pub fn new(settings: PromotionSettings) -> Self {
+        Self { settings, groups: BTreeMap::new(), unreached: BTreeMap::new() }
+    }
+
+    /// Takes a gateway's word.
+    pub fn report(&mut self, report: ReachReport) {
+        let key = (report.group, report.member);
+        if report.reached {
+            if let Some(gateways) = self.unreached.get_mut(&key) {
+                gateways.remove(&report.gateway);
+            }
+        } else {
+            self.unreached.entry(key).or_default().insert(report.gateway);
+        }
+    }
+
+    /// Forgets what gateways said that are gone.
+    pub fn retain_gateways(&mut self, live: &BTreeSet<ProxyName>) {
+        for gateways in self.unreached.values_mut() {
+            gateways.retain(|gateway| live.contains(gateway));
+        }
+        self.unreached.retain(|_, gateways| !gateways.is_empty());
+    }
+
+    /// Takes a member's answer to [`PromotionAction::Ask`]; none when it gave none.
+    pub fn take_status(
+        &mut self,
+        group: &GroupName,
+        member: &MemberName,
+        status: Option<MemberStatus>,
+    ) {
+        let Some(duty) = self.groups.get_mut(group) else { return };
+        match &mut duty.phase {
+            Phase::Asking { answers, .. } => {
+                if let Some(answer) = answers.get_mut(member)
+                    && (answer.is_none() || status.is_some())
+                {
+                    *answer = status;
+                }
+            }
+            Phase::Verifying { primary, .. } if primary == member => {
+                let alive = status.is_some_and(|status| status.primary);
+                duty.phase = if alive { Phase::Steady } else { Self::asking(Timestamp::ZERO) };
+                if alive {
+                    // The leader reaches it: some gateways do not, too few to move the lead.
+                    self.unreached.remove(&(group.clone(), member.clone()));
+                }
+            }
+            _ => (),
+        }
+    }
+
+    /// Takes the authority's answer to [`PromotionAction::Call`].
+    pub fn take_answer(
+        &mut self,
+        now: Timestamp,
+        group: &GroupName,
+        fence: u64,
+        answer: PromotionAnswer,
+    ) {
+        let settings = self.settings;
+        let Some(duty) = self.groups.get_mut(group) else { return };
+        let Phase::Calling { fence: current, target, next_call, in_flight, accepted, .. } =
+            &mut duty.phase
+        else {
+            return;
+        };
+        if *current != fence {
+            return;
+        }
+        *in_flight = false;
+        match answer {
+            PromotionAnswer::Accepted => *accepted = true,
+            PromotionAnswer::Unknown => *next_call = now + settings.call_pause,
+            PromotionAnswer::Refused => {
+                duty.refused.insert(target.clone(), now + settings.refused_pause);
+                duty.phase = Self::asking(Timestamp::ZERO);
+            }
+        }
+    }
+
+    /// A phase that asks everyone at the next look.
+    fn asking(since: Timestamp) -> Phase {
+        Phase::Asking { since, answers: BTreeMap::new() }
+    }
+
+    /// Decides what is due.
+    pub fn advance(
+        &mut self,
+        now: Timestamp,
+        state: &RegistryState,
+        gateways: usize,
+    ) -> Vec<PromotionAction> {
+        let mut actions = Vec::new();
+        let Some(document) = state.document() else { return actions };
+        let services = &document.document.services;
+        self.groups.retain(|name, _| services.iter().any(|service| service.name == *name));
+        for service in services {
+            let group = &service.name;
+            let known = state.promotion(group).map_or(0, |promotion| promotion.fence.0);
+            let mut duty = self.groups.remove(group).unwrap_or_else(|| GroupDuty::new(known));
+            let holds = service.synchronous_replicas > 0;
+            self.advance_group(now, state, group, &mut duty, (gateways, holds), &mut actions);
+            self.groups.insert(group.clone(), duty);
+        }
+        actions
+    }
+
+    fn advance_group(
+        &mut self,
+        now: Timestamp,
+        state: &RegistryState,
+        group: &GroupName,
+        duty: &mut GroupDuty,
+        (gateways, holds): (usize, bool),
+        actions: &mut Vec<PromotionAction>,
+    ) {
+        if let Phase::Steady = duty.phase {
+            self.look(now, state, group, duty, gateways, actions);
+        }
+        if let Phase::Verifying { since, .. } = &duty.phase
+            && now.saturating_since(*since) >= self.settings.answers_limit * 2
+        {
+            duty.phase = Self::asking(Timestamp::ZERO);
+        }
+        if let Phase::Asking { since, answers, .. } = &duty.phase {
+            let overdue = now.saturating_since(*since) >= self.settings.answers_limit;
+            let enough = Self::is_enough(state, group, answers, holds);
+            let complete = answers.values().all(Option::is_some);
+            if answers.is_empty() || (overdue && !enough) {
+                self.ask(now, state, group, duty, holds, actions);
+            } else if enough && (overdue || complete) {
+                self.choose(now, state, group, duty, holds, actions);
+            }
+        }
+        if let Phase::Deciding { since, target } = &duty.phase {
+            let decided = state.promotion(group);
+            let decided =
+                decided.filter(|it| it.fence.0 > duty.known_fence && it.target == *target);
+            if let Some(promotion) = decided {
+                duty.known_fence = promotion.fence.0;
+                duty.phase = Phase::Calling {
+                    since: now,
+                    target: target.clone(),
+                    fence: promotion.fence.0,
+                    next_call: now,
+                    in_flight: false,
+                    accepted: false,
+                };
+            } else if now.saturating_since(*since) >= self.settings.lead_limit {
+                duty.phase = Self::asking(Timestamp::ZERO);
+            }
+        }
+        self.call(now, state, group, duty, actions);
+    }
+
+    /// Whether the primary must be replaced, or the leader has to see for itself.
+    fn look(
+        &self,
+        now: Timestamp,
+        state: &RegistryState,
+        group: &GroupName,
+        duty: &mut GroupDuty,
+        gateways: usize,
+        actions: &mut Vec<PromotionAction>,
+    ) {
+        let Some(primary) = primary_of(state, group) else {
+            let since = *duty.vacant_since.get_or_insert(now);
+            let anyone = candidates(state, group).next().is_some();
+            if anyone && now.saturating_since(since) >= self.settings.vacancy_limit {
+                duty.phase = Self::asking(Timestamp::ZERO);
+            }
+            return;
+        };
+        duty.vacant_since = None;
+        let Some(back_end) = state.back_end(&primary) else { return };
+        if back_end.state == BackEndState::Draining {
+            log::info!(group:% = group, member:% = primary; "primary leaves: it is replaced");
+            duty.phase = Self::asking(Timestamp::ZERO);
+            return;
+        }
+        let suspecting = self.unreached.get(&(group.clone(), primary.clone()));
+        let suspecting = suspecting.map_or(0, BTreeSet::len);
+        if suspecting == 0 {
+            return;
+        }
+        let enough = (gateways as f64 * SUSPECTING_PART).ceil() as usize;
+        if suspecting >= enough.max(2) {
+            log::warn!(
+                group:% = group, member:% = primary, suspecting, gateways;
+                "primary cannot be reached: it is replaced"
+            );
+            duty.phase = Self::asking(Timestamp::ZERO);
+            return;
+        }
+        log::info!(group:% = group, member:% = primary, suspecting, gateways; "primary is suspected");
+        actions.push(PromotionAction::Ask {
+            group: group.clone(),
+            member: primary.clone(),
+            address: back_end.address,
+            hold: false,
+        });
+        duty.phase = Phase::Verifying { since: now, primary };
+    }
+
+    fn ask(
+        &self,
+        now: Timestamp,
+        state: &RegistryState,
+        group: &GroupName,
+        duty: &mut GroupDuty,
+        holds: bool,
+        actions: &mut Vec<PromotionAction>,
+    ) {
+        duty.refused.retain(|_, until| now < *until);
+        let primary = primary_of(state, group);
+        let mut answers = BTreeMap::new();
+        for (member, back_end) in candidates(state, group) {
+            if primary.as_ref() == Some(member) || duty.refused.contains_key(member) {
+                continue;
+            }
+            answers.insert(member.clone(), None);
+            actions.push(PromotionAction::Ask {
+                group: group.clone(),
+                member: member.clone(),
+                address: back_end.address,
+                hold: holds,
+            });
+        }
+        duty.phase = Phase::Asking { since: now, answers };
+    }
+
+    /// Whether the answers so far allow a choice: one at least, and every replica's where the log
+    /// of any of them may hold the only copy of an acknowledged commit.
+    fn is_enough(
+        state: &RegistryState,
+        group: &GroupName,
+        answers: &BTreeMap<MemberName, Option<MemberStatus>>,
+        holds: bool,
+    ) -> bool {
+        if !holds {
+            return answers.values().any(Option::is_some);
+        }
+        let primary = primary_of(state, group);
+        let members = state.back_ends().filter(|(_, it)| it.group == *group);
+        let mut replicas =
+            members.map(|(name, _)| name).filter(|name| primary.as_ref() != Some(name));
+        replicas.all(|name| answers.get(name).is_some_and(Option::is_some))
+    }
+
+    /// The most advanced member that answered.
+    fn choose(
+        &mut self,
+        now: Timestamp,
+        state: &RegistryState,
+        group: &GroupName,
+        duty: &mut GroupDuty,
+        holds: bool,
+        actions: &mut Vec<PromotionAction>,
+    ) {
+        let Phase::Asking { answers, .. } = &duty.phase else { return };
+        let order = |position: &Position| (position.term, position.index);
+        let answered = answers.iter().filter_map(|(name, it)| Some((name, it.as_ref()?)));
+        if let Some((leader, _)) = answered.clone().find(|(_, status)| status.primary) {
+            // It leads already: an earlier call was carried out, or the registry is behind.
+            log::info!(group:% = group, member:% = leader; "a member leads already");
+            if holds {
+                actions.extend(candidates(state, group).map(|(member, back_end)| {
+                    let (group, member) = (group.clone(), member.clone());
+                    PromotionAction::Release { group, member, address: back_end.address }
+                }));
+            }
+            duty.phase = Phase::Steady;
+            return;
+        }
+        let best = answered.max_by_key(|(_, status)| order(&status.received));
+        let Some((target, status)) = best else {
+            duty.phase = Self::asking(Timestamp::ZERO);
+            return;
+        };
+        let target = target.clone();
+        log::info!(
+            group:% = group, member:% = target, received:% = status.received;
+            "member is to be promoted"
+        );
+        self.unreached.remove(&(group.clone(), target.clone()));
+        let command = RegistryCommand::Promote { group: group.clone(), target: target.clone() };
+        actions.push(PromotionAction::Propose(command));
+        duty.phase = Phase::Deciding { since: now, target };
+    }
+
+    fn call(
+        &self,
+        now: Timestamp,
+        state: &RegistryState,
+        group: &GroupName,
+        duty: &mut GroupDuty,
+        actions: &mut Vec<PromotionAction>,
+    ) {
+        let Phase::Calling { since, target, fence, next_call, in_flight, accepted } =
+            &mut duty.phase
+        else {
+            return;
+        };
+        let leads = state.back_end(target).is_some_and(|it| it.role == BackEndRole::Primary);
+        if leads {
+            log::info!(
+                group:% = group, member:% = target, fence = *fence,
+                after_ms = (now - *since).as_millis() as u64;
+                "member leads"
+            );
+            duty.phase = Phase::Steady;
+            return;
+        }
+        let gone = state.back_end(target).is_none_or(|it| it.state == BackEndState::Draining);
+        if gone || now.saturating_since(*since) >= self.settings.lead_limit {
+            log::warn!(group:% = group, member:% = target, fence = *fence; "member does not lead");
+            duty.refused.insert(target.clone(), now + self.settings.refused_pause);
+            duty.phase = Self::asking(Timestamp::ZERO);
+            return;
+        }
+        if !*in_flight && !*accepted && now >= *next_call {
+            *in_flight = true;
+            let (target, fence) = (target.clone(), *fence);
+            actions.push(PromotionAction::Call { group: group.clone(), target, fence });
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ask.rs
@@ -0,0 +1,85 @@
+//! Questions to members on behalf of control, each on a connection of its own.
+
+use crate::dial::dial;
+use crate::error::DialError;
+use crate::settings::GatewaySettings;
+use crate::wire::Wire;
+use corktack_core::identity::{GroupName, MemberName};
+use corktack_core::statement::{ErrorCode, MemberStatus, OwnStatement};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Pause before a member without a free slot is asked again.
+const BUSY_PAUSE: Duration = Duration::from_millis(25);
+/// Longest time for one question.
+const QUESTION_LIMIT: Duration = Duration::from_millis(400);
+
+/// Asks a member for its status; with `hold`, keeps it from receiving first, in the term after its
+/// own. None when it cannot be reached, refuses or answers something else.
+pub async fn ask_status<W: Wire>(
+    wire: &W,
+    settings: &GatewaySettings,
+    group: &GroupName,
+    member: &MemberName,
+    address: SocketAddr,
+    hold: bool,
+) -> Option<MemberStatus> {
+    let status = ask(wire, settings, (group, member, address), &OwnStatement::Status).await?;
+    if !hold {
+        return Some(status);
+    }
+    let pause = OwnStatement::Pause { term: status.term + 1 };
+    ask(wire, settings, (group, member, address), &pause).await
+}
+
+/// Lets a held member receive again.
+pub async fn release<W: Wire>(
+    wire: &W,
+    settings: &GatewaySettings,
+    group: &GroupName,
+    member: &MemberName,
+    address: SocketAddr,
+) {
+    // A member that does not hear it is released by the next promotion or restart.
+    let _ = ask(wire, settings, (group, member, address), &OwnStatement::Resume).await;
+}
+
+async fn ask<W: Wire>(
+    wire: &W,
+    settings: &GatewaySettings,
+    (group, member, address): (&GroupName, &MemberName, SocketAddr),
+    statement: &OwnStatement,
+) -> Option<MemberStatus> {
+    let deadline = Instant::now() + QUESTION_LIMIT;
+    loop {
+        let dialed = dial(wire, settings, group, member, address).await;
+        let mut connection = match dialed {
+            Ok((connection, _)) => connection,
+            Err(DialError::Refused { code: ErrorCode::TooManyConnections, .. }) => {
+                tokio::time::sleep(BUSY_PAUSE).await;
+                continue;
+            }
+            Err(error) => {
+                log::info!(group:% = group, member:% = member, error:% = error; "no status");
+                return None;
+            }
+        };
+        let answer = connection.run_own(statement, deadline).await.ok()?;
+        connection.terminate();
+        match answer.outcome {
+            Ok(_) => return wire.decode_status(answer.rows.first()?).ok(),
+            Err(failure) if failure.code == ErrorCode::Busy && Instant::now() < deadline => {
+                tokio::time::sleep(BUSY_PAUSE).await;
+            }
+            Err(failure) => {
+                log::info!(
+                    group:% = group, member:% = member, code:? = failure.code,
+                    why = failure.text.as_str();
+                    "no status"
+                );
+                return None;
+            }
+        }
+    }
+}
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -18,7 +18,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout_at};
 
 /// How long a member that said it is no primary is not asked again, unless control says it is.
@@ -26,6 +26,17 @@
 /// Pause between two looks while no member that could serve can be reached.
 const NO_MEMBER_PAUSE: Duration = Duration::from_millis(30);
 
+/// Whether a member could be reached when it was used as primary; told once on change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberReach {
+    /// Its group.
+    pub group: GroupName,
+    /// The member.
+    pub member: MemberName,
+    /// Whether it could.
+    pub reached: bool,
+}
+
 /// Who could serve a statement.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Target {
@@ -75,6 +86,7 @@
     settings: Rc<GatewaySettings>,
     state: RefCell<GroupState<W>>,
     pub(crate) freshness: RefCell<Freshness>,
+    reach: mpsc::UnboundedSender<MemberReach>,
 }
 
 /// The next step towards a connection.
@@ -86,7 +98,12 @@
 }
 
 impl<W: Wire> Group<W> {
-    pub(crate) fn new(name: GroupName, wire: W, settings: Rc<GatewaySettings>) -> Self {
+    pub(crate) fn new(
+        name: GroupName,
+        wire: W,
+        settings: Rc<GatewaySettings>,
+        reach: mpsc::UnboundedSender<MemberReach>,
+    ) -> Self {
         let state = GroupState {
             members: BTreeMap::new(),
             promotion: None,
@@ -95,7 +112,7 @@
             waiting: WaitQueue::default(),
         };
         let freshness = RefCell::default();
-        Self { name, wire, settings, state: RefCell::new(state), freshness }
+        Self { name, wire, settings, state: RefCell::new(state), freshness, reach }
     }
 
     /// Takes what the registry says now. Members that left get no new work.
@@ -170,7 +187,7 @@
         let dialed = dial(&self.wire, &self.settings, &self.name, &member, back_end.address).await;
         match dialed {
             Ok((connection, _)) => {
-                self.with_member(&member, Member::note_reached);
+                self.note_reached(&member);
                 place.keep();
                 Ok(Lease::new(Rc::clone(self), member, connection))
             }
@@ -179,13 +196,13 @@
                     group:% = self.name, member:% = member, error:% = error;
                     "member cannot be connected to"
                 );
-                let now = Instant::now();
-                self.with_member(&member, |it| match &error {
+                match &error {
                     DialError::Refused { code: ErrorCode::TooManyConnections, .. } => {
-                        it.note_full(now);
+                        let now = Instant::now();
+                        self.with_member(&member, |it| it.note_full(now));
                     }
-                    _ => it.note_unreachable(now),
-                });
+                    _ => self.note_unreachable(&member),
+                }
                 Err(AcquireError::Unreachable(member))
             }
         }
@@ -198,6 +215,31 @@
         }
     }
 
+    /// A member answered; control hears of it if it counted as unreachable.
+    pub(crate) fn note_reached(&self, name: &MemberName) {
+        let mut news = false;
+        self.with_member(name, |member| news = member.note_reached());
+        if news {
+            self.tell(name, true);
+        }
+    }
+
+    /// A member gave no answer; control hears of it if it counted as reachable.
+    pub(crate) fn note_unreachable(&self, name: &MemberName) {
+        let now = Instant::now();
+        let mut news = false;
+        self.with_member(name, |member| news = member.note_unreachable(now));
+        if news {
+            self.tell(name, false);
+        }
+    }
+
+    fn tell(&self, member: &MemberName, reached: bool) {
+        let (group, member) = (self.name.clone(), member.clone());
+        // Nobody listens at the end of the process only.
+        let _ = self.reach.send(MemberReach { group, member, reached });
+    }
+
     /// Takes a connection back; it is kept where the member still takes work.
     pub(crate) fn give_back(&self, name: &MemberName, connection: MemberConnection<W>) {
         let now = Instant::now();
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -2,7 +2,7 @@
 
 use crate::drain::drain;
 use crate::error::GatewayError;
-use crate::group::{Group, Target, Wish};
+use crate::group::{Group, MemberReach, Target, Wish};
 use crate::metrics::Metrics;
 use crate::routes::Routes;
 use crate::session::serve_caller;
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
 
 /// Pause after a failed accept (out of file descriptors, most likely).
@@ -77,7 +77,7 @@
         let asked_at = self.now();
         let begin = OwnStatement::Begin { access: Access::Write, after: None };
         let Ok(answer) = lease.connection().run_own(&begin, give_up).await else {
-            group.with_member(&lease.member, |it| it.note_unreachable(Instant::now()));
+            group.note_unreachable(&lease.member);
             return;
         };
         if answer.outcome.is_err() {
@@ -99,7 +99,8 @@
 pub struct Gateway;
 
 impl Gateway {
-    /// Serves callers on a bound listener, on this arbiter, by the configuration of `views`.
+    /// Serves callers on a bound listener, on this arbiter, by the configuration of `views`. What
+    /// it finds out of members goes to `reach`.
     ///
     /// # Errors
     /// [`GatewayError::Listener`]; nothing runs then.
@@ -108,13 +109,14 @@
         wire: W,
         listener: std::net::TcpListener,
         views: watch::Receiver<Arc<View>>,
+        reach: mpsc::UnboundedSender<MemberReach>,
         registry: &mut Registry,
     ) -> Result<GatewayHandle<W>, GatewayError> {
         listener.set_nonblocking(true).map_err(GatewayError::Listener)?;
         let listener = TcpListener::from_std(listener).map_err(GatewayError::Listener)?;
         let settings = Rc::new(settings);
         let shared = Rc::new(Shared {
-            routes: Routes::new(wire.clone(), Rc::clone(&settings)),
+            routes: Routes::new(wire.clone(), Rc::clone(&settings), reach),
             wire,
             settings,
             metrics: Metrics::register(registry),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! arbiter that starts it.
 
 mod answer;
+mod ask;
 mod connection;
 mod dial;
 mod drain;
@@ -20,7 +21,9 @@
 mod settings;
 mod wire;
 
+pub use ask::{ask_status, release};
 pub use error::{GatewayError, WireError};
+pub use group::MemberReach;
 pub use handle::{Gateway, GatewayHandle};
 pub use settings::GatewaySettings;
 pub use wire::Wire;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -124,17 +124,23 @@
         self.latency = old + latency.mul_f64(LATENCY_WEIGHT);
     }
 
-    pub(crate) fn note_reached(&mut self) {
+    /// Says whether that is news.
+    pub(crate) fn note_reached(&mut self) -> bool {
+        let news = self.failures > 0;
         self.failures = 0;
         self.unreachable_until = None;
+        news
     }
 
-    pub(crate) fn note_unreachable(&mut self, now: Instant) {
+    /// Says whether that is news.
+    pub(crate) fn note_unreachable(&mut self, now: Instant) -> bool {
+        let news = self.failures == 0;
         let pause = UNREACHABLE_FIRST.saturating_mul(1 << self.failures.min(8));
         self.failures += 1;
         self.unreachable_until = Some(now + pause.min(UNREACHABLE_LAST));
         self.open -= self.idle.len();
         self.idle.clear();
+        news
     }
 
     pub(crate) fn note_full(&mut self, now: Instant) {
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -1,6 +1,6 @@
 //! The configuration in force, as sessions look it up.
 
-use crate::group::{Group, GroupFacts};
+use crate::group::{Group, GroupFacts, MemberReach};
 use crate::settings::GatewaySettings;
 use crate::wire::Wire;
 use corktack_core::identity::GroupName;
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::mpsc;
 
 /// Part of a member's connections that the gateways share; the rest is for control's questions
 /// and for shares that move.
@@ -31,16 +32,22 @@
     groups: RefCell<BTreeMap<GroupName, Rc<Group<W>>>>,
     routes: RefCell<BTreeMap<String, Route<W>>>,
     document: RefCell<Option<Arc<Document>>>,
+    reach: mpsc::UnboundedSender<MemberReach>,
 }
 
 impl<W: Wire> Routes<W> {
-    pub(crate) fn new(wire: W, settings: Rc<GatewaySettings>) -> Self {
+    pub(crate) fn new(
+        wire: W,
+        settings: Rc<GatewaySettings>,
+        reach: mpsc::UnboundedSender<MemberReach>,
+    ) -> Self {
         Self {
             wire,
             settings,
             groups: RefCell::default(),
             routes: RefCell::default(),
             document: RefCell::default(),
+            reach,
         }
     }
 
@@ -90,7 +97,7 @@
     }
 
     fn new_group(&self, name: &GroupName) -> Group<W> {
-        Group::new(name.clone(), self.wire.clone(), Rc::clone(&self.settings))
+        Group::new(name.clone(), self.wire.clone(), Rc::clone(&self.settings), self.reach.clone())
     }
 
     fn follow_document(&self, document: &Arc<Document>) {
--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -180,7 +180,7 @@
             ErrorCode::Lagging => group.with_member(&lease.member, |it| it.note_lagging(now)),
             ErrorCode::ReadOnly => group.note_not_primary(&lease.member),
             ErrorCode::WrongMember => {
-                group.with_member(&lease.member, |it| it.note_unreachable(now))
+                group.note_unreachable(&lease.member);
             }
             _ => group.with_member(&lease.member, |it| it.note_busy(now)),
         }
@@ -213,8 +213,7 @@
         if !matches!(error, LinkError::TimedOut) {
             return;
         }
-        let now = Instant::now();
-        lease.group().with_member(&lease.member, |member| member.note_unreachable(now));
+        lease.group().note_unreachable(&lease.member);
     }
 
     /// A read inside a transaction of the product's own: a member that lost the lead refuses it,
--- a/crates/server/src/deployment.rs
+++ b/crates/server/src/deployment.rs
@@ -4,19 +4,29 @@
 //! must be kept. Every timer follows from the bounds, here and nowhere else.
 
 use crate::listeners::{ListenError, bind};
-use crate::signals::StopSignals;
+use crate::signals::{ReloadSignal, StopSignals};
 use crate::watch_client::state::WatchSettings;
 use crate::watch_client::{self, NotKept, WatchError, WatchHandle};
 use corktack_control::{
-    ControlError, ControlHandle, ControlListeners, ControlReplica, ControlSettings, find_identity,
+    ControlError, ControlHandle, ControlListeners, ControlReplica, ControlSettings, MemberCall,
+    RegistryCalls, find_identity,
 };
+use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::identity::{Incarnation, NameError, ProxyName, ZoneName};
-use corktack_core::registry::CellRepairSettings;
-use corktack_gateway::{Gateway, GatewayError, GatewayHandle, GatewaySettings, Wire};
+use corktack_core::position::Term;
+use corktack_core::registry::{CellRepairSettings, PromotionAnswer};
+use corktack_core::statement::MemberStatus;
+use corktack_gateway::{
+    Gateway, GatewayError, GatewayHandle, GatewaySettings, MemberReach, Wire, ask_status, release,
+};
 use corktack_protocol::cell::CellName;
+use corktack_protocol::control::{MemberHealth, Observation};
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
 use prometheus_client::registry::Registry;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -124,7 +134,11 @@
     ///
     /// # Errors
     /// [`DeploymentError`]; nothing runs then.
-    pub fn start_control(&self) -> Result<ControlHandle, DeploymentError> {
+    pub fn start_control<W: Wire + Send + Sync + std::fmt::Debug>(
+        &self,
+        wire: W,
+        authority: Option<Arc<dyn PromotionAuthority>>,
+    ) -> Result<ControlHandle, DeploymentError> {
         let folder = self.data_folder.clone().ok_or(DeploymentError::NoDataFolder)?;
         let own = SocketAddr::new(self.machine, self.cell_port());
         let seeds = self.at_seeds(self.cell_port());
@@ -139,6 +153,7 @@
         settings.snapshot_entries = SNAPSHOT_ENTRIES;
         settings.watch_changes = WATCH_CHANGES;
         settings.request_timeout = REQUEST_LIMIT;
+        settings.registry_calls = authority.map(|authority| self.calls(wire, authority));
         settings.workers = 1;
         settings.cell_address = Some(own);
         settings.join_through = self.at_seeds(self.proxies_port());
@@ -168,13 +183,24 @@
         let listener = bind("callers", callers)?;
         let mut registry = Registry::default();
         let (observations, observed) = mpsc::unbounded_channel();
+        let (reach, found) = mpsc::unbounded_channel();
+        actix_rt::spawn(observe(found, observations));
         let settings = self.watch_settings()?;
         let store = Box::new(NotKept);
         let watch = watch_client::start(settings, CONNECT_LIMIT, store, observed, &mut registry)?;
         let settings = self.gateway_settings();
-        let gateway = Gateway::start(settings, wire, listener, watch.views(), &mut registry)?;
+        let gateway =
+            Gateway::start(settings, wire, listener, watch.views(), reach, &mut registry)?;
         log::info!(machine = self.name.as_str(), callers:% = callers; "gateway starts");
-        Ok(RunningGateway { watch, gateway, _observations: observations })
+        Ok(RunningGateway { watch, gateway })
+    }
+
+    fn calls<W: Wire + Send + Sync + std::fmt::Debug>(
+        &self,
+        wire: W,
+        authority: Arc<dyn PromotionAuthority>,
+    ) -> Arc<dyn RegistryCalls> {
+        Arc::new(Calls { wire, settings: self.gateway_settings(), authority })
     }
 
     fn watch_settings(&self) -> Result<WatchSettings, DeploymentError> {
@@ -206,12 +232,76 @@
     }
 }
 
+/// The outside authority that promotes members.
+pub trait PromotionAuthority: Send + Sync + std::fmt::Debug {
+    /// Calls for a promotion, once, under the fence of the decision.
+    fn promote(
+        &self,
+        group: GroupName,
+        target: MemberName,
+        fence: u64,
+    ) -> LocalBoxFuture<'static, PromotionAnswer>;
+}
+
+/// The leader's calls, over the wire of the deployment.
+#[derive(Debug)]
+struct Calls<W> {
+    wire: W,
+    settings: GatewaySettings,
+    authority: Arc<dyn PromotionAuthority>,
+}
+
+impl<W: Wire + Send + Sync + std::fmt::Debug> RegistryCalls for Calls<W> {
+    fn status(
+        &self,
+        call: MemberCall,
+        hold: bool,
+    ) -> LocalBoxFuture<'static, Option<MemberStatus>> {
+        let (wire, settings) = (self.wire.clone(), self.settings.clone());
+        async move {
+            let MemberCall { group, member, address } = call;
+            ask_status(&wire, &settings, &group, &member, address, hold).await
+        }
+        .boxed_local()
+    }
+
+    fn release(&self, call: MemberCall) -> LocalBoxFuture<'static, ()> {
+        let (wire, settings) = (self.wire.clone(), self.settings.clone());
+        async move {
+            let MemberCall { group, member, address } = call;
+            release(&wire, &settings, &group, &member, address).await;
+        }
+        .boxed_local()
+    }
+
+    fn promote(
+        &self,
+        group: GroupName,
+        target: MemberName,
+        fence: u64,
+    ) -> LocalBoxFuture<'static, PromotionAnswer> {
+        self.authority.promote(group, target, fence)
+    }
+}
+
+/// Passes what the gateway found of members on to control.
+async fn observe(
+    mut found: mpsc::UnboundedReceiver<MemberReach>,
+    observations: mpsc::UnboundedSender<Observation>,
+) {
+    while let Some(MemberReach { group, member, reached }) = found.recv().await {
+        let health =
+            if reached { MemberHealth::Replica(Term(0)) } else { MemberHealth::Unreachable };
+        // Nobody listens at the end of the process only.
+        let _ = observations.send(Observation { group, member, health });
+    }
+}
+
 /// A gateway with its watch of control.
 #[derive(Debug)]
 pub struct RunningGateway<W: Wire> {
     watch: WatchHandle,
     gateway: GatewayHandle<W>,
-    _observations: mpsc::UnboundedSender<corktack_protocol::control::Observation>,
 }
 
 impl<W: Wire> RunningGateway<W> {
@@ -232,12 +322,18 @@
     }
 }
 
-/// Waits for the signal that asks for a planned stop.
+/// Waits for the signal that asks for a planned stop; calls `reload` whenever the settings have
+/// changed meanwhile.
 ///
 /// # Errors
 /// [`DeploymentError::Signals`].
-pub async fn until_stopped() -> Result<(), DeploymentError> {
-    let mut signals = StopSignals::listen().map_err(DeploymentError::Signals)?;
-    signals.received().await;
-    Ok(())
+pub async fn until_stopped(mut reload: impl FnMut()) -> Result<(), DeploymentError> {
+    let mut stop = StopSignals::listen().map_err(DeploymentError::Signals)?;
+    let mut changed = ReloadSignal::listen().map_err(DeploymentError::Signals)?;
+    loop {
+        tokio::select! {
+            () = stop.received() => return Ok(()),
+            () = changed.received() => reload(),
+        }
+    }
 }
--- a/crates/server/src/signals.rs
+++ b/crates/server/src/signals.rs
@@ -31,6 +31,25 @@
     }
 }
 
+/// The signal that says that the settings have changed.
+pub struct ReloadSignal(Signal);
+
+impl ReloadSignal {
+    /// Starts to listen; from now on SIGHUP no longer ends the process.
+    ///
+    /// # Errors
+    /// What the operating system reports.
+    pub fn listen() -> std::io::Result<Self> {
+        signal(SignalKind::hangup()).map(Self)
+    }
+
+    /// Waits for SIGHUP.
+    pub async fn received(&mut self) {
+        // None comes only at the end of the process.
+        let _ = self.0.recv().await;
+    }
+}
+
 /// Writes the ring of events out at each SIGUSR1.
 ///
 /// # Errors
--- a/crates/server/src/watch_client/state.rs
+++ b/crates/server/src/watch_client/state.rs
@@ -54,7 +54,8 @@
     }
 
     fn has_group(&self, group: &GroupName) -> bool {
-        self.groups.contains_key(group)
+        let declared = self.document.as_ref().and_then(|document| document.service(group));
+        self.groups.contains_key(group) || declared.is_some()
     }
 }
 
