Freshness: positions are compared by term first

Change: order by term, then index; samples and own commits of an older term give way to the new primary's position.

--- a/crates/core/src/gateway/freshness.rs
+++ b/crates/core/src/gateway/freshness.rs
@@ -39,14 +39,16 @@
 impl Freshness {
     /// Notes a position that a proven primary told in answer to a question sent at `asked_at`.
     ///
-    /// A lower index than an earlier question brought says that a change of primary rolled the
-    /// difference back: no member will ever hold it, so nothing may wait for it.
+    /// A higher term, or a lower index than an earlier question brought, says that the primary
+    /// changed and may have rolled back what it lacked: no member will ever hold that, so nothing
+    /// may wait for it. A primary holds all that is left of earlier terms, so its own position
+    /// takes the place of theirs.
     pub fn note(&mut self, asked_at: Timestamp, position: Position) {
         if self.latest.is_some_and(|latest| latest.asked_at > asked_at) {
             return;
         }
         for sample in &mut self.samples {
-            if sample.position.index > position.index {
+            if is_superseded(sample.position, position) {
                 sample.position = position;
             }
         }
@@ -83,7 +85,8 @@
     pub fn clip(&self, own: KnownPosition) -> Position {
         match self.latest {
             Some(latest)
-                if latest.asked_at > own.known_at && latest.position.index < own.position.index =>
+                if latest.asked_at > own.known_at
+                    && is_superseded(own.position, latest.position) =>
             {
                 latest.position
             }
@@ -101,9 +104,12 @@
     ) -> Option<Position> {
         let floor = self.floor(began, staleness)?;
         let own = own.map(|own| self.clip(own));
-        Some(match own {
-            Some(own) if (own.index, own.term) > (floor.index, floor.term) => own,
-            _ => floor,
-        })
+        // By term first: a member on the branch of an old term may have the longer log.
+        Some(own.map_or(floor, |own| own.max(floor)))
     }
 }
+
+/// Whether a position may have been rolled back before a proven primary told `newer`.
+fn is_superseded(position: Position, newer: Position) -> bool {
+    position.term < newer.term || position.index > newer.index
+}
