--- a/crates/control/src/registry_calls.rs
+++ b/crates/control/src/registry_calls.rs
@@ -4,8 +4,7 @@
 use crate::stop::StopSignal;
 use actix_rt::ArbiterHandle;
 use corktack_core::identity::{GroupName, MemberName};
-use corktack_core::registry::{PromotionAction, PromotionAnswer};
-use corktack_core::statement::MemberStatus;
+use corktack_core::registry::{MemberAnswer, PromotionAction, PromotionAnswer};
 use futures_util::future::LocalBoxFuture;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,7 +12,7 @@
 use tokio::time::timeout;
 
 /// Longest wait for a member's status.
-const STATUS_LIMIT: Duration = Duration::from_millis(400);
+const STATUS_LIMIT: Duration = Duration::from_millis(600);
 /// Longest wait for the authority: an unanswered call is made again under the same fence.
 const PROMOTION_LIMIT: Duration = Duration::from_millis(1_000);
 
@@ -31,9 +30,8 @@
 /// How the leader reaches registered back ends and the authority that promotes them.
 pub trait RegistryCalls: Send + Sync + std::fmt::Debug {
     /// Asks a member for its status; with `hold`, keeps it from receiving first, in a term above
-    /// its own. None without an answer.
-    fn status(&self, call: MemberCall, hold: bool)
-    -> LocalBoxFuture<'static, Option<MemberStatus>>;
+    /// its own.
+    fn status(&self, call: MemberCall, hold: bool) -> LocalBoxFuture<'static, MemberAnswer>;
 
     /// Lets a held member receive again.
     fn release(&self, call: MemberCall) -> LocalBoxFuture<'static, ()>;
@@ -50,8 +48,8 @@
 /// What came of a call.
 #[derive(Debug)]
 pub(crate) enum RegistryAnswer {
-    /// A member's status, none without an answer.
-    Status(MemberCall, Option<MemberStatus>),
+    /// What came of a question to a member.
+    Status(MemberCall, MemberAnswer),
     /// The authority's answer to the call under a fence.
     Promotion(GroupName, u64, PromotionAnswer),
 }
@@ -86,7 +84,7 @@
             PromotionAction::Ask { group, member, address, hold } => {
                 let call = MemberCall { group, member, address };
                 let status = timeout(STATUS_LIMIT, self.calls.status(call.clone(), hold)).await;
-                RegistryAnswer::Status(call, status.unwrap_or_default())
+                RegistryAnswer::Status(call, status.unwrap_or(MemberAnswer::Silent))
             }
             PromotionAction::Call { group, target, fence } => {
                 log::info!(group:% = group, member:% = target, fence; "promotion is called for");
--- a/crates/core/src/gateway/wait_queue.rs
+++ b/crates/core/src/gateway/wait_queue.rs
@@ -56,13 +56,6 @@
         self.waiting.remove(&ticket).map(|(_, waker)| waker)
     }
 
-    /// Whether one of a higher or equal priority waits that could use a connection to the primary
-    /// or, where `what` says so, to any member.
-    #[must_use]
-    pub fn someone_before(&self, ticket: Ticket, what: WaitingFor) -> bool {
-        self.waiting.range(..ticket).any(|(_, (other, _))| *other == what)
-    }
-
     /// How many wait.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -16,6 +16,6 @@
     Consistency, Document, DocumentError, DocumentLimits, RouteRule, ServiceRule, StoredDocument,
 };
 pub use promotion::{
-    PromotionAction, PromotionAnswer, PromotionDuty, PromotionSettings, ReachReport,
+    MemberAnswer, PromotionAction, PromotionAnswer, PromotionDuty, PromotionSettings, ReachReport,
 };
 pub use state::{Promotion, RegistryChanges, RegistryCommand, RegistryOutcome, RegistryState};
--- a/crates/core/src/registry/promotion.rs
+++ b/crates/core/src/registry/promotion.rs
@@ -39,7 +39,7 @@
 impl Default for PromotionSettings {
     fn default() -> Self {
         Self {
-            answers_limit: Duration::from_millis(250),
+            answers_limit: Duration::from_millis(350),
             lead_limit: Duration::from_millis(3_500),
             call_pause: Duration::from_millis(300),
             vacancy_limit: Duration::from_secs(3),
@@ -61,6 +61,17 @@
     pub reached: bool,
 }
 
+/// What came of a question to a member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MemberAnswer {
+    /// Nothing accepts connections at its address.
+    Unreachable,
+    /// It accepts connections and gave no answer: it may only have too much to do.
+    Silent,
+    /// Its status.
+    Status(MemberStatus),
+}
+
 /// What the authority answered to a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PromotionAnswer {
@@ -112,10 +123,14 @@
 enum Phase {
     /// The primary serves, as far as is known.
     Steady,
-    /// The suspected primary is asked by the leader itself.
-    Verifying { since: Timestamp, primary: MemberName },
     /// The members are asked how far they are.
-    Asking { since: Timestamp, answers: BTreeMap<MemberName, Option<MemberStatus>> },
+    Asking {
+        since: Timestamp,
+        /// The primary, where the leader has to see for itself that it is out of reach.
+        suspect: Option<MemberName>,
+        /// Answers; none while one is waited for.
+        answers: BTreeMap<MemberName, Option<MemberAnswer>>,
+    },
     /// The decision is on its way into the log.
     Deciding { since: Timestamp, target: MemberName },
     /// The authority is called until the member leads.
@@ -172,6 +187,59 @@
     members.filter(move |(_, it)| it.group == *group && it.state == BackEndState::Ready)
 }
 
+/// What the answers so far allow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Evidence {
+    /// A member leads and answers.
+    PrimaryServes,
+    /// A choice, and nothing more will come.
+    Complete,
+    /// A choice; more may come.
+    Enough,
+    /// The suspected primary may be alive.
+    Doubtful,
+    /// No choice yet.
+    Lacking,
+}
+
+type Answers = BTreeMap<MemberName, Option<MemberAnswer>>;
+
+fn statuses(answers: &Answers) -> impl Iterator<Item = (&MemberName, &MemberStatus)> + Clone {
+    answers.iter().filter_map(|(name, answer)| match answer {
+        Some(MemberAnswer::Status(status)) => Some((name, status)),
+        _ => None,
+    })
+}
+
+/// Judges the answers: one replica's is enough, but every replica's is needed where the log of any
+/// of them may hold the only copy of an acknowledged commit; a primary that is only suspected must
+/// be out of the leader's reach as well.
+fn judge(
+    state: &RegistryState,
+    group: &GroupName,
+    suspect: Option<&MemberName>,
+    answers: &Answers,
+    holds: bool,
+) -> Evidence {
+    if statuses(answers).any(|(_, status)| status.primary) {
+        return Evidence::PrimaryServes;
+    }
+    let answer_of = |name: &MemberName| answers.get(name).and_then(Option::as_ref);
+    if suspect.is_some_and(|name| answer_of(name) != Some(&MemberAnswer::Unreachable)) {
+        return Evidence::Doubtful;
+    }
+    let answered = |name: &MemberName| matches!(answer_of(name), Some(MemberAnswer::Status(_)));
+    let primary = primary_of(state, group);
+    let members = state.back_ends().filter(|(_, it)| it.group == *group).map(|(name, _)| name);
+    let mut replicas = members.filter(|name| primary.as_ref() != Some(name));
+    let enough = if holds { replicas.all(answered) } else { replicas.any(answered) };
+    match (enough, answers.values().all(Option::is_some)) {
+        (true, true) => Evidence::Complete,
+        (true, false) => Evidence::Enough,
+        (false, _) => Evidence::Lacking,
+    }
+}
+
 impl PromotionDuty {
     /// The duty of a new leadership.
     #[must_use]
@@ -199,31 +267,12 @@
         self.unreached.retain(|_, gateways| !gateways.is_empty());
     }
 
-    /// Takes a member's answer to [`PromotionAction::Ask`]; none when it gave none.
-    pub fn take_status(
-        &mut self,
-        group: &GroupName,
-        member: &MemberName,
-        status: Option<MemberStatus>,
-    ) {
+    /// Takes what came of [`PromotionAction::Ask`].
+    pub fn take_status(&mut self, group: &GroupName, member: &MemberName, answer: MemberAnswer) {
         let Some(duty) = self.groups.get_mut(group) else { return };
-        match &mut duty.phase {
-            Phase::Asking { answers, .. } => {
-                if let Some(answer) = answers.get_mut(member)
-                    && (answer.is_none() || status.is_some())
-                {
-                    *answer = status;
-                }
-            }
-            Phase::Verifying { primary, .. } if primary == member => {
-                let alive = status.is_some_and(|status| status.primary);
-                duty.phase = if alive { Phase::Steady } else { Self::asking(Timestamp::ZERO) };
-                if alive {
-                    // The leader reaches it: some gateways do not, too few to move the lead.
-                    self.unreached.remove(&(group.clone(), member.clone()));
-                }
-            }
-            _ => (),
+        let Phase::Asking { answers, .. } = &mut duty.phase else { return };
+        if let Some(place) = answers.get_mut(member) {
+            *place = Some(answer);
         }
     }
 
@@ -251,14 +300,14 @@
             PromotionAnswer::Unknown => *next_call = now + settings.call_pause,
             PromotionAnswer::Refused => {
                 duty.refused.insert(target.clone(), now + settings.refused_pause);
-                duty.phase = Self::asking(Timestamp::ZERO);
+                duty.phase = Self::asking(None);
             }
         }
     }
 
     /// A phase that asks everyone at the next look.
-    fn asking(since: Timestamp) -> Phase {
-        Phase::Asking { since, answers: BTreeMap::new() }
+    fn asking(suspect: Option<MemberName>) -> Phase {
+        Phase::Asking { since: Timestamp::ZERO, suspect, answers: BTreeMap::new() }
     }
 
     /// Decides what is due.
@@ -293,21 +342,23 @@
         actions: &mut Vec<PromotionAction>,
     ) {
         if let Phase::Steady = duty.phase {
-            self.look(now, state, group, duty, gateways, actions);
-        }
-        if let Phase::Verifying { since, .. } = &duty.phase
-            && now.saturating_since(*since) >= self.settings.answers_limit * 2
-        {
-            duty.phase = Self::asking(Timestamp::ZERO);
+            self.look(now, state, group, duty, gateways);
         }
-        if let Phase::Asking { since, answers, .. } = &duty.phase {
+        if let Phase::Asking { since, suspect, answers } = &duty.phase {
             let overdue = now.saturating_since(*since) >= self.settings.answers_limit;
-            let enough = Self::is_enough(state, group, answers, holds);
-            let complete = answers.values().all(Option::is_some);
-            if answers.is_empty() || (overdue && !enough) {
-                self.ask(now, state, group, duty, holds, actions);
-            } else if enough && (overdue || complete) {
-                self.choose(now, state, group, duty, holds, actions);
+            let evidence = judge(state, group, suspect.as_ref(), answers, holds);
+            match evidence {
+                _ if answers.is_empty() => self.ask(now, state, group, duty, holds, actions),
+                Evidence::PrimaryServes => self.stand_down(state, group, duty, holds, actions),
+                Evidence::Complete => self.choose(now, group, duty, actions),
+                Evidence::Enough if overdue => {
+                    self.choose(now, group, duty, actions);
+                }
+                Evidence::Doubtful if overdue => {
+                    self.stand_down(state, group, duty, holds, actions);
+                }
+                Evidence::Lacking if overdue => self.ask(now, state, group, duty, holds, actions),
+                _ => (),
             }
         }
         if let Phase::Deciding { since, target } = &duty.phase {
@@ -325,7 +376,7 @@
                     accepted: false,
                 };
             } else if now.saturating_since(*since) >= self.settings.lead_limit {
-                duty.phase = Self::asking(Timestamp::ZERO);
+                duty.phase = Self::asking(None);
             }
         }
         self.call(now, state, group, duty, actions);
@@ -339,13 +390,12 @@
         group: &GroupName,
         duty: &mut GroupDuty,
         gateways: usize,
-        actions: &mut Vec<PromotionAction>,
     ) {
         let Some(primary) = primary_of(state, group) else {
             let since = *duty.vacant_since.get_or_insert(now);
             let anyone = candidates(state, group).next().is_some();
             if anyone && now.saturating_since(since) >= self.settings.vacancy_limit {
-                duty.phase = Self::asking(Timestamp::ZERO);
+                duty.phase = Self::asking(None);
             }
             return;
         };
@@ -353,7 +403,7 @@
         let Some(back_end) = state.back_end(&primary) else { return };
         if back_end.state == BackEndState::Draining {
             log::info!(group:% = group, member:% = primary; "primary leaves: it is replaced");
-            duty.phase = Self::asking(Timestamp::ZERO);
+            duty.phase = Self::asking(None);
             return;
         }
         let suspecting = self.unreached.get(&(group.clone(), primary.clone()));
@@ -367,17 +417,11 @@
                 group:% = group, member:% = primary, suspecting, gateways;
                 "primary cannot be reached: it is replaced"
             );
-            duty.phase = Self::asking(Timestamp::ZERO);
+            duty.phase = Self::asking(None);
             return;
         }
         log::info!(group:% = group, member:% = primary, suspecting, gateways; "primary is suspected");
-        actions.push(PromotionAction::Ask {
-            group: group.clone(),
-            member: primary.clone(),
-            address: back_end.address,
-            hold: false,
-        });
-        duty.phase = Phase::Verifying { since: now, primary };
+        duty.phase = Self::asking(Some(primary));
     }
 
     fn ask(
@@ -390,10 +434,13 @@
         actions: &mut Vec<PromotionAction>,
     ) {
         duty.refused.retain(|_, until| now < *until);
+        let Phase::Asking { suspect, .. } = &duty.phase else { return };
+        let suspect = suspect.clone();
         let primary = primary_of(state, group);
         let mut answers = BTreeMap::new();
         for (member, back_end) in candidates(state, group) {
-            if primary.as_ref() == Some(member) || duty.refused.contains_key(member) {
+            let leads = primary.as_ref() == Some(member) && suspect.as_ref() != Some(member);
+            if leads || duty.refused.contains_key(member) {
                 continue;
             }
             answers.insert(member.clone(), None);
@@ -401,58 +448,47 @@
                 group: group.clone(),
                 member: member.clone(),
                 address: back_end.address,
-                hold: holds,
+                // A primary that is only suspected goes on.
+                hold: holds && suspect.as_ref() != Some(member),
             });
         }
-        duty.phase = Phase::Asking { since: now, answers };
+        duty.phase = Phase::Asking { since: now, suspect, answers };
     }
 
-    /// Whether the answers so far allow a choice: one at least, and every replica's where the log
-    /// of any of them may hold the only copy of an acknowledged commit.
-    fn is_enough(
+    /// Leaves the lead where it is; what was held receives again.
+    fn stand_down(
+        &mut self,
         state: &RegistryState,
         group: &GroupName,
-        answers: &BTreeMap<MemberName, Option<MemberStatus>>,
+        duty: &mut GroupDuty,
         holds: bool,
-    ) -> bool {
-        if !holds {
-            return answers.values().any(Option::is_some);
+        actions: &mut Vec<PromotionAction>,
+    ) {
+        log::info!(group:% = group; "the lead stays where it is");
+        if holds {
+            actions.extend(candidates(state, group).map(|(member, back_end)| {
+                let (group, member) = (group.clone(), member.clone());
+                PromotionAction::Release { group, member, address: back_end.address }
+            }));
         }
-        let primary = primary_of(state, group);
-        let members = state.back_ends().filter(|(_, it)| it.group == *group);
-        let mut replicas =
-            members.map(|(name, _)| name).filter(|name| primary.as_ref() != Some(name));
-        replicas.all(|name| answers.get(name).is_some_and(Option::is_some))
+        // Gateways that still do not reach the primary say so again.
+        self.unreached.retain(|(suspected, _), _| suspected != group);
+        duty.phase = Phase::Steady;
     }
 
     /// The most advanced member that answered.
     fn choose(
         &mut self,
         now: Timestamp,
-        state: &RegistryState,
         group: &GroupName,
         duty: &mut GroupDuty,
-        holds: bool,
         actions: &mut Vec<PromotionAction>,
     ) {
         let Phase::Asking { answers, .. } = &duty.phase else { return };
         let order = |position: &Position| (position.term, position.index);
-        let answered = answers.iter().filter_map(|(name, it)| Some((name, it.as_ref()?)));
-        if let Some((leader, _)) = answered.clone().find(|(_, status)| status.primary) {
-            // It leads already: an earlier call was carried out, or the registry is behind.
-            log::info!(group:% = group, member:% = leader; "a member leads already");
-            if holds {
-                actions.extend(candidates(state, group).map(|(member, back_end)| {
-                    let (group, member) = (group.clone(), member.clone());
-                    PromotionAction::Release { group, member, address: back_end.address }
-                }));
-            }
-            duty.phase = Phase::Steady;
-            return;
-        }
-        let best = answered.max_by_key(|(_, status)| order(&status.received));
+        let best = statuses(answers).max_by_key(|(_, status)| order(&status.received));
         let Some((target, status)) = best else {
-            duty.phase = Self::asking(Timestamp::ZERO);
+            duty.phase = Self::asking(None);
             return;
         };
         let target = target.clone();
@@ -493,7 +529,7 @@
         if gone || now.saturating_since(*since) >= self.settings.lead_limit {
             log::warn!(group:% = group, member:% = target, fence = *fence; "member does not lead");
             duty.refused.insert(target.clone(), now + self.settings.refused_pause);
-            duty.phase = Self::asking(Timestamp::ZERO);
+            duty.phase = Self::asking(None);
             return;
         }
         if !*in_flight && !*accepted && now >= *next_call {
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -5,7 +5,8 @@
 use crate::settings::GatewaySettings;
 use crate::wire::Wire;
 use corktack_core::identity::{GroupName, MemberName};
-use corktack_core::statement::{ErrorCode, MemberStatus, OwnStatement};
+use corktack_core::registry::MemberAnswer;
+use corktack_core::statement::{ErrorCode, OwnStatement};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -16,7 +17,7 @@
 const QUESTION_LIMIT: Duration = Duration::from_millis(400);
 
 /// Asks a member for its status; with `hold`, keeps it from receiving first, in the term after its
-/// own. None when it cannot be reached, refuses or answers something else.
+/// own.
 pub async fn ask_status<W: Wire>(
     wire: &W,
     settings: &GatewaySettings,
@@ -24,10 +25,11 @@
     member: &MemberName,
     address: SocketAddr,
     hold: bool,
-) -> Option<MemberStatus> {
-    let status = ask(wire, settings, (group, member, address), &OwnStatement::Status).await?;
+) -> MemberAnswer {
+    let status = ask(wire, settings, (group, member, address), &OwnStatement::Status).await;
+    let MemberAnswer::Status(status) = status else { return status };
     if !hold {
-        return Some(status);
+        return MemberAnswer::Status(status);
     }
     let pause = OwnStatement::Pause { term: status.term + 1 };
     ask(wire, settings, (group, member, address), &pause).await
@@ -50,7 +52,7 @@
     settings: &GatewaySettings,
     (group, member, address): (&GroupName, &MemberName, SocketAddr),
     statement: &OwnStatement,
-) -> Option<MemberStatus> {
+) -> MemberAnswer {
     let deadline = Instant::now() + QUESTION_LIMIT;
     loop {
         let dialed = dial(wire, settings, group, member, address).await;
@@ -62,13 +64,25 @@
             }
             Err(error) => {
                 log::info!(group:% = group, member:% = member, error:% = error; "no status");
-                return None;
+                return match error {
+                    DialError::Unreachable(_)
+                    | DialError::Refused { code: ErrorCode::WrongMember, .. } => {
+                        MemberAnswer::Unreachable
+                    }
+                    _ => MemberAnswer::Silent,
+                };
             }
         };
-        let answer = connection.run_own(statement, deadline).await.ok()?;
+        let Ok(answer) = connection.run_own(statement, deadline).await else {
+            return MemberAnswer::Silent;
+        };
         connection.terminate();
         match answer.outcome {
-            Ok(_) => return wire.decode_status(answer.rows.first()?).ok(),
+            Ok(_) => {
+                let row = answer.rows.first();
+                let status = row.and_then(|row| wire.decode_status(row).ok());
+                return status.map_or(MemberAnswer::Silent, MemberAnswer::Status);
+            }
             Err(failure) if failure.code == ErrorCode::Busy && Instant::now() < deadline => {
                 tokio::time::sleep(BUSY_PAUSE).await;
             }
@@ -78,7 +92,7 @@
                     why = failure.text.as_str();
                     "no status"
                 );
-                return None;
+                return MemberAnswer::Silent;
             }
         }
     }
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -18,7 +18,10 @@
     member: &MemberName,
     address: SocketAddr,
 ) -> Result<(MemberConnection<W>, ReadyState), DialError> {
-    let opening = open(wire, settings, group, member, address);
+    let stream = timeout(settings.connect_timeout, TcpStream::connect(address)).await;
+    let stream = stream.map_err(|_| DialError::Unreachable(LinkError::TimedOut))?;
+    let stream = stream.map_err(|error| DialError::Unreachable(LinkError::Io(error)))?;
+    let opening = open(wire, settings, group, member, stream);
     let opened = timeout(settings.dial_timeout, opening).await;
     opened.map_err(|_| DialError::Link(LinkError::TimedOut))?
 }
@@ -28,9 +31,8 @@
     settings: &GatewaySettings,
     group: &GroupName,
     member: &MemberName,
-    address: SocketAddr,
+    stream: TcpStream,
 ) -> Result<(MemberConnection<W>, ReadyState), DialError> {
-    let stream = TcpStream::connect(address).await.map_err(LinkError::Io)?;
     tune(&stream, settings).map_err(LinkError::Io)?;
     let mut connection = MemberConnection::new(wire.clone(), stream);
     let start = MemberRequest::Start {
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -51,7 +51,10 @@
 /// Why a member could not be connected to; nothing ran.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum DialError {
-    /// It cannot be reached.
+    /// Nothing answers at its address.
+    #[error("unreachable: {0}")]
+    Unreachable(#[source] LinkError),
+    /// It was reached and does not get as far as being ready: it may have too much to do.
     #[error(transparent)]
     Link(#[from] LinkError),
     /// It refuses the connection.
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -4,7 +4,7 @@
 use crate::dial::dial;
 use crate::error::{AcquireError, DialError};
 use crate::lease::Lease;
-use crate::member::Member;
+use crate::member::{IdleConnection, Member};
 use crate::settings::GatewaySettings;
 use crate::wire::Wire;
 use corktack_core::gateway::{
@@ -25,6 +25,9 @@
 const NOT_PRIMARY_PAUSE: Duration = Duration::from_millis(150);
 /// Pause between two looks while no member that could serve can be reached.
 const NO_MEMBER_PAUSE: Duration = Duration::from_millis(30);
+/// Longest wait before a waiter looks by itself: what kept a member from having room may pass
+/// without a connection being given back.
+const WAIT_LOOK: Duration = Duration::from_millis(25);
 
 /// Whether a member could be reached when it was used as primary; told once on change.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -76,7 +79,7 @@
     /// The member that last acted as primary.
     proven_primary: Option<MemberName>,
     not_primary_until: BTreeMap<MemberName, Instant>,
-    waiting: WaitQueue<oneshot::Sender<()>>,
+    waiting: WaitQueue<oneshot::Sender<MemberName>>,
 }
 
 /// A group of back ends as this gateway uses it.
@@ -146,7 +149,7 @@
     ) -> Result<Lease<W>, AcquireError> {
         let ticket = self.ticket(wish.priority);
         loop {
-            let step = self.state.borrow_mut().step(wish, ticket, &self.settings);
+            let step = self.state.borrow_mut().step(wish, &self.settings);
             match step {
                 Step::Use(member, connection) => {
                     return Ok(Lease::new(Rc::clone(self), member, connection));
@@ -154,7 +157,17 @@
                 Step::Dial(member, back_end) => {
                     return self.open(member, &back_end).await;
                 }
-                Step::Wait => self.wait(wish, ticket).await?,
+                Step::Wait => {
+                    let Some(member) = self.wait(wish, ticket).await? else { continue };
+                    let step = self.state.borrow_mut().take_reserved(&member, wish);
+                    match step {
+                        Step::Use(member, connection) => {
+                            return Ok(Lease::new(Rc::clone(self), member, connection));
+                        }
+                        Step::Dial(member, back_end) => return self.open(member, &back_end).await,
+                        Step::Wait | Step::NoMember => (),
+                    }
+                }
                 Step::NoMember => {
                     let until = Instant::now() + NO_MEMBER_PAUSE;
                     if until >= wish.give_up {
@@ -166,16 +179,26 @@
         }
     }
 
-    async fn wait(&self, wish: &Wish<'_>, ticket: Ticket) -> Result<(), AcquireError> {
+    /// Waits for a member with room that is kept for this waiter, or until it is time to look.
+    async fn wait(
+        &self,
+        wish: &Wish<'_>,
+        ticket: Ticket,
+    ) -> Result<Option<MemberName>, AcquireError> {
         let (waker, woken) = oneshot::channel();
         let what = match wish.target {
             Target::Primary => WaitingFor::Primary,
             Target::Reader { .. } => WaitingFor::AnyMember,
         };
         self.state.borrow_mut().waiting.wait(ticket, what, waker);
-        let woken = timeout_at(wish.give_up, woken).await;
+        let look = (Instant::now() + WAIT_LOOK).min(wish.give_up);
+        let woken = timeout_at(look, woken).await;
         self.state.borrow_mut().waiting.leave(ticket);
-        woken.map(drop).map_err(|_| AcquireError::NoneFree)
+        match woken {
+            Ok(member) => Ok(member.ok()),
+            Err(_) if Instant::now() < wish.give_up => Ok(None),
+            Err(_) => Err(AcquireError::NoneFree),
+        }
     }
 
     async fn open(
@@ -201,7 +224,14 @@
                         let now = Instant::now();
                         self.with_member(&member, |it| it.note_full(now));
                     }
-                    _ => self.note_unreachable(&member),
+                    DialError::Unreachable(_)
+                    | DialError::Refused { code: ErrorCode::WrongMember, .. } => {
+                        self.note_unreachable(&member);
+                    }
+                    _ => {
+                        let now = Instant::now();
+                        self.with_member(&member, |it| it.note_busy(now));
+                    }
                 }
                 Err(AcquireError::Unreachable(member))
             }
@@ -234,6 +264,19 @@
         }
     }
 
+    /// A member owes an answer that should have come. Slow or gone: a new connection will tell.
+    pub(crate) fn note_silent(self: &Rc<Self>, name: &MemberName) {
+        let now = Instant::now();
+        let mut checked = None;
+        self.with_member(name, |member| checked = member.note_silent(now));
+        let Some(back_end) = checked else { return };
+        let (group, name) = (Rc::clone(self), name.clone());
+        actix_rt::spawn(async move {
+            // The connection goes to the idle ones, or says that the member cannot be reached.
+            drop(group.open(name, &back_end).await);
+        });
+    }
+
     fn tell(&self, member: &MemberName, reached: bool) {
         let (group, member) = (self.name.clone(), member.clone());
         // Nobody listens at the end of the process only.
@@ -251,11 +294,20 @@
             member.open -= 1;
             connection.terminate();
         } else {
-            member.idle.push(connection);
+            member.idle.push(IdleConnection { connection, since: now });
         }
         state.wake_next(name);
     }
 
+    /// Closes connections that have not been used for long: what one gateway does not need others
+    /// may have.
+    pub(crate) fn close_unused(&self) {
+        let now = Instant::now();
+        for member in self.state.borrow_mut().members.values_mut() {
+            member.close_unused(now);
+        }
+    }
+
     /// A connection is gone.
     pub(crate) fn closed(&self, name: &MemberName) {
         let mut state = self.state.borrow_mut();
@@ -307,22 +359,31 @@
 }
 
 impl<W: Wire> GroupState<W> {
-    fn step(&mut self, wish: &Wish<'_>, ticket: Ticket, settings: &GatewaySettings) -> Step<W> {
+    fn step(&mut self, wish: &Wish<'_>, settings: &GatewaySettings) -> Step<W> {
         let now = Instant::now();
         let chosen = match &wish.target {
             Target::Primary => self.primary(now, settings),
             Target::Reader { refused } => self.reader(now, refused),
         };
         let Some(name) = chosen else { return Step::NoMember };
-        let what = match wish.target {
-            Target::Primary => WaitingFor::Primary,
-            Target::Reader { .. } => WaitingFor::AnyMember,
-        };
-        let overtaken = self.waiting.someone_before(ticket, what);
         let Some(member) = self.members.get_mut(&name) else { return Step::NoMember };
-        if overtaken || !member.has_room(now) {
+        if !member.has_room(now) {
             return Step::Wait;
         }
+        Self::take(name, member, wish)
+    }
+
+    /// Takes the place that was kept for a waiter.
+    fn take_reserved(&mut self, name: &MemberName, wish: &Wish<'_>) -> Step<W> {
+        let Some(member) = self.members.get_mut(name) else { return Step::NoMember };
+        member.reserved = member.reserved.saturating_sub(1);
+        if !member.has_room(Instant::now()) {
+            return Step::Wait;
+        }
+        Self::take(name.clone(), member, wish)
+    }
+
+    fn take(name: MemberName, member: &mut Member<W>, wish: &Wish<'_>) -> Step<W> {
         if let Some(connection) = member.take_idle(wish.session) {
             return Step::Use(name, connection);
         }
@@ -375,10 +436,13 @@
     /// Wakes the first who could use a connection to this member.
     fn wake_next(&mut self, name: &MemberName) {
         let may_lead = self.proven_primary.as_ref().is_none_or(|primary| primary == name);
+        let Some(member) = self.members.get_mut(name) else { return };
         while let Some(waker) = self.waiting.next(may_lead) {
-            if waker.send(()).is_ok() {
+            member.reserved += 1;
+            if waker.send(name.clone()).is_ok() {
                 return;
             }
+            member.reserved -= 1;
         }
     }
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -21,13 +21,17 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 /// Pause after a failed accept (out of file descriptors, most likely).
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Part of a staleness bound after which the primary is asked again, so that reads find a
 /// position young enough.
-const REFRESH_PART: f64 = 0.4;
+const REFRESH_PART: f64 = 0.15;
+/// Time between two looks for connections that have not been used for long.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest time that the start of a session waits for the first configuration.
+const DOCUMENT_LIMIT: Duration = Duration::from_millis(1_000);
 /// Longest time that a question for the primary's position may take.
 const REFRESH_LIMIT: Duration = Duration::from_millis(600);
 /// Priority of the product's own questions: they make room for callers' reads.
@@ -44,6 +48,7 @@
     pub(crate) stop_began: Notify,
     pub(crate) transactions_over: Notify,
     pub(crate) session_ended: Notify,
+    document_came: Notify,
     refreshing: RefCell<BTreeSet<GroupName>>,
     origin: Instant,
 }
@@ -54,6 +59,17 @@
         Timestamp::ZERO + self.origin.elapsed()
     }
 
+    /// Waits until there is a configuration to go by; says whether there is one.
+    pub(crate) async fn document_there(&self) -> bool {
+        let until = Instant::now() + DOCUMENT_LIMIT;
+        while !self.routes.has_document() {
+            if timeout_at(until, self.document_came.notified()).await.is_err() {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Asks the primary for its position in the background when the last answer grows old.
     pub(crate) fn refresh_if_due(self: &Rc<Self>, group: &Rc<Group<W>>, staleness: Duration) {
         let age = group.freshness.borrow().age(self.now());
@@ -77,7 +93,7 @@
         let asked_at = self.now();
         let begin = OwnStatement::Begin { access: Access::Write, after: None };
         let Ok(answer) = lease.connection().run_own(&begin, give_up).await else {
-            group.note_unreachable(&lease.member);
+            group.note_silent(&lease.member);
             return;
         };
         if answer.outcome.is_err() {
@@ -125,11 +141,13 @@
             stop_began: Notify::new(),
             transactions_over: Notify::new(),
             session_ended: Notify::new(),
+            document_came: Notify::new(),
             refreshing: RefCell::default(),
             origin: Instant::now(),
         });
         actix_rt::spawn(follow_views(Rc::clone(&shared), views));
         actix_rt::spawn(accept(listener, Rc::clone(&shared)));
+        actix_rt::spawn(sweep(Rc::clone(&shared)));
         Ok(GatewayHandle { shared })
     }
 }
@@ -162,6 +180,9 @@
     loop {
         let view = Arc::clone(&views.borrow_and_update());
         shared.routes.follow(&view);
+        if shared.routes.has_document() {
+            shared.document_came.notify_waiters();
+        }
         if views.changed().await.is_err() {
             return;
         }
@@ -181,3 +202,10 @@
         }
     }
 }
+
+async fn sweep<W: Wire>(shared: Rc<Shared<W>>) {
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        shared.routes.close_unused();
+    }
+}
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -17,18 +17,35 @@
 const LAGGING_PAUSE: Duration = Duration::from_millis(150);
 /// How long a member that had no room is passed over while others can serve.
 const BUSY_PAUSE: Duration = Duration::from_millis(50);
+/// How long a member that owed an answer is passed over while it is connected to anew.
+const SILENT_PAUSE: Duration = Duration::from_millis(300);
 /// How long a refused connection keeps the gateway from asking for more of them.
 const FULL_PAUSE: Duration = Duration::from_secs(1);
 
+/// How long a connection may rest before it is closed.
+const IDLE_LIMIT: Duration = Duration::from_millis(2_500);
+/// Connections that rest for as long as they like.
+const IDLE_KEPT: usize = 1;
+
+/// A connection that nobody uses.
+#[derive(Debug)]
+pub(crate) struct IdleConnection<W: Wire> {
+    pub(crate) connection: MemberConnection<W>,
+    pub(crate) since: Instant,
+}
+
 /// A member as this gateway uses it.
 #[derive(Debug)]
 pub(crate) struct Member<W: Wire> {
     pub(crate) back_end: Arc<RegisteredBackEnd>,
-    pub(crate) idle: Vec<MemberConnection<W>>,
+    /// The last one used is the last.
+    pub(crate) idle: Vec<IdleConnection<W>>,
     /// Connections in use, idle or being opened.
     pub(crate) open: usize,
     /// Connections that this gateway may have open.
     pub(crate) limit: usize,
+    /// Places kept for waiters that were woken.
+    pub(crate) reserved: usize,
     /// Gateways that share the member's capacity.
     gateways: usize,
     latency: Duration,
@@ -36,6 +53,7 @@
     unreachable_until: Option<Instant>,
     passed_over_until: Option<Instant>,
     full_until: Option<Instant>,
+    checked_until: Option<Instant>,
     pub(crate) draining_since: Option<Instant>,
 }
 
@@ -46,12 +64,14 @@
             idle: Vec::new(),
             open: 0,
             limit: 1,
+            reserved: 0,
             gateways: 1,
             latency: distance.expected_latency(),
             failures: 0,
             unreachable_until: None,
             passed_over_until: None,
             full_until: None,
+            checked_until: None,
             draining_since: None,
         }
     }
@@ -92,7 +112,9 @@
 
     /// Whether a statement could be sent there now.
     pub(crate) fn has_room(&self, now: Instant) -> bool {
-        !self.idle.is_empty() || (self.open < self.limit && !is_pending(self.full_until, now))
+        let full = is_pending(self.full_until, now);
+        let may_open = if full { 0 } else { self.limit.saturating_sub(self.open) };
+        self.idle.len() + may_open > self.reserved
     }
 
     pub(crate) fn load(&self) -> MemberLoad {
@@ -108,9 +130,10 @@
         while !self.idle.is_empty() {
             // The last one used comes first among equals, so that the others may rest.
             let places = self.idle.iter().enumerate().rev();
-            let nearest = places.min_by_key(|(_, idle)| idle.profile.distance(session));
+            let distance = |idle: &IdleConnection<W>| idle.connection.profile.distance(session);
+            let nearest = places.min_by_key(|(_, idle)| distance(idle));
             let place = nearest.map(|(place, _)| place)?;
-            let connection = self.idle.remove(place);
+            let connection = self.idle.remove(place).connection;
             if !connection.is_broken() {
                 return Some(connection);
             }
@@ -119,6 +142,13 @@
         None
     }
 
+    pub(crate) fn close_unused(&mut self, now: Instant) {
+        while self.idle.len() > IDLE_KEPT && now - self.idle[0].since >= IDLE_LIMIT {
+            self.idle.remove(0).connection.terminate();
+            self.open -= 1;
+        }
+    }
+
     pub(crate) fn note_latency(&mut self, latency: Duration) {
         let old = self.latency.mul_f64(1.0 - LATENCY_WEIGHT);
         self.latency = old + latency.mul_f64(LATENCY_WEIGHT);
@@ -143,6 +173,20 @@
         news
     }
 
+    /// Idle connections may be as dead as the one without an answer. Gives the back end that is to
+    /// be connected to, unless that is under way.
+    pub(crate) fn note_silent(&mut self, now: Instant) -> Option<Arc<RegisteredBackEnd>> {
+        self.open -= self.idle.len();
+        self.idle.clear();
+        self.passed_over_until = Some(now + SILENT_PAUSE);
+        if is_pending(self.checked_until, now) || is_pending(self.unreachable_until, now) {
+            return None;
+        }
+        self.checked_until = Some(now + SILENT_PAUSE);
+        self.open += 1;
+        Some(Arc::clone(&self.back_end))
+    }
+
     pub(crate) fn note_full(&mut self, now: Instant) {
         self.full_until = Some(now + FULL_PAUSE);
     }
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -13,9 +13,11 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// Part of a member's connections that the gateways share; the rest is for control's questions
-/// and for shares that move.
-const SHARED_PART: f64 = 0.9;
+/// Connections of a member that are left to control's questions.
+const CONTROL_CONNECTIONS: u32 = 2;
+/// How many times its even share of a member's connections a gateway may take: callers are spread
+/// unevenly, and what others leave unused they close. A member that has no more to give says so.
+const SHARE_FACTOR: f64 = 2.0;
 
 /// How a session's statements are served.
 #[derive(Clone)]
@@ -77,9 +79,10 @@
         let mut facts: BTreeMap<&GroupName, GroupFacts> = BTreeMap::new();
         for service in &document.services {
             let gateways = live.max(1);
-            let shared = f64::from(service.max_connections) * SHARED_PART / gateways as f64;
+            let all = service.max_connections.saturating_sub(CONTROL_CONNECTIONS).max(1);
+            let shared = f64::from(all) * SHARE_FACTOR / gateways as f64;
             let group = facts.entry(&service.name).or_default();
-            group.connection_share = (shared as usize).max(1);
+            group.connection_share = (shared as usize).clamp(1, all as usize);
             group.gateways = gateways;
             group.promotion = view.promotions.get(&service.name).cloned();
         }
@@ -96,6 +99,13 @@
         }
     }
 
+    /// Closes connections that have not been used for long.
+    pub(crate) fn close_unused(&self) {
+        for group in self.groups.borrow().values() {
+            group.close_unused();
+        }
+    }
+
     fn new_group(&self, name: &GroupName) -> Group<W> {
         Group::new(name.clone(), self.wire.clone(), Rc::clone(&self.settings), self.reach.clone())
     }
--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -213,7 +213,7 @@
         if !matches!(error, LinkError::TimedOut) {
             return;
         }
-        lease.group().note_unreachable(&lease.member);
+        lease.group().note_silent(&lease.member);
     }
 
     /// A read inside a transaction of the product's own: a member that lost the lead refuses it,
@@ -284,6 +284,8 @@
         deadline: Instant,
     ) -> Result<(), Unanswered> {
         let asked_at = self.shared.now();
+        // A begin takes no slot: it is answered soon, or the member is out of reach.
+        let deadline = deadline.min(Instant::now() + self.shared.settings.begin_timeout);
         let answer = Self::begin_at(lease, Access::Write, None, deadline).await?;
         if let Err(failure) = answer.outcome {
             return Err(Unanswered::Refused(failure));
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -65,7 +65,7 @@
         let CallerMessage::Start { database, .. } = first else {
             return self.refuse(ErrorCode::Malformed, "a session begins with its start").await;
         };
-        if !self.shared.routes.has_document() {
+        if !self.shared.document_there().await {
             let text = "not run: no configuration yet; retry_after_ms=500";
             return self.refuse(ErrorCode::Busy, text).await;
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,8 +10,12 @@
     pub name: String,
     /// Its zone, for the choice of near members.
     pub zone: ZoneName,
-    /// Longest wait for a new connection to a member.
+    /// Longest wait until a member accepts a connection; one that does not counts as unreachable.
+    pub connect_timeout: Duration,
+    /// Longest wait after that until it is ready for statements.
     pub dial_timeout: Duration,
+    /// Longest wait for the begin of a transaction, which takes no slot of a member.
+    pub begin_timeout: Duration,
     /// How long data may stay unacknowledged before a connection counts as lost.
     pub unacknowledged_limit: Duration,
     /// How long a draining primary that was not replaced yet still gets work.
--- a/crates/server/src/deployment.rs
+++ b/crates/server/src/deployment.rs
@@ -14,8 +14,7 @@
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::identity::{Incarnation, NameError, ProxyName, ZoneName};
 use corktack_core::position::Term;
-use corktack_core::registry::{CellRepairSettings, PromotionAnswer};
-use corktack_core::statement::MemberStatus;
+use corktack_core::registry::{CellRepairSettings, MemberAnswer, PromotionAnswer};
 use corktack_gateway::{
     Gateway, GatewayError, GatewayHandle, GatewaySettings, MemberReach, Wire, ask_status, release,
 };
@@ -34,21 +33,25 @@
 const CELL: &str = "deployment";
 /// Time between heartbeats of the leader, and the shortest time without one before an election:
 /// several round trips between regions, and few wake-ups on small machines.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(120);
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(80);
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between heartbeats of a gateway, and without a proof before it changes replica.
-const WATCH_INTERVAL: Duration = Duration::from_millis(500);
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
 const WATCH_SILENCE: Duration = Duration::from_millis(1_500);
 const WATCH_RETRY_FIRST: Duration = Duration::from_millis(50);
 const WATCH_RETRY_LAST: Duration = Duration::from_millis(500);
-const CONNECT_LIMIT: Duration = Duration::from_millis(700);
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Log entries after which a snapshot is made: an entry may hold a whole document.
 const SNAPSHOT_ENTRIES: u64 = 64;
 /// Changes kept for gateways, counted by size.
 const WATCH_CHANGES: usize = 1_024;
 /// Longest time that a change waits for its outcome; callers ask another replica sooner.
 const REQUEST_LIMIT: Duration = Duration::from_millis(2_500);
-/// Longest wait for a connection to a member.
+/// Longest wait until a member accepts a connection.
+const MEMBER_CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// Longest wait for the begin of a transaction at a member.
+const BEGIN_LIMIT: Duration = Duration::from_millis(250);
+/// Longest wait after that until it is ready: the start takes a slot, which may be long in coming.
 const DIAL_LIMIT: Duration = Duration::from_millis(600);
 /// How long data to a member may stay unacknowledged.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(2);
@@ -223,7 +226,9 @@
         GatewaySettings {
             name: self.name.clone(),
             zone: self.zone.clone(),
+            connect_timeout: MEMBER_CONNECT_LIMIT,
             dial_timeout: DIAL_LIMIT,
+            begin_timeout: BEGIN_LIMIT,
             unacknowledged_limit: UNACKNOWLEDGED_LIMIT,
             drain_limit: self.bounds.drain / 2,
             notice: self.bounds.stop_grace / 3,
@@ -252,11 +257,7 @@
 }
 
 impl<W: Wire + Send + Sync + std::fmt::Debug> RegistryCalls for Calls<W> {
-    fn status(
-        &self,
-        call: MemberCall,
-        hold: bool,
-    ) -> LocalBoxFuture<'static, Option<MemberStatus>> {
+    fn status(&self, call: MemberCall, hold: bool) -> LocalBoxFuture<'static, MemberAnswer> {
         let (wire, settings) = (self.wire.clone(), self.settings.clone());
         async move {
             let MemberCall { group, member, address } = call;
