--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -31,7 +31,7 @@
 /// Time between two looks for connections that have not been used for long.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time that the start of a session waits for the first configuration.
-const DOCUMENT_LIMIT: Duration = Duration::from_millis(1_000);
+const DOCUMENT_LIMIT: Duration = Duration::from_millis(100);
 /// Longest time that a question for the primary's position may take.
 const REFRESH_LIMIT: Duration = Duration::from_millis(600);
 /// Priority of the product's own questions: they make room for callers' reads.
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -20,10 +20,10 @@
 /// How long a member that owed an answer is passed over while it is connected to anew.
 const SILENT_PAUSE: Duration = Duration::from_millis(300);
 /// How long a refused connection keeps the gateway from asking for more of them.
-const FULL_PAUSE: Duration = Duration::from_secs(1);
+const FULL_PAUSE: Duration = Duration::from_millis(150);
 
 /// How long a connection may rest before it is closed.
-const IDLE_LIMIT: Duration = Duration::from_millis(2_500);
+const IDLE_LIMIT: Duration = Duration::from_millis(800);
 /// Connections that rest for as long as they like.
 const IDLE_KEPT: usize = 1;
 
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -17,7 +17,7 @@
 const CONTROL_CONNECTIONS: u32 = 2;
 /// How many times its even share of a member's connections a gateway may take: callers are spread
 /// unevenly, and what others leave unused they close. A member that has no more to give says so.
-const SHARE_FACTOR: f64 = 2.0;
+const SHARE_FACTOR: f64 = 1.25;
 
 /// How a session's statements are served.
 #[derive(Clone)]
--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -17,8 +17,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Part of the latency objective that a statement may wait without being offered to a member.
-const WAIT_PART: u32 = 4;
+/// Part of the latency objective that a statement may wait without being offered to a member: a
+/// quarter, less what the way to the caller takes.
+const WAIT_PART: f64 = 0.22;
 /// Longest time that the end of the product's own transaction may take.
 pub(super) const ROLLBACK_LIMIT: Duration = Duration::from_secs(2);
 /// Members that a statement is offered to in all, those that refused without running it included.
@@ -40,7 +41,7 @@
         let now = Instant::now();
         let rule = &route.rule;
         let deadline = now + rule.statement_timeout;
-        let give_up = (now + rule.latency_objective / WAIT_PART).min(deadline);
+        let give_up = (now + rule.latency_objective.mul_f64(WAIT_PART)).min(deadline);
         Self { began, give_up, deadline }
     }
 }
