Tests of the registry, the gateway's decisions and the platform's formats; structured log lines

Log lines are JSON on standard output, written by a thread of its own behind a bounded queue; a flood is cut and counted.

--- /dev/null
+++ b/crates/core/tests/gateway.rs
@@ -0,0 +1,191 @@
+//! Decisions of a gateway: profiles of sessions and connections, the choice of members, waiting.
+
+use corktack_core::gateway::{
+    ConnectionProfile, Distance, MemberLoad, SessionProfile, WaitQueue, WaitingFor, choose_reader,
+};
+use corktack_core::identity::ZoneName;
+use corktack_core::statement::{Access, OwnStatement, PreparedShape};
+use rstest::rstest;
+use std::time::Duration;
+
+fn session(values: &[(&str, &str)]) -> SessionProfile {
+    let mut session = SessionProfile::default();
+    for (name, value) in values {
+        session.set((*name).to_owned(), (*value).to_owned());
+    }
+    session
+}
+
+fn set(name: &str, value: &str) -> OwnStatement {
+    OwnStatement::Set { name: name.to_owned(), value: value.to_owned() }
+}
+
+/// A connection that was brought to a session's values.
+fn aligned_to(session: &SessionProfile) -> ConnectionProfile {
+    let mut connection = ConnectionProfile::default();
+    align(&mut connection, session);
+    connection
+}
+
+fn align(connection: &mut ConnectionProfile, session: &SessionProfile) {
+    for statement in connection.alignment(session) {
+        connection.completed(&statement);
+    }
+}
+
+fn shape(text: &str) -> PreparedShape {
+    PreparedShape { access: Access::Read, text: text.to_owned() }
+}
+
+#[test]
+fn a_fresh_connection_gets_every_value() {
+    let connection = ConnectionProfile::default();
+    let alignment = connection.alignment(&session(&[("a", "1"), ("b", "2")]));
+    assert_eq!(alignment, [set("a", "1"), set("b", "2")]);
+}
+
+#[test]
+fn only_what_differs_is_set() {
+    let connection = aligned_to(&session(&[("a", "1")]));
+    assert_eq!(connection.alignment(&session(&[("a", "1"), ("b", "2")])), [set("b", "2")]);
+    assert_eq!(connection.alignment(&session(&[("a", "3")])), [set("a", "3")]);
+    assert_eq!(connection.alignment(&session(&[("a", "1")])), []);
+}
+
+#[test]
+fn a_value_that_the_session_does_not_have_is_reset() {
+    let connection = aligned_to(&session(&[("a", "1"), ("b", "2")]));
+    let alignment = connection.alignment(&session(&[("b", "2")]));
+    assert_eq!(alignment, [OwnStatement::Reset, set("b", "2")]);
+}
+
+#[test]
+fn what_is_not_known_is_reset() {
+    let wanted = session(&[("a", "1")]);
+    let mut connection = aligned_to(&wanted);
+    connection.mark_unknown();
+    assert_eq!(connection.alignment(&wanted), [OwnStatement::Reset, set("a", "1")]);
+    align(&mut connection, &wanted);
+    assert_eq!(connection.alignment(&wanted), []);
+}
+
+#[test]
+fn the_nearest_connection_needs_the_fewest_statements() {
+    let wanted = session(&[("a", "1"), ("b", "2")]);
+    let distances = [
+        aligned_to(&wanted).distance(&wanted),
+        aligned_to(&session(&[("a", "1")])).distance(&wanted),
+        ConnectionProfile::default().distance(&wanted),
+        aligned_to(&session(&[("c", "3")])).distance(&wanted),
+    ];
+    assert_eq!(distances, [0, 1, 2, 3]);
+}
+
+#[test]
+fn a_prepared_statement_is_known_by_its_shape_and_dropped_by_a_reset() {
+    let mut connection = ConnectionProfile::default();
+    let (name, prepare) = connection.name_for(&shape("q1"));
+    connection.completed(&prepare.expect("it is new to the connection"));
+    assert_eq!(connection.name_for(&shape("q1")), (name.clone(), None));
+    let (other, prepare) = connection.name_for(&shape("q2"));
+    assert_ne!(other, name);
+    assert!(prepare.is_some());
+    connection.completed(&OwnStatement::Reset);
+    assert!(connection.name_for(&shape("q1")).1.is_some());
+}
+
+#[test]
+fn a_statement_that_was_not_completed_is_prepared_again() {
+    let mut connection = ConnectionProfile::default();
+    let (first, _) = connection.name_for(&shape("q1"));
+    let (second, prepare) = connection.name_for(&shape("q1"));
+    assert_ne!(first, second, "a name that may be taken is not used again");
+    assert!(prepare.is_some());
+}
+
+#[test]
+fn prepared_statements_of_a_connection_are_bounded() {
+    let mut connection = ConnectionProfile::default();
+    for number in 0..100 {
+        let (_, prepare) = connection.name_for(&shape(&number.to_string()));
+        connection.completed(&prepare.expect("it is new to the connection"));
+    }
+    let alignment = connection.alignment(&SessionProfile::default());
+    assert_eq!(alignment, [OwnStatement::Reset]);
+}
+
+#[test]
+fn names_of_a_session_are_its_own() {
+    let mut session = SessionProfile::default();
+    session.prepare("s1".to_owned(), shape("q1"));
+    assert_eq!(session.shape("s1"), Ok(&shape("q1")));
+    assert!(session.shape("s2").is_err());
+    assert_eq!(session.deallocate("s1"), Ok(()));
+    assert!(session.deallocate("s1").is_err());
+}
+
+#[rstest]
+#[case("amba.a", "amba.a", Distance::SameZone)]
+#[case("amba.a", "amba.b", Distance::SameRegion)]
+#[case("amba.a", "cuyo.a", Distance::OtherRegion)]
+fn distance_is_told_by_zone_and_region(
+    #[case] left: &str,
+    #[case] right: &str,
+    #[case] distance: Distance,
+) {
+    let zone = |name: &str| ZoneName::new(name).expect("a valid name");
+    assert_eq!(Distance::between(&zone(left), &zone(right)), distance);
+}
+
+fn load(latency: u64, running: usize) -> MemberLoad {
+    MemberLoad { latency: Duration::from_millis(latency), running, capacity_share: 1.0 }
+}
+
+#[rstest]
+#[case::nobody(&[], None)]
+#[case::the_faster(&[load(60, 0), load(20, 0)], Some(1))]
+#[case::the_first_among_equals(&[load(20, 0), load(20, 0)], Some(0))]
+#[case::the_farther_once_the_nearer_is_busy(&[load(20, 3), load(60, 0)], Some(1))]
+fn a_read_goes_where_it_is_expected_to_end_first(
+    #[case] loads: &[MemberLoad],
+    #[case] place: Option<usize>,
+) {
+    assert_eq!(choose_reader(loads), place);
+}
+
+#[test]
+fn the_highest_class_is_served_first_and_arrivals_in_order() {
+    let mut queue = WaitQueue::default();
+    for (name, priority) in [("low", 2), ("first", 1), ("second", 1)] {
+        let ticket = queue.ticket(priority);
+        queue.wait(ticket, WaitingFor::AnyMember, name);
+    }
+    let order: Vec<_> = std::iter::from_fn(|| queue.next(false)).collect();
+    assert_eq!(order, ["first", "second", "low"]);
+}
+
+#[test]
+fn a_replica_is_no_use_to_who_needs_the_primary() {
+    let mut queue = WaitQueue::default();
+    let writer = queue.ticket(0);
+    queue.wait(writer, WaitingFor::Primary, "writer");
+    let reader = queue.ticket(1);
+    queue.wait(reader, WaitingFor::AnyMember, "reader");
+    assert_eq!(queue.next(false), Some("reader"));
+    assert_eq!(queue.next(false), None);
+    assert_eq!(queue.next(true), Some("writer"));
+}
+
+#[test]
+fn who_waits_again_keeps_the_place() {
+    let mut queue = WaitQueue::default();
+    let first = queue.ticket(1);
+    queue.wait(first, WaitingFor::AnyMember, "first");
+    let second = queue.ticket(1);
+    queue.wait(second, WaitingFor::AnyMember, "second");
+    assert_eq!(queue.next(false), Some("first"));
+    queue.wait(first, WaitingFor::AnyMember, "first");
+    assert_eq!(queue.next(false), Some("first"));
+    queue.leave(second);
+    assert_eq!(queue.next(false), None);
+}
--- /dev/null
+++ b/crates/core/tests/registry/cell_repair.rs
@@ -0,0 +1,83 @@
+//! How a cell grows to its size and replaces what is gone.
+
+use corktack_core::consensus::{CellChange, CellConfig, CellMember};
+use corktack_core::identity::ReplicaId;
+use corktack_core::registry::{CellMemberHealth, CellRepair, CellRepairSettings};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const REPAIR: CellRepair =
+    CellRepair::new(CellRepairSettings { voters: 3, replace_after: Duration::from_secs(4) });
+
+fn replica(id: u64) -> CellMember {
+    CellMember { id: ReplicaId(id), address: ([10, 0, 0, id as u8], 7_440).into() }
+}
+
+fn cell(voters: &[u64], learners: &[u64]) -> CellConfig {
+    let members = |ids: &[u64]| ids.iter().map(|id| replica(*id)).collect();
+    CellConfig { voters: members(voters), learners: members(learners) }
+}
+
+/// Time since each last answered, and whether it has caught up.
+fn health(of: &[(u64, u64, bool)]) -> BTreeMap<ReplicaId, CellMemberHealth> {
+    let entry = |(id, seconds, caught_up): &(u64, u64, bool)| {
+        let silent_for = Duration::from_secs(*seconds);
+        (ReplicaId(*id), CellMemberHealth { silent_for, caught_up: *caught_up })
+    };
+    of.iter().map(entry).collect()
+}
+
+#[test]
+fn a_joiner_becomes_a_learner_once() {
+    let cell = cell(&[1, 2], &[]);
+    assert_eq!(REPAIR.admit(&cell, &replica(3)), Some(CellChange::AddLearner(replica(3))));
+    assert_eq!(REPAIR.admit(&cell, &replica(2)), None);
+}
+
+#[test]
+fn an_earlier_life_at_the_address_leaves_before_its_successor_joins() {
+    let mut successor = replica(9);
+    successor.address = replica(2).address;
+    let change = REPAIR.admit(&cell(&[1, 2, 3], &[]), &successor);
+    assert_eq!(change, Some(CellChange::Remove(ReplicaId(2))));
+    let change = REPAIR.admit(&cell(&[1, 3], &[]), &successor);
+    assert_eq!(change, Some(CellChange::AddLearner(successor)));
+}
+
+#[test]
+fn a_caught_up_learner_becomes_a_voter_while_voters_lack() {
+    let cell = cell(&[1, 2], &[3]);
+    assert_eq!(REPAIR.next_change(&cell, &health(&[(2, 0, true), (3, 0, false)])), None);
+    let change = REPAIR.next_change(&cell, &health(&[(2, 0, true), (3, 0, true)]));
+    assert_eq!(change, Some(CellChange::Promote(ReplicaId(3))));
+}
+
+#[test]
+fn a_silent_voter_goes_only_when_another_stands_ready() {
+    let silent = (3, 60, true);
+    assert_eq!(REPAIR.next_change(&cell(&[1, 2, 3], &[]), &health(&[silent])), None);
+    let with_learner = cell(&[1, 2, 3], &[4]);
+    let lagging = health(&[(2, 0, true), silent, (4, 0, false)]);
+    assert_eq!(REPAIR.next_change(&with_learner, &lagging), None);
+    let ready = health(&[(2, 0, true), silent, (4, 0, true)]);
+    let change = REPAIR.next_change(&with_learner, &ready);
+    assert_eq!(change, Some(CellChange::Remove(ReplicaId(3))));
+}
+
+#[test]
+fn a_voter_that_was_silent_for_a_moment_stays() {
+    let health = health(&[(2, 0, true), (3, 3, true), (4, 0, true)]);
+    assert_eq!(REPAIR.next_change(&cell(&[1, 2, 3], &[4]), &health), None);
+}
+
+#[test]
+fn a_learner_that_is_silent_is_not_ready() {
+    let health = health(&[(2, 0, true), (3, 60, true)]);
+    assert_eq!(REPAIR.next_change(&cell(&[1, 2], &[3]), &health), None);
+}
+
+#[test]
+fn completeness_counts_voters_only() {
+    assert!(!REPAIR.is_complete(&cell(&[1, 2], &[3])));
+    assert!(REPAIR.is_complete(&cell(&[1, 2, 3], &[])));
+}
--- a/crates/server/src/telemetry/mod.rs
+++ b/crates/server/src/telemetry/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod event_log;
 pub mod http;
+pub mod lines;
 pub mod ring;
 
 pub use event_log::{EventLog, WriteError, WriteReason};
@@ -103,17 +104,18 @@
     Ok(events)
 }
 
-/// Installs a log that only prints, on standard output, for machines without a disk: own records of
-/// level info and above, of other libraries warnings (or what `RUST_LOG` says).
+/// Installs a log of structured lines on standard output, for machines without a disk: own records
+/// of level info and above, of other libraries warnings (or what `RUST_LOG` says).
 ///
 /// # Errors
-/// [`TelemetryError::Installed`] when the process has a logger already.
-pub fn install_printer() -> Result<(), TelemetryError> {
+/// [`TelemetryError`] when the process has a logger already, or the writing thread cannot start.
+pub fn install_lines() -> Result<(), TelemetryError> {
     let environment = env_logger::Env::default().default_filter_or("warn,corktack=info");
-    let mut builder = env_logger::Builder::from_env(environment);
-    let printer = builder.target(env_logger::Target::Stdout).build();
-    let level = printer.filter();
-    log::set_boxed_logger(Box::new(printer))?;
+    let filter = env_logger::Builder::from_env(environment).build();
+    let lines = lines::LineLog::start(filter, std::io::stdout());
+    let lines = lines.map_err(TelemetryError::Thread)?;
+    let level = lines.level();
+    log::set_boxed_logger(Box::new(lines))?;
     log::set_max_level(level);
     Ok(())
 }
