Cell: a connection names whom it is for; a replica outside the cell it hears of asks to join

The leader's link to a lost replica reached the new one at the same address, which took itself for a learner of the cell, heard a leader and never asked to join; the second loss took the majority. Ruled out: lost entries (three whole logs remained), elections (a majority of voters was simply gone). Change: Hello carries its receiver; a replica that is no member asks to join whatever it hears. Test: control/tests/formation.rs, seen failing before.

--- a/crates/control/src/cell/inbound.rs
+++ b/crates/control/src/cell/inbound.rs
@@ -115,7 +115,14 @@
 ) -> Option<ReplicaId> {
     let message = timeout(HELLO_TIMEOUT, connection.next()).await.ok()??;
     match message {
-        Ok(PeerMessage::Hello { cell, replica, incarnation })
+        Ok(PeerMessage::Hello { replica, receiver, .. }) if receiver != settings.replica => {
+            log::info!(
+                replica = replica.0, receiver = receiver.0;
+                "connection for another replica refused: this one has taken its place"
+            );
+            None
+        }
+        Ok(PeerMessage::Hello { cell, replica, incarnation, .. })
             if cell == settings.cell && replica != settings.replica =>
         {
             settings.knows(replica, incarnation).then_some(replica)
--- a/crates/control/src/cell/outbound.rs
+++ b/crates/control/src/cell/outbound.rs
@@ -99,17 +99,18 @@
         let address = member.address;
         let backoff =
             Backoff::new(BACKOFF_FIRST, BACKOFF_LAST, self.settings.seed.wrapping_add(member.id.0));
-        let hello = self.hello();
+        let hello = self.hello(member.id);
         let reachable = Arc::new(Notify::new());
         self.arbiter.spawn(run_link(address, hello, messages, backoff, Arc::clone(&reachable)));
         Link { address, queue, reachable }
     }
 
-    fn hello(&self) -> PeerMessage {
+    fn hello(&self, receiver: ReplicaId) -> PeerMessage {
         PeerMessage::Hello {
             cell: self.settings.cell.clone(),
             replica: self.settings.replica,
             incarnation: self.settings.disk,
+            receiver,
         }
     }
 }
--- a/crates/control/src/joining.rs
+++ b/crates/control/src/joining.rs
@@ -51,17 +51,18 @@
         let status = self.status.borrow();
         let known = status.cell.voters.iter().map(|it| SocketAddr::new(it.address.ip(), port));
         let mut targets: Vec<SocketAddr> = self.through.iter().copied().chain(known).collect();
-        targets.retain(|target| target.ip() != self.member.address.ip());
         targets.sort_unstable();
         targets.dedup();
         targets
     }
 
-    /// A voter that hears no leader takes part in elections and needs no one to add it.
+    /// A voter takes part in elections, and a learner that hears a leader is being brought up to
+    /// date: neither needs anyone to add it.
     fn is_outside(&self) -> bool {
         let status = self.status.borrow();
-        let votes = status.cell.voters.iter().any(|voter| voter.id == self.member.id);
-        status.leader.is_none() && !votes
+        let belongs = |members: &[CellMember]| members.iter().any(|it| it.id == self.member.id);
+        let learns = belongs(&status.cell.learners) && status.leader.is_some();
+        !belongs(&status.cell.voters) && !learns
     }
 
     async fn ask(&self, target: SocketAddr) {
--- /dev/null
+++ b/crates/control/tests/formation.rs
@@ -0,0 +1,174 @@
+//! A cell that forms, grows and repairs itself, and the registry that it serves.
+
+mod support;
+
+use corktack_control::{CellStart, ControlSettings, RegistryError};
+use corktack_core::consensus::CellConfig;
+use corktack_core::identity::{GroupName, ReplicaId};
+use corktack_core::registry::{
+    CellRepairSettings, Consistency, Document, DocumentError, DocumentLimits, RouteRule,
+    ServiceRule, StoredDocument,
+};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use support::{Cell, TestReplica, until};
+
+/// An address that refuses connections, and comes before all others in their order.
+const NOBODY: &str = "127.0.0.1:1";
+const READ_LIMIT: Duration = Duration::from_secs(10);
+
+fn repairing(voters: usize, through: Vec<SocketAddr>) -> impl Fn(&mut ControlSettings) {
+    move |settings| {
+        settings.cell_repair =
+            Some(CellRepairSettings { voters, replace_after: Duration::from_secs(60) });
+        settings.join_through.clone_from(&through);
+    }
+}
+
+/// As [`repairing`], for a replica that asks to join.
+fn joining(
+    voters: usize,
+    through: Vec<SocketAddr>,
+    own: SocketAddr,
+) -> impl Fn(&mut ControlSettings) {
+    let repairing = repairing(voters, through);
+    move |settings| {
+        repairing(settings);
+        settings.cell_address = Some(own);
+    }
+}
+
+fn proxy_addresses(cell: &Cell) -> Vec<SocketAddr> {
+    cell.replicas.iter().map(|replica| replica.proxies).collect()
+}
+
+fn voters(replica: &TestReplica) -> Vec<ReplicaId> {
+    let cell: CellConfig = replica.running().status().cell;
+    cell.voters.iter().map(|voter| voter.id).collect()
+}
+
+async fn until_voters(cell: &Cell, wanted: &[u64]) {
+    let wanted: Vec<ReplicaId> = wanted.iter().map(|id| ReplicaId(*id)).collect();
+    until("the voters are those wanted", async || {
+        let agreed = cell.replicas.iter().all(|replica| {
+            let mut voters = voters(replica);
+            voters.sort();
+            voters == wanted
+        });
+        agreed.then_some(())
+    })
+    .await;
+}
+
+fn document(version: u64) -> StoredDocument {
+    let group = GroupName::new("calls").expect("a valid name");
+    let route = RouteRule {
+        name: "r-1".to_owned(),
+        database: "db1".to_owned(),
+        path_prefix: "/".to_owned(),
+        consistency: Consistency::Linearizable,
+        statement_timeout: Duration::from_secs(1),
+        latency_objective: Duration::from_millis(500),
+        priority: 1,
+        group: group.clone(),
+        attempts: 2,
+    };
+    let service = ServiceRule { name: group, max_connections: 10, synchronous_replicas: 0 };
+    let document = Document {
+        version,
+        routes: vec![route],
+        services: vec![service],
+        limits: DocumentLimits { transaction_idle: Duration::from_secs(3) },
+    };
+    let source = format!("source of version {version}");
+    StoredDocument { document: Arc::new(document), source: source.into() }
+}
+
+#[actix_rt::test]
+async fn a_replica_that_asks_becomes_a_voter() {
+    let mut cell = Cell::start_with(2, repairing(3, Vec::new()));
+    let through = proxy_addresses(&cell);
+    cell.join_asking(3, &|own| Box::new(joining(3, through.clone(), own)));
+    until_voters(&cell, &[1, 2, 3]).await;
+}
+
+/// Found by a day of our own (after-ack-wipe on hyttebooking): the leader's link to the lost
+/// replica reached the new one at the same address, which took itself for a learner of the cell,
+/// never asked to join and never voted.
+#[actix_rt::test]
+async fn a_replica_that_lost_its_disk_takes_its_own_place_under_a_new_number() {
+    let mut cell = Cell::start_with(3, repairing(3, Vec::new()));
+    let lost = cell.follower().await;
+    let mut through = proxy_addresses(&cell);
+    // The first it asks is gone, so that the leader's link has time to reach it.
+    through.push(NOBODY.parse().expect("an address"));
+    let gone = cell.replicas[lost].id;
+    cell.replicas[lost].stop().await;
+    cell.replicas[lost].lose_disk();
+    cell.replicas[lost].id = ReplicaId(9);
+    cell.replicas[lost].start = CellStart::Join(Vec::new());
+    let own = cell.replicas[lost].cell;
+    cell.replicas[lost].restart(&joining(3, through, own)).await;
+    let wanted: Vec<u64> = (1..=3).filter(|id| ReplicaId(*id) != gone).chain([9]).collect();
+    until_voters(&cell, &wanted).await;
+}
+
+#[actix_rt::test]
+async fn a_document_is_read_back_from_every_replica() {
+    let cell = Cell::start(3);
+    cell.leader().await;
+    let held = cell.replicas[0].running().registry().put_document(document(7)).await;
+    assert_eq!(held, Ok(7));
+    for replica in &cell.replicas {
+        let read = replica.running().registry().document(READ_LIMIT).await;
+        assert_eq!(read, Ok(Some(document(7))));
+    }
+    let overtaken = cell.replicas[1].running().registry().put_document(document(3)).await;
+    assert_eq!(overtaken, Ok(7), "acknowledged, and nothing changes");
+    let read = cell.replicas[2].running().registry().document(READ_LIMIT).await;
+    assert_eq!(read, Ok(Some(document(7))));
+}
+
+#[actix_rt::test]
+async fn what_never_can_hold_is_refused_even_under_an_old_version() {
+    let cell = Cell::start(1);
+    cell.leader().await;
+    let registry = cell.replicas[0].running().registry();
+    assert_eq!(registry.put_document(document(7)).await, Ok(7));
+    let mut broken = document(3);
+    let routes = &mut Arc::make_mut(&mut broken.document).routes;
+    routes[0].statement_timeout = Duration::ZERO;
+    let refused = registry.put_document(broken).await;
+    let error = DocumentError::NoTime { route: "r-1".to_owned() };
+    assert_eq!(refused, Err(RegistryError::Document(error)));
+}
+
+#[actix_rt::test]
+async fn a_cell_that_is_not_complete_acknowledges_nothing() {
+    let cell = Cell::start_with(1, |settings| {
+        repairing(3, Vec::new())(settings);
+        settings.formation_grace = Duration::from_secs(3_600);
+    });
+    cell.leader().await;
+    let refused = cell.replicas[0].running().registry().put_document(document(1)).await;
+    assert_eq!(refused, Err(RegistryError::Forming));
+    let read = cell.replicas[0].running().registry().document(READ_LIMIT).await;
+    assert_eq!(read, Ok(None));
+}
+
+#[actix_rt::test]
+async fn a_document_survives_the_restart_of_all() {
+    let mut cell = Cell::start(3);
+    cell.leader().await;
+    assert_eq!(cell.replicas[0].running().registry().put_document(document(7)).await, Ok(7));
+    for replica in &mut cell.replicas {
+        replica.stop().await;
+    }
+    for replica in &mut cell.replicas {
+        replica.restart(&|_| ()).await;
+    }
+    cell.leader().await;
+    let read = cell.replicas[1].running().registry().document(READ_LIMIT).await;
+    assert_eq!(read, Ok(Some(document(7))));
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -172,6 +172,25 @@
         self.replicas.push(launch(ReplicaId(id), start, bind_listeners(), &adjust));
     }
 
+    /// Adds a replica that asks the others to be added; `adjust` is given its cell address.
+    pub fn join_asking(
+        &mut self,
+        id: u64,
+        adjust: &dyn Fn(SocketAddr) -> Box<dyn Fn(&mut ControlSettings)>,
+    ) {
+        let bound = bind_listeners();
+        let adjust = adjust(bound.1[0]);
+        let start = CellStart::Join(Vec::new());
+        self.replicas.push(launch(
+            ReplicaId(id),
+            start,
+            bound,
+            &|settings: &mut ControlSettings| {
+                adjust(settings);
+            },
+        ));
+    }
+
     /// Brings the replica at `place` into the cell as a learner.
     pub async fn add_learner(&self, place: usize) {
         let TestReplica { id, cell, .. } = &self.replicas[place];
--- a/crates/protocol/src/cell.rs
+++ b/crates/protocol/src/cell.rs
@@ -53,6 +53,8 @@
         replica: ReplicaId,
         /// Its life.
         incarnation: Incarnation,
+        /// Whom the connection is for: another replica may have taken the place at the address.
+        receiver: ReplicaId,
     },
     /// A message of the consensus core.
     Consensus(Consensus),
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -133,6 +133,7 @@
             cell: CellName("main".to_owned()),
             replica: ReplicaId(1),
             incarnation: Incarnation(9),
+            receiver: ReplicaId(2),
         },
         CellMessage::Proxies { reports: vec![report] },
         CellMessage::Forward { request: 1, command: vec![2; 100] },
