--- a/crates/sim/tests/run.rs
+++ b/crates/sim/tests/run.rs
@@ -24,7 +24,7 @@
     let first = run(7, Variant::Correct);
     assert_eq!(run(7, Variant::Correct), first);
     assert_ne!(run(8, Variant::Correct).hash, first.hash);
-    assert_eq!(first.hash, "fed0a91f2c4756010d0c722e43535f2364be47b734fcfc0b58ef49bc019671a1");
+    assert_eq!(first.hash, "5ef4abec287df913888b66d3b94bb828247e08b33c1a6b79483ec727443dd935");
 }
 
 #[rstest]
