--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -65,6 +65,9 @@
         shape: Option<&PreparedShape>,
     ) -> Response {
         let bounds = Bounds::of(route, self.shared.now());
+        let rule = &route.rule;
+        let group = route.group.name.as_str();
+        self.decision.borrow_mut().routed(&rule.name, rule.consistency, group);
         if access_of(request, shape) == Access::Write {
             return self.write(route, request, shape, bounds).await;
         }
@@ -76,13 +79,19 @@
 
     /// The position that a read must see; none where only the primary may serve it.
     pub(super) fn needed_position(&self, route: &Route<W>, began: Timestamp) -> Option<Position> {
-        let (staleness, own) = match route.rule.consistency {
+        let rule = &route.rule;
+        let group = route.group.name.as_str();
+        self.decision.borrow_mut().routed(&rule.name, rule.consistency, group);
+        let (staleness, own) = match rule.consistency {
             Consistency::Linearizable => return None,
             Consistency::BoundedStaleness(staleness) => (staleness, None),
             Consistency::ReadYourWrites(staleness) => (staleness, self.own_commit),
         };
         self.shared.refresh_if_due(&route.group, staleness);
-        route.group.freshness.borrow().needed(began, staleness, own)
+        let freshness = route.group.freshness.borrow();
+        let needed = freshness.needed(began, staleness, own);
+        self.decision.borrow_mut().needs(needed, freshness.age(self.shared.now()));
+        needed
     }
 
     fn wish(&self, route: &Route<W>, target: Target, give_up: Instant) -> Wish<'_> {
@@ -107,6 +116,7 @@
             let lease = match lease {
                 Ok(lease) => lease,
                 Err(AcquireError::Unreachable(member)) => {
+                    self.attempted(&format!("unreachable: {member}"));
                     refused.insert(member);
                     continue;
                 }
@@ -118,8 +128,12 @@
             let member = lease.member.clone();
             match self.offer_read(lease, request, shape, needed, bounds).await {
                 Offer::Done(response) => return response,
-                Offer::NotRun(reason) => why = reason,
+                Offer::NotRun(reason) => {
+                    self.attempted(&reason);
+                    why = reason;
+                }
                 Offer::Lost(error) => {
+                    self.attempted(&error.to_string());
                     sent += 1;
                     if sent >= route.rule.attempts || Instant::now() >= bounds.deadline {
                         return Self::timed_out(&error);
@@ -237,8 +251,12 @@
             };
             match self.offer_primary_read(lease, request, shape, bounds).await {
                 Offer::Done(response) => return response,
-                Offer::NotRun(reason) => why = reason,
+                Offer::NotRun(reason) => {
+                    self.attempted(&reason);
+                    why = reason;
+                }
                 Offer::Lost(error) => {
+                    self.attempted(&error.to_string());
                     sent += 1;
                     if sent >= route.rule.attempts || Instant::now() >= bounds.deadline {
                         return Self::timed_out(&error);
@@ -320,7 +338,10 @@
                     }
                     return response;
                 }
-                Offer::NotRun(reason) => why = reason,
+                Offer::NotRun(reason) => {
+                    self.attempted(&reason);
+                    why = reason;
+                }
                 Offer::Lost(error) => {
                     let text = format!("the write may have taken effect: {error}");
                     return Response::failure(ErrorCode::InDoubt, &text, TransactionState::Idle);
--- /dev/null
+++ b/crates/gateway/src/session/decision.rs
@@ -0,0 +1,67 @@
+//! What was decided for one statement, for the line that explains its outcome.
+
+use corktack_core::position::Position;
+use corktack_core::registry::Consistency;
+use std::time::Duration;
+
+/// Attempts that are remembered of one statement.
+const ATTEMPT_LIMIT: usize = 8;
+
+/// What was decided for one statement, with the inputs that decided it.
+#[derive(Debug, Default)]
+pub(super) struct Decision {
+    route: String,
+    consistency: &'static str,
+    group: String,
+    /// Position that a member had to hold; none where only the primary could serve.
+    needed: Option<Position>,
+    /// Age of the newest answer of the primary, when the position was chosen.
+    position_age: Option<Duration>,
+    attempts: Vec<String>,
+}
+
+impl Decision {
+    /// The route in force for the statement.
+    pub(super) fn routed(&mut self, route: &str, consistency: Consistency, group: &str) {
+        route.clone_into(&mut self.route);
+        group.clone_into(&mut self.group);
+        self.consistency = match consistency {
+            Consistency::Linearizable => "linearizable",
+            Consistency::BoundedStaleness(_) => "bounded",
+            Consistency::ReadYourWrites(_) => "read_your_writes",
+        };
+    }
+
+    /// The position that a member had to hold.
+    pub(super) fn needs(&mut self, needed: Option<Position>, age: Option<Duration>) {
+        self.needed = needed;
+        self.position_age = age;
+    }
+
+    /// A member was asked in vain.
+    pub(super) fn attempted(&mut self, outcome: &str) {
+        if self.attempts.len() < ATTEMPT_LIMIT {
+            self.attempts.push(outcome.to_owned());
+        }
+    }
+
+    /// Writes the line that explains how the statement ended.
+    pub(super) fn explain(
+        &self,
+        id: &str,
+        database: &str,
+        outcome: &str,
+        why: &str,
+        taken: Duration,
+    ) {
+        let needed = self.needed.map_or_else(|| "primary".to_owned(), |it| it.to_string());
+        let age = self.position_age.map_or(-1, |age| age.as_millis() as i64);
+        log::info!(
+            id, database, outcome, why, after_ms = taken.as_millis() as u64,
+            route = self.route.as_str(), consistency = self.consistency,
+            group = self.group.as_str(), needed = needed.as_str(), position_age_ms = age,
+            attempts = self.attempts.join("; ").as_str();
+            "statement ended"
+        );
+    }
+}
--- a/crates/gateway/src/session/mod.rs
+++ b/crates/gateway/src/session/mod.rs
@@ -1,6 +1,7 @@
 //! One caller's session: its values, its own commits, its transaction.
 
 mod alone;
+mod decision;
 mod response;
 mod serve;
 mod statement;
@@ -14,7 +15,9 @@
 use corktack_core::gateway::{KnownPosition, SessionProfile};
 use corktack_core::position::Position;
 use corktack_core::statement::{ErrorCode, PreparedShape, Request, Statement};
+use decision::Decision;
 use response::Response;
+use std::cell::RefCell;
 use std::rc::Rc;
 use transaction::Transaction;
 
@@ -26,6 +29,8 @@
     /// The session's last commit.
     own_commit: Option<KnownPosition>,
     transaction: Transaction<W>,
+    /// What is decided for the statement under way.
+    decision: RefCell<Decision>,
 }
 
 impl<W: Wire> Session<W> {
@@ -36,11 +41,13 @@
             profile: SessionProfile::default(),
             own_commit: None,
             transaction: Transaction::None,
+            decision: RefCell::default(),
         }
     }
 
     /// Serves one statement.
     async fn handle(&mut self, request: Request) -> Response {
+        self.decision.take();
         if self.transaction.is_failed() {
             return self.handle_after_failure(&request);
         }
@@ -97,6 +104,11 @@
         self.shared.routes.find(&self.database)
     }
 
+    /// Remembers that a member was asked in vain.
+    fn attempted(&self, outcome: &str) {
+        self.decision.borrow_mut().attempted(outcome);
+    }
+
     fn unknown_database(&self) -> Response {
         Response::failure(ErrorCode::UnknownDatabase, &self.database, self.transaction.state())
     }
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -97,13 +97,18 @@
         let response = session.handle(request).await;
         let taken = begun.elapsed();
         self.shared.metrics.note_statement(response.code(), taken);
-        if let Some(code) = response.code() {
-            log::info!(
-                id, database = session.database.as_str(), code:? = code,
-                why = response.text(), after_ms = taken.as_millis() as u64;
-                "statement failed"
-            );
+        let decision = session.decision.borrow();
+        let database = session.database.as_str();
+        match response.code() {
+            Some(code) => {
+                decision.explain(&id, database, &format!("{code:?}"), response.text(), taken);
+            }
+            None if self.shared.metrics.is_sample() => {
+                decision.explain(&id, database, "Done", "sampled", taken);
+            }
+            None => (),
         }
+        drop(decision);
         response.encode(&self.shared.wire, &mut self.output);
         self.send().await
     }
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -247,6 +247,7 @@
             };
             refused.insert(lease.member.clone());
             why = Self::note_unanswered(&lease, &unanswered);
+            self.attempted(&why);
             if Instant::now() >= bounds.give_up {
                 return Err(Self::refuse_begin(&AcquireError::NoMember, &why));
             }
--- a/crates/server/src/deployment.rs
+++ b/crates/server/src/deployment.rs
@@ -133,7 +133,8 @@
         self.seeds.iter().map(|seed| SocketAddr::new(*seed, port)).collect()
     }
 
-    /// Starts the control replica of this machine, inside an actix system.
+    /// Starts the control replica of this machine, inside an actix system. The registry holds its
+    /// metrics.
     ///
     /// # Errors
     /// [`DeploymentError`]; nothing runs then.
@@ -141,7 +142,7 @@
         &self,
         wire: W,
         authority: Option<Arc<dyn PromotionAuthority>>,
-    ) -> Result<ControlHandle, DeploymentError> {
+    ) -> Result<(ControlHandle, Registry), DeploymentError> {
         let folder = self.data_folder.clone().ok_or(DeploymentError::NoDataFolder)?;
         let own = SocketAddr::new(self.machine, self.cell_port());
         let seeds = self.at_seeds(self.cell_port());
@@ -171,10 +172,13 @@
             operators: bind("operators", (Ipv4Addr::LOCALHOST, self.operators_port()).into())?,
         };
         log::info!(machine = self.name.as_str(), replica = identity.replica.0; "control starts");
-        Ok(ControlReplica::start(settings, listeners, &mut Registry::default())?)
+        let mut registry = Registry::default();
+        let control = ControlReplica::start(settings, listeners, &mut registry)?;
+        Ok((control, registry))
     }
 
     /// Starts the gateway of this machine, inside an actix system; it serves callers at `callers`.
+    /// The registry holds its metrics.
     ///
     /// # Errors
     /// [`DeploymentError`]; nothing runs then.
@@ -182,7 +186,7 @@
         &self,
         wire: W,
         callers: SocketAddr,
-    ) -> Result<RunningGateway<W>, DeploymentError> {
+    ) -> Result<(RunningGateway<W>, Registry), DeploymentError> {
         let listener = bind("callers", callers)?;
         let mut registry = Registry::default();
         let (observations, observed) = mpsc::unbounded_channel();
@@ -195,7 +199,7 @@
         let gateway =
             Gateway::start(settings, wire, listener, watch.views(), reach, &mut registry)?;
         log::info!(machine = self.name.as_str(), callers:% = callers; "gateway starts");
-        Ok(RunningGateway { watch, gateway })
+        Ok((RunningGateway { watch, gateway }, registry))
     }
 
     fn calls<W: Wire + Send + Sync + std::fmt::Debug>(
--- a/crates/server/src/telemetry/mod.rs
+++ b/crates/server/src/telemetry/mod.rs
@@ -120,6 +120,15 @@
     Ok(())
 }
 
+/// The metrics of a registry as text, in the OpenMetrics form.
+#[must_use]
+pub fn metrics_text(registry: &prometheus_client::registry::Registry) -> String {
+    let mut text = String::new();
+    // A text takes everything that is written to it.
+    let _ = prometheus_client::encoding::text::encode(&mut text, registry);
+    text
+}
+
 /// Adds to the panic hook: the panic becomes a record, and the ring is written out at once.
 pub fn write_on_panic(events: Arc<EventLog>) {
     let earlier = std::panic::take_hook();
