Gateway: connection shares a member, and tunnels to the gateways that hold them

Ways weighed: one owner a group (a lost owner stops it, and bytes cross regions), leases of slots through control (a round of messages a lease); taken: k holders a member by rendezvous hash, near first, one elsewhere, and a tunnel from the others; small sites hold a share everywhere and have no hop.

--- a/crates/core/src/gateway/freshness.rs
+++ b/crates/core/src/gateway/freshness.rs
@@ -79,6 +79,12 @@
         self.latest.map(|latest| now - latest.asked_at)
     }
 
+    /// The newest sample as another gateway may use it: its age and the position.
+    #[must_use]
+    pub fn newest(&self, now: Timestamp) -> Option<(Duration, Position)> {
+        self.latest.map(|latest| (now - latest.asked_at, latest.position))
+    }
+
     /// What a session's own commit asks of a read, after changes of primary that may have rolled
     /// it back: those were seen by a question sent after the commit was acknowledged.
     #[must_use]
--- a/crates/core/src/gateway/profile.rs
+++ b/crates/core/src/gateway/profile.rs
@@ -5,6 +5,7 @@
 //! of its own.
 
 use crate::statement::{OwnStatement, PreparedShape};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Prepared statements that a connection keeps; beyond it everything is dropped and begun anew.
@@ -51,7 +52,7 @@
 }
 
 /// What a connection to a member has.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConnectionProfile {
     values: BTreeMap<String, String>,
     prepared: BTreeMap<PreparedShape, String>,
--- a/crates/core/src/statement.rs
+++ b/crates/core/src/statement.rs
@@ -4,9 +4,10 @@
 //! what a member is to run is passed on as it came.
 
 use crate::position::Position;
+use serde::{Deserialize, Serialize};
 
 /// What a statement reads or writes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Access {
     /// It only reads.
     Read,
@@ -59,7 +60,7 @@
 }
 
 /// What a prepared statement does.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct PreparedShape {
     /// Whether it reads or writes.
     pub access: Access,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -2,13 +2,12 @@
 
 use crate::answer::{Answer, AnswerReader, Failure};
 use crate::error::LinkError;
+use crate::transport::Transport;
+use crate::tunnel::TunnelClient;
 use crate::wire::Wire;
 use bytes::BytesMut;
 use corktack_core::gateway::{ConnectionProfile, SessionProfile};
 use corktack_core::statement::{MemberRequest, OwnStatement, PreparedShape, Reply};
-use std::io::ErrorKind;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
 /// First size of the buffers.
@@ -27,7 +26,7 @@
 #[derive(Debug)]
 pub(crate) struct MemberConnection<W: Wire> {
     wire: W,
-    stream: TcpStream,
+    transport: Transport,
     input: BytesMut,
     output: BytesMut,
     pub(crate) profile: ConnectionProfile,
@@ -36,10 +35,10 @@
 }
 
 impl<W: Wire> MemberConnection<W> {
-    pub(crate) fn new(wire: W, stream: TcpStream) -> Self {
+    pub(crate) fn new(wire: W, transport: Transport) -> Self {
         Self {
             wire,
-            stream,
+            transport,
             input: BytesMut::with_capacity(BUFFER_BYTES),
             output: BytesMut::with_capacity(BUFFER_BYTES),
             profile: ConnectionProfile::default(),
@@ -54,11 +53,7 @@
 
     /// Whether the far end closed the connection, or sent something unasked, while it was idle.
     pub(crate) fn is_broken(&self) -> bool {
-        let mut byte = [0_u8; 1];
-        match self.stream.try_read(&mut byte) {
-            Err(error) => error.kind() != ErrorKind::WouldBlock,
-            Ok(_) => true,
-        }
+        self.transport.is_broken()
     }
 
     /// Sends a request and waits for the whole answer.
@@ -81,9 +76,9 @@
     }
 
     async fn flush(&mut self) -> Result<(), LinkError> {
-        let written = self.stream.write_all(&self.output).await;
+        let written = self.transport.write(&self.output).await;
         self.output.clear();
-        Ok(written?)
+        written
     }
 
     async fn read_answer(&mut self) -> Result<Answer, LinkError> {
@@ -102,9 +97,7 @@
             if let Some(reply) = self.wire.decode_reply(&mut self.input)? {
                 return Ok(reply);
             }
-            if self.stream.read_buf(&mut self.input).await? == 0 {
-                return Err(LinkError::Closed);
-            }
+            self.transport.read(&mut self.input).await?;
         }
     }
 
@@ -178,11 +171,28 @@
         Ok(answer.outcome.map(|_| name))
     }
 
+    /// Passes bytes of another gateway on, unread.
+    pub(crate) async fn write_bytes(&mut self, bytes: &[u8]) -> Result<(), LinkError> {
+        self.transport.write(bytes).await
+    }
+
+    /// Appends what the member sends, unread.
+    pub(crate) async fn read_bytes(&mut self, buffer: &mut BytesMut) -> Result<(), LinkError> {
+        self.transport.read(buffer).await
+    }
+
+    /// The tunnel that the connection goes through, with what the connection knows.
+    pub(crate) fn into_tunnel(self) -> Option<(Box<TunnelClient>, ConnectionProfile)> {
+        match self.transport {
+            Transport::Tunnel(tunnel) => Some((tunnel, self.profile)),
+            Transport::Direct(_) => None,
+        }
+    }
+
     /// Tells the member that the connection ends, as far as that works without waiting.
     pub(crate) fn terminate(mut self) {
         self.output.clear();
         self.wire.encode_request(&MemberRequest::Terminate, &mut self.output);
-        // The close that follows says the same.
-        let _ = self.stream.try_write(&self.output);
+        self.transport.try_write(&self.output);
     }
 }
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -3,6 +3,7 @@
 use crate::connection::MemberConnection;
 use crate::error::{DialError, LinkError};
 use crate::settings::GatewaySettings;
+use crate::transport::Transport;
 use crate::wire::Wire;
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::statement::{MemberRequest, ReadyState, Reply};
@@ -34,7 +35,7 @@
     stream: TcpStream,
 ) -> Result<(MemberConnection<W>, ReadyState), DialError> {
     tune(&stream, settings).map_err(LinkError::Io)?;
-    let mut connection = MemberConnection::new(wire.clone(), stream);
+    let mut connection = MemberConnection::new(wire.clone(), Transport::Direct(stream));
     let start = MemberRequest::Start {
         group: group.as_str(),
         who: &settings.name,
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -1,20 +1,28 @@
 //! A group of back ends as this gateway uses it.
 
+use crate::clock::SteadyClock;
 use crate::connection::MemberConnection;
 use crate::dial::dial;
 use crate::error::{AcquireError, DialError};
 use crate::lease::Lease;
 use crate::member::{IdleConnection, Member};
 use crate::settings::GatewaySettings;
+use crate::transport::Transport;
+use crate::tunnel::{Grant, TunnelClient, TunnelWish, Tunnels};
 use crate::wire::Wire;
 use corktack_core::gateway::{
-    Distance, Freshness, SessionProfile, Ticket, WaitQueue, WaitingFor, choose_reader,
+    ConnectionProfile, Distance, Freshness, SessionProfile, Ticket, WaitQueue, WaitingFor,
+    choose_reader,
 };
 use corktack_core::identity::{GroupName, MemberName};
+use corktack_core::position::Position;
 use corktack_core::registry::{BackEndRole, Promotion, RegisteredBackEnd};
 use corktack_core::statement::ErrorCode;
+use corktack_core::time::Timestamp;
+use corktack_protocol::tunnel::TunnelRefusal;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -45,6 +53,8 @@
 pub(crate) enum Target {
     /// The primary.
     Primary,
+    /// A member that this gateway holds connections to, for another gateway.
+    Held(MemberName),
     /// Any member but those that have already refused it.
     Reader {
         /// Members that refused it.
@@ -67,8 +77,10 @@
 pub(crate) struct GroupFacts {
     pub(crate) members: BTreeMap<MemberName, Arc<RegisteredBackEnd>>,
     pub(crate) promotion: Option<Promotion>,
-    /// Connections a member that this gateway may have.
-    pub(crate) connection_share: usize,
+    /// Connections to each member that this gateway may have; none where it holds no share.
+    pub(crate) shares: BTreeMap<MemberName, usize>,
+    /// Where connections to each member are held, in the order to ask.
+    pub(crate) holders: BTreeMap<MemberName, Vec<SocketAddr>>,
     /// Gateways that share each member.
     pub(crate) gateways: usize,
 }
@@ -89,13 +101,17 @@
     settings: Rc<GatewaySettings>,
     state: RefCell<GroupState<W>>,
     pub(crate) freshness: RefCell<Freshness>,
+    clock: SteadyClock,
     reach: mpsc::UnboundedSender<MemberReach>,
+    tunnels: Rc<Tunnels>,
 }
 
 /// The next step towards a connection.
 enum Step<W: Wire> {
     Use(MemberName, MemberConnection<W>),
     Dial(MemberName, Arc<RegisteredBackEnd>),
+    /// Ask the gateways that hold connections to it.
+    Forward(MemberName, Vec<SocketAddr>),
     Wait,
     NoMember,
 }
@@ -105,7 +121,9 @@
         name: GroupName,
         wire: W,
         settings: Rc<GatewaySettings>,
+        clock: SteadyClock,
         reach: mpsc::UnboundedSender<MemberReach>,
+        tunnels: Rc<Tunnels>,
     ) -> Self {
         let state = GroupState {
             members: BTreeMap::new(),
@@ -115,7 +133,7 @@
             waiting: WaitQueue::default(),
         };
         let freshness = RefCell::default();
-        Self { name, wire, settings, state: RefCell::new(state), freshness, reach }
+        Self { name, wire, settings, state: RefCell::new(state), freshness, clock, reach, tunnels }
     }
 
     /// Takes what the registry says now. Members that left get no new work.
@@ -128,7 +146,9 @@
             let new = || Member::new(Arc::clone(back_end), distance);
             let member = state.members.entry(name.clone()).or_insert_with(new);
             member.follow(back_end, now);
-            member.share(facts.connection_share, facts.gateways);
+            let share = facts.shares.get(name).copied().unwrap_or_default();
+            let holders = facts.holders.get(name).cloned().unwrap_or_default();
+            member.share(share, holders, facts.gateways);
         }
         if state.promotion != facts.promotion {
             state.promotion.clone_from(&facts.promotion);
@@ -157,6 +177,9 @@
                 Step::Dial(member, back_end) => {
                     return self.open(member, &back_end).await;
                 }
+                Step::Forward(member, holders) => {
+                    return self.forward(member, &holders, wish).await;
+                }
                 Step::Wait => {
                     let Some(member) = self.wait(wish, ticket).await? else { continue };
                     let step = self.state.borrow_mut().take_reserved(&member, wish);
@@ -165,7 +188,7 @@
                             return Ok(Lease::new(Rc::clone(self), member, connection));
                         }
                         Step::Dial(member, back_end) => return self.open(member, &back_end).await,
-                        Step::Wait | Step::NoMember => (),
+                        Step::Forward(..) | Step::Wait | Step::NoMember => (),
                     }
                 }
                 Step::NoMember => {
@@ -189,6 +212,7 @@
         let what = match wish.target {
             Target::Primary => WaitingFor::Primary,
             Target::Reader { .. } => WaitingFor::AnyMember,
+            Target::Held(_) => WaitingFor::Primary,
         };
         self.state.borrow_mut().waiting.wait(ticket, what, waker);
         let look = (Instant::now() + WAIT_LOOK).min(wish.give_up);
@@ -201,6 +225,79 @@
         }
     }
 
+    /// Uses a connection that another gateway holds; the first holder that answers decides.
+    async fn forward(
+        self: &Rc<Self>,
+        member: MemberName,
+        holders: &[SocketAddr],
+        wish: &Wish<'_>,
+    ) -> Result<Lease<W>, AcquireError> {
+        for holder in holders {
+            let wait = wish.give_up.saturating_duration_since(Instant::now());
+            let tunnel_wish = TunnelWish {
+                group: self.name.clone(),
+                member: member.clone(),
+                priority: wish.priority,
+                wait,
+            };
+            let asked_at = self.clock.now();
+            match self.tunnels.acquire(*holder, &tunnel_wish).await {
+                Ok(Grant::Granted(tunnel, profile, newest)) => {
+                    return Ok(self.granted(member, tunnel, profile, asked_at, newest));
+                }
+                Ok(Grant::Refused(TunnelRefusal::NoneFree)) => return Err(AcquireError::NoneFree),
+                Ok(Grant::Refused(TunnelRefusal::Unreachable)) => {
+                    let now = Instant::now();
+                    self.with_member(&member, |it| it.note_busy(now));
+                    return Err(AcquireError::Unreachable(member));
+                }
+                Ok(Grant::Refused(TunnelRefusal::NotHeld)) => (),
+                Err(error) => {
+                    log::info!(holder:% = holder, error:% = error; "gateway gives no connection");
+                }
+            }
+            if Instant::now() >= wish.give_up {
+                return Err(AcquireError::NoneFree);
+            }
+        }
+        let now = Instant::now();
+        self.with_member(&member, |it| it.note_busy(now));
+        Err(AcquireError::Unreachable(member))
+    }
+
+    fn granted(
+        self: &Rc<Self>,
+        member: MemberName,
+        tunnel: Box<TunnelClient>,
+        profile: ConnectionProfile,
+        asked_at: Timestamp,
+        newest: Option<(Duration, Position)>,
+    ) -> Lease<W> {
+        if let Some((age, position)) = newest {
+            // The holder took the age after it was asked: the question is no older than this.
+            let primary_asked_at = Timestamp(asked_at.0.saturating_sub(age.as_micros() as u64));
+            self.freshness.borrow_mut().note(primary_asked_at, position);
+        }
+        self.with_member(&member, |it| it.forwarded += 1);
+        let mut connection = MemberConnection::new(self.wire.clone(), Transport::Tunnel(tunnel));
+        connection.profile = profile;
+        Lease::remote(Rc::clone(self), member, connection)
+    }
+
+    /// A lease on a connection that another gateway holds is over.
+    pub(crate) fn remote_ended(
+        &self,
+        name: &MemberName,
+        connection: MemberConnection<W>,
+        settled: bool,
+    ) {
+        self.with_member(name, |it| it.forwarded = it.forwarded.saturating_sub(1));
+        // Without a release the holder sees the tunnel close, and closes the connection.
+        if settled && let Some((tunnel, profile)) = connection.into_tunnel() {
+            self.tunnels.release(tunnel, profile);
+        }
+    }
+
     async fn open(
         self: &Rc<Self>,
         member: MemberName,
@@ -364,15 +461,31 @@
         let chosen = match &wish.target {
             Target::Primary => self.primary(now, settings),
             Target::Reader { refused } => self.reader(now, refused),
+            Target::Held(member) => self.held(member, now, settings),
         };
         let Some(name) = chosen else { return Step::NoMember };
         let Some(member) = self.members.get_mut(&name) else { return Step::NoMember };
+        if member.limit == 0 && !member.holders.is_empty() {
+            return Step::Forward(name, member.holders.clone());
+        }
         if !member.has_room(now) {
             return Step::Wait;
         }
         Self::take(name, member, wish)
     }
 
+    /// A member for another gateway, if this one holds connections to it and it takes any work.
+    fn held(
+        &self,
+        name: &MemberName,
+        now: Instant,
+        settings: &GatewaySettings,
+    ) -> Option<MemberName> {
+        let member = self.members.get(name)?;
+        let able = member.limit > 0 && member.takes_writes(now, settings.drain_limit);
+        able.then(|| name.clone())
+    }
+
     /// Takes the place that was kept for a waiter.
     fn take_reserved(&mut self, name: &MemberName, wish: &Wish<'_>) -> Step<W> {
         let Some(member) = self.members.get_mut(name) else { return Step::NoMember };
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -1,5 +1,6 @@
 //! Starts and stops a gateway.
 
+use crate::clock::SteadyClock;
 use crate::drain::drain;
 use crate::error::GatewayError;
 use crate::group::{Group, MemberReach, Target, Wish};
@@ -7,6 +8,7 @@
 use crate::routes::Routes;
 use crate::session::serve_caller;
 use crate::settings::GatewaySettings;
+use crate::tunnel::accept_tunnels;
 use crate::wire::Wire;
 use corktack_core::gateway::SessionProfile;
 use corktack_core::identity::GroupName;
@@ -50,13 +52,13 @@
     pub(crate) session_ended: Notify,
     document_came: Notify,
     refreshing: RefCell<BTreeSet<GroupName>>,
-    origin: Instant,
+    clock: SteadyClock,
 }
 
 impl<W: Wire> Shared<W> {
     /// The steady time since the start of the gateway.
     pub(crate) fn now(&self) -> Timestamp {
-        Timestamp::ZERO + self.origin.elapsed()
+        self.clock.now()
     }
 
     /// Waits until there is a configuration to go by; says whether there is one.
@@ -110,12 +112,26 @@
     }
 }
 
+/// Bound listeners of a gateway.
+#[derive(Debug)]
+pub struct GatewayListeners {
+    /// For callers.
+    pub callers: std::net::TcpListener,
+    /// For other gateways.
+    pub peers: std::net::TcpListener,
+}
+
+fn adopt(listener: std::net::TcpListener) -> Result<TcpListener, GatewayError> {
+    listener.set_nonblocking(true).map_err(GatewayError::Listener)?;
+    TcpListener::from_std(listener).map_err(GatewayError::Listener)
+}
+
 /// A gateway.
 #[derive(Debug)]
 pub struct Gateway;
 
 impl Gateway {
-    /// Serves callers on a bound listener, on this arbiter, by the configuration of `views`. What
+    /// Serves callers on bound listeners, on this arbiter, by the configuration of `views`. What
     /// it finds out of members goes to `reach`.
     ///
     /// # Errors
@@ -123,16 +139,17 @@
     pub fn start<W: Wire>(
         settings: GatewaySettings,
         wire: W,
-        listener: std::net::TcpListener,
+        listeners: GatewayListeners,
         views: watch::Receiver<Arc<View>>,
         reach: mpsc::UnboundedSender<MemberReach>,
         registry: &mut Registry,
     ) -> Result<GatewayHandle<W>, GatewayError> {
-        listener.set_nonblocking(true).map_err(GatewayError::Listener)?;
-        let listener = TcpListener::from_std(listener).map_err(GatewayError::Listener)?;
+        let callers = adopt(listeners.callers)?;
+        let peers = adopt(listeners.peers)?;
         let settings = Rc::new(settings);
+        let clock = SteadyClock::start();
         let shared = Rc::new(Shared {
-            routes: Routes::new(wire.clone(), Rc::clone(&settings), reach),
+            routes: Routes::new(wire.clone(), Rc::clone(&settings), reach, clock),
             wire,
             settings,
             metrics: Metrics::register(registry),
@@ -143,10 +160,11 @@
             session_ended: Notify::new(),
             document_came: Notify::new(),
             refreshing: RefCell::default(),
-            origin: Instant::now(),
+            clock,
         });
         actix_rt::spawn(follow_views(Rc::clone(&shared), views));
-        actix_rt::spawn(accept(listener, Rc::clone(&shared)));
+        actix_rt::spawn(accept(callers, Rc::clone(&shared)));
+        actix_rt::spawn(accept_tunnels(peers, Rc::clone(&shared)));
         actix_rt::spawn(sweep(Rc::clone(&shared)));
         Ok(GatewayHandle { shared })
     }
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -12,6 +12,8 @@
     group: Rc<Group<W>>,
     pub(crate) member: MemberName,
     connection: Option<MemberConnection<W>>,
+    /// Whether another gateway holds the connection.
+    remote: bool,
     /// Set while a transaction may be open.
     pub(crate) in_transaction: bool,
 }
@@ -22,7 +24,16 @@
         member: MemberName,
         connection: MemberConnection<W>,
     ) -> Self {
-        Self { group, member, connection: Some(connection), in_transaction: false }
+        Self { group, member, connection: Some(connection), remote: false, in_transaction: false }
+    }
+
+    /// A connection that another gateway holds.
+    pub(crate) fn remote(
+        group: Rc<Group<W>>,
+        member: MemberName,
+        connection: MemberConnection<W>,
+    ) -> Self {
+        Self { group, member, connection: Some(connection), remote: true, in_transaction: false }
     }
 
     pub(crate) fn group(&self) -> &Rc<Group<W>> {
@@ -43,6 +54,11 @@
 impl<W: Wire> Drop for Lease<W> {
     fn drop(&mut self) {
         let Some(connection) = self.connection.take() else { return };
+        if self.remote {
+            let settled = connection.is_settled() && !self.in_transaction;
+            self.group.remote_ended(&self.member, connection, settled);
+            return;
+        }
         if connection.is_settled() && !self.in_transaction {
             self.group.give_back(&self.member, connection);
         } else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod ask;
+mod clock;
 mod connection;
 mod dial;
 mod drain;
@@ -19,11 +20,13 @@
 mod routes;
 mod session;
 mod settings;
+mod transport;
+mod tunnel;
 mod wire;
 
 pub use ask::{ask_status, release};
 pub use error::{GatewayError, WireError};
 pub use group::MemberReach;
-pub use handle::{Gateway, GatewayHandle};
+pub use handle::{Gateway, GatewayHandle, GatewayListeners};
 pub use settings::GatewaySettings;
 pub use wire::Wire;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -4,6 +4,7 @@
 use crate::wire::Wire;
 use corktack_core::gateway::{Distance, MemberLoad, SessionProfile};
 use corktack_core::registry::{BackEndState, RegisteredBackEnd};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -42,7 +43,11 @@
     pub(crate) idle: Vec<IdleConnection<W>>,
     /// Connections in use, idle or being opened.
     pub(crate) open: usize,
-    /// Connections that this gateway may have open.
+    /// Where connections to it are held, in the order to ask.
+    pub(crate) holders: Vec<SocketAddr>,
+    /// Connections of other gateways in use by this one.
+    pub(crate) forwarded: usize,
+    /// Connections that this gateway may have open; none where it holds no share.
     pub(crate) limit: usize,
     /// Places kept for waiters that were woken.
     pub(crate) reserved: usize,
@@ -62,6 +67,8 @@
         Self {
             back_end,
             idle: Vec::new(),
+            holders: Vec::new(),
+            forwarded: 0,
             open: 0,
             limit: 1,
             reserved: 0,
@@ -88,8 +95,9 @@
     }
 
     /// Sets this gateway's share of the member.
-    pub(crate) fn share(&mut self, limit: usize, gateways: usize) {
+    pub(crate) fn share(&mut self, limit: usize, holders: Vec<SocketAddr>, gateways: usize) {
         self.limit = limit;
+        self.holders = holders;
         self.gateways = gateways.max(1);
     }
 
@@ -112,6 +120,9 @@
 
     /// Whether a statement could be sent there now.
     pub(crate) fn has_room(&self, now: Instant) -> bool {
+        if self.limit == 0 {
+            return !self.holders.is_empty();
+        }
         let full = is_pending(self.full_until, now);
         let may_open = if full { 0 } else { self.limit.saturating_sub(self.open) };
         self.idle.len() + may_open > self.reserved
@@ -120,7 +131,7 @@
     pub(crate) fn load(&self) -> MemberLoad {
         MemberLoad {
             latency: self.latency,
-            running: self.open - self.idle.len(),
+            running: self.open - self.idle.len() + self.forwarded,
             capacity_share: f64::from(self.back_end.capacity) / self.gateways as f64,
         }
     }
@@ -179,7 +190,10 @@
         self.open -= self.idle.len();
         self.idle.clear();
         self.passed_over_until = Some(now + SILENT_PAUSE);
-        if is_pending(self.checked_until, now) || is_pending(self.unreachable_until, now) {
+        if self.limit == 0
+            || is_pending(self.checked_until, now)
+            || is_pending(self.unreachable_until, now)
+        {
             return None;
         }
         self.checked_until = Some(now + SILENT_PAUSE);
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -1,13 +1,17 @@
 //! The configuration in force, as sessions look it up.
 
+use crate::clock::SteadyClock;
 use crate::group::{Group, GroupFacts, MemberReach};
 use crate::settings::GatewaySettings;
+use crate::tunnel::Tunnels;
 use crate::wire::Wire;
-use corktack_core::identity::GroupName;
-use corktack_core::registry::{Document, RouteRule};
-use corktack_core::view::{ProxyState, View};
+use corktack_core::gateway::{asking_order, holder_count, holders};
+use corktack_core::identity::{GroupName, MemberName, ProxyName};
+use corktack_core::registry::{Document, RegisteredBackEnd, RouteRule};
+use corktack_core::view::{ProxyState, ProxyView, View};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,6 +39,8 @@
     routes: RefCell<BTreeMap<String, Route<W>>>,
     document: RefCell<Option<Arc<Document>>>,
     reach: mpsc::UnboundedSender<MemberReach>,
+    tunnels: Rc<Tunnels>,
+    clock: SteadyClock,
 }
 
 impl<W: Wire> Routes<W> {
@@ -42,6 +48,7 @@
         wire: W,
         settings: Rc<GatewaySettings>,
         reach: mpsc::UnboundedSender<MemberReach>,
+        clock: SteadyClock,
     ) -> Self {
         Self {
             wire,
@@ -50,6 +57,8 @@
             routes: RefCell::default(),
             document: RefCell::default(),
             reach,
+            tunnels: Rc::default(),
+            clock,
         }
     }
 
@@ -75,21 +84,19 @@
     }
 
     fn follow_groups(&self, view: &View, document: &Document) {
-        let live = view.proxies.values().filter(|proxy| proxy.state == ProxyState::Live).count();
+        let live: Vec<(&ProxyName, &ProxyView)> =
+            view.proxies.iter().filter(|(_, it)| it.state == ProxyState::Live).collect();
         let mut facts: BTreeMap<&GroupName, GroupFacts> = BTreeMap::new();
         for service in &document.services {
-            let gateways = live.max(1);
-            let all = service.max_connections.saturating_sub(CONTROL_CONNECTIONS).max(1);
-            let shared = f64::from(all) * SHARE_FACTOR / gateways as f64;
             let group = facts.entry(&service.name).or_default();
-            group.connection_share = (shared as usize).clamp(1, all as usize);
-            group.gateways = gateways;
+            group.gateways = live.len().max(1);
             group.promotion = view.promotions.get(&service.name).cloned();
         }
         for (member, back_end) in &view.back_ends {
-            if let Some(group) = facts.get_mut(&back_end.group) {
-                group.members.insert(member.clone(), Arc::clone(back_end));
-            }
+            let Some(group) = facts.get_mut(&back_end.group) else { continue };
+            let Some(service) = document.service(&back_end.group) else { continue };
+            group.members.insert(member.clone(), Arc::clone(back_end));
+            self.share(member, back_end, service.max_connections, &live, group);
         }
         let mut groups = self.groups.borrow_mut();
         groups.retain(|name, _| facts.contains_key(name));
@@ -99,6 +106,51 @@
         }
     }
 
+    /// Works out this gateway's share of a member, or who holds its connections.
+    fn share(
+        &self,
+        member: &MemberName,
+        back_end: &RegisteredBackEnd,
+        max_connections: u32,
+        live: &[(&ProxyName, &ProxyView)],
+        group: &mut GroupFacts,
+    ) {
+        let all = max_connections.saturating_sub(CONTROL_CONNECTIONS).max(1);
+        let zones: Vec<_> = live.iter().map(|(name, proxy)| (*name, &proxy.zone)).collect();
+        let count = holder_count(max_connections, live.len());
+        let holders = holders(member, &back_end.zone, &zones, count);
+        let own = holders.iter().any(|holder| holder.as_str() == self.settings.name);
+        // A gateway that control does not know yet serves its callers all the same.
+        let known = live.iter().any(|(name, _)| name.as_str() == self.settings.name);
+        if own || (!known && live.len() <= count) {
+            let shared = f64::from(all) * SHARE_FACTOR / count as f64;
+            group.shares.insert(member.clone(), (shared as usize).clamp(1, all as usize));
+        } else {
+            group.holders.insert(member.clone(), self.asking_order(member, &holders, live));
+        }
+    }
+
+    fn asking_order(
+        &self,
+        member: &MemberName,
+        holders: &[ProxyName],
+        live: &[(&ProxyName, &ProxyView)],
+    ) -> Vec<SocketAddr> {
+        let view_of = |name: &ProxyName| live.iter().find(|(it, _)| *it == name).map(|(_, it)| *it);
+        let zoned: Vec<_> = holders
+            .iter()
+            .filter_map(|name| Some((name.clone(), view_of(name)?.zone.clone())))
+            .collect();
+        let Ok(own) = ProxyName::new(self.settings.name.as_str()) else { return Vec::new() };
+        let order = asking_order(&own, &self.settings.zone, member, &zoned);
+        order.iter().filter_map(|name| Some(view_of(name)?.address)).collect()
+    }
+
+    /// The group of a name, for other gateways.
+    pub(crate) fn group(&self, name: &GroupName) -> Option<Rc<Group<W>>> {
+        self.groups.borrow().get(name).cloned()
+    }
+
     /// Closes connections that have not been used for long.
     pub(crate) fn close_unused(&self) {
         for group in self.groups.borrow().values() {
@@ -107,7 +159,14 @@
     }
 
     fn new_group(&self, name: &GroupName) -> Group<W> {
-        Group::new(name.clone(), self.wire.clone(), Rc::clone(&self.settings), self.reach.clone())
+        Group::new(
+            name.clone(),
+            self.wire.clone(),
+            Rc::clone(&self.settings),
+            self.clock,
+            self.reach.clone(),
+            Rc::clone(&self.tunnels),
+        )
     }
 
     fn follow_document(&self, document: &Arc<Document>) {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod control;
 pub mod frame;
 pub mod peer;
+pub mod tunnel;
--- a/crates/server/src/deployment.rs
+++ b/crates/server/src/deployment.rs
@@ -16,7 +16,8 @@
 use corktack_core::position::Term;
 use corktack_core::registry::{CellRepairSettings, MemberAnswer, PromotionAnswer};
 use corktack_gateway::{
-    Gateway, GatewayError, GatewayHandle, GatewaySettings, MemberReach, Wire, ask_status, release,
+    Gateway, GatewayError, GatewayHandle, GatewayListeners, GatewaySettings, MemberReach, Wire,
+    ask_status, release,
 };
 use corktack_protocol::cell::CellName;
 use corktack_protocol::control::{MemberHealth, Observation};
@@ -129,6 +130,10 @@
         self.first_port + 2
     }
 
+    fn peers_port(&self) -> u16 {
+        self.first_port + 3
+    }
+
     fn at_seeds(&self, port: u16) -> Vec<SocketAddr> {
         self.seeds.iter().map(|seed| SocketAddr::new(*seed, port)).collect()
     }
@@ -187,7 +192,9 @@
         wire: W,
         callers: SocketAddr,
     ) -> Result<(RunningGateway<W>, Registry), DeploymentError> {
-        let listener = bind("callers", callers)?;
+        let peers = SocketAddr::new(self.machine, self.peers_port());
+        let listeners =
+            GatewayListeners { callers: bind("callers", callers)?, peers: bind("peers", peers)? };
         let mut registry = Registry::default();
         let (observations, observed) = mpsc::unbounded_channel();
         let (reach, found) = mpsc::unbounded_channel();
@@ -197,7 +204,7 @@
         let watch = watch_client::start(settings, CONNECT_LIMIT, store, observed, &mut registry)?;
         let settings = self.gateway_settings();
         let gateway =
-            Gateway::start(settings, wire, listener, watch.views(), reach, &mut registry)?;
+            Gateway::start(settings, wire, listeners, watch.views(), reach, &mut registry)?;
         log::info!(machine = self.name.as_str(), callers:% = callers; "gateway starts");
         Ok((RunningGateway { watch, gateway }, registry))
     }
@@ -214,7 +221,7 @@
         Ok(WatchSettings {
             proxy: ProxyName::new(self.name.as_str())?,
             incarnation: Incarnation(rand::random()),
-            address: SocketAddr::new(self.machine, self.cell_port()),
+            address: SocketAddr::new(self.machine, self.peers_port()),
             zone: self.zone.clone(),
             replicas: self.at_seeds(self.proxies_port()),
             heartbeat_interval: WATCH_INTERVAL,
