--- a/crates/cli/src/commands/error.rs
+++ b/crates/cli/src/commands/error.rs
@@ -35,6 +35,20 @@
     /// A line of the watch is not understood.
     #[error("a line of the watch is not understood")]
     WatchLine(#[source] serde_json::Error),
+    /// A log file cannot be read.
+    #[error("{}: cannot be read", path.display())]
+    Log {
+        /// The file.
+        path: std::path::PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// No log file was named.
+    #[error("name at least one log file with -l")]
+    NoLogs,
+    /// No line tells of the request.
+    #[error(transparent)]
+    UnknownRequest(#[from] corktack_server::explain::UnknownRequest),
     /// No file was named.
     #[error("name at least one file or folder with -f")]
     NoFiles,
--- /dev/null
+++ b/crates/cli/src/commands/explain.rs
@@ -0,0 +1,25 @@
+//! `corktack explain`: from the id of a request to its cause, by log files alone.
+
+use super::CommandError;
+use crate::exit::Exit;
+use crate::flags::Explain;
+use crate::output::Output;
+use std::path::Path;
+
+pub(crate) fn run(command: &Explain, output: &mut Output<'_>) -> Result<Exit, CommandError> {
+    if command.log.is_empty() {
+        return Err(CommandError::NoLogs);
+    }
+    let texts = command.log.iter().map(|path| read(path)).collect::<Result<Vec<_>, _>>()?;
+    let lines = texts.iter().flat_map(|text| text.lines());
+    for line in corktack_server::explain::explain(&command.id, lines)? {
+        output.line(&line.to_string())?;
+    }
+    Ok(Exit::Done)
+}
+
+fn read(path: &Path) -> Result<String, CommandError> {
+    let bytes = std::fs::read(path);
+    let bytes = bytes.map_err(|source| CommandError::Log { path: path.to_owned(), source })?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod delete;
 pub(crate) mod dev;
 mod error;
+pub(crate) mod explain;
 pub(crate) mod get;
 pub(crate) mod proxy;
 pub(crate) mod status;
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -96,6 +96,13 @@
             /// Longest wait, in milliseconds; 60000 by default.
             optional --timeout-ms milliseconds: u64
         }
+        /// Shows what led to the end of a request, from the log lines of processes.
+        cmd explain {
+            /// The id of the request.
+            required id: String
+            /// Log file of a process; several may be named.
+            repeated -l, --log path: PathBuf
+        }
         /// Checks settings files (.toml) and manifests (.yaml, .yml) without a server.
         cmd check {
             /// File, or a folder of them.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -76,6 +76,7 @@
         CorktackCmd::Proxy(command) => commands::proxy::run(command),
         CorktackCmd::Dev(command) => commands::dev::run(command, &mut output),
         CorktackCmd::Check(command) => commands::check::run(&command, &mut output),
+        CorktackCmd::Explain(command) => Ok(commands::explain::run(&command, &mut output)?),
         CorktackCmd::Apply(command) => with_client(settings, async |client| {
             commands::apply::run(client, command, &mut output).await
         }),
--- a/crates/cli/tests/pages.rs
+++ b/crates/cli/tests/pages.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 /// Crates whose metrics processes serve.
-const CRATES: [&str; 4] = ["edge", "owner", "control", "server"];
+const CRATES: [&str; 5] = ["edge", "owner", "control", "gateway", "server"];
 /// Ends that the text form adds by the kind of a metric.
 const ENDS: [&str; 2] = ["", "_total"];
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,13 +34,13 @@
     pub(crate) fn register(registry: &mut Registry) -> Self {
         let statements = Family::default();
         registry.register(
-            "gateway_statements",
+            "corktack_gateway_statements",
             "Statements answered, by outcome",
             statements.clone(),
         );
         let statement_seconds = Histogram::new(TIME_BUCKETS);
         let help = "Time from a statement's arrival to its answer";
-        registry.register("gateway_statement_seconds", help, statement_seconds.clone());
+        registry.register("corktack_gateway_statement_seconds", help, statement_seconds.clone());
         Self { statements, statement_seconds, answered: Rc::default() }
     }
 
--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -53,7 +53,7 @@
     /// The member did not run it; another may.
     NotRun(String),
     /// It may have run there, without an answer.
-    Lost(LinkError),
+    Lost(String),
 }
 
 impl<W: Wire> Session<W> {
@@ -133,7 +133,7 @@
                     why = reason;
                 }
                 Offer::Lost(error) => {
-                    self.attempted(&error.to_string());
+                    self.attempted(&error);
                     sent += 1;
                     if sent >= route.rule.attempts || Instant::now() >= bounds.deadline {
                         return Self::timed_out(&error);
@@ -210,7 +210,7 @@
             }
             Unanswered::Sent(error) => {
                 Self::note_lost(lease, &error);
-                Offer::Lost(error)
+                Offer::Lost(format!("{error} at {}", lease.member))
             }
             Unanswered::Refused(failure) => {
                 Self::note_refusal(lease, &failure, now);
@@ -256,7 +256,7 @@
                     why = reason;
                 }
                 Offer::Lost(error) => {
-                    self.attempted(&error.to_string());
+                    self.attempted(&error);
                     sent += 1;
                     if sent >= route.rule.attempts || Instant::now() >= bounds.deadline {
                         return Self::timed_out(&error);
@@ -343,6 +343,7 @@
                     why = reason;
                 }
                 Offer::Lost(error) => {
+                    self.attempted(&error);
                     let text = format!("the write may have taken effect: {error}");
                     return Response::failure(ErrorCode::InDoubt, &text, TransactionState::Idle);
                 }
@@ -386,7 +387,7 @@
         Response::refusal(&text, TransactionState::Idle)
     }
 
-    fn timed_out(error: &LinkError) -> Response {
+    fn timed_out(error: &str) -> Response {
         let text = format!("the read has no answer: {error}");
         Response::failure(ErrorCode::TimedOut, &text, TransactionState::Idle)
     }
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -181,7 +181,7 @@
         match unanswered {
             Unanswered::NotSent(error) | Unanswered::Sent(error) => {
                 Self::note_lost(&open.lease, &error);
-                let text = format!("rolled back: {error}");
+                let text = format!("rolled back: {error} at {}", open.lease.member);
                 Response::failure(ErrorCode::Aborted, &text, TransactionState::Failed)
             }
             Unanswered::Refused(failure) => {
@@ -199,6 +199,8 @@
         route: Route<W>,
     ) -> Result<OpenTransaction<W>, Response> {
         let bounds = Bounds::of(&route, began);
+        let group = route.group.name.as_str();
+        self.decision.borrow_mut().routed(&route.rule.name, route.rule.consistency, group);
         let replicas =
             access == Access::Read && !matches!(route.rule.consistency, Consistency::Linearizable);
         let mut refused = BTreeSet::new();
@@ -318,7 +320,8 @@
             Ok(answer) => answer,
             Err(Unanswered::Sent(error) | Unanswered::NotSent(error)) => {
                 Self::note_lost(&open.lease, &error);
-                let text = format!("the commit may have taken effect: {error}");
+                let text =
+                    format!("the commit may have taken effect: {error} at {}", open.lease.member);
                 return Response::failure(ErrorCode::InDoubt, &text, TransactionState::Idle);
             }
             Err(Unanswered::Refused(failure)) => {
--- /dev/null
+++ b/crates/server/src/explain.rs
@@ -0,0 +1,94 @@
+//! From the id of a request to its cause, by log lines alone.
+//!
+//! Takes lines as processes write them (see [`crate::telemetry::lines`]), in any order and from any
+//! number of processes, with or without something before the JSON. Gives the lines of the request
+//! and those that tell what happened around it to its group, in order of time.
+
+use serde_json::{Map, Value};
+
+/// How long before a request's end a line may be part of its cause, in milliseconds.
+pub const BEFORE_MS: u64 = 3_000;
+/// How long after it: lines of other processes may be stamped by another clock.
+pub const AFTER_MS: u64 = 1_000;
+/// Messages that concern every group.
+const ABOUT_ALL: [&str; 3] = ["role changed", "connection to control lost", "document in force"];
+
+/// A line of a process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LogLine {
+    /// What stood before the JSON: the machine, say.
+    pub source: String,
+    /// Its time of day, in milliseconds.
+    pub time_ms: u64,
+    /// Its message.
+    pub message: String,
+    /// Its other keys.
+    pub fields: Map<String, Value>,
+}
+
+/// Why a request cannot be explained.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("no line has the id {id:?}")]
+pub struct UnknownRequest {
+    /// The id.
+    pub id: String,
+}
+
+impl LogLine {
+    /// Reads a line; none if it holds no line of this product's.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let (source, json) = text.split_at(text.find('{')?);
+        let mut fields: Map<String, Value> = serde_json::from_str(json).ok()?;
+        let message = fields.remove("message")?.as_str()?.to_owned();
+        let time_ms = fields.remove("time_ms")?.as_u64()?;
+        Some(Self { source: source.trim().to_owned(), time_ms, message, fields })
+    }
+
+    fn text(&self, key: &str) -> Option<&str> {
+        self.fields.get(key)?.as_str()
+    }
+
+    /// Whether the line may be part of what happened to a request.
+    fn concerns(&self, request: &Self) -> bool {
+        let time = request.time_ms;
+        let near = (time.saturating_sub(BEFORE_MS)..=time + AFTER_MS).contains(&self.time_ms);
+        let group = request.text("group").filter(|group| !group.is_empty());
+        let same_group = group.is_some() && self.text("group") == group;
+        let is_request = self.fields.contains_key("id");
+        near && !is_request && (same_group || ABOUT_ALL.contains(&self.message.as_str()))
+    }
+}
+
+impl std::fmt::Display for LogLine {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{} {} {}", self.time_ms, self.source, self.message)?;
+        let hidden = ["level", "target", "up_ms"];
+        for (key, value) in self.fields.iter().filter(|(key, _)| !hidden.contains(&key.as_str())) {
+            write!(formatter, " {key}={value}")?;
+        }
+        Ok(())
+    }
+}
+
+/// The lines that explain the request of an id, in order of time.
+///
+/// # Errors
+/// [`UnknownRequest`] when no line has the id: it succeeded and was not sampled, its line was
+/// dropped (a line says how many were), or it reached no process.
+pub fn explain<'t>(
+    id: &str,
+    lines: impl Iterator<Item = &'t str>,
+) -> Result<Vec<LogLine>, UnknownRequest> {
+    let lines: Vec<LogLine> = lines.filter_map(LogLine::parse).collect();
+    let requests: Vec<&LogLine> = lines.iter().filter(|it| it.text("id") == Some(id)).collect();
+    if requests.is_empty() {
+        return Err(UnknownRequest { id: id.to_owned() });
+    }
+    let wanted = |line: &&LogLine| {
+        line.text("id") == Some(id) || requests.iter().any(|request| line.concerns(request))
+    };
+    let mut explained: Vec<LogLine> = lines.iter().filter(wanted).cloned().collect();
+    explained.sort_by_key(|line| line.time_ms);
+    Ok(explained)
+}
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod deployment;
 pub mod dev;
+pub mod explain;
 pub mod listeners;
 pub mod manifest;
 pub mod proxy;
