--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -1,6 +1,7 @@
 //! The connection of a caller.
 
 use super::Session;
+use super::response::Response;
 use super::transaction::Transaction;
 use crate::handle::Shared;
 use crate::wire::Wire;
@@ -97,20 +98,20 @@
         let response = session.handle(request).await;
         let taken = begun.elapsed();
         self.shared.metrics.note_statement(response.code(), taken);
+        self.explain(session, &id, &response, taken);
+        response.encode(&self.shared.wire, &mut self.output);
+        self.send().await
+    }
+
+    /// Writes the line that explains a statement: of each that failed, and of some others.
+    fn explain(&self, session: &Session<W>, id: &str, response: &Response, taken: Duration) {
         let decision = session.decision.borrow();
         let database = session.database.as_str();
-        match response.code() {
-            Some(code) => {
-                decision.explain(&id, database, &format!("{code:?}"), response.text(), taken);
-            }
-            None if self.shared.metrics.is_sample() => {
-                decision.explain(&id, database, "Done", "sampled", taken);
-            }
-            None => (),
+        if let Some(code) = response.code() {
+            decision.explain(id, database, &format!("{code:?}"), response.text(), taken);
+        } else if self.shared.metrics.is_sample() {
+            decision.explain(id, database, "Done", "sampled", taken);
         }
-        drop(decision);
-        response.encode(&self.shared.wire, &mut self.output);
-        self.send().await
     }
 
     /// The next message; a transaction that rests too long is rolled back, and a planned stop
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -12,6 +12,7 @@
 use corktack_protocol::frame::{FrameCodec, FrameError};
 use corktack_protocol::tunnel::{TunnelRefusal, TunnelReply, TunnelRequest};
 use futures_util::{SinkExt, StreamExt};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -76,14 +77,14 @@
         Ok(Self { frames: Framed::new(stream, FrameCodec::default()), holder })
     }
 
-    async fn acquire(mut self: Box<Self>, wish: TunnelWish) -> Result<Grant, LinkError> {
+    async fn acquire(mut self, wish: TunnelWish) -> Result<Grant, LinkError> {
         let TunnelWish { group, member, priority, wait } = wish;
         let request = TunnelRequest::Acquire { group, member, priority, wait };
         self.frames.send(request).await.map_err(link_error)?;
         let reply = timeout(wait + GRANT_SLACK, self.frames.next()).await;
         match reply.map_err(|_| LinkError::TimedOut)? {
             Some(Ok(TunnelReply::Granted { profile, newest })) => {
-                Ok(Grant::Granted(self, profile, newest))
+                Ok(Grant::Granted(Box::new(self), profile, newest))
             }
             Some(Ok(TunnelReply::Refused(refusal))) => Ok(Grant::Refused(refusal)),
             Some(Ok(_)) | None => Err(LinkError::Closed),
@@ -117,7 +118,7 @@
 /// The tunnels of a gateway that nobody uses now, by holder.
 #[derive(Debug, Default)]
 pub(crate) struct Tunnels {
-    idle: std::cell::RefCell<HashMap<SocketAddr, Vec<Box<TunnelClient>>>>,
+    idle: RefCell<HashMap<SocketAddr, Vec<TunnelClient>>>,
 }
 
 impl Tunnels {
@@ -134,7 +135,7 @@
                 return Ok(grant);
             }
         }
-        let tunnel = Box::new(TunnelClient::connect(holder).await?);
+        let tunnel = TunnelClient::connect(holder).await?;
         tunnel.acquire(wish.clone()).await
     }
 
@@ -152,7 +153,7 @@
             let mut idle = tunnels.idle.borrow_mut();
             let kept = idle.entry(tunnel.holder).or_default();
             if kept.len() < IDLE_TUNNELS {
-                kept.push(tunnel);
+                kept.push(*tunnel);
             }
         });
     }
