Gateway: sessions against stand-in members over real sockets

19 tests: routing and freshness, lost answers (in doubt, aborted, tried elsewhere), session values, prepared names and transactions on pooled connections, tunnels.

--- a/crates/control/tests/formation.rs
+++ b/crates/control/tests/formation.rs
@@ -89,7 +89,7 @@
 async fn a_replica_that_asks_becomes_a_voter() {
     let mut cell = Cell::start_with(2, repairing(3, Vec::new()));
     let through = proxy_addresses(&cell);
-    cell.join_asking(3, &|own| Box::new(joining(3, through.clone(), own)));
+    cell.join_asking(3, |own, settings| joining(3, through.clone(), own)(settings));
     until_voters(&cell, &[1, 2, 3]).await;
 }
 
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -173,22 +173,13 @@
     }
 
     /// Adds a replica that asks the others to be added; `adjust` is given its cell address.
-    pub fn join_asking(
-        &mut self,
-        id: u64,
-        adjust: &dyn Fn(SocketAddr) -> Box<dyn Fn(&mut ControlSettings)>,
-    ) {
+    pub fn join_asking(&mut self, id: u64, adjust: impl Fn(SocketAddr, &mut ControlSettings)) {
         let bound = bind_listeners();
-        let adjust = adjust(bound.1[0]);
+        let own = bound.1[0];
         let start = CellStart::Join(Vec::new());
-        self.replicas.push(launch(
-            ReplicaId(id),
-            start,
-            bound,
-            &|settings: &mut ControlSettings| {
-                adjust(settings);
-            },
-        ));
+        self.replicas.push(launch(ReplicaId(id), start, bound, &|settings: &mut _| {
+            adjust(own, settings);
+        }));
     }
 
     /// Brings the replica at `place` into the cell as a learner.
--- /dev/null
+++ b/crates/gateway/tests/sessions/doubt.rs
@@ -0,0 +1,63 @@
+//! Lost answers: what is promised, what is in doubt, what may be tried again.
+
+use crate::caller::Caller;
+use crate::member::Member;
+use crate::world::{BOUNDED, LINEARIZABLE, World};
+
+#[actix_rt::test]
+async fn a_write_without_an_answer_is_in_doubt_and_never_sent_again() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::with_one_gateway(&[&primary]);
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    primary.state.borrow_mut().answers_to_lose = 1;
+    let answered = caller.query("write x").await;
+    assert_eq!(answered.code(), "indoubt");
+    assert_eq!(answered.state, "idle");
+    assert_eq!(primary.texts(), ["write x"]);
+    assert!(caller.query("write y").await.is_success(), "the session goes on");
+}
+
+#[actix_rt::test]
+async fn a_read_without_an_answer_is_tried_elsewhere() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let replica = Member::start("m2", false, "1.5").await;
+    let world = World::with_one_gateway(&[&primary, &replica]);
+    let mut caller = Caller::start(world.gateways[0], BOUNDED, "a").await;
+    assert!(caller.query("read x").await.is_success());
+    primary.state.borrow_mut().answers_to_lose = 1;
+    replica.state.borrow_mut().answers_to_lose = 1;
+    let mut lost = 2;
+    // Each loss is met by a read that another member answers, or that ends as timed out after two.
+    while lost > 0 {
+        let answered = caller.query("read x").await;
+        assert!(answered.is_success() || answered.code() == "timeout", "{answered:?}");
+        lost = primary.state.borrow().answers_to_lose + replica.state.borrow().answers_to_lose;
+    }
+}
+
+#[actix_rt::test]
+async fn a_transaction_that_lost_its_connection_is_promised_to_be_rolled_back() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::with_one_gateway(&[&primary]);
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    assert_eq!(caller.query("begin").await.state, "open");
+    assert!(caller.query("write x").await.is_success());
+    primary.state.borrow_mut().answers_to_lose = 1;
+    let answered = caller.query("write y").await;
+    assert_eq!((answered.code(), answered.state.as_str()), ("aborted", "failed"));
+    assert_eq!(caller.query("rollback").await.state, "idle");
+    assert!(!primary.texts().contains(&"commit".to_owned()));
+}
+
+#[actix_rt::test]
+async fn a_commit_without_an_answer_is_in_doubt() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::with_one_gateway(&[&primary]);
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    caller.query("begin").await;
+    assert!(caller.query("write x").await.is_success());
+    primary.state.borrow_mut().answers_to_lose = 1;
+    let answered = caller.query("commit").await;
+    assert_eq!((answered.code(), answered.state.as_str()), ("indoubt", "idle"));
+    assert_eq!(primary.texts(), ["write x", "commit"]);
+}
--- /dev/null
+++ b/crates/gateway/tests/sessions/main.rs
@@ -0,0 +1,10 @@
+//! Sessions against stand-in members over real sockets.
+
+mod caller;
+mod doubt;
+mod member;
+mod routing;
+mod state;
+mod tunnels;
+mod wire;
+mod world;
--- /dev/null
+++ b/crates/gateway/tests/sessions/member.rs
@@ -0,0 +1,157 @@
+//! A stand-in member: a log position, a role, and what ran on it.
+
+use crate::wire::{position, take_line};
+use bytes::BytesMut;
+use corktack_core::position::Position;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// A statement as a member got it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ran {
+    /// Number of the connection.
+    pub connection: usize,
+    /// Empty for the product's own statements.
+    pub id: String,
+    pub text: String,
+}
+
+/// What a test may change while the member runs.
+#[derive(Debug)]
+pub struct MemberState {
+    pub primary: bool,
+    pub at: Position,
+    /// Statements of callers whose connection is closed in place of the answer.
+    pub answers_to_lose: usize,
+    /// Connections that may be open.
+    pub connection_limit: usize,
+    pub open: usize,
+    pub ran: Vec<Ran>,
+}
+
+#[derive(Clone)]
+pub struct Member {
+    pub name: String,
+    pub address: SocketAddr,
+    pub state: Rc<RefCell<MemberState>>,
+}
+
+impl Member {
+    pub async fn start(name: &str, primary: bool, at: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
+        let address = listener.local_addr().expect("a bound listener has an address");
+        let state = MemberState {
+            primary,
+            at: position(at).expect("a position"),
+            answers_to_lose: 0,
+            connection_limit: 10,
+            open: 0,
+            ran: Vec::new(),
+        };
+        let member = Self { name: name.to_owned(), address, state: Rc::new(RefCell::new(state)) };
+        let serving = member.clone();
+        actix_rt::spawn(async move {
+            for connection in 0.. {
+                let Ok((stream, _)) = listener.accept().await else { return };
+                actix_rt::spawn(serving.clone().serve(stream, connection));
+            }
+        });
+        member
+    }
+
+    /// What callers' statements ran, by text.
+    pub fn texts(&self) -> Vec<String> {
+        let state = self.state.borrow();
+        let callers = state.ran.iter().filter(|ran| !ran.id.is_empty());
+        callers.map(|ran| ran.text.clone()).collect()
+    }
+
+    /// Everything that came on the connection of a caller's statement, before and with it.
+    pub fn on_connection_of(&self, id: &str) -> Vec<String> {
+        let state = self.state.borrow();
+        let Some(place) = state.ran.iter().position(|ran| ran.id == id) else { return Vec::new() };
+        let connection = state.ran[place].connection;
+        let upto = state.ran[..=place].iter().filter(|ran| ran.connection == connection);
+        upto.map(|ran| ran.text.clone()).collect()
+    }
+
+    async fn serve(self, mut stream: TcpStream, connection: usize) {
+        self.state.borrow_mut().open += 1;
+        let mut buffer = BytesMut::new();
+        let mut in_transaction = false;
+        loop {
+            while let Some(line) = take_line(&mut buffer) {
+                match self.answer(&line, connection, &mut in_transaction) {
+                    Some(answer) => drop(stream.write_all(answer.as_bytes()).await),
+                    None => {
+                        self.state.borrow_mut().open -= 1;
+                        return;
+                    }
+                }
+            }
+            if !matches!(stream.read_buf(&mut buffer).await, Ok(1..)) {
+                self.state.borrow_mut().open -= 1;
+                return;
+            }
+        }
+    }
+
+    /// The answer to a line; none closes the connection.
+    fn answer(&self, line: &str, connection: usize, in_transaction: &mut bool) -> Option<String> {
+        let mut state = self.state.borrow_mut();
+        let fields: Vec<&str> = line.split('|').collect();
+        let (id, after, text) = match fields.as_slice() {
+            ["start", ..] if state.open > state.connection_limit => {
+                return Some("error|toomany|no more\n".to_owned());
+            }
+            ["start", _, name] if *name == self.name => {
+                return Some(format!("ready|idle|{}.{}\n", state.at.term, state.at.index));
+            }
+            ["query", id, after, text] => (*id, position(after), *text),
+            _ => return None,
+        };
+        let ran = Ran { connection, id: id.to_owned(), text: text.to_owned() };
+        if let Some(code) = state.refusal(after, text) {
+            let now = if *in_transaction { "failed" } else { "idle" };
+            return Some(format!("error|{code}|{}\nready|{now}|\n", self.name));
+        }
+        state.ran.push(ran);
+        if !id.is_empty() && state.answers_to_lose > 0 {
+            state.answers_to_lose -= 1;
+            return None;
+        }
+        if text.starts_with("write") {
+            state.at.index += 1;
+        }
+        match text {
+            "begin" | "begin read" => *in_transaction = true,
+            "commit" | "rollback" => *in_transaction = false,
+            _ => (),
+        }
+        let now = if *in_transaction { "open" } else { "idle" };
+        let row = if text.starts_with("read") {
+            format!("row|of {}\n", self.name)
+        } else {
+            String::new()
+        };
+        Some(format!(
+            "{row}complete|by-{}\nready|{now}|{}.{}\n",
+            self.name, state.at.term, state.at.index
+        ))
+    }
+}
+
+impl MemberState {
+    fn refusal(&self, after: Option<Position>, text: &str) -> Option<&'static str> {
+        let writes = text == "begin" || text.starts_with("write");
+        if writes && !self.primary {
+            return Some("readonly");
+        }
+        let lacks =
+            after.is_some_and(|after| (after.term, after.index) > (self.at.term, self.at.index));
+        lacks.then_some("lagging")
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/sessions/routing.rs
@@ -0,0 +1,93 @@
+//! Which member serves what, and how fresh it must be.
+
+use crate::caller::Caller;
+use crate::member::Member;
+use crate::world::{BOUNDED, LINEARIZABLE, OWN_WRITES, World};
+
+#[actix_rt::test]
+async fn a_write_reaches_the_primary_once_and_untouched() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let replica = Member::start("m2", false, "1.5").await;
+    let world = World::with_one_gateway(&[&primary, &replica]);
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    let answered = caller.query("write x 1 2 3").await;
+    assert_eq!(answered.lines, ["complete|by-m1"]);
+    assert_eq!(answered.state, "idle");
+    assert_eq!(primary.texts(), ["write x 1 2 3"]);
+    assert!(replica.texts().is_empty());
+}
+
+#[actix_rt::test]
+async fn a_linearizable_read_runs_inside_a_transaction_of_the_primary() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::with_one_gateway(&[&primary]);
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    assert_eq!(caller.query("read x").await.lines, ["row|of m1", "complete|by-m1"]);
+    assert_eq!(primary.on_connection_of("a-1"), ["begin", "read x"]);
+}
+
+#[actix_rt::test]
+async fn a_member_that_lost_the_lead_serves_no_linearizable_read() {
+    let former = Member::start("m1", true, "1.5").await;
+    let next = Member::start("m2", false, "1.5").await;
+    let world = World::with_one_gateway(&[&former, &next]);
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    assert!(caller.query("read x").await.is_success());
+    former.state.borrow_mut().primary = false;
+    next.state.borrow_mut().primary = true;
+    let answered = caller.until_served("read x").await;
+    assert_eq!(answered.lines, ["row|of m2", "complete|by-m2"]);
+    assert_eq!(former.texts(), ["read x"], "only the read before the change ran there");
+}
+
+#[actix_rt::test]
+async fn a_session_sees_its_own_write_whatever_replicas_lag() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let behind = Member::start("m2", false, "1.5").await;
+    let world = World::with_one_gateway(&[&primary, &behind]);
+    let mut caller = Caller::start(world.gateways[0], OWN_WRITES, "a").await;
+    assert!(caller.query("write x").await.is_success());
+    for _ in 0..5 {
+        assert_eq!(caller.query("read x").await.lines, ["row|of m1", "complete|by-m1"]);
+    }
+    assert!(behind.texts().is_empty());
+}
+
+#[actix_rt::test]
+async fn a_bounded_read_may_be_served_by_a_replica() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let replica = Member::start("m2", false, "1.5").await;
+    let world = World::with_one_gateway(&[&primary, &replica]);
+    let mut caller = Caller::start(world.gateways[0], BOUNDED, "a").await;
+    // The first finds no position of the primary that is young enough, and asks it.
+    assert_eq!(caller.query("read x").await.lines[0], "row|of m1");
+    while replica.texts().is_empty() {
+        assert!(caller.query("read x").await.is_success());
+    }
+}
+
+#[actix_rt::test]
+async fn a_replica_behind_the_bound_serves_no_bounded_read() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let behind = Member::start("m2", false, "1.4").await;
+    let world = World::with_one_gateway(&[&primary, &behind]);
+    let mut caller = Caller::start(world.gateways[0], BOUNDED, "a").await;
+    for _ in 0..10 {
+        assert_eq!(caller.query("read x").await.lines[0], "row|of m1");
+    }
+    assert!(behind.texts().is_empty());
+}
+
+#[actix_rt::test]
+async fn an_unknown_database_is_refused_at_the_start() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::with_one_gateway(&[&primary]);
+    let stream = std::net::TcpStream::connect(world.gateways[0]).expect("the gateway listens");
+    stream.set_nonblocking(true).expect("a socket of the runtime");
+    let mut stream = tokio::net::TcpStream::from_std(stream).expect("a socket of the runtime");
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    stream.write_all(b"start|elsewhere|a\n").await.expect("the gateway reads");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("the gateway answers and closes");
+    assert_eq!(answer, "error|nodb|elsewhere\n");
+}
--- /dev/null
+++ b/crates/gateway/tests/sessions/state.rs
@@ -0,0 +1,82 @@
+//! Session values, prepared names and transactions on pooled connections.
+
+use crate::caller::Caller;
+use crate::member::Member;
+use crate::world::{LINEARIZABLE, World};
+
+#[actix_rt::test]
+async fn a_connection_has_exactly_the_values_of_the_session() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::with_one_gateway(&[&primary]);
+    let mut first = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    let mut second = Caller::start(world.gateways[0], LINEARIZABLE, "b").await;
+    first.query("set color red").await;
+    assert!(first.query("write x").await.is_success());
+    assert!(second.query("write y").await.is_success());
+    let before = primary.on_connection_of("a-2");
+    assert_eq!(before, ["set color red", "write x"]);
+    // Where the second got the first's connection, the value was dropped before its statement.
+    let before = primary.on_connection_of("b-1");
+    if before.len() > 1 {
+        assert_eq!(before, ["set color red", "write x", "reset", "write y"]);
+    }
+}
+
+#[actix_rt::test]
+async fn prepared_names_of_sessions_do_not_clash() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::with_one_gateway(&[&primary]);
+    let mut first = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    let mut second = Caller::start(world.gateways[0], LINEARIZABLE, "b").await;
+    first.query("prepare s q1").await;
+    second.query("prepare s q2").await;
+    assert!(first.query("execute s 7").await.is_success());
+    assert!(second.query("execute s 8").await.is_success());
+    let prepared = |id: &str| {
+        let texts = primary.on_connection_of(id);
+        let name = texts.last().and_then(|text| text.split(' ').nth(1)).expect("a name").to_owned();
+        let prepare = format!("prepare {name} ");
+        let shapes = texts.iter().filter_map(|text| text.strip_prefix(&prepare).map(str::to_owned));
+        shapes.last().expect("it was prepared on the connection")
+    };
+    assert_eq!(prepared("a-2"), "q1");
+    assert_eq!(prepared("b-2"), "q2");
+}
+
+#[actix_rt::test]
+async fn an_unknown_prepared_name_is_refused_without_a_member() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::with_one_gateway(&[&primary]);
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    assert!(!caller.query("execute s 7").await.is_success());
+    assert!(primary.texts().is_empty());
+}
+
+#[actix_rt::test]
+async fn a_transaction_stays_on_its_connection_and_others_stay_off_it() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::with_one_gateway(&[&primary]);
+    let mut first = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    let mut second = Caller::start(world.gateways[0], LINEARIZABLE, "b").await;
+    first.query("begin").await;
+    assert!(first.query("write x").await.is_success());
+    assert!(second.query("write y").await.is_success());
+    assert!(first.query("write z").await.is_success());
+    let answered = first.query("commit").await;
+    assert_eq!((answered.is_success(), answered.state.as_str()), (true, "idle"));
+    assert_eq!(primary.on_connection_of("a-4"), ["begin", "write x", "write z", "commit"]);
+    assert!(!primary.on_connection_of("b-1").contains(&"begin".to_owned()));
+}
+
+#[actix_rt::test]
+async fn after_a_failure_only_the_end_of_the_transaction_is_taken() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::with_one_gateway(&[&primary]);
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    caller.query("begin").await;
+    assert_eq!(caller.query("begin").await.state, "failed");
+    assert_eq!(caller.query("write x").await.state, "failed");
+    let ended = caller.query("commit").await;
+    assert_eq!((ended.code(), ended.state.as_str()), ("aborted", "idle"));
+    assert!(primary.texts().is_empty());
+}
--- /dev/null
+++ b/crates/gateway/tests/sessions/tunnels.rs
@@ -0,0 +1,51 @@
+//! Gateways that hold no connections to a member use those of others.
+
+use crate::caller::Caller;
+use crate::member::Member;
+use crate::world::{LINEARIZABLE, OWN_WRITES, World};
+
+/// Members take this many connections: one share, so one holder among several gateways.
+const ONE_SHARE: u32 = 4;
+
+#[actix_rt::test]
+async fn every_gateway_serves_though_one_holds_the_connections() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::start(&[&primary], 4, ONE_SHARE);
+    for gateway in &world.gateways {
+        let mut caller = Caller::start(*gateway, LINEARIZABLE, "a").await;
+        assert!(caller.query("write x").await.is_success());
+        assert_eq!(caller.query("read x").await.lines, ["row|of m1", "complete|by-m1"]);
+    }
+    assert!(primary.state.borrow().open <= ONE_SHARE as usize);
+}
+
+#[actix_rt::test]
+async fn values_and_transactions_hold_through_a_tunnel() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::start(&[&primary], 3, ONE_SHARE);
+    for (gateway, name) in world.gateways.iter().zip(["a", "b", "c"]) {
+        let mut caller = Caller::start(*gateway, LINEARIZABLE, name).await;
+        caller.query(&format!("set owner {name}")).await;
+        caller.query("begin").await;
+        assert!(caller.query("write x").await.is_success());
+        assert!(caller.query("commit").await.is_success());
+        let texts = primary.on_connection_of(&caller.last_id());
+        let set = texts.iter().rev().find(|text| text.starts_with("set owner"));
+        assert_eq!(set, Some(&format!("set owner {name}")));
+        assert_eq!(&texts[texts.len() - 3..], ["begin", "write x", "commit"]);
+    }
+}
+
+#[actix_rt::test]
+async fn a_lost_answer_is_in_doubt_through_a_tunnel_as_well() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::start(&[&primary], 3, ONE_SHARE);
+    for gateway in &world.gateways {
+        let mut caller = Caller::start(*gateway, OWN_WRITES, "a").await;
+        primary.state.borrow_mut().answers_to_lose = 1;
+        assert_eq!(caller.query("write x").await.code(), "indoubt");
+        assert!(caller.query("write y").await.is_success());
+    }
+    let lost = primary.texts().iter().filter(|text| *text == "write x").count();
+    assert_eq!(lost, 3, "each was sent once");
+}
--- /dev/null
+++ b/crates/gateway/tests/sessions/world.rs
@@ -0,0 +1,136 @@
+//! Gateways before one group of stand-in members.
+
+use crate::member::Member;
+use crate::wire::TestWire;
+use corktack_core::identity::{GroupName, Incarnation, MemberName, ProxyName, ZoneName};
+use corktack_core::registry::{
+    BackEndRole, BackEndState, Consistency, Document, DocumentLimits, RegisteredBackEnd, RouteRule,
+    ServiceRule,
+};
+use corktack_core::view::{ProxyState, ProxyView, Revision, View};
+use corktack_gateway::{Gateway, GatewayHandle, GatewayListeners, GatewaySettings};
+use prometheus_client::registry::Registry;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+
+pub const LINEARIZABLE: &str = "linearizable";
+pub const BOUNDED: &str = "bounded";
+pub const OWN_WRITES: &str = "own";
+/// Long enough for any machine; nothing in these tests waits for it to pass.
+const LONG: Duration = Duration::from_secs(60);
+
+pub struct World {
+    pub gateways: Vec<SocketAddr>,
+    /// Ends the watch of the gateways when dropped.
+    _views: watch::Sender<Arc<View>>,
+    _handles: Vec<GatewayHandle<TestWire>>,
+}
+
+fn group() -> GroupName {
+    GroupName::new("calls").expect("a valid name")
+}
+
+fn zone() -> ZoneName {
+    ZoneName::new("north.a").expect("a valid name")
+}
+
+fn route(name: &str, consistency: Consistency) -> RouteRule {
+    RouteRule {
+        name: name.to_owned(),
+        database: name.to_owned(),
+        path_prefix: "/".to_owned(),
+        consistency,
+        statement_timeout: LONG,
+        latency_objective: LONG,
+        priority: 1,
+        group: group(),
+        attempts: 2,
+    }
+}
+
+fn document(max_connections: u32) -> Document {
+    Document {
+        version: 1,
+        routes: vec![
+            route(LINEARIZABLE, Consistency::Linearizable),
+            route(BOUNDED, Consistency::BoundedStaleness(LONG)),
+            route(OWN_WRITES, Consistency::ReadYourWrites(LONG)),
+        ],
+        services: vec![ServiceRule { name: group(), max_connections, synchronous_replicas: 0 }],
+        limits: DocumentLimits { transaction_idle: LONG },
+    }
+}
+
+fn settings(name: &str) -> GatewaySettings {
+    GatewaySettings {
+        name: name.to_owned(),
+        zone: zone(),
+        connect_timeout: LONG,
+        dial_timeout: LONG,
+        begin_timeout: LONG,
+        unacknowledged_limit: LONG,
+        drain_limit: LONG,
+        notice: Duration::ZERO,
+        transaction_grace: LONG,
+    }
+}
+
+fn bind() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    (listener, address)
+}
+
+impl World {
+    pub fn with_one_gateway(members: &[&Member]) -> Self {
+        Self::start(members, 1, 36)
+    }
+
+    pub fn start(members: &[&Member], gateways: usize, max_connections: u32) -> Self {
+        let bound: Vec<_> = (0..gateways).map(|_| (bind(), bind())).collect();
+        let mut view = View { revision: Revision(1), ..View::default() };
+        view.document = Some(Arc::new(document(max_connections)));
+        for (place, (_, (_, peers))) in bound.iter().enumerate() {
+            let proxy = ProxyView {
+                address: *peers,
+                zone: zone(),
+                incarnation: Incarnation(1),
+                state: ProxyState::Live,
+            };
+            view.proxies.insert(ProxyName::new(format!("g{place}")).expect("a valid name"), proxy);
+        }
+        for member in members {
+            let primary = member.state.borrow().primary;
+            let back_end = RegisteredBackEnd {
+                group: group(),
+                address: member.address,
+                zone: zone(),
+                capacity: 3,
+                state: BackEndState::Ready,
+                role: if primary { BackEndRole::Primary } else { BackEndRole::Replica },
+            };
+            let name = MemberName::new(member.name.as_str()).expect("a valid name");
+            view.back_ends.insert(name, Arc::new(back_end));
+        }
+        Self::launch(bound, view)
+    }
+
+    fn launch(
+        bound: Vec<((TcpListener, SocketAddr), (TcpListener, SocketAddr))>,
+        view: View,
+    ) -> Self {
+        let (views, watched) = watch::channel(Arc::new(view));
+        let gateways = bound.iter().map(|((_, callers), _)| *callers).collect();
+        let handles = bound.into_iter().enumerate().map(|(place, ((callers, _), (peers, _)))| {
+            let (reach, _) = mpsc::unbounded_channel();
+            let listeners = GatewayListeners { callers, peers };
+            let settings = settings(&format!("g{place}"));
+            let registry = &mut Registry::default();
+            Gateway::start(settings, TestWire, listeners, watched.clone(), reach, registry)
+                .expect("a gateway starts")
+        });
+        Self { gateways, _handles: handles.collect(), _views: views }
+    }
+}
