Control: a replica outside any cell turns proxies away at once; members are missed after 180 ms

Test: control/tests/formation.rs, seen failing before. Tried and reverted: a first election at half the timeout.

--- a/crates/control/src/cell/inbound.rs
+++ b/crates/control/src/cell/inbound.rs
@@ -116,7 +116,7 @@
     let message = timeout(HELLO_TIMEOUT, connection.next()).await.ok()??;
     match message {
         Ok(PeerMessage::Hello { replica, receiver, .. }) if receiver != settings.replica => {
-            log::info!(
+            log::debug!(
                 replica = replica.0, receiver = receiver.0;
                 "connection for another replica refused: this one has taken its place"
             );
--- a/crates/control/src/proxies/connection.rs
+++ b/crates/control/src/proxies/connection.rs
@@ -37,6 +37,8 @@
     Silent,
     #[error("the proxy does not take what it is sent")]
     Slow,
+    #[error("the replica belongs to no cell yet")]
+    Outside,
     #[error("the first message is not a hello, or a later one is")]
     OutOfPlace,
     #[error("the proxy has revision {0:?}, which this cell never had")]
@@ -170,6 +172,10 @@
     /// Nothing is sent before the proof: a replica that was cut off must not hand
     /// an old configuration to a proxy that has none.
     async fn prove_and_catch_up(&mut self) -> Result<(), ConnectionError> {
+        // A replica that waits to be added has nothing to prove: another one serves sooner.
+        if self.server.status.borrow().cell.voters.is_empty() {
+            return Err(ConnectionError::Outside);
+        }
         let from = self.cursor.sent();
         let newest = self.server.node.read(|reader| reader.feed.newest()).await?;
         if from > newest {
--- a/crates/control/tests/formation.rs
+++ b/crates/control/tests/formation.rs
@@ -9,9 +9,11 @@
     CellRepairSettings, Consistency, Document, DocumentError, DocumentLimits, RouteRule,
     ServiceRule, StoredDocument,
 };
+use corktack_core::view::View;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use support::proxy::Proxy;
 use support::{Cell, TestReplica, until};
 
 /// An address that refuses connections, and comes before all others in their order.
@@ -172,3 +174,13 @@
     let read = cell.replicas[1].running().registry().document(READ_LIMIT).await;
     assert_eq!(read, Ok(Some(document(7))));
 }
+
+/// Found in the recovery after a power loss with two lost disks (hyttebooking, trouble-2): gateways
+/// that had connected to one of the new replicas waited there for a proof that could not come.
+#[actix_rt::test]
+async fn a_replica_outside_the_cell_turns_proxies_away_at_once() {
+    let mut cell = Cell { replicas: Vec::new() };
+    cell.join_asking(7, |_, settings| settings.request_timeout = Duration::from_secs(3_600));
+    let mut proxy = Proxy::connect(cell.replicas[0].proxies, "p1", View::default()).await;
+    assert_eq!(tokio::time::timeout(READ_LIMIT, proxy.step()).await, Ok(None));
+}
--- a/crates/server/src/deployment.rs
+++ b/crates/server/src/deployment.rs
@@ -49,9 +49,9 @@
 /// Longest time that a change waits for its outcome; callers ask another replica sooner.
 const REQUEST_LIMIT: Duration = Duration::from_millis(2_500);
 /// Longest wait until a member accepts a connection.
-const MEMBER_CONNECT_LIMIT: Duration = Duration::from_millis(250);
+const MEMBER_CONNECT_LIMIT: Duration = Duration::from_millis(180);
 /// Longest wait for the begin of a transaction at a member.
-const BEGIN_LIMIT: Duration = Duration::from_millis(250);
+const BEGIN_LIMIT: Duration = Duration::from_millis(200);
 /// Longest wait after that until it is ready: the start takes a slot, which may be long in coming.
 const DIAL_LIMIT: Duration = Duration::from_millis(600);
 /// How long data to a member may stay unacknowledged.
