--- a/crates/core/tests/registry/heartbeats.rs
+++ b/crates/core/tests/registry/heartbeats.rs
@@ -23,6 +23,9 @@
     let changes = registry.say(2, Ready, Replica, 3);
     assert!(changes.back_ends.is_empty());
     assert_eq!(registry.state_of(2), Some(Draining));
+    registry.say(2, Ready, Primary, 4);
+    let back_end = registry.state.back_end(&member(2)).expect("it is registered");
+    assert_eq!((back_end.state, back_end.role), (Draining, Primary));
 }
 
 #[test]
--- a/crates/core/tests/registry/promotion.rs
+++ b/crates/core/tests/registry/promotion.rs
@@ -278,8 +278,11 @@
     let second = world.commit(&actions);
     assert!(second > first);
     assert_eq!(called(&world.advance()), Some((member(3), second)));
-    world.duty.take_answer(world.now, &group(), first, PromotionAnswer::Unknown);
-    assert_eq!(called(&world.after(10)), None, "an answer to the older call changes nothing");
+    world.duty.take_answer(world.now, &group(), first, PromotionAnswer::Refused);
+    assert!(world.after(10).is_empty());
+    world.duty.take_answer(world.now, &group(), second, PromotionAnswer::Unknown);
+    let again = called(&world.after(350));
+    assert_eq!(again, Some((member(3), second)), "the answer to the older call changed nothing");
 }
 
 #[test]
