--- a/crates/gateway/tests/sessions/state.rs
+++ b/crates/gateway/tests/sessions/state.rs
@@ -36,8 +36,9 @@
         let texts = primary.on_connection_of(id);
         let name = texts.last().and_then(|text| text.split(' ').nth(1)).expect("a name").to_owned();
         let prepare = format!("prepare {name} ");
-        let shapes = texts.iter().filter_map(|text| text.strip_prefix(&prepare).map(str::to_owned));
-        shapes.last().expect("it was prepared on the connection")
+        let mut shapes =
+            texts.iter().filter_map(|text| text.strip_prefix(&prepare).map(str::to_owned));
+        shapes.next_back().expect("it was prepared on the connection")
     };
     assert_eq!(prepared("a-2"), "q1");
     assert_eq!(prepared("b-2"), "q2");
