Consensus: a replica that an uncommitted change takes away may still stand for election

In each a leader of two voters had appended its own removal and was lost before the other had the entry: the other cannot win against the longer log, and the removed one did not stand, as its newest cell no longer has it. (Ongaro's thesis, 4.2.2.) Ruled out: lost entries, a wiped disk, the network of the test (all links healed, all replicas run). Change: a replica stands while the change that removes it is not known to be committed and the cell before had it.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -140,7 +140,7 @@
     }
 
     pub(super) fn handle_election_timeout(&mut self, now: Timestamp) {
-        if self.is_voter() {
+        if self.may_stand() {
             self.begin_pre_vote(now);
         } else {
             self.become_follower(now, self.hard_state.term, None);
@@ -148,6 +148,16 @@
         }
     }
 
+    /// Whether this replica may ask for votes: as a voter, or as one that a change takes away which
+    /// is not known to be committed. No other voter may have that entry yet, and then none of them
+    /// can win against this log (Ongaro, Consensus: Bridging Theory and Practice, 4.2.2).
+    fn may_stand(&self) -> bool {
+        let commit = self.hard_state.commit;
+        let pending = self.log.cell_index() > commit;
+        let voted = |cell: &CellConfig| voter_ids(cell).contains(&self.settings.id);
+        self.is_voter() || (pending && self.log.cell_at(commit).is_some_and(voted))
+    }
+
     fn begin_pre_vote(&mut self, now: Timestamp) {
         self.set_leader(None);
         self.reset_election_deadline(now);
--- a/crates/core/tests/consensus/faults.rs
+++ b/crates/core/tests/consensus/faults.rs
@@ -60,6 +60,15 @@
     network.propose_cell(leader, change);
 }
 
+/// A leader removed itself and was lost before another voter had that entry: the other could not
+/// win against its longer log, and it did not stand for election as its own cell no longer had it.
+#[rstest]
+fn a_leader_that_removed_itself_may_still_be_needed(
+    #[values(113, 246, 294, 510, 7, 11)] seed: u64,
+) {
+    run(3, seed, LOSSY, true);
+}
+
 /// Ends all faults; the cell must then commit and agree again.
 fn recover(network: &mut Network) {
     network.faults = Faults::NONE;
