--- a/crates/core/src/registry/promotion.rs
+++ b/crates/core/src/registry/promotion/mod.rs
@@ -8,117 +8,23 @@
 //! commits are acknowledged only once replicas hold them, the replicas are first held from
 //! receiving, all of them answer, and none is chosen that is behind another.
 
-use super::back_end::{BackEndRole, BackEndState, RegisteredBackEnd};
+mod evidence;
+mod messages;
+
+pub use messages::{
+    MemberAnswer, PromotionAction, PromotionAnswer, PromotionSettings, ReachReport,
+};
+
+use super::back_end::{BackEndRole, BackEndState};
 use super::state::{RegistryCommand, RegistryState};
 use crate::identity::{GroupName, MemberName, ProxyName};
 use crate::position::Position;
-use crate::statement::MemberStatus;
 use crate::time::Timestamp;
+use evidence::{Evidence, candidates, judge, primary_of, statuses};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
-use std::time::Duration;
 
 /// Part of the gateways whose word is enough, without a look of the leader's own.
 const SUSPECTING_PART: f64 = 0.3;
-
-/// Settings of the duty.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PromotionSettings {
-    /// How long answers of the members are waited for before the best of them is taken.
-    pub answers_limit: Duration,
-    /// How long a promoted member may take to lead before another decision.
-    pub lead_limit: Duration,
-    /// Pause before a call without an answer is made again.
-    pub call_pause: Duration,
-    /// How long a group may be without a primary before one is chosen.
-    pub vacancy_limit: Duration,
-    /// How long a member that the authority refused is not chosen again.
-    pub refused_pause: Duration,
-}
-
-impl Default for PromotionSettings {
-    fn default() -> Self {
-        Self {
-            answers_limit: Duration::from_millis(350),
-            lead_limit: Duration::from_millis(3_500),
-            call_pause: Duration::from_millis(300),
-            vacancy_limit: Duration::from_secs(3),
-            refused_pause: Duration::from_secs(3),
-        }
-    }
-}
-
-/// What a gateway found when it used a member as primary.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReachReport {
-    /// The gateway.
-    pub gateway: ProxyName,
-    /// The group.
-    pub group: GroupName,
-    /// The member.
-    pub member: MemberName,
-    /// Whether it could be reached.
-    pub reached: bool,
-}
-
-/// What came of a question to a member.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum MemberAnswer {
-    /// Nothing accepts connections at its address.
-    Unreachable,
-    /// It accepts connections and gave no answer: it may only have too much to do.
-    Silent,
-    /// Its status.
-    Status(MemberStatus),
-}
-
-/// What the authority answered to a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PromotionAnswer {
-    /// It carries the call out.
-    Accepted,
-    /// It refuses: the fence is too low, or the member is not running.
-    Refused,
-    /// No answer: the call may be carried out later.
-    Unknown,
-}
-
-/// What the leader must do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PromotionAction {
-    /// Ask a member for its status.
-    Ask {
-        /// Its group.
-        group: GroupName,
-        /// The member.
-        member: MemberName,
-        /// Where it is.
-        address: SocketAddr,
-        /// Whether to keep it from receiving before it answers.
-        hold: bool,
-    },
-    /// Let a member receive again that was held for a choice that is not made.
-    Release {
-        /// Its group.
-        group: GroupName,
-        /// The member.
-        member: MemberName,
-        /// Where it is.
-        address: SocketAddr,
-    },
-    /// Put a decision into the log.
-    Propose(RegistryCommand),
-    /// Call the authority.
-    Call {
-        /// The group.
-        group: GroupName,
-        /// The member that shall lead.
-        target: MemberName,
-        /// The fence of the decision.
-        fence: u64,
-    },
-}
-
 #[derive(Clone, Debug)]
 enum Phase {
     /// The primary serves, as far as is known.
@@ -167,79 +73,6 @@
     }
 }
 
-/// The member that leads a group as far as the registry knows.
-fn primary_of(state: &RegistryState, group: &GroupName) -> Option<MemberName> {
-    let leads = |member: &MemberName| {
-        state.back_end(member).is_some_and(|it| it.role == BackEndRole::Primary)
-    };
-    let promoted = state.promotion(group).map(|promotion| promotion.target.clone());
-    promoted.filter(leads).or_else(|| {
-        let mut members = state.back_ends().filter(|(_, it)| it.group == *group);
-        members.find(|(_, it)| it.role == BackEndRole::Primary).map(|(name, _)| name.clone())
-    })
-}
-
-fn candidates<'s>(
-    state: &'s RegistryState,
-    group: &'s GroupName,
-) -> impl Iterator<Item = (&'s MemberName, &'s RegisteredBackEnd)> {
-    let members = state.back_ends().map(|(name, it)| (name, it.as_ref()));
-    members.filter(move |(_, it)| it.group == *group && it.state == BackEndState::Ready)
-}
-
-/// What the answers so far allow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Evidence {
-    /// A member leads and answers.
-    PrimaryServes,
-    /// A choice, and nothing more will come.
-    Complete,
-    /// A choice; more may come.
-    Enough,
-    /// The suspected primary may be alive.
-    Doubtful,
-    /// No choice yet.
-    Lacking,
-}
-
-type Answers = BTreeMap<MemberName, Option<MemberAnswer>>;
-
-fn statuses(answers: &Answers) -> impl Iterator<Item = (&MemberName, &MemberStatus)> + Clone {
-    answers.iter().filter_map(|(name, answer)| match answer {
-        Some(MemberAnswer::Status(status)) => Some((name, status)),
-        _ => None,
-    })
-}
-
-/// Judges the answers: one replica's is enough, but every replica's is needed where the log of any
-/// of them may hold the only copy of an acknowledged commit; a primary that is only suspected must
-/// be out of the leader's reach as well.
-fn judge(
-    state: &RegistryState,
-    group: &GroupName,
-    suspect: Option<&MemberName>,
-    answers: &Answers,
-    holds: bool,
-) -> Evidence {
-    if statuses(answers).any(|(_, status)| status.primary) {
-        return Evidence::PrimaryServes;
-    }
-    let answer_of = |name: &MemberName| answers.get(name).and_then(Option::as_ref);
-    if suspect.is_some_and(|name| answer_of(name) != Some(&MemberAnswer::Unreachable)) {
-        return Evidence::Doubtful;
-    }
-    let answered = |name: &MemberName| matches!(answer_of(name), Some(MemberAnswer::Status(_)));
-    let primary = primary_of(state, group);
-    let members = state.back_ends().filter(|(_, it)| it.group == *group).map(|(name, _)| name);
-    let mut replicas = members.filter(|name| primary.as_ref() != Some(name));
-    let enough = if holds { replicas.all(answered) } else { replicas.any(answered) };
-    match (enough, answers.values().all(Option::is_some)) {
-        (true, true) => Evidence::Complete,
-        (true, false) => Evidence::Enough,
-        (false, _) => Evidence::Lacking,
-    }
-}
-
 impl PromotionDuty {
     /// The duty of a new leadership.
     #[must_use]
--- /dev/null
+++ b/crates/gateway/src/group/choice.rs
@@ -0,0 +1,140 @@
+//! Which member of a group serves a wish, and who is woken when one has room.
+
+use super::{Target, Wish};
+use crate::connection::MemberConnection;
+use crate::member::Member;
+use crate::settings::GatewaySettings;
+use crate::wire::Wire;
+use corktack_core::gateway::{WaitQueue, choose_reader};
+use corktack_core::identity::MemberName;
+use corktack_core::registry::{BackEndRole, Promotion, RegisteredBackEnd};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// What a group knows of its members, and who waits for them.
+pub(super) struct GroupState<W: Wire> {
+    pub(super) members: BTreeMap<MemberName, Member<W>>,
+    pub(super) promotion: Option<Promotion>,
+    /// The member that last acted as primary.
+    pub(super) proven_primary: Option<MemberName>,
+    pub(super) not_primary_until: BTreeMap<MemberName, Instant>,
+    pub(super) waiting: WaitQueue<oneshot::Sender<MemberName>>,
+}
+
+/// The next step towards a connection.
+pub(super) enum Step<W: Wire> {
+    Use(MemberName, MemberConnection<W>),
+    Dial(MemberName, Arc<RegisteredBackEnd>),
+    /// Ask the gateways that hold connections to it.
+    Forward(MemberName, Vec<SocketAddr>),
+    Wait,
+    NoMember,
+}
+
+impl<W: Wire> GroupState<W> {
+    pub(super) fn step(&mut self, wish: &Wish<'_>, settings: &GatewaySettings) -> Step<W> {
+        let now = Instant::now();
+        let chosen = match &wish.target {
+            Target::Primary => self.primary(now, settings),
+            Target::Reader { refused } => self.reader(now, refused),
+            Target::Held(member) => self.held(member, now, settings),
+        };
+        let Some(name) = chosen else { return Step::NoMember };
+        let Some(member) = self.members.get_mut(&name) else { return Step::NoMember };
+        if member.limit == 0 && !member.holders.is_empty() {
+            return Step::Forward(name, member.holders.clone());
+        }
+        if !member.has_room(now) {
+            return Step::Wait;
+        }
+        Self::take(name, member, wish)
+    }
+
+    /// A member for another gateway, if this one holds connections to it and it takes any work.
+    fn held(
+        &self,
+        name: &MemberName,
+        now: Instant,
+        settings: &GatewaySettings,
+    ) -> Option<MemberName> {
+        let member = self.members.get(name)?;
+        let able = member.limit > 0 && member.takes_writes(now, settings.drain_limit);
+        able.then(|| name.clone())
+    }
+
+    /// Takes the place that was kept for a waiter.
+    pub(super) fn take_reserved(&mut self, name: &MemberName, wish: &Wish<'_>) -> Step<W> {
+        let Some(member) = self.members.get_mut(name) else { return Step::NoMember };
+        member.reserved = member.reserved.saturating_sub(1);
+        if !member.has_room(Instant::now()) {
+            return Step::Wait;
+        }
+        Self::take(name.clone(), member, wish)
+    }
+
+    fn take(name: MemberName, member: &mut Member<W>, wish: &Wish<'_>) -> Step<W> {
+        if let Some(connection) = member.take_idle(wish.session) {
+            return Step::Use(name, connection);
+        }
+        if member.open >= member.limit {
+            return Step::Wait;
+        }
+        member.open += 1;
+        Step::Dial(name, Arc::clone(&member.back_end))
+    }
+
+    /// The member to try as primary: the one that proved to be, the one promoted last, one that
+    /// calls itself primary, then the others.
+    fn primary(&self, now: Instant, settings: &GatewaySettings) -> Option<MemberName> {
+        let promoted = self.promotion.as_ref().map(|promotion| &promotion.target);
+        let rank = |name: &MemberName, member: &Member<W>| {
+            if self.proven_primary.as_ref() == Some(name) {
+                0
+            } else if promoted == Some(name) {
+                1
+            } else if member.back_end.role == BackEndRole::Primary {
+                2
+            } else {
+                3
+            }
+        };
+        let excluded =
+            |name: &MemberName| self.not_primary_until.get(name).is_some_and(|until| now < *until);
+        let able = self.members.iter().filter(|(name, member)| {
+            member.takes_writes(now, settings.drain_limit) && !excluded(name)
+        });
+        able.min_by_key(|(name, member)| rank(name, member)).map(|(name, _)| name.clone())
+    }
+
+    /// The member to offer a read to. Those that lagged or had no room come after the others.
+    fn reader(&self, now: Instant, refused: &BTreeSet<MemberName>) -> Option<MemberName> {
+        let able: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(name, member)| member.takes_reads(now) && !refused.contains(*name))
+            .collect();
+        let choose = |able: Vec<(&MemberName, &Member<W>)>| {
+            let loads: Vec<_> = able.iter().map(|(_, member)| member.load()).collect();
+            choose_reader(&loads).map(|place| able[place].0.clone())
+        };
+        let good = able.iter().copied().filter(|(_, member)| !member.is_passed_over(now));
+        let free = good.clone().filter(|(_, member)| member.has_room(now));
+        choose(free.collect()).or_else(|| choose(good.collect())).or_else(|| choose(able))
+    }
+
+    /// Wakes the first who could use a connection to this member.
+    pub(super) fn wake_next(&mut self, name: &MemberName) {
+        let may_lead = self.proven_primary.as_ref().is_none_or(|primary| primary == name);
+        let Some(member) = self.members.get_mut(name) else { return };
+        while let Some(waker) = self.waiting.next(may_lead) {
+            member.reserved += 1;
+            if waker.send(name.clone()).is_ok() {
+                return;
+            }
+            member.reserved -= 1;
+        }
+    }
+}
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -1,5 +1,8 @@
 //! A group of back ends as this gateway uses it.
 
+mod choice;
+mod forward;
+
 use crate::clock::SteadyClock;
 use crate::connection::MemberConnection;
 use crate::dial::dial;
@@ -7,19 +10,13 @@
 use crate::lease::Lease;
 use crate::member::{IdleConnection, Member};
 use crate::settings::GatewaySettings;
-use crate::transport::Transport;
-use crate::tunnel::{Grant, TunnelClient, TunnelWish, Tunnels};
+use crate::tunnel::Tunnels;
 use crate::wire::Wire;
-use corktack_core::gateway::{
-    ConnectionProfile, Distance, Freshness, SessionProfile, Ticket, WaitQueue, WaitingFor,
-    choose_reader,
-};
+use choice::{GroupState, Step};
+use corktack_core::gateway::{Distance, Freshness, SessionProfile, Ticket, WaitQueue, WaitingFor};
 use corktack_core::identity::{GroupName, MemberName};
-use corktack_core::position::Position;
-use corktack_core::registry::{BackEndRole, Promotion, RegisteredBackEnd};
+use corktack_core::registry::{Promotion, RegisteredBackEnd};
 use corktack_core::statement::ErrorCode;
-use corktack_core::time::Timestamp;
-use corktack_protocol::tunnel::TunnelRefusal;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -85,15 +82,6 @@
     pub(crate) gateways: usize,
 }
 
-struct GroupState<W: Wire> {
-    members: BTreeMap<MemberName, Member<W>>,
-    promotion: Option<Promotion>,
-    /// The member that last acted as primary.
-    proven_primary: Option<MemberName>,
-    not_primary_until: BTreeMap<MemberName, Instant>,
-    waiting: WaitQueue<oneshot::Sender<MemberName>>,
-}
-
 /// A group of back ends as this gateway uses it.
 pub(crate) struct Group<W: Wire> {
     pub(crate) name: GroupName,
@@ -106,16 +94,6 @@
     tunnels: Rc<Tunnels>,
 }
 
-/// The next step towards a connection.
-enum Step<W: Wire> {
-    Use(MemberName, MemberConnection<W>),
-    Dial(MemberName, Arc<RegisteredBackEnd>),
-    /// Ask the gateways that hold connections to it.
-    Forward(MemberName, Vec<SocketAddr>),
-    Wait,
-    NoMember,
-}
-
 impl<W: Wire> Group<W> {
     pub(crate) fn new(
         name: GroupName,
@@ -225,79 +203,6 @@
         }
     }
 
-    /// Uses a connection that another gateway holds; the first holder that answers decides.
-    async fn forward(
-        self: &Rc<Self>,
-        member: MemberName,
-        holders: &[SocketAddr],
-        wish: &Wish<'_>,
-    ) -> Result<Lease<W>, AcquireError> {
-        for holder in holders {
-            let wait = wish.give_up.saturating_duration_since(Instant::now());
-            let tunnel_wish = TunnelWish {
-                group: self.name.clone(),
-                member: member.clone(),
-                priority: wish.priority,
-                wait,
-            };
-            let asked_at = self.clock.now();
-            match self.tunnels.acquire(*holder, &tunnel_wish).await {
-                Ok(Grant::Granted(tunnel, profile, newest)) => {
-                    return Ok(self.granted(member, tunnel, profile, asked_at, newest));
-                }
-                Ok(Grant::Refused(TunnelRefusal::NoneFree)) => return Err(AcquireError::NoneFree),
-                Ok(Grant::Refused(TunnelRefusal::Unreachable)) => {
-                    let now = Instant::now();
-                    self.with_member(&member, |it| it.note_busy(now));
-                    return Err(AcquireError::Unreachable(member));
-                }
-                Ok(Grant::Refused(TunnelRefusal::NotHeld)) => (),
-                Err(error) => {
-                    log::info!(holder:% = holder, error:% = error; "gateway gives no connection");
-                }
-            }
-            if Instant::now() >= wish.give_up {
-                return Err(AcquireError::NoneFree);
-            }
-        }
-        let now = Instant::now();
-        self.with_member(&member, |it| it.note_busy(now));
-        Err(AcquireError::Unreachable(member))
-    }
-
-    fn granted(
-        self: &Rc<Self>,
-        member: MemberName,
-        tunnel: Box<TunnelClient>,
-        profile: ConnectionProfile,
-        asked_at: Timestamp,
-        newest: Option<(Duration, Position)>,
-    ) -> Lease<W> {
-        if let Some((age, position)) = newest {
-            // The holder took the age after it was asked: the question is no older than this.
-            let primary_asked_at = Timestamp(asked_at.0.saturating_sub(age.as_micros() as u64));
-            self.freshness.borrow_mut().note(primary_asked_at, position);
-        }
-        self.with_member(&member, |it| it.forwarded += 1);
-        let mut connection = MemberConnection::new(self.wire.clone(), Transport::Tunnel(tunnel));
-        connection.profile = profile;
-        Lease::remote(Rc::clone(self), member, connection)
-    }
-
-    /// A lease on a connection that another gateway holds is over.
-    pub(crate) fn remote_ended(
-        &self,
-        name: &MemberName,
-        connection: MemberConnection<W>,
-        settled: bool,
-    ) {
-        self.with_member(name, |it| it.forwarded = it.forwarded.saturating_sub(1));
-        // Without a release the holder sees the tunnel close, and closes the connection.
-        if settled && let Some((tunnel, profile)) = connection.into_tunnel() {
-            self.tunnels.release(tunnel, profile);
-        }
-    }
-
     async fn open(
         self: &Rc<Self>,
         member: MemberName,
@@ -454,108 +359,3 @@
         }
     }
 }
-
-impl<W: Wire> GroupState<W> {
-    fn step(&mut self, wish: &Wish<'_>, settings: &GatewaySettings) -> Step<W> {
-        let now = Instant::now();
-        let chosen = match &wish.target {
-            Target::Primary => self.primary(now, settings),
-            Target::Reader { refused } => self.reader(now, refused),
-            Target::Held(member) => self.held(member, now, settings),
-        };
-        let Some(name) = chosen else { return Step::NoMember };
-        let Some(member) = self.members.get_mut(&name) else { return Step::NoMember };
-        if member.limit == 0 && !member.holders.is_empty() {
-            return Step::Forward(name, member.holders.clone());
-        }
-        if !member.has_room(now) {
-            return Step::Wait;
-        }
-        Self::take(name, member, wish)
-    }
-
-    /// A member for another gateway, if this one holds connections to it and it takes any work.
-    fn held(
-        &self,
-        name: &MemberName,
-        now: Instant,
-        settings: &GatewaySettings,
-    ) -> Option<MemberName> {
-        let member = self.members.get(name)?;
-        let able = member.limit > 0 && member.takes_writes(now, settings.drain_limit);
-        able.then(|| name.clone())
-    }
-
-    /// Takes the place that was kept for a waiter.
-    fn take_reserved(&mut self, name: &MemberName, wish: &Wish<'_>) -> Step<W> {
-        let Some(member) = self.members.get_mut(name) else { return Step::NoMember };
-        member.reserved = member.reserved.saturating_sub(1);
-        if !member.has_room(Instant::now()) {
-            return Step::Wait;
-        }
-        Self::take(name.clone(), member, wish)
-    }
-
-    fn take(name: MemberName, member: &mut Member<W>, wish: &Wish<'_>) -> Step<W> {
-        if let Some(connection) = member.take_idle(wish.session) {
-            return Step::Use(name, connection);
-        }
-        if member.open >= member.limit {
-            return Step::Wait;
-        }
-        member.open += 1;
-        Step::Dial(name, Arc::clone(&member.back_end))
-    }
-
-    /// The member to try as primary: the one that proved to be, the one promoted last, one that
-    /// calls itself primary, then the others.
-    fn primary(&self, now: Instant, settings: &GatewaySettings) -> Option<MemberName> {
-        let promoted = self.promotion.as_ref().map(|promotion| &promotion.target);
-        let rank = |name: &MemberName, member: &Member<W>| {
-            if self.proven_primary.as_ref() == Some(name) {
-                0
-            } else if promoted == Some(name) {
-                1
-            } else if member.back_end.role == BackEndRole::Primary {
-                2
-            } else {
-                3
-            }
-        };
-        let excluded =
-            |name: &MemberName| self.not_primary_until.get(name).is_some_and(|until| now < *until);
-        let able = self.members.iter().filter(|(name, member)| {
-            member.takes_writes(now, settings.drain_limit) && !excluded(name)
-        });
-        able.min_by_key(|(name, member)| rank(name, member)).map(|(name, _)| name.clone())
-    }
-
-    /// The member to offer a read to. Those that lagged or had no room come after the others.
-    fn reader(&self, now: Instant, refused: &BTreeSet<MemberName>) -> Option<MemberName> {
-        let able: Vec<_> = self
-            .members
-            .iter()
-            .filter(|(name, member)| member.takes_reads(now) && !refused.contains(*name))
-            .collect();
-        let choose = |able: Vec<(&MemberName, &Member<W>)>| {
-            let loads: Vec<_> = able.iter().map(|(_, member)| member.load()).collect();
-            choose_reader(&loads).map(|place| able[place].0.clone())
-        };
-        let good = able.iter().copied().filter(|(_, member)| !member.is_passed_over(now));
-        let free = good.clone().filter(|(_, member)| member.has_room(now));
-        choose(free.collect()).or_else(|| choose(good.collect())).or_else(|| choose(able))
-    }
-
-    /// Wakes the first who could use a connection to this member.
-    fn wake_next(&mut self, name: &MemberName) {
-        let may_lead = self.proven_primary.as_ref().is_none_or(|primary| primary == name);
-        let Some(member) = self.members.get_mut(name) else { return };
-        while let Some(waker) = self.waiting.next(may_lead) {
-            member.reserved += 1;
-            if waker.send(name.clone()).is_ok() {
-                return;
-            }
-            member.reserved -= 1;
-        }
-    }
-}
