--- a/crates/gateway/tests/sessions/routing.rs
+++ b/crates/gateway/tests/sessions/routing.rs
@@ -46,7 +46,17 @@
     let behind = Member::start("m2", false, "1.5").await;
     let world = World::with_one_gateway(&[&primary, &behind]);
     let mut caller = Caller::start(world.gateways[0], OWN_WRITES, "a").await;
+    // A position from before the write, which alone would do for the bound.
+    assert!(caller.query("read x").await.is_success());
     assert!(caller.query("write x").await.is_success());
+    // Transactions that keep the primary busy make the replica the first choice.
+    let mut others = Vec::new();
+    for name in ["b", "c", "d"] {
+        let mut other = Caller::start(world.gateways[0], OWN_WRITES, name).await;
+        other.query("begin").await;
+        assert!(other.query("read y").await.is_success());
+        others.push(other);
+    }
     for _ in 0..5 {
         assert_eq!(caller.query("read x").await.lines, ["row|of m1", "complete|by-m1"]);
     }
--- a/crates/gateway/tests/sessions/tunnels.rs
+++ b/crates/gateway/tests/sessions/tunnels.rs
@@ -10,7 +10,7 @@
 #[actix_rt::test]
 async fn every_gateway_serves_though_one_holds_the_connections() {
     let primary = Member::start("m1", true, "1.5").await;
-    let world = World::start(&[&primary], 4, ONE_SHARE);
+    let world = World::start(&[&primary], 6, ONE_SHARE);
     for gateway in &world.gateways {
         let mut caller = Caller::start(*gateway, LINEARIZABLE, "a").await;
         assert!(caller.query("write x").await.is_success());
