Gateway: a leaving member gets no work through statements that wait

Whoever gave a connection of the leaving member back woke a waiter with a place kept at that member, whatever it waited for, and each use woke the next. Ruled out: a late view (the gateway used the new primary 6 s before), a restart, a group made anew. Change: no place is kept at a member that takes no reads, and a kept place is used only by who may use the member.

--- a/crates/gateway/src/group/choice.rs
+++ b/crates/gateway/src/group/choice.rs
@@ -66,10 +66,20 @@
     }
 
     /// Takes the place that was kept for a waiter.
-    pub(super) fn take_reserved(&mut self, name: &MemberName, wish: &Wish<'_>) -> Step<W> {
+    pub(super) fn take_reserved(
+        &mut self,
+        name: &MemberName,
+        wish: &Wish<'_>,
+        settings: &GatewaySettings,
+    ) -> Step<W> {
         let Some(member) = self.members.get_mut(name) else { return Step::NoMember };
         member.reserved = member.reserved.saturating_sub(1);
-        if !member.has_room(Instant::now()) {
+        let now = Instant::now();
+        let able = match &wish.target {
+            Target::Reader { refused } => member.takes_reads(now) && !refused.contains(name),
+            Target::Primary | Target::Held(_) => member.takes_writes(now, settings.drain_limit),
+        };
+        if !able || !member.has_room(now) {
             return Step::Wait;
         }
         Self::take(name.clone(), member, wish)
@@ -129,6 +139,10 @@
     pub(super) fn wake_next(&mut self, name: &MemberName) {
         let may_lead = self.proven_primary.as_ref().is_none_or(|primary| primary == name);
         let Some(member) = self.members.get_mut(name) else { return };
+        // A member that is leaving gets no new work through those who wait.
+        if !member.takes_reads(Instant::now()) {
+            return;
+        }
         while let Some(waker) = self.waiting.next(may_lead) {
             member.reserved += 1;
             if waker.send(name.clone()).is_ok() {
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -160,7 +160,7 @@
                 }
                 Step::Wait => {
                     let Some(member) = self.wait(wish, ticket).await? else { continue };
-                    let step = self.state.borrow_mut().take_reserved(&member, wish);
+                    let step = self.state.borrow_mut().take_reserved(&member, wish, &self.settings);
                     match step {
                         Step::Use(member, connection) => {
                             return Ok(Lease::new(Rc::clone(self), member, connection));
