--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod doubt;
+mod draining;
 mod member;
 mod routing;
 mod state;
--- a/crates/gateway/tests/sessions/world.rs
+++ b/crates/gateway/tests/sessions/world.rs
@@ -24,7 +24,7 @@
 pub struct World {
     pub gateways: Vec<SocketAddr>,
     /// Ends the watch of the gateways when dropped.
-    _views: watch::Sender<Arc<View>>,
+    views: watch::Sender<Arc<View>>,
     _handles: Vec<GatewayHandle<TestWire>>,
 }
 
@@ -131,6 +131,19 @@
             Gateway::start(settings, TestWire, listeners, watched.clone(), reach, registry)
                 .expect("a gateway starts")
         });
-        Self { gateways, _handles: handles.collect(), _views: views }
+        Self { gateways, _handles: handles.collect(), views }
+    }
+
+    /// Control says that a member is leaving. The gateways, which share the test's thread, follow
+    /// before they read anything that is sent to them from now on.
+    pub fn drain(&self, member: &Member) {
+        let name = MemberName::new(member.name.as_str()).expect("a valid name");
+        self.views.send_modify(|view| {
+            let mut next = View::clone(view);
+            next.revision = Revision(view.revision.0 + 1);
+            let back_end = next.back_ends.get_mut(&name).expect("a registered member");
+            Arc::make_mut(back_end).state = BackEndState::Draining;
+            *view = Arc::new(next);
+        });
     }
 }
