--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -29,6 +29,9 @@
     /// The bytes are no text.
     #[error("a message that is no text")]
     Encoding,
+    /// A part of a line end stands alone: what follows it could pass for a message of its own.
+    #[error("a line end that is not whole")]
+    LineEnd,
 }
 
 /// Why a connection to a member gave no answer.
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -47,7 +47,8 @@
     let ended = caller.run().await;
     shared.sessions.set(shared.sessions.get() - 1);
     if let Err(Ended::Wire) = ended {
-        log::info!("a caller sent what is no message of the wire");
+        // Whether the caller takes it or not, the connection ends.
+        let _ = caller.refuse(ErrorCode::Malformed, "no message of the wire").await;
     }
     shared.session_ended.notify_waiters();
 }
--- a/crates/gateway/tests/sessions/caller.rs
+++ b/crates/gateway/tests/sessions/caller.rs
@@ -56,6 +56,16 @@
         }
     }
 
+    /// Everything that comes after these bytes, until the gateway closes the connection.
+    pub async fn answers_to(mut self, bytes: &str) -> Vec<String> {
+        self.send(bytes).await;
+        let mut lines = Vec::new();
+        while let Some(line) = self.line().await {
+            lines.push(line);
+        }
+        lines
+    }
+
     /// Id of the last query.
     pub fn last_id(&self) -> String {
         format!("{}-{}", self.name, self.queries)
--- a/crates/gateway/tests/sessions/state.rs
+++ b/crates/gateway/tests/sessions/state.rs
@@ -81,3 +81,13 @@
     assert_eq!((ended.code(), ended.state.as_str()), ("aborted", "idle"));
     assert!(primary.texts().is_empty());
 }
+
+#[actix_rt::test]
+async fn what_is_no_message_is_refused_before_the_connection_ends() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::with_one_gateway(&[&primary]);
+    let caller = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    let answers = caller.answers_to("nonsense\n").await;
+    assert_eq!(answers, ["error|malformed|no message of the wire"]);
+    assert!(primary.texts().is_empty());
+}
--- a/crates/gateway/tests/sessions/wire.rs
+++ b/crates/gateway/tests/sessions/wire.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct TestWire;
 
-const CODES: [(&str, ErrorCode); 8] = [
+const CODES: [(&str, ErrorCode); 9] = [
     ("busy", ErrorCode::Busy),
     ("aborted", ErrorCode::Aborted),
     ("lagging", ErrorCode::Lagging),
@@ -21,6 +21,7 @@
     ("nodb", ErrorCode::UnknownDatabase),
     ("timeout", ErrorCode::TimedOut),
     ("indoubt", ErrorCode::InDoubt),
+    ("malformed", ErrorCode::Malformed),
 ];
 
 /// The next whole line.
@@ -96,7 +97,8 @@
                 text: (*text).to_owned(),
                 statement: statement(text),
             }),
-            _ => CallerMessage::Terminate,
+            ["terminate"] => CallerMessage::Terminate,
+            _ => return Err(WireError::Field { field: "word" }),
         }))
     }
 
