--- a/crates/lab/src/link.rs
+++ b/crates/lab/src/link.rs
@@ -54,6 +54,11 @@
         let direction = DirectionState { delay, cut: false };
         Self { forward: direction, backward: direction, resets: 0 }
     }
+
+    /// Closes every connection that is open now.
+    pub fn reset(&mut self) {
+        self.resets += 1;
+    }
 }
 
 /// A running link. Dropping it closes its connections.
@@ -117,7 +122,7 @@
 
     /// Closes every open connection.
     pub fn reset(&self) {
-        self.state.send_modify(|state| state.resets += 1);
+        self.state.send_modify(LinkState::reset);
     }
 }
 
@@ -142,6 +147,16 @@
     }
 }
 
+/// Relays one accepted connection to `target` for as long as both sides keep it, by a state that
+/// may change meanwhile.
+pub async fn relay_connection(
+    near: TcpStream,
+    target: SocketAddr,
+    state: watch::Receiver<LinkState>,
+) {
+    relay(near, target, Relayed { state, passed: Arc::default() }).await;
+}
+
 async fn relay(near: TcpStream, target: SocketAddr, relayed: Relayed) {
     let mut state = relayed.state.clone();
     let resets = state.borrow().resets;
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -40,10 +40,14 @@
     name: String,
     program: PathBuf,
     arguments: Vec<String>,
+    environment: Environment,
     log: PathBuf,
     child: Child,
 }
 
+/// Variables that a process gets beside those of this one.
+pub type Environment = Vec<(String, String)>;
+
 impl Process {
     /// Starts `program`; its output goes to `NAME.log` in `folder`.
     ///
@@ -54,11 +58,26 @@
         program: &Path,
         arguments: Vec<String>,
         folder: &Path,
+    ) -> Result<Self, ProcessError> {
+        Self::start_in(name, program, arguments, Environment::new(), folder)
+    }
+
+    /// Starts `program` with variables of its own.
+    ///
+    /// # Errors
+    /// [`ProcessError::Start`] when the log or the program cannot be opened.
+    pub fn start_in(
+        name: &str,
+        program: &Path,
+        arguments: Vec<String>,
+        environment: Environment,
+        folder: &Path,
     ) -> Result<Self, ProcessError> {
         let log = folder.join(format!("{name}.log"));
-        let child = spawn(program, &arguments, &log)
+        let child = spawn(program, &arguments, &environment, &log)
             .map_err(|source| ProcessError::Start { program: program.to_owned(), source })?;
-        Ok(Self { name: name.to_owned(), program: program.to_owned(), arguments, log, child })
+        let (name, program) = (name.to_owned(), program.to_owned());
+        Ok(Self { name, program, arguments, environment, log, child })
     }
 
     /// Leaves an argument that only the first start needs out of later ones.
@@ -122,7 +141,7 @@
     pub fn restart(&mut self) -> Result<(), ProcessError> {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        self.child = spawn(&self.program, &self.arguments, &self.log)
+        self.child = spawn(&self.program, &self.arguments, &self.environment, &self.log)
             .map_err(|source| ProcessError::Start { program: self.program.clone(), source })?;
         Ok(())
     }
@@ -135,11 +154,17 @@
     }
 }
 
-fn spawn(program: &Path, arguments: &[String], log: &Path) -> std::io::Result<Child> {
+fn spawn(
+    program: &Path,
+    arguments: &[String],
+    environment: &[(String, String)],
+    log: &Path,
+) -> std::io::Result<Child> {
     let output = File::options().create(true).append(true).open(log)?;
     let errors = output.try_clone()?;
     Command::new(program)
         .args(arguments)
+        .envs(environment.iter().map(|(name, value)| (name, value)))
         .stdin(Stdio::null())
         .stdout(Stdio::from(output))
         .stderr(Stdio::from(errors))
--- a/crates/server/src/deployment.rs
+++ b/crates/server/src/deployment.rs
@@ -101,8 +101,10 @@
 pub struct Deployment {
     /// Name of the machine.
     pub name: String,
-    /// Its address.
+    /// Its address, as other processes reach it.
     pub machine: IpAddr,
+    /// Where it listens for other processes, if not at its address: behind a relay, say.
+    pub listen: Option<IpAddr>,
     /// Its zone.
     pub zone: ZoneName,
     /// First of the ports for what processes say to each other; the same on all machines.
@@ -134,6 +136,19 @@
         self.first_port + 3
     }
 
+    fn listening_at(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.listen.unwrap_or(self.machine), port)
+    }
+
+    /// Operators come from the machine itself.
+    fn operators(&self) -> SocketAddr {
+        let listening = self.listening_at(self.operators_port());
+        if listening.ip().is_loopback() {
+            return listening;
+        }
+        SocketAddr::new(Ipv4Addr::LOCALHOST.into(), listening.port())
+    }
+
     fn at_seeds(&self, port: u16) -> Vec<SocketAddr> {
         self.seeds.iter().map(|seed| SocketAddr::new(*seed, port)).collect()
     }
@@ -172,9 +187,9 @@
             replace_after: self.bounds.catch_up,
         });
         let listeners = ControlListeners {
-            cell: bind("cell", own)?,
-            proxies: bind("proxies", SocketAddr::new(self.machine, self.proxies_port()))?,
-            operators: bind("operators", (Ipv4Addr::LOCALHOST, self.operators_port()).into())?,
+            cell: bind("cell", self.listening_at(self.cell_port()))?,
+            proxies: bind("proxies", self.listening_at(self.proxies_port()))?,
+            operators: bind("operators", self.operators())?,
         };
         log::info!(machine = self.name.as_str(), replica = identity.replica.0; "control starts");
         let mut registry = Registry::default();
@@ -192,7 +207,7 @@
         wire: W,
         callers: SocketAddr,
     ) -> Result<(RunningGateway<W>, Registry), DeploymentError> {
-        let peers = SocketAddr::new(self.machine, self.peers_port());
+        let peers = self.listening_at(self.peers_port());
         let listeners =
             GatewayListeners { callers: bind("callers", callers)?, peers: bind("peers", peers)? };
         let mut registry = Registry::default();
