--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -5,10 +5,12 @@
 mod member_choice;
 mod profile;
 mod shares;
+mod silence;
 mod wait_queue;
 
 pub use freshness::{Freshness, KnownPosition};
 pub use member_choice::{Distance, MemberLoad, choose_reader};
 pub use profile::{ConnectionProfile, SessionProfile, UnknownName};
 pub use shares::{CONNECTIONS_PER_SHARE, asking_order, holder_count, holders};
+pub use silence::Silence;
 pub use wait_queue::{Ticket, WaitQueue, WaitingFor};
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -1,10 +1,12 @@
 //! Decisions of a gateway: profiles of sessions and connections, the choice of members, waiting.
 
 use corktack_core::gateway::{
-    ConnectionProfile, Distance, MemberLoad, SessionProfile, WaitQueue, WaitingFor, choose_reader,
+    ConnectionProfile, Distance, MemberLoad, SessionProfile, Silence, WaitQueue, WaitingFor,
+    choose_reader,
 };
 use corktack_core::identity::ZoneName;
 use corktack_core::statement::{Access, OwnStatement, PreparedShape};
+use corktack_core::time::Timestamp;
 use rstest::rstest;
 use std::time::Duration;
 
@@ -189,3 +191,34 @@
     queue.leave(second);
     assert_eq!(queue.next(false), None);
 }
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::ZERO + Duration::from_millis(millis)
+}
+
+#[test]
+fn many_questions_without_an_answer_for_long_are_silence() {
+    let mut silence = Silence::default();
+    let told: Vec<bool> =
+        [0, 600, 1_200, 1_900, 2_000].map(|millis| silence.unanswered(at(millis))).into();
+    assert_eq!(told, [false, false, false, false, true]);
+}
+
+#[test]
+fn few_questions_are_no_silence_however_long_it_lasts() {
+    let mut silence = Silence::default();
+    assert!([0, 5_000, 9_000].iter().all(|millis| !silence.unanswered(at(*millis))));
+}
+
+#[test]
+fn an_answer_ends_the_silence_unless_it_came_before_it() {
+    let mut silence = Silence::default();
+    for millis in [1_000, 1_500, 2_500] {
+        assert!(!silence.unanswered(at(millis)));
+    }
+    let mut answered = silence;
+    answered.answered(at(2_600));
+    assert!(!answered.unanswered(at(3_200)), "it begins anew");
+    silence.answered(at(900));
+    assert!(silence.unanswered(at(3_200)), "an old answer that is noted late changes nothing");
+}
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -15,6 +15,11 @@
     }
 
     pub(crate) fn now(&self) -> Timestamp {
-        Timestamp::ZERO + self.origin.elapsed()
+        self.at(Instant::now())
+    }
+
+    /// The steady time of an instant.
+    pub(crate) fn at(&self, instant: Instant) -> Timestamp {
+        Timestamp::ZERO + instant.saturating_duration_since(self.origin)
     }
 }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -32,6 +32,8 @@
     pub(crate) profile: ConnectionProfile,
     /// Set while an answer is outstanding: the connection may not be used by another.
     unanswered: bool,
+    /// When the member last answered.
+    answered_at: Instant,
 }
 
 impl<W: Wire> MemberConnection<W> {
@@ -43,6 +45,7 @@
             output: BytesMut::with_capacity(BUFFER_BYTES),
             profile: ConnectionProfile::default(),
             unanswered: false,
+            answered_at: Instant::now(),
         }
     }
 
@@ -51,6 +54,11 @@
         !self.unanswered
     }
 
+    /// When the member last answered on it; a new connection was answered when it became ready.
+    pub(crate) const fn answered_at(&self) -> Instant {
+        self.answered_at
+    }
+
     /// Whether the far end closed the connection, or sent something unasked, while it was idle.
     pub(crate) fn is_broken(&self) -> bool {
         self.transport.is_broken()
@@ -86,6 +94,7 @@
         loop {
             let reply = self.read_reply().await?;
             if let Some(answer) = reader.take(reply)? {
+                self.answered_at = Instant::now();
                 return Ok(answer);
             }
         }
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -24,7 +24,7 @@
     let stream = stream.map_err(|error| DialError::Unreachable(LinkError::Io(error)))?;
     let opening = open(wire, settings, group, member, stream);
     let opened = timeout(settings.dial_timeout, opening).await;
-    opened.map_err(|_| DialError::Link(LinkError::TimedOut))?
+    opened.map_err(|_| DialError::Link(LinkError::TimedOut))?.map_err(DialError::of_opening)
 }
 
 async fn open<W: Wire>(
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -70,6 +70,17 @@
     },
 }
 
+impl DialError {
+    /// A connection that ends before it is ready is none: whoever accepted it stands before the
+    /// member, or the member went away. One that is slow may only have too much to do.
+    pub(crate) fn of_opening(self) -> Self {
+        match self {
+            Self::Link(error @ (LinkError::Io(_) | LinkError::Closed)) => Self::Unreachable(error),
+            other => other,
+        }
+    }
+}
+
 /// Why no connection was to be had.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum AcquireError {
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -6,7 +6,7 @@
 use crate::clock::SteadyClock;
 use crate::connection::MemberConnection;
 use crate::dial::dial;
-use crate::error::{AcquireError, DialError};
+use crate::error::{AcquireError, DialError, LinkError};
 use crate::lease::Lease;
 use crate::member::{IdleConnection, Member};
 use crate::settings::GatewaySettings;
@@ -230,6 +230,9 @@
                     | DialError::Refused { code: ErrorCode::WrongMember, .. } => {
                         self.note_unreachable(&member);
                     }
+                    DialError::Link(LinkError::TimedOut) if self.is_gone(&member) => {
+                        self.note_unreachable(&member);
+                    }
                     _ => {
                         let now = Instant::now();
                         self.with_member(&member, |it| it.note_busy(now));
@@ -249,8 +252,12 @@
 
     /// A member answered; control hears of it if it counted as unreachable.
     pub(crate) fn note_reached(&self, name: &MemberName) {
+        let now = self.clock.now();
         let mut news = false;
-        self.with_member(name, |member| news = member.note_reached());
+        self.with_member(name, |member| {
+            member.silence.answered(now);
+            news = member.note_reached();
+        });
         if news {
             self.tell(name, true);
         }
@@ -266,9 +273,27 @@
         }
     }
 
+    /// Whether a member that has just left one more question without an answer counts as gone.
+    fn is_gone(&self, name: &MemberName) -> bool {
+        let now = self.clock.now();
+        let mut gone = false;
+        // Through another gateway, it is that one that may be slow.
+        self.with_member(name, |it| gone = it.limit > 0 && it.silence.unanswered(now));
+        if gone {
+            log::warn!(
+                group:% = self.name, member:% = name;
+                "member accepts connections and answers nothing: it counts as unreachable"
+            );
+        }
+        gone
+    }
+
     /// A member owes an answer that should have come. Slow or gone: a new connection will tell.
     pub(crate) fn note_silent(self: &Rc<Self>, name: &MemberName) {
         let now = Instant::now();
+        if self.is_gone(name) {
+            return self.note_unreachable(name);
+        }
         let mut checked = None;
         self.with_member(name, |member| checked = member.note_silent(now));
         let Some(back_end) = checked else { return };
@@ -290,6 +315,7 @@
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
         let Some(member) = state.members.get_mut(name) else { return connection.terminate() };
+        member.silence.answered(self.clock.at(connection.answered_at()));
         if member.draining_since.is_some() && !member.takes_writes(now, self.settings.drain_limit)
             || member.open > member.limit
         {
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::MemberConnection;
 use crate::wire::Wire;
-use corktack_core::gateway::{Distance, MemberLoad, SessionProfile};
+use corktack_core::gateway::{Distance, MemberLoad, SessionProfile, Silence};
 use corktack_core::registry::{BackEndState, RegisteredBackEnd};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -60,6 +60,8 @@
     full_until: Option<Instant>,
     checked_until: Option<Instant>,
     pub(crate) draining_since: Option<Instant>,
+    /// Questions that it did not answer.
+    pub(crate) silence: Silence,
 }
 
 impl<W: Wire> Member<W> {
@@ -80,6 +82,7 @@
             full_until: None,
             checked_until: None,
             draining_since: None,
+            silence: Silence::default(),
         }
     }
 
--- a/crates/gateway/tests/sessions/member.rs
+++ b/crates/gateway/tests/sessions/member.rs
@@ -26,6 +26,9 @@
     pub at: Position,
     /// Statements of callers whose connection is closed in place of the answer.
     pub answers_to_lose: usize,
+    /// Whether new connections are closed before they are ready: a relay stands before a member
+    /// that is gone.
+    pub gone: bool,
     /// Connections that may be open.
     pub connection_limit: usize,
     pub open: usize,
@@ -47,6 +50,7 @@
             primary,
             at: position(at).expect("a position"),
             answers_to_lose: 0,
+            gone: false,
             connection_limit: 10,
             open: 0,
             ran: Vec::new(),
@@ -104,6 +108,7 @@
         let mut state = self.state.borrow_mut();
         let fields: Vec<&str> = line.split('|').collect();
         let (id, after, text) = match fields.as_slice() {
+            ["start", ..] if state.gone => return None,
             ["start", ..] if state.open > state.connection_limit => {
                 return Some("error|toomany|no more\n".to_owned());
             }
--- a/crates/gateway/tests/sessions/routing.rs
+++ b/crates/gateway/tests/sessions/routing.rs
@@ -101,3 +101,18 @@
     stream.read_to_string(&mut answer).await.expect("the gateway answers and closes");
     assert_eq!(answer, "error|nodb|elsewhere\n");
 }
+
+#[actix_rt::test]
+async fn a_member_that_closes_connections_before_they_are_ready_counts_as_unreachable() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let mut world = World::with_one_gateway(&[&primary]);
+    primary.state.borrow_mut().gone = true;
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    let asking = actix_rt::spawn(async move { caller.query("read x").await });
+    let told = world.reach.recv().await.expect("the gateway runs");
+    assert_eq!((told.member.as_str(), told.reached), ("m1", false));
+    primary.state.borrow_mut().gone = false;
+    assert!(asking.await.expect("an answer").is_success());
+    let told = world.reach.recv().await.expect("the gateway runs");
+    assert_eq!((told.member.as_str(), told.reached), ("m1", true));
+}
--- a/crates/gateway/tests/sessions/world.rs
+++ b/crates/gateway/tests/sessions/world.rs
@@ -8,7 +8,7 @@
     ServiceRule,
 };
 use corktack_core::view::{ProxyState, ProxyView, Revision, View};
-use corktack_gateway::{Gateway, GatewayHandle, GatewayListeners, GatewaySettings};
+use corktack_gateway::{Gateway, GatewayHandle, GatewayListeners, GatewaySettings, MemberReach};
 use prometheus_client::registry::Registry;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -25,6 +25,8 @@
     pub gateways: Vec<SocketAddr>,
     /// Ends the watch of the gateways when dropped.
     views: watch::Sender<Arc<View>>,
+    /// What the gateways tell control of members.
+    pub reach: mpsc::UnboundedReceiver<MemberReach>,
     _handles: Vec<GatewayHandle<TestWire>>,
 }
 
@@ -122,16 +124,17 @@
         view: View,
     ) -> Self {
         let (views, watched) = watch::channel(Arc::new(view));
+        let (reached, reach) = mpsc::unbounded_channel();
         let gateways = bound.iter().map(|((_, callers), _)| *callers).collect();
         let handles = bound.into_iter().enumerate().map(|(place, ((callers, _), (peers, _)))| {
-            let (reach, _) = mpsc::unbounded_channel();
+            let reach = reached.clone();
             let listeners = GatewayListeners { callers, peers };
             let settings = settings(&format!("g{place}"));
             let registry = &mut Registry::default();
             Gateway::start(settings, TestWire, listeners, watched.clone(), reach, registry)
                 .expect("a gateway starts")
         });
-        Self { gateways, _handles: handles.collect(), views }
+        Self { gateways, _handles: handles.collect(), views, reach }
     }
 
     /// Control says that a member is leaving. The gateways, which share the test's thread, follow
