--- a/crates/control/src/cell/outbound.rs
+++ b/crates/control/src/cell/outbound.rs
@@ -22,7 +22,9 @@
 /// consensus core sends again what it gets no answer to, and so do callers of
 /// forwarded commands.
 const QUEUE_MESSAGES: usize = 256;
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for a connection: a machine without power answers nothing, and its first packet
+/// after it came back would be sent again only after seconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 const SEND_TIMEOUT: Duration = Duration::from_secs(5);
 const BACKOFF_FIRST: Duration = Duration::from_millis(20);
 const BACKOFF_LAST: Duration = Duration::from_secs(1);
@@ -124,7 +126,13 @@
     reachable: Arc<Notify>,
 ) {
     loop {
-        if let Some(connection) = connect(address, &hello).await {
+        let connected = tokio::select! {
+            biased;
+            // An attempt from before the replica could be reached may hang for long.
+            () = reachable.notified() => connect(address, &hello).await,
+            connected = connect(address, &hello) => connected,
+        };
+        if let Some(connection) = connected {
             backoff.reset();
             if send_all(connection, &mut messages).await.is_ok() {
                 return;
@@ -132,8 +140,9 @@
         }
         let delay = backoff.next();
         let closed = tokio::select! {
-            waited = wait_disconnected(&mut messages, delay) => waited.is_err(),
+            biased;
             () = reachable.notified() => false,
+            waited = wait_disconnected(&mut messages, delay) => waited.is_err(),
         };
         if closed {
             return;
--- a/crates/control/src/node/inputs.rs
+++ b/crates/control/src/node/inputs.rs
@@ -16,7 +16,10 @@
     pub(super) fn take_input(&mut self, input: NodeInput, batch: &mut Batch) {
         match input {
             NodeInput::Cell { from, message } => self.take_message(from, message, batch),
-            NodeInput::Connected(replica) => self.parts.links.note_reachable(replica),
+            NodeInput::Connected(replica) => {
+                self.parts.links.note_reachable(replica);
+                batch.events.push(Event::Reachable { replica });
+            }
             NodeInput::Propose { proposal, reply } => self.take_proposal(proposal, reply, batch),
             NodeInput::Read(task) => batch.reads.push(task),
             NodeInput::Peek(task) => self.run_reads(vec![task]),
--- a/crates/control/src/proxies/connection.rs
+++ b/crates/control/src/proxies/connection.rs
@@ -25,6 +25,8 @@
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 /// A proxy that takes nothing for this long is cut off; it comes back for a snapshot.
 const SEND_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait for a leader before a proxy is told that nothing can be proved here.
+const ELECTION_PATIENCE: Duration = Duration::from_secs(1);
 /// Heartbeats that may wait for their proof; more of them break the protocol.
 const WAITING_HEARTBEATS: usize = 64;
 
@@ -176,6 +178,7 @@
         if self.server.status.borrow().cell.voters.is_empty() {
             return Err(ConnectionError::Outside);
         }
+        self.until_led().await;
         let from = self.cursor.sent();
         let newest = self.server.node.read(|reader| reader.feed.newest()).await?;
         if from > newest {
@@ -184,6 +187,15 @@
         self.send_deltas().await
     }
 
+    /// Waits while the cell elects a leader: a proof asked for meanwhile is refused, and the time
+    /// until it is asked for again grows.
+    async fn until_led(&self) {
+        let mut status = self.server.status.clone();
+        let led = status.wait_for(|status| status.leader.is_some());
+        // Without a leader the proof is refused, which says so to the proxy.
+        drop(timeout(ELECTION_PATIENCE, led).await);
+    }
+
     fn note_heartbeat(
         &self,
         message: Option<Result<ProxyMessage, FrameError>>,
--- a/crates/control/src/recovered.rs
+++ b/crates/control/src/recovered.rs
@@ -52,6 +52,7 @@
     ConsensusSettings {
         id: settings.replica,
         election_timeout: settings.election_timeout,
+        first_election_timeout: settings.first_election_timeout,
         heartbeat_interval: settings.heartbeat_interval,
         append_bytes_limit: APPEND_BYTES_LIMIT,
         snapshot_chunk_bytes: SNAPSHOT_CHUNK_BYTES,
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -57,6 +57,8 @@
     pub data_folder: PathBuf,
     /// Shortest time without a leader before an election.
     pub election_timeout: Duration,
+    /// Shortest time before the first election after the start.
+    pub first_election_timeout: Duration,
     /// Time between heartbeats of the leader.
     pub heartbeat_interval: Duration,
     /// Time between heartbeats of a proxy, and between summaries of them to the leader.
@@ -108,6 +110,7 @@
             start,
             data_folder,
             election_timeout: DEFAULT_ELECTION_TIMEOUT,
+            first_election_timeout: DEFAULT_ELECTION_TIMEOUT,
             heartbeat_interval: DEFAULT_HEARTBEAT_INTERVAL,
             proxy_heartbeat_interval: DEFAULT_PROXY_HEARTBEAT_INTERVAL,
             proxy_heartbeat_timeout: DEFAULT_PROXY_HEARTBEAT_TIMEOUT,
--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -27,6 +27,10 @@
 }
 
 impl Votes {
+    fn has_answer_of(&self, from: ReplicaId) -> bool {
+        self.answers.contains_key(&from)
+    }
+
     fn record(&mut self, from: ReplicaId, granted: bool) {
         self.answers.entry(from).or_insert(granted);
     }
@@ -193,6 +197,26 @@
         }
     }
 
+    /// Sends the question of an election under way to a voter that may not have heard it.
+    pub(super) fn ask_again(&mut self, voter: ReplicaId) {
+        if !voter_ids(self.log.cell()).contains(&voter) || voter == self.settings.id {
+            return;
+        }
+        let log_end = self.log.last();
+        let (term, body) = match &self.role {
+            RoleState::PreCandidate(votes) if !votes.has_answer_of(voter) => {
+                (Term(self.hard_state.term.0 + 1), MessageBody::PreVoteRequest(log_end))
+            }
+            // Whether a leader asked for the election matters only while that leader is heard.
+            RoleState::Candidate(votes) if !votes.has_answer_of(voter) => {
+                (self.hard_state.term, MessageBody::VoteRequest { log_end, transfer: false })
+            }
+            _ => return,
+        };
+        let message = Message { term, body };
+        self.outbox.push(super::Action::Send { to: voter, message });
+    }
+
     fn count_votes(&mut self, now: Timestamp) {
         let (tally, pre_vote) = match &self.role {
             RoleState::PreCandidate(votes) => (votes.tally(self.log.cell()), true),
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -124,6 +124,10 @@
     pub id: ReplicaId,
     /// Shortest time without a leader before an election; the longest is twice this.
     pub election_timeout: Duration,
+    /// As `election_timeout`, after the start and until anything is heard of an election or a
+    /// leader: a replica that has just started does not disturb one, because it asks for
+    /// pre-votes first.
+    pub first_election_timeout: Duration,
     /// Time between heartbeats of the leader.
     pub heartbeat_interval: Duration,
     /// Most entry bytes in one append message.
@@ -182,6 +186,12 @@
         /// Message.
         message: M,
     },
+    /// A replica that was not reached before can be reached now: what it was asked and did not
+    /// hear is asked again.
+    Reachable {
+        /// The replica.
+        replica: ReplicaId,
+    },
     /// The shell wants a command in the log.
     Propose {
         /// Number for the answer.
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -105,7 +105,7 @@
             reported: (Role::Follower, hard_state.term, None),
             outbox: Vec::new(),
         };
-        replica.reset_election_deadline(now);
+        replica.set_election_deadline(now, replica.settings.first_election_timeout);
         Ok(replica)
     }
 
@@ -135,6 +135,7 @@
         match event {
             Event::Tick => self.handle_tick(now),
             Event::Message { from, message } => self.handle_message(now, from, message),
+            Event::Reachable { replica } => self.ask_again(replica),
             Event::Propose { request, command } => self.handle_propose(request, command),
             Event::ProposeCell { request, change } => {
                 self.handle_propose_cell(now, request, &change);
@@ -244,7 +245,10 @@
     }
 
     pub(super) fn reset_election_deadline(&mut self, now: Timestamp) {
-        let shortest = self.settings.election_timeout;
+        self.set_election_deadline(now, self.settings.election_timeout);
+    }
+
+    fn set_election_deadline(&mut self, now: Timestamp, shortest: Duration) {
         let micros = u64::try_from(shortest.as_micros()).unwrap_or(u64::MAX);
         let jitter = Duration::from_micros(self.random.random_range(0..micros.max(1)));
         self.election_deadline = now + shortest + jitter;
--- a/crates/core/tests/consensus/elections.rs
+++ b/crates/core/tests/consensus/elections.rs
@@ -3,6 +3,7 @@
 use super::network::{Answer, ELECTION_TIMEOUT, Network, SETTLE};
 use corktack_core::consensus::{Event, Rejection, Role};
 use rstest::rstest;
+use std::time::Duration;
 
 #[rstest]
 fn three_replicas_elect_commit_and_read(#[values(1, 2, 3, 4, 5)] seed: u64) {
@@ -62,6 +63,63 @@
     assert_eq!(network.nodes[&old].state.len(), 1);
 }
 
+/// Lets one replica ask for pre-votes that nobody hears, then heals the network; gives it.
+fn unheard_candidate(network: &mut Network) -> u64 {
+    for (from, to) in [(1, 2), (2, 1), (1, 3), (3, 1), (2, 3), (3, 2)] {
+        network.block(from, to);
+    }
+    let asking = network.run_until("a pre-candidate", |network| {
+        let asks = |id: &u64| network.replica(*id).role() == Role::PreCandidate;
+        (1..=3).find(asks)
+    });
+    // What it sent is lost by now.
+    network.run_for(ELECTION_TIMEOUT / 8);
+    network.heal();
+    asking
+}
+
+#[rstest]
+fn a_candidate_asks_again_once_a_voter_can_be_reached(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut network = Network::start(3, seed);
+    let asking = unheard_candidate(&mut network);
+    let other = asking % 3 + 1;
+    network.handle(asking, Event::Reachable { replica: network.replica(other).id() });
+    network.run_for(ELECTION_TIMEOUT / 4);
+    assert_eq!(network.leader(), Some(asking));
+}
+
+#[test]
+fn who_does_not_stand_for_election_asks_nobody_again() {
+    let mut network = Network::start(3, 5);
+    let leader = network.expect_leader();
+    let follower = leader % 3 + 1;
+    for id in [leader, follower] {
+        let event = Event::Reachable { replica: network.replica(id % 3 + 1).id() };
+        let sent = network.sent_by(id, event);
+        assert_eq!(sent, 0, "{id}");
+    }
+}
+
+#[test]
+fn a_restarted_replica_with_a_short_first_timeout_does_not_disturb_the_leader() {
+    let mut network = Network::start(3, 6);
+    let leader = network.expect_leader();
+    let term = network.replica(leader).term();
+    let follower = leader % 3 + 1;
+    network.first_election_timeout = Duration::from_millis(1);
+    network.crash(follower);
+    network.restart(follower);
+    network.run_for(ELECTION_TIMEOUT * 2);
+    assert_eq!((network.leader(), network.replica(leader).term()), (Some(leader), term));
+}
+
+#[rstest]
+fn a_short_first_timeout_brings_the_first_leader_sooner(#[values(1, 2, 3)] seed: u64) {
+    let mut network = Network::with_first_election_timeout(3, seed, ELECTION_TIMEOUT / 8);
+    network.run_for(ELECTION_TIMEOUT / 2);
+    assert!(network.leader().is_some());
+}
+
 #[test]
 fn leadership_is_handed_over_within_a_few_round_trips() {
     let mut network = Network::start(3, 9);
--- a/crates/core/tests/consensus/hostile.rs
+++ b/crates/core/tests/consensus/hostile.rs
@@ -191,6 +191,7 @@
         let settings = ConsensusSettings {
             id: ReplicaId(1),
             election_timeout: Duration::from_millis(100),
+            first_election_timeout: Duration::from_millis(100),
             heartbeat_interval: Duration::from_millis(20),
             append_bytes_limit: 100,
             snapshot_chunk_bytes: 2,
--- a/crates/core/tests/consensus/network.rs
+++ b/crates/core/tests/consensus/network.rs
@@ -104,6 +104,8 @@
     pub random: ChaCha8Rng,
     /// Messages delivered by kind of body, for tests of traffic.
     pub snapshot_chunks: u64,
+    /// Shortest time before the first election of replicas that start from now on.
+    pub first_election_timeout: Duration,
     blocked: BTreeSet<(u64, u64)>,
     in_flight: BTreeMap<(Timestamp, u64), (u64, u64, Message)>,
     reads: BTreeMap<RequestId, u64>,
@@ -122,6 +124,15 @@
 impl Network {
     /// A cell of `voters` that starts on empty disks.
     pub fn start(voters: u64, seed: u64) -> Self {
+        Self::with_first_election_timeout(voters, seed, ELECTION_TIMEOUT)
+    }
+
+    /// As [`Network::start`], with another time before the first election.
+    pub fn with_first_election_timeout(
+        voters: u64,
+        seed: u64,
+        first_election_timeout: Duration,
+    ) -> Self {
         let mut network = Self {
             now: Timestamp::from_millis(1),
             nodes: BTreeMap::new(),
@@ -130,6 +141,7 @@
             oracle: Oracle::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
             snapshot_chunks: 0,
+            first_election_timeout,
             blocked: BTreeSet::new(),
             in_flight: BTreeMap::new(),
             reads: BTreeMap::new(),
@@ -156,11 +168,13 @@
 
     pub fn restart(&mut self, id: u64) {
         let now = self.now;
+        let first_election_timeout = self.first_election_timeout;
         let node = self.node(id);
         node.starts += 1;
         let settings = ConsensusSettings {
             id: ReplicaId(id),
             election_timeout: ELECTION_TIMEOUT,
+            first_election_timeout,
             heartbeat_interval: HEARTBEAT_INTERVAL,
             append_bytes_limit: 256,
             snapshot_chunk_bytes: 64,
@@ -279,6 +293,14 @@
         self.handle(id, Event::Compact { snapshot });
     }
 
+    /// Messages that a replica sends in answer to one event; they are not delivered.
+    pub fn sent_by(&mut self, id: u64, event: Event<Message>) -> usize {
+        let now = self.now;
+        let replica = self.node(id).replica.as_mut().expect("running replica");
+        let actions = replica.handle(now, event);
+        actions.iter().filter(|action| matches!(action, Action::Send { .. })).count()
+    }
+
     /// Feeds one event and performs the actions; with faults, only the first of them.
     pub fn handle(&mut self, id: u64, event: Event<Message>) {
         let now = self.now;
--- a/crates/server/src/control.rs
+++ b/crates/server/src/control.rs
@@ -176,6 +176,7 @@
     let (limits, timeouts) = (&settings.limits, &settings.timeouts);
     replica.incarnation = draw_incarnation();
     replica.election_timeout = millis(timeouts.election_ms);
+    replica.first_election_timeout = replica.election_timeout;
     replica.heartbeat_interval = millis(timeouts.heartbeat_ms);
     replica.proxy_heartbeat_interval = millis(timeouts.proxy_heartbeat_ms);
     replica.proxy_heartbeat_timeout = millis(timeouts.proxy_silence_ms);
--- a/crates/server/src/deployment.rs
+++ b/crates/server/src/deployment.rs
@@ -36,12 +36,16 @@
 /// several round trips between regions, and few wake-ups on small machines.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(80);
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(400);
+/// The same for the first election after a start: when all processes were lost together, callers
+/// wait for it, and where a leader lives a pre-vote disturbs nobody.
+const FIRST_ELECTION_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time between heartbeats of a gateway, and without a proof before it changes replica.
 const WATCH_INTERVAL: Duration = Duration::from_millis(250);
 const WATCH_SILENCE: Duration = Duration::from_millis(1_500);
 const WATCH_RETRY_FIRST: Duration = Duration::from_millis(50);
-const WATCH_RETRY_LAST: Duration = Duration::from_millis(500);
-const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+const WATCH_RETRY_LAST: Duration = Duration::from_millis(200);
+/// First wait for a connection to control: three round trips between regions.
+const CONNECT_LIMIT: Duration = Duration::from_millis(120);
 /// Log entries after which a snapshot is made: an entry may hold a whole document.
 const SNAPSHOT_ENTRIES: u64 = 64;
 /// Changes kept for gateways, counted by size.
@@ -171,6 +175,7 @@
         let mut settings = ControlSettings::new(cell, identity.replica, identity.start(), folder);
         settings.incarnation = Incarnation(rand::random());
         settings.election_timeout = ELECTION_TIMEOUT;
+        settings.first_election_timeout = FIRST_ELECTION_TIMEOUT;
         settings.heartbeat_interval = HEARTBEAT_INTERVAL;
         settings.proxy_heartbeat_interval = WATCH_INTERVAL;
         settings.proxy_heartbeat_timeout = WATCH_SILENCE * 2;
--- a/crates/server/src/watch_client/state.rs
+++ b/crates/server/src/watch_client/state.rs
@@ -18,6 +18,8 @@
 
 /// Shortest time between two heartbeats that observations cause.
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(20);
+/// How often the time for a connection is doubled after failures.
+const CONNECT_LIMIT_DOUBLINGS: u32 = 2;
 
 /// Replicas that are remembered.
 const REPLICA_LIMIT: usize = 16;
@@ -276,6 +278,13 @@
         Action::Connect(replica)
     }
 
+    /// Longest wait for a connection: `first` at the first attempt, and twice and four times that
+    /// after failures. Where a replica is dark another is there sooner, and far ones get their time.
+    #[must_use]
+    pub fn connect_limit(&self, first: Duration) -> Duration {
+        first * (1 << self.failures.min(CONNECT_LIMIT_DOUBLINGS))
+    }
+
     fn connected(&mut self, now: Timestamp) -> Vec<Action> {
         if self.phase != Phase::Connecting {
             return Vec::new();
--- a/crates/server/src/watch_client/task.rs
+++ b/crates/server/src/watch_client/task.rs
@@ -143,7 +143,8 @@
         match action {
             Action::Connect(replica) => {
                 log::debug!(replica:% = replica; "connecting to control");
-                self.connection = Connection::open(replica, self.connect_timeout);
+                let limit = self.state.connect_limit(self.connect_timeout);
+                self.connection = Connection::open(replica, limit);
             }
             Action::Disconnect => {
                 log::warn!("no proof from the control replica that it is current; changing it");
--- a/crates/server/tests/watch_state.rs
+++ b/crates/server/tests/watch_state.rs
@@ -165,14 +165,18 @@
     let mut now = at(0);
     let mut tried = BTreeSet::new();
     let mut waits = Vec::new();
+    let mut limits = Vec::new();
     for _ in 0..12 {
         let Action::Connect(replica) = state.handle(now, Event::Tick)[0] else { panic!() };
+        let first = Duration::from_millis(100);
+        limits.push(state.connect_limit(first).as_millis());
         tried.insert(replica);
         assert!(state.handle(now, Event::Disconnected).is_empty());
         waits.push(state.deadline() - now);
         now = state.deadline();
     }
     assert_eq!(tried.len(), usize::from(REPLICAS));
+    assert_eq!(limits[..4], [100, 200, 400, 400]);
     assert!(waits[0] <= Duration::from_millis(50));
     assert!(waits[11] >= Duration::from_secs(1) && waits[11] <= Duration::from_secs(2));
 }
--- a/crates/sim/src/run/control.rs
+++ b/crates/sim/src/run/control.rs
@@ -140,6 +140,7 @@
         let settings = ConsensusSettings {
             id: self.id,
             election_timeout: ELECTION_TIMEOUT,
+            first_election_timeout: ELECTION_TIMEOUT,
             heartbeat_interval: HEARTBEAT_INTERVAL,
             append_bytes_limit: 2_048,
             snapshot_chunk_bytes: 1_024,
