A primary that part of the gateways reach stays: the others are served through them

Change: a gateway that does not reach a primary that leads asks those that hold connections to it (core::gateway::Detour), so that half of the gateways, not 0.3, must miss a primary before it is replaced; fewer, after 0.8 s, with the leader's own look as before; and while more gateways are silent than suspect it, for 7 s first: they may be on its side. A holder that does not reach the member answers at once.

--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -6,6 +6,7 @@
 //! everything, so that answers to an earlier leadership find no one.
 
 mod convert;
+mod heard;
 
 use crate::back_end::{BackEndCall, BackEndResult, BackEnds, Operation};
 use crate::metrics::{Metrics, PhaseLabel};
@@ -24,6 +25,7 @@
 use corktack_core::view::{ProxyState, Revision};
 use corktack_protocol::cell::ProxyReport;
 use corktack_protocol::control::{MemberHealth, Observation};
+use heard::HeardGateways;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -77,6 +79,7 @@
     failover: FailoverManager,
     failover_due: Timestamp,
     promotion: PromotionDuty,
+    gateways: HeardGateways,
     followed: Option<Revision>,
     observed: HashMap<ObservationKey, MemberHealth>,
     begun: HashMap<GroupName, Timestamp>,
@@ -198,6 +201,7 @@
         let Some(leading) = &mut self.leading else { return };
         for report in reports {
             leading.membership.on_report(now, heartbeat(&report));
+            leading.gateways.hear(now, &report.proxy);
             leading.take_observations(now, report, state);
         }
     }
@@ -255,6 +259,7 @@
             failover: FailoverManager::new(failover.clone()),
             failover_due: now,
             promotion: PromotionDuty::new(PromotionSettings::default()),
+            gateways: HeardGateways::new(now),
             followed: None,
             observed: HashMap::new(),
             begun: HashMap::new(),
@@ -294,7 +299,8 @@
         let live = state.proxies().filter(|(_, proxy)| proxy.state == ProxyState::Live);
         let live: BTreeSet<ProxyName> = live.map(|(name, _)| name.clone()).collect();
         self.promotion.retain_gateways(&live);
-        self.promotion.advance(now, state.registry(), live.len())
+        let contact = self.gateways.contact(now, &live);
+        self.promotion.advance(now, state.registry(), contact)
     }
 
     fn note_begun(&mut self, now: Timestamp, command: &Command) {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of a gateway: how fresh a member must be, how a pooled connection is brought to a
 //! session's state, which member a read is offered to, and who waits before whom.
 
+mod detour;
 mod freshness;
 mod member_choice;
 mod profile;
@@ -8,6 +9,7 @@
 mod silence;
 mod wait_queue;
 
+pub use detour::{Detour, DetourStep};
 pub use freshness::{Freshness, KnownPosition};
 pub use member_choice::{Distance, MemberLoad, choose_reader};
 pub use profile::{ConnectionProfile, SessionProfile, UnknownName};
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -16,6 +16,7 @@
     Consistency, Document, DocumentError, DocumentLimits, RouteRule, ServiceRule, StoredDocument,
 };
 pub use promotion::{
-    MemberAnswer, PromotionAction, PromotionAnswer, PromotionDuty, PromotionSettings, ReachReport,
+    GatewayContact, MemberAnswer, PromotionAction, PromotionAnswer, PromotionDuty,
+    PromotionSettings, ReachReport,
 };
 pub use state::{Promotion, RegistryChanges, RegistryCommand, RegistryOutcome, RegistryState};
--- a/crates/core/src/registry/promotion/messages.rs
+++ b/crates/core/src/registry/promotion/messages.rs
@@ -19,6 +19,21 @@
     pub vacancy_limit: Duration,
     /// How long a member that the authority refused is not chosen again.
     pub refused_pause: Duration,
+    /// How long a few gateways may not reach a primary before the leader looks for itself: by then
+    /// the others have said the same, or are silent.
+    pub suspicion_pause: Duration,
+    /// How long a primary is kept that those who are heard do not reach while more gateways are
+    /// silent: they may be on its side of a cut, and served by it.
+    pub cut_patience: Duration,
+}
+
+/// The gateways as the leader hears of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GatewayContact {
+    /// Heard within the last moments.
+    pub heard: usize,
+    /// Not heard now, but not long ago.
+    pub silent: usize,
 }
 
 impl Default for PromotionSettings {
@@ -29,6 +44,8 @@
             call_pause: Duration::from_millis(300),
             vacancy_limit: Duration::from_secs(3),
             refused_pause: Duration::from_secs(3),
+            suspicion_pause: Duration::from_millis(800),
+            cut_patience: Duration::from_secs(7),
         }
     }
 }
--- a/crates/core/src/registry/promotion/mod.rs
+++ b/crates/core/src/registry/promotion/mod.rs
@@ -12,7 +12,7 @@
 mod messages;
 
 pub use messages::{
-    MemberAnswer, PromotionAction, PromotionAnswer, PromotionSettings, ReachReport,
+    GatewayContact, MemberAnswer, PromotionAction, PromotionAnswer, PromotionSettings, ReachReport,
 };
 
 use super::back_end::{BackEndRole, BackEndState};
@@ -23,8 +23,12 @@
 use evidence::{Evidence, candidates, judge, primary_of, statuses};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Part of the gateways whose word is enough, without a look of the leader's own.
-const SUSPECTING_PART: f64 = 0.3;
+/// Part of the gateways whose word is enough, without a look of the leader's own: fewer are served
+/// through the others meanwhile.
+const SUSPECTING_PART: f64 = 0.5;
+/// Gateways whose word is enough where there are few.
+const FEWEST_SUSPECTING: usize = 2;
+
 #[derive(Clone, Debug)]
 enum Phase {
     /// The primary serves, as far as is known.
@@ -54,6 +58,8 @@
 struct GroupDuty {
     phase: Phase,
     vacant_since: Option<Timestamp>,
+    /// Since when too few gateways do not reach the primary.
+    suspected_since: Option<Timestamp>,
     refused: BTreeMap<MemberName, Timestamp>,
     /// The fence of a decision made by this leadership; those of others are not acted on.
     known_fence: u64,
@@ -69,7 +75,13 @@
 
 impl GroupDuty {
     fn new(known_fence: u64) -> Self {
-        Self { phase: Phase::Steady, vacant_since: None, refused: BTreeMap::new(), known_fence }
+        Self {
+            phase: Phase::Steady,
+            vacant_since: None,
+            suspected_since: None,
+            refused: BTreeMap::new(),
+            known_fence,
+        }
     }
 }
 
@@ -148,7 +160,7 @@
         &mut self,
         now: Timestamp,
         state: &RegistryState,
-        gateways: usize,
+        gateways: GatewayContact,
     ) -> Vec<PromotionAction> {
         let mut actions = Vec::new();
         let Some(document) = state.document() else { return actions };
@@ -171,7 +183,7 @@
         state: &RegistryState,
         group: &GroupName,
         duty: &mut GroupDuty,
-        (gateways, holds): (usize, bool),
+        (gateways, holds): (GatewayContact, bool),
         actions: &mut Vec<PromotionAction>,
     ) {
         if let Phase::Steady = duty.phase {
@@ -222,7 +234,7 @@
         state: &RegistryState,
         group: &GroupName,
         duty: &mut GroupDuty,
-        gateways: usize,
+        gateways: GatewayContact,
     ) {
         let Some(primary) = primary_of(state, group) else {
             let since = *duty.vacant_since.get_or_insert(now);
@@ -242,18 +254,28 @@
         let suspecting = self.unreached.get(&(group.clone(), primary.clone()));
         let suspecting = suspecting.map_or(0, BTreeSet::len);
         if suspecting == 0 {
+            duty.suspected_since = None;
             return;
         }
-        let enough = (gateways as f64 * SUSPECTING_PART).ceil() as usize;
-        if suspecting >= enough.max(2) {
+        let GatewayContact { heard, silent } = gateways;
+        let enough = ((heard + silent) as f64 * SUSPECTING_PART).ceil() as usize;
+        if suspecting >= enough.max(FEWEST_SUSPECTING) {
             log::warn!(
-                group:% = group, member:% = primary, suspecting, gateways;
+                group:% = group, member:% = primary, suspecting, heard, silent;
                 "primary cannot be reached: it is replaced"
             );
             duty.phase = Self::asking(None);
             return;
         }
-        log::info!(group:% = group, member:% = primary, suspecting, gateways; "primary is suspected");
+        let waited = now.saturating_since(*duty.suspected_since.get_or_insert(now));
+        let cut = silent > suspecting && waited < self.settings.cut_patience;
+        if cut || waited < self.settings.suspicion_pause {
+            return;
+        }
+        log::info!(
+            group:% = group, member:% = primary, suspecting, heard, silent;
+            "primary is suspected"
+        );
         duty.phase = Self::asking(Some(primary));
     }
 
--- a/crates/gateway/src/group/choice.rs
+++ b/crates/gateway/src/group/choice.rs
@@ -1,11 +1,12 @@
 //! Which member of a group serves a wish, and who is woken when one has room.
 
 use super::{Target, Wish};
+use crate::clock::SteadyClock;
 use crate::connection::MemberConnection;
 use crate::member::Member;
 use crate::settings::GatewaySettings;
 use crate::wire::Wire;
-use corktack_core::gateway::{WaitQueue, choose_reader};
+use corktack_core::gateway::{DetourStep, WaitQueue, choose_reader};
 use corktack_core::identity::MemberName;
 use corktack_core::registry::{BackEndRole, Promotion, RegisteredBackEnd};
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,6 +15,9 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+/// Rank of a member that nothing says is the primary.
+const UNKNOWN_RANK: u8 = 3;
+
 /// What a group knows of its members, and who waits for them.
 pub(super) struct GroupState<W: Wire> {
     pub(super) members: BTreeMap<MemberName, Member<W>>,
@@ -30,15 +34,22 @@
     Dial(MemberName, Arc<RegisteredBackEnd>),
     /// Ask the gateways that hold connections to it.
     Forward(MemberName, Vec<SocketAddr>),
+    /// As [`Step::Forward`], and connect to it beside that: it may be reached again.
+    ForwardAndCheck(MemberName, Vec<SocketAddr>, Arc<RegisteredBackEnd>),
     Wait,
     NoMember,
 }
 
 impl<W: Wire> GroupState<W> {
-    pub(super) fn step(&mut self, wish: &Wish<'_>, settings: &GatewaySettings) -> Step<W> {
+    pub(super) fn step(
+        &mut self,
+        wish: &Wish<'_>,
+        settings: &GatewaySettings,
+        clock: SteadyClock,
+    ) -> Step<W> {
         let now = Instant::now();
         let chosen = match &wish.target {
-            Target::Primary => self.primary(now, settings),
+            Target::Primary => self.primary(now, settings, clock),
             Target::Reader { refused } => self.reader(now, refused),
             Target::Held(member) => self.held(member, now, settings),
         };
@@ -47,12 +58,31 @@
         if member.limit == 0 && !member.holders.is_empty() {
             return Step::Forward(name, member.holders.clone());
         }
+        if wish.target == Target::Primary && member.needs_detour(now) {
+            return Self::detour(name, member, now, clock);
+        }
         if !member.has_room(now) {
             return Step::Wait;
         }
         Self::take(name, member, wish)
     }
 
+    fn detour(
+        name: MemberName,
+        member: &mut Member<W>,
+        now: Instant,
+        clock: SteadyClock,
+    ) -> Step<W> {
+        match member.detour.step(clock.at(now)) {
+            DetourStep::Wait => Step::Wait,
+            DetourStep::Closed => Step::NoMember,
+            DetourStep::Take => match member.due_check(now) {
+                None => Step::Forward(name, member.holders.clone()),
+                Some(back_end) => Step::ForwardAndCheck(name, member.holders.clone(), back_end),
+            },
+        }
+    }
+
     /// A member for another gateway, if this one holds connections to it and it takes any work.
     fn held(
         &self,
@@ -98,7 +128,12 @@
 
     /// The member to try as primary: the one that proved to be, the one promoted last, one that
     /// calls itself primary, then the others.
-    fn primary(&self, now: Instant, settings: &GatewaySettings) -> Option<MemberName> {
+    fn primary(
+        &self,
+        now: Instant,
+        settings: &GatewaySettings,
+        clock: SteadyClock,
+    ) -> Option<MemberName> {
         let promoted = self.promotion.as_ref().map(|promotion| &promotion.target);
         let rank = |name: &MemberName, member: &Member<W>| {
             if self.proven_primary.as_ref() == Some(name) {
@@ -108,13 +143,20 @@
             } else if member.back_end.role == BackEndRole::Primary {
                 2
             } else {
-                3
+                UNKNOWN_RANK
             }
         };
         let excluded =
             |name: &MemberName| self.not_primary_until.get(name).is_some_and(|until| now < *until);
+        // Others are asked only for a member that is known to lead.
+        let detour = |name: &MemberName, member: &Member<W>| {
+            let closed = member.detour.clone().step(clock.at(now)) == DetourStep::Closed;
+            rank(name, member) < UNKNOWN_RANK && member.needs_detour(now) && !closed
+        };
         let able = self.members.iter().filter(|(name, member)| {
-            member.takes_writes(now, settings.drain_limit) && !excluded(name)
+            let left = member.has_left(now, settings.drain_limit);
+            let reached = member.takes_writes(now, settings.drain_limit);
+            !left && !excluded(name) && (reached || detour(name, member))
         });
         able.min_by_key(|(name, member)| rank(name, member)).map(|(name, _)| name.clone())
     }
--- a/crates/gateway/src/group/forward.rs
+++ b/crates/gateway/src/group/forward.rs
@@ -17,15 +17,19 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Gateways that are asked for one statement.
+const HOLDERS_ASKED: usize = 3;
+
 impl<W: Wire> Group<W> {
-    /// Uses a connection that another gateway holds; the first holder that answers decides.
+    /// Uses a connection that another gateway holds. One that does not reach the member says little
+    /// about the next; one that has no connection to give speaks for all.
     pub(super) async fn forward(
         self: &Rc<Self>,
         member: MemberName,
         holders: &[SocketAddr],
         wish: &Wish<'_>,
     ) -> Result<Lease<W>, AcquireError> {
-        for holder in holders {
+        for holder in holders.iter().take(HOLDERS_ASKED) {
             let wait = wish.give_up.saturating_duration_since(Instant::now());
             let tunnel_wish = TunnelWish {
                 group: self.name.clone(),
@@ -36,24 +40,28 @@
             let asked_at = self.clock.now();
             match self.tunnels.acquire(*holder, &tunnel_wish).await {
                 Ok(Grant::Granted(tunnel, profile, newest)) => {
+                    self.with_member(&member, |it| it.detour_through(*holder));
                     return Ok(self.granted(member, tunnel, profile, asked_at, newest));
                 }
-                Ok(Grant::Refused(TunnelRefusal::NoneFree)) => return Err(AcquireError::NoneFree),
-                Ok(Grant::Refused(TunnelRefusal::Unreachable)) => {
-                    let now = Instant::now();
-                    self.with_member(&member, |it| it.note_busy(now));
-                    return Err(AcquireError::Unreachable(member));
+                Ok(Grant::Refused(TunnelRefusal::NoneFree)) => {
+                    self.with_member(&member, |it| it.detour_through(*holder));
+                    return Err(AcquireError::NoneFree);
                 }
-                Ok(Grant::Refused(TunnelRefusal::NotHeld)) => (),
+                Ok(Grant::Refused(TunnelRefusal::Unreachable | TunnelRefusal::NotHeld)) => (),
                 Err(error) => {
                     log::info!(holder:% = holder, error:% = error; "gateway gives no connection");
                 }
             }
             if Instant::now() >= wish.give_up {
-                return Err(AcquireError::NoneFree);
+                break;
             }
         }
         let now = Instant::now();
+        let steady = self.clock.now();
+        self.with_member(&member, |it| it.detour.failed(steady));
+        if now >= wish.give_up {
+            return Err(AcquireError::NoneFree);
+        }
         self.with_member(&member, |it| it.note_busy(now));
         Err(AcquireError::Unreachable(member))
     }
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -13,7 +13,9 @@
 use crate::tunnel::Tunnels;
 use crate::wire::Wire;
 use choice::{GroupState, Step};
-use corktack_core::gateway::{Distance, Freshness, SessionProfile, Ticket, WaitQueue, WaitingFor};
+use corktack_core::gateway::{
+    Detour, Distance, Freshness, SessionProfile, Ticket, WaitQueue, WaitingFor,
+};
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::registry::{Promotion, RegisteredBackEnd};
 use corktack_core::statement::ErrorCode;
@@ -76,7 +78,7 @@
     pub(crate) promotion: Option<Promotion>,
     /// Connections to each member that this gateway may have; none where it holds no share.
     pub(crate) shares: BTreeMap<MemberName, usize>,
-    /// Where connections to each member are held, in the order to ask.
+    /// Other gateways that hold connections to each member, in the order to ask.
     pub(crate) holders: BTreeMap<MemberName, Vec<SocketAddr>>,
     /// Gateways that share each member.
     pub(crate) gateways: usize,
@@ -129,6 +131,7 @@
             member.share(share, holders, facts.gateways);
         }
         if state.promotion != facts.promotion {
+            state.members.values_mut().for_each(|member| member.detour = Detour::default());
             state.promotion.clone_from(&facts.promotion);
             state.not_primary_until.clear();
             state.proven_primary = None;
@@ -147,7 +150,7 @@
     ) -> Result<Lease<W>, AcquireError> {
         let ticket = self.ticket(wish.priority);
         loop {
-            let step = self.state.borrow_mut().step(wish, &self.settings);
+            let step = self.state.borrow_mut().step(wish, &self.settings, self.clock);
             match step {
                 Step::Use(member, connection) => {
                     return Ok(Lease::new(Rc::clone(self), member, connection));
@@ -158,6 +161,10 @@
                 Step::Forward(member, holders) => {
                     return self.forward(member, &holders, wish).await;
                 }
+                Step::ForwardAndCheck(member, holders, back_end) => {
+                    self.check(&member, back_end);
+                    return self.forward(member, &holders, wish).await;
+                }
                 Step::Wait => {
                     let Some(member) = self.wait(wish, ticket).await? else { continue };
                     let step = self.state.borrow_mut().take_reserved(&member, wish, &self.settings);
@@ -166,9 +173,16 @@
                             return Ok(Lease::new(Rc::clone(self), member, connection));
                         }
                         Step::Dial(member, back_end) => return self.open(member, &back_end).await,
-                        Step::Forward(..) | Step::Wait | Step::NoMember => (),
+                        Step::Forward(..)
+                        | Step::ForwardAndCheck(..)
+                        | Step::Wait
+                        | Step::NoMember => (),
                     }
                 }
+                // Another gateway asks the next one at once.
+                Step::NoMember if matches!(wish.target, Target::Held(_)) => {
+                    return Err(AcquireError::NoMember);
+                }
                 Step::NoMember => {
                     let until = Instant::now() + NO_MEMBER_PAUSE;
                     if until >= wish.give_up {
@@ -296,7 +310,13 @@
         }
         let mut checked = None;
         self.with_member(name, |member| checked = member.note_silent(now));
-        let Some(back_end) = checked else { return };
+        if let Some(back_end) = checked {
+            self.check(name, back_end);
+        }
+    }
+
+    /// Connects to a member in the background; its place counts as open already.
+    fn check(self: &Rc<Self>, name: &MemberName, back_end: Arc<RegisteredBackEnd>) {
         let (group, name) = (Rc::clone(self), name.clone());
         actix_rt::spawn(async move {
             // The connection goes to the idle ones, or says that the member cannot be reached.
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::MemberConnection;
 use crate::wire::Wire;
-use corktack_core::gateway::{Distance, MemberLoad, SessionProfile, Silence};
+use corktack_core::gateway::{Detour, Distance, MemberLoad, SessionProfile, Silence};
 use corktack_core::registry::{BackEndState, RegisteredBackEnd};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -43,8 +43,10 @@
     pub(crate) idle: Vec<IdleConnection<W>>,
     /// Connections in use, idle or being opened.
     pub(crate) open: usize,
-    /// Where connections to it are held, in the order to ask.
+    /// Other gateways that hold connections to it, in the order to ask.
     pub(crate) holders: Vec<SocketAddr>,
+    /// Whether those reach it while this gateway does not.
+    pub(crate) detour: Detour,
     /// Connections of other gateways in use by this one.
     pub(crate) forwarded: usize,
     /// Connections that this gateway may have open; none where it holds no share.
@@ -70,6 +72,7 @@
             back_end,
             idle: Vec::new(),
             holders: Vec::new(),
+            detour: Detour::default(),
             forwarded: 0,
             open: 0,
             limit: 1,
@@ -112,8 +115,31 @@
     /// Whether it takes writes as far as is known, if it is the primary: one that is leaving does
     /// until it is replaced, or until the end of its time.
     pub(crate) fn takes_writes(&self, now: Instant, drain_limit: Duration) -> bool {
-        let leaving = self.draining_since.is_some_and(|since| now - since >= drain_limit);
-        !leaving && !is_pending(self.unreachable_until, now)
+        !self.has_left(now, drain_limit) && !is_pending(self.unreachable_until, now)
+    }
+
+    /// Whether it is leaving and its time is over.
+    pub(crate) fn has_left(&self, now: Instant, drain_limit: Duration) -> bool {
+        self.draining_since.is_some_and(|since| now - since >= drain_limit)
+    }
+
+    /// Whether others have to be asked for a connection to it: this gateway holds none, or does
+    /// not reach it.
+    pub(crate) fn needs_detour(&self, now: Instant) -> bool {
+        let unreached =
+            is_pending(self.unreachable_until, now) || (self.failures > 0 && self.detour.is_open());
+        self.limit > 0 && unreached && !self.holders.is_empty()
+    }
+
+    /// The back end to connect to anew, beside the statements that take a detour; none before it
+    /// is time.
+    pub(crate) fn due_check(&mut self, now: Instant) -> Option<Arc<RegisteredBackEnd>> {
+        if is_pending(self.unreachable_until, now) || is_pending(self.checked_until, now) {
+            return None;
+        }
+        self.checked_until = Some(now + SILENT_PAUSE);
+        self.open += 1;
+        Some(Arc::clone(&self.back_end))
     }
 
     /// Whether others should be preferred for a moment.
@@ -131,6 +157,14 @@
         self.idle.len() + may_open > self.reserved
     }
 
+    /// A gateway reaches it: it is asked first from now on.
+    pub(crate) fn detour_through(&mut self, holder: SocketAddr) {
+        self.detour.reached();
+        if let Some(place) = self.holders.iter().position(|it| *it == holder) {
+            self.holders[..=place].rotate_right(1);
+        }
+    }
+
     pub(crate) fn load(&self) -> MemberLoad {
         MemberLoad {
             latency: self.latency,
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -125,9 +125,10 @@
         if own || (!known && live.len() <= count) {
             let shared = f64::from(all) * SHARE_FACTOR / count as f64;
             group.shares.insert(member.clone(), (shared as usize).clamp(1, all as usize));
-        } else {
-            group.holders.insert(member.clone(), self.asking_order(member, &holders, live));
         }
+        let others: Vec<ProxyName> =
+            holders.into_iter().filter(|it| it.as_str() != self.settings.name).collect();
+        group.holders.insert(member.clone(), self.asking_order(member, &others, live));
     }
 
     fn asking_order(
--- a/crates/gateway/tests/sessions/tunnels.rs
+++ b/crates/gateway/tests/sessions/tunnels.rs
@@ -2,7 +2,7 @@
 
 use crate::caller::Caller;
 use crate::member::Member;
-use crate::world::{LINEARIZABLE, OWN_WRITES, World};
+use crate::world::{BOUNDED, LINEARIZABLE, OWN_WRITES, World};
 
 /// Members take this many connections: one share, so one holder among several gateways.
 const ONE_SHARE: u32 = 4;
@@ -49,3 +49,32 @@
     let lost = primary.texts().iter().filter(|text| *text == "write x").count();
     assert_eq!(lost, 3, "each was sent once");
 }
+
+#[actix_rt::test]
+async fn a_primary_that_a_gateway_does_not_reach_is_used_through_others() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let replica = Member::start("m2", false, "1.5").await;
+    let mut world = World::with_cut(&[&primary, &replica], 3, &primary);
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    assert!(caller.query("write x").await.is_success());
+    assert_eq!(caller.query("read x").await.lines, ["row|of m1", "complete|by-m1"]);
+    caller.query("begin").await;
+    assert!(caller.query("write y").await.is_success());
+    assert!(caller.query("commit").await.is_success());
+    assert_eq!(primary.texts(), ["write x", "read x", "write y", "commit"]);
+    let told = world.reach.recv().await.expect("the gateways run");
+    assert_eq!((told.member.as_str(), told.reached), ("m1", false), "control hears of it");
+}
+
+#[actix_rt::test]
+async fn reads_stay_near_while_the_primary_is_reached_through_others() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let replica = Member::start("m2", false, "1.5").await;
+    let world = World::with_cut(&[&primary, &replica], 3, &primary);
+    let mut caller = Caller::start(world.gateways[0], BOUNDED, "a").await;
+    // The first needs a position of the primary.
+    assert!(caller.query("read x").await.is_success());
+    for _ in 0..3 {
+        assert_eq!(caller.query("read x").await.lines, ["row|of m2", "complete|by-m2"]);
+    }
+}
