Gateway: a transaction that rested too long is said to be rolled back; messages go before timers

The gateway had been stopped and continued (SIGSTOP, SIGCONT): the idle timer and the statement were due at once and the timer won; and a transaction rolled back between two statements answered the next as if the caller knew. Change: statements go first; a transaction rolled back behind the caller's back says ABORTED once. Tests: sessions::state, two new, one seen failing on the code before.

--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -127,7 +127,9 @@
                 let quiet = timeout_at(Instant::now() + QUIET_BEFORE_CLOSE, self.receive()).await;
                 return quiet.unwrap_or(Err(Ended::Stopping));
             }
+            // A process that stood still has messages and timers due at once: messages go first.
             tokio::select! {
+                biased;
                 message = self.receive() => return message,
                 () = sleep_maybe(idle_limit) => {
                     log::info!(database = session.database.as_str(); "idle transaction rolled back");
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -27,6 +27,8 @@
     Open(Box<OpenTransaction<W>>),
     /// It failed and was rolled back; its end is still to come.
     Failed,
+    /// It was rolled back between two statements; the caller does not know yet.
+    RolledBack,
 }
 
 /// A transaction that is open at a member.
@@ -56,14 +58,14 @@
     }
 
     pub(super) const fn is_failed(&self) -> bool {
-        matches!(self, Self::Failed)
+        matches!(self, Self::Failed | Self::RolledBack)
     }
 
     pub(super) const fn state(&self) -> TransactionState {
         match self {
             Self::None => TransactionState::Idle,
             Self::Begun { .. } | Self::Open(_) => TransactionState::Open,
-            Self::Failed => TransactionState::Failed,
+            Self::Failed | Self::RolledBack => TransactionState::Failed,
         }
     }
 
@@ -72,14 +74,14 @@
         let route = match self {
             Self::Begun { route, .. } => route,
             Self::Open(open) => &open.route,
-            Self::None | Self::Failed => return None,
+            Self::None | Self::Failed | Self::RolledBack => return None,
         };
         Some(route.transaction_idle).filter(|limit| !limit.is_zero())
     }
 
-    /// Rolls back what is open; the session goes on in a failed transaction.
+    /// Rolls back what is open; the caller is told with its next statement.
     pub(super) fn fail(&mut self) {
-        if let Self::Open(open) = std::mem::replace(self, Self::Failed) {
+        if let Self::Open(open) = std::mem::replace(self, Self::RolledBack) {
             open.abandon();
         }
     }
@@ -120,6 +122,9 @@
                     "the transaction had failed and is rolled back",
                 )
             }
+            _ if matches!(self.transaction, Transaction::RolledBack) => {
+                self.own_failure(ErrorCode::Aborted, "the transaction rested and is rolled back")
+            }
             _ => self.own_failure(ErrorCode::Malformed, "the transaction has failed"),
         }
     }
@@ -138,7 +143,7 @@
                     Err(response) => return response,
                 }
             }
-            Transaction::None | Transaction::Failed => {
+            Transaction::None | Transaction::Failed | Transaction::RolledBack => {
                 return self.own_failure(ErrorCode::Malformed, "no transaction is open");
             }
         };
@@ -309,7 +314,7 @@
                     }
                 }
             }
-            Transaction::None | Transaction::Failed => {
+            Transaction::None | Transaction::Failed | Transaction::RolledBack => {
                 return self.own_failure(ErrorCode::Malformed, "no transaction is open");
             }
         };
--- a/crates/gateway/tests/sessions/state.rs
+++ b/crates/gateway/tests/sessions/state.rs
@@ -91,3 +91,38 @@
     assert_eq!(answers, ["error|malformed|no message of the wire"]);
     assert!(primary.texts().is_empty());
 }
+
+/// Begins a transaction that writes, and waits until the gateway has rolled it back.
+async fn rested(world: &World, primary: &Member) -> Caller {
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    caller.query("begin").await;
+    assert!(caller.query("write x").await.is_success());
+    let mut other = Caller::start(world.gateways[0], LINEARIZABLE, "b").await;
+    let rolled_back = || primary.state.borrow().ran.iter().any(|ran| ran.text == "rollback");
+    while !rolled_back() {
+        other.query("set color red").await;
+    }
+    caller
+}
+
+#[actix_rt::test]
+async fn a_transaction_that_rested_too_long_is_said_to_be_rolled_back() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::with_short_rests(&[&primary]);
+    let mut caller = rested(&world, &primary).await;
+    let answered = caller.query("write y").await;
+    assert_eq!((answered.code(), answered.state.as_str()), ("aborted", "failed"));
+    assert_eq!(caller.query("write z").await.code(), "malformed", "it knows by now");
+    assert_eq!(caller.query("rollback").await.state, "idle");
+    assert_eq!(primary.texts(), ["write x"]);
+}
+
+#[actix_rt::test]
+async fn the_commit_of_a_transaction_that_rested_too_long_is_refused() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::with_short_rests(&[&primary]);
+    let mut caller = rested(&world, &primary).await;
+    let answered = caller.query("commit").await;
+    assert_eq!((answered.code(), answered.state.as_str()), ("aborted", "idle"));
+    assert_eq!(primary.texts(), ["write x"]);
+}
--- a/crates/gateway/tests/sessions/world.rs
+++ b/crates/gateway/tests/sessions/world.rs
@@ -56,7 +56,7 @@
     }
 }
 
-fn document(max_connections: u32) -> Document {
+fn document(max_connections: u32, transaction_idle: Duration) -> Document {
     Document {
         version: 1,
         routes: vec![
@@ -65,7 +65,7 @@
             route(OWN_WRITES, Consistency::ReadYourWrites(LONG)),
         ],
         services: vec![ServiceRule { name: group(), max_connections, synchronous_replicas: 0 }],
-        limits: DocumentLimits { transaction_idle: LONG },
+        limits: DocumentLimits { transaction_idle },
     }
 }
 
@@ -94,6 +94,13 @@
         Self::start(members, 1, 36)
     }
 
+    /// A gateway that lets transactions rest for a moment only.
+    pub fn with_short_rests(members: &[&Member]) -> Self {
+        let (bound, mut view) = Self::prepare(members, 1, 36);
+        view.document = Some(Arc::new(document(36, Duration::from_millis(1))));
+        Self::launch(bound, view)
+    }
+
     pub fn start(members: &[&Member], gateways: usize, max_connections: u32) -> Self {
         let (bound, view) = Self::prepare(members, gateways, max_connections);
         Self::launch(bound, view)
@@ -102,7 +109,7 @@
     fn prepare(members: &[&Member], gateways: usize, max_connections: u32) -> (Vec<Bound>, View) {
         let bound: Vec<_> = (0..gateways).map(|_| (bind(), bind())).collect();
         let mut view = View { revision: Revision(1), ..View::default() };
-        view.document = Some(Arc::new(document(max_connections)));
+        view.document = Some(Arc::new(document(max_connections, LONG)));
         for (place, (_, (_, peers))) in bound.iter().enumerate() {
             let proxy = ProxyView {
                 address: *peers,
