Gateways spread over the holders of a member by hash; holders in a third region come last

Cause: on the grown sites gateways without connections of their own asked the holders of their own zone first. A member has nine holders in its zone and one elsewhere; all gateways of that one's zone asked it alone, for four connections. Change: holders in the gateway's own region or the member's are as near as each other: they are asked in turn from a place that a hash gives; others after them.

--- a/crates/core/src/gateway/shares.rs
+++ b/crates/core/src/gateway/shares.rs
@@ -55,27 +55,33 @@
     hasher.finish()
 }
 
-/// The holders in the order in which one gateway asks them: those of its own zone first, then by a
-/// hash of its own, so that gateways spread over the holders.
+/// The holders in the order in which one gateway asks them. Those on its way to the member, in its
+/// own region or the member's, are all as near: they are asked in turn, from a place that a hash of
+/// the gateway gives, so that gateways spread over all of them. The others come last.
 #[must_use]
 pub fn asking_order(
     own: &ProxyName,
     own_zone: &ZoneName,
-    member: &MemberName,
+    (member, member_zone): (&MemberName, &ZoneName),
     holders: &[(ProxyName, ZoneName)],
 ) -> Vec<ProxyName> {
+    let near =
+        |zone: &ZoneName, other: &ZoneName| Distance::between(zone, other) != Distance::OtherRegion;
+    let on_the_way = |zone: &ZoneName| near(zone, own_zone) || near(zone, member_zone);
+    let (mut order, mut others): (Vec<_>, Vec<_>) =
+        holders.iter().partition(|(_, zone)| on_the_way(zone));
+    for part in [&mut order, &mut others] {
+        let turn = turn(own, member, part.len());
+        part.rotate_left(turn);
+    }
+    order.append(&mut others);
+    order.into_iter().map(|(holder, _)| holder.clone()).collect()
+}
+
+/// The place at which a gateway begins.
+fn turn(own: &ProxyName, member: &MemberName, places: usize) -> usize {
     let mut hasher = SipHasher13::new();
     own.hash(&mut hasher);
     member.hash(&mut hasher);
-    let turn = hasher.finish() as usize % holders.len().max(1);
-    let mut order: Vec<_> = holders
-        .iter()
-        .enumerate()
-        .map(|(place, (holder, zone))| {
-            let behind = (place + holders.len() - turn) % holders.len();
-            (Distance::between(own_zone, zone), behind, holder.clone())
-        })
-        .collect();
-    order.sort();
-    order.into_iter().map(|(.., holder)| holder).collect()
+    hasher.finish() as usize % places.max(1)
 }
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -6,7 +6,7 @@
 use crate::tunnel::Tunnels;
 use crate::wire::Wire;
 use corktack_core::gateway::{asking_order, holder_count, holders};
-use corktack_core::identity::{GroupName, MemberName, ProxyName};
+use corktack_core::identity::{GroupName, MemberName, ProxyName, ZoneName};
 use corktack_core::registry::{Document, RegisteredBackEnd, RouteRule};
 use corktack_core::view::{ProxyState, ProxyView, View};
 use std::cell::RefCell;
@@ -128,12 +128,14 @@
         }
         let others: Vec<ProxyName> =
             holders.into_iter().filter(|it| it.as_str() != self.settings.name).collect();
-        group.holders.insert(member.clone(), self.asking_order(member, &others, live));
+        group
+            .holders
+            .insert(member.clone(), self.asking_order((member, &back_end.zone), &others, live));
     }
 
     fn asking_order(
         &self,
-        member: &MemberName,
+        member: (&MemberName, &ZoneName),
         holders: &[ProxyName],
         live: &[(&ProxyName, &ProxyView)],
     ) -> Vec<SocketAddr> {
