Lone statements are run by the gateway that holds the connection, not over a borrowed connection

Cause: on the grown sites nine of ten gateways hold no connection to a member and borrowed one over a tunnel for each statement: grant, begin, read, rollback were four round trips between regions, during all of which one of the holder's four connections was in use. Change: a statement outside a transaction goes to the holder whole, with the session's values and the position that it must see; the holder brings a connection to them, runs it and answers: one round trip, and the connection is in use for the member's own time. A write without an answer is in doubt and sent once, as before; transactions keep the borrowed connection. Notes on members are a file of their own. Tests: sessions::tunnels, 2 new; the old ones pass unchanged.

--- a/crates/core/src/gateway/profile.rs
+++ b/crates/core/src/gateway/profile.rs
@@ -17,7 +17,7 @@
 pub struct UnknownName(pub String);
 
 /// What a session was promised.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SessionProfile {
     values: BTreeMap<String, String>,
     prepared: BTreeMap<String, PreparedShape>,
@@ -42,6 +42,12 @@
         self.prepared.get(name).ok_or_else(|| UnknownName(name.to_owned()))
     }
 
+    /// The values alone, for a gateway that runs one statement of the session.
+    #[must_use]
+    pub fn values_only(&self) -> Self {
+        Self { values: self.values.clone(), prepared: BTreeMap::new() }
+    }
+
     /// Forgets a prepared statement.
     ///
     /// # Errors
--- a/crates/core/src/statement.rs
+++ b/crates/core/src/statement.rs
@@ -96,7 +96,7 @@
 }
 
 /// Whether a session is inside a transaction.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TransactionState {
     /// It is not.
     Idle,
@@ -107,7 +107,7 @@
 }
 
 /// What is ready for the next statement, and how far its log goes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReadyState {
     /// Whether a transaction is open.
     pub state: TransactionState,
@@ -116,7 +116,7 @@
 }
 
 /// Why a statement was not answered with its result.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ErrorCode {
     /// No slot or connection was free; nothing ran.
     Busy,
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -1,7 +1,8 @@
 //! A group of back ends as this gateway uses it.
 
 mod choice;
-mod forward;
+mod elsewhere;
+mod notes;
 
 use crate::clock::SteadyClock;
 use crate::connection::MemberConnection;
@@ -71,6 +72,14 @@
     pub(crate) give_up: Instant,
 }
 
+/// Where a wish can be served.
+pub(crate) enum Place<W: Wire> {
+    /// On a connection of this gateway.
+    Here(Lease<W>),
+    /// On one of these gateways' connections to a member.
+    Elsewhere(MemberName, Vec<SocketAddr>),
+}
+
 /// What the registry says of a group.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct GroupFacts {
@@ -143,36 +152,42 @@
         self.state.borrow_mut().waiting.ticket(priority)
     }
 
-    /// Waits for a connection to a member that could serve the wish.
+    /// Waits for a connection to a member that could serve the wish, here or elsewhere.
     pub(crate) async fn acquire(
         self: &Rc<Self>,
         wish: &Wish<'_>,
     ) -> Result<Lease<W>, AcquireError> {
+        match self.place(wish).await? {
+            Place::Here(lease) => Ok(lease),
+            Place::Elsewhere(member, holders) => self.forward(member, &holders, wish).await,
+        }
+    }
+
+    /// Waits until it is clear where the wish can be served.
+    pub(crate) async fn place(self: &Rc<Self>, wish: &Wish<'_>) -> Result<Place<W>, AcquireError> {
         let ticket = self.ticket(wish.priority);
         loop {
             let step = self.state.borrow_mut().step(wish, &self.settings, self.clock);
             match step {
-                Step::Use(member, connection) => {
-                    return Ok(Lease::new(Rc::clone(self), member, connection));
-                }
+                Step::Use(member, connection) => return Ok(self.leased(member, connection)),
                 Step::Dial(member, back_end) => {
-                    return self.open(member, &back_end).await;
-                }
-                Step::Forward(member, holders) => {
-                    return self.forward(member, &holders, wish).await;
+                    return self.open(member, &back_end).await.map(Place::Here);
                 }
+                Step::Forward(member, holders) => return Ok(Place::Elsewhere(member, holders)),
                 Step::ForwardAndCheck(member, holders, back_end) => {
                     self.check(&member, back_end);
-                    return self.forward(member, &holders, wish).await;
+                    return Ok(Place::Elsewhere(member, holders));
                 }
                 Step::Wait => {
                     let Some(member) = self.wait(wish, ticket).await? else { continue };
                     let step = self.state.borrow_mut().take_reserved(&member, wish, &self.settings);
                     match step {
                         Step::Use(member, connection) => {
-                            return Ok(Lease::new(Rc::clone(self), member, connection));
+                            return Ok(self.leased(member, connection));
+                        }
+                        Step::Dial(member, back_end) => {
+                            return self.open(member, &back_end).await.map(Place::Here);
                         }
-                        Step::Dial(member, back_end) => return self.open(member, &back_end).await,
                         Step::Forward(..)
                         | Step::ForwardAndCheck(..)
                         | Step::Wait
@@ -194,6 +209,10 @@
         }
     }
 
+    fn leased(self: &Rc<Self>, member: MemberName, connection: MemberConnection<W>) -> Place<W> {
+        Place::Here(Lease::new(Rc::clone(self), member, connection))
+    }
+
     /// Waits for a member with room that is kept for this waiter, or until it is time to look.
     async fn wait(
         &self,
--- /dev/null
+++ b/crates/gateway/src/group/notes.rs
@@ -0,0 +1,86 @@
+//! What statements say of a member, remembered for those that come.
+
+use super::Group;
+use crate::answer::Answer;
+use crate::error::LinkError;
+use crate::run::Unanswered;
+use crate::wire::Wire;
+use corktack_core::identity::MemberName;
+use corktack_core::position::Position;
+use corktack_core::statement::ErrorCode;
+use corktack_core::time::Timestamp;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+impl<W: Wire> Group<W> {
+    /// The steady time.
+    pub(crate) fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Longest wait for the begin of a transaction.
+    pub(crate) fn begin_timeout(&self) -> Duration {
+        self.settings.begin_timeout
+    }
+
+    /// A member acted as only the primary can, in answer to a question asked at this time, and told
+    /// its position.
+    pub(crate) fn note_lead(
+        &self,
+        name: &MemberName,
+        asked_at: Timestamp,
+        position: Option<Position>,
+    ) {
+        self.note_primary(name);
+        if let Some(position) = position {
+            self.freshness.borrow_mut().note(asked_at, position);
+        }
+    }
+
+    /// Remembers what a statement that was begun then says of a member.
+    pub(crate) fn note_result(
+        self: &Rc<Self>,
+        name: &MemberName,
+        result: &Result<Answer, Unanswered>,
+        begun: Instant,
+    ) {
+        match result {
+            Ok(answer) => match &answer.outcome {
+                Ok(_) => self.with_member(name, |it| it.note_latency(begun.elapsed())),
+                Err(failure) if failure.code.did_not_run() => {
+                    self.note_refusal(name, failure.code);
+                }
+                Err(_) => (),
+            },
+            Err(Unanswered::Refused(failure)) => self.note_refusal(name, failure.code),
+            Err(Unanswered::NotSent(error) | Unanswered::Sent(error)) => {
+                self.note_lost(name, error);
+            }
+        }
+    }
+
+    /// Remembers of a member why it did not run a statement.
+    pub(crate) fn note_refusal(&self, name: &MemberName, code: ErrorCode) {
+        let now = Instant::now();
+        log::debug!(
+            group:% = self.name, member:% = name, code:? = code; "member did not run a statement"
+        );
+        match code {
+            ErrorCode::Lagging => self.with_member(name, |it| it.note_lagging(now)),
+            ErrorCode::ReadOnly => self.note_not_primary(name),
+            ErrorCode::WrongMember => self.note_unreachable(name),
+            _ => self.with_member(name, |it| it.note_busy(now)),
+        }
+    }
+
+    /// Remembers of a member that a connection to it gave no answer.
+    pub(crate) fn note_lost(self: &Rc<Self>, name: &MemberName, error: &LinkError) {
+        log::info!(
+            group:% = self.name, member:% = name, error:% = error; "connection to a member lost"
+        );
+        if matches!(error, LinkError::TimedOut) {
+            self.note_silent(name);
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod member;
 mod metrics;
 mod routes;
+mod run;
 mod session;
 mod settings;
 mod transport;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -158,13 +158,20 @@
     }
 
     /// A gateway reaches it: it is asked first from now on.
-    pub(crate) fn detour_through(&mut self, holder: SocketAddr) {
+    pub(crate) fn ask_first(&mut self, holder: SocketAddr) {
         self.detour.reached();
         if let Some(place) = self.holders.iter().position(|it| *it == holder) {
             self.holders[..=place].rotate_right(1);
         }
     }
 
+    /// A gateway does not reach it, or is not reached itself.
+    pub(crate) fn ask_last(&mut self, holder: SocketAddr) {
+        if let Some(place) = self.holders.iter().position(|it| *it == holder) {
+            self.holders[place..].rotate_left(1);
+        }
+    }
+
     pub(crate) fn load(&self) -> MemberLoad {
         MemberLoad {
             latency: self.latency,
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,202 @@
+//! Runs a caller's statement on a connection of a member.
+
+use crate::answer::{Answer, Failure};
+use crate::connection::OwnOutcome;
+use crate::error::LinkError;
+use crate::lease::Lease;
+use crate::wire::Wire;
+use corktack_core::gateway::SessionProfile;
+use corktack_core::position::Position;
+use corktack_core::statement::{
+    Access, MemberRequest, OwnStatement, PreparedShape, Request, Statement,
+};
+use corktack_protocol::tunnel::{LoneKind, LoneRequest};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest time that the end of the product's own transaction may take.
+pub(crate) const ROLLBACK_LIMIT: Duration = Duration::from_secs(2);
+
+/// Why a statement has no whole answer.
+#[derive(Debug)]
+pub(crate) enum Unanswered {
+    /// It was not sent: the connection could not be brought to the session's state.
+    NotSent(LinkError),
+    /// It was sent and may have run.
+    Sent(LinkError),
+    /// A member refused what had to come before it; it was not sent.
+    Refused(Failure),
+}
+
+/// What of a caller's statement is passed on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PassedStatement<'s> {
+    pub(crate) id: &'s str,
+    pub(crate) text: &'s str,
+    /// Arguments of an execution.
+    pub(crate) arguments: Option<&'s str>,
+}
+
+impl<'s> From<&'s Request> for PassedStatement<'s> {
+    fn from(request: &'s Request) -> Self {
+        let arguments = match &request.statement {
+            Statement::Execute { arguments, .. } => Some(arguments.as_str()),
+            _ => None,
+        };
+        Self { id: &request.id, text: &request.text, arguments }
+    }
+}
+
+/// Brings the connection to the session's values and prepared statements; gives the connection's
+/// name of the shape.
+pub(crate) async fn align<W: Wire>(
+    lease: &mut Lease<W>,
+    session: &SessionProfile,
+    shape: Option<&PreparedShape>,
+    deadline: Instant,
+) -> Result<Option<String>, Unanswered> {
+    let connection = lease.connection();
+    let aligned = connection.align(session, deadline).await;
+    if let OwnOutcome::Refused(failure) = aligned.map_err(Unanswered::NotSent)? {
+        return Err(Unanswered::Refused(failure));
+    }
+    let Some(shape) = shape else { return Ok(None) };
+    let prepared = connection.prepare(shape, deadline).await.map_err(Unanswered::NotSent)?;
+    prepared.map(Some).map_err(Unanswered::Refused)
+}
+
+/// Passes the statement on and waits for its whole answer. `prepared` is the connection's name of
+/// the statement that an execution runs.
+pub(crate) async fn pass_on<W: Wire>(
+    lease: &mut Lease<W>,
+    passed: PassedStatement<'_>,
+    prepared: Option<&str>,
+    after: Option<Position>,
+    deadline: Instant,
+) -> Result<Answer, Unanswered> {
+    let PassedStatement { id, text, arguments } = passed;
+    let message = match (arguments, prepared) {
+        (Some(arguments), Some(name)) => MemberRequest::Execute { id, after, name, arguments },
+        _ => MemberRequest::Forward { id, after, text },
+    };
+    lease.connection().exchange(&message, deadline).await.map_err(Unanswered::Sent)
+}
+
+/// Begins a transaction at the member.
+pub(crate) async fn begin_at<W: Wire>(
+    lease: &mut Lease<W>,
+    access: Access,
+    after: Option<Position>,
+    deadline: Instant,
+) -> Result<Answer, Unanswered> {
+    let begin = OwnStatement::Begin { access, after };
+    let answer = lease.connection().run_own(&begin, deadline).await;
+    let answer = answer.map_err(Unanswered::NotSent)?;
+    lease.in_transaction = answer.outcome.is_ok();
+    Ok(answer)
+}
+
+/// Begins a writable transaction, which only the primary does, and learns its position.
+pub(crate) async fn begin_as_primary<W: Wire>(
+    lease: &mut Lease<W>,
+    deadline: Instant,
+) -> Result<(), Unanswered> {
+    let asked_at = lease.group().now();
+    // A begin takes no slot: it is answered soon, or the member is out of reach.
+    let deadline = deadline.min(Instant::now() + lease.group().begin_timeout());
+    let answer = begin_at(lease, Access::Write, None, deadline).await?;
+    if let Err(failure) = answer.outcome {
+        return Err(Unanswered::Refused(failure));
+    }
+    lease.group().note_lead(&lease.member, asked_at, answer.ready.position);
+    Ok(())
+}
+
+/// Rolls back after the caller has its answer; the connection is then free for others.
+pub(crate) fn roll_back_later<W: Wire>(mut lease: Lease<W>, limit: Duration) {
+    actix_rt::spawn(async move {
+        let deadline = Instant::now() + limit;
+        let answer = lease.connection().run_own(&OwnStatement::Rollback, deadline).await;
+        // A connection that did not answer is closed with the lease, which rolls back as well.
+        if answer.is_ok_and(|answer| answer.outcome.is_ok()) {
+            lease.end_transaction();
+        }
+    });
+}
+
+/// A statement outside a transaction, as it is run on any connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoneStatement<'s> {
+    pub(crate) passed: PassedStatement<'s>,
+    pub(crate) shape: Option<&'s PreparedShape>,
+    pub(crate) session: &'s SessionProfile,
+    pub(crate) kind: LoneKind,
+}
+
+impl LoneStatement<'_> {
+    /// Runs it, and notes what that says of the member.
+    pub(crate) async fn run<W: Wire>(
+        &self,
+        mut lease: Lease<W>,
+        deadline: Instant,
+    ) -> Result<Answer, Unanswered> {
+        let asked_at = lease.group().now();
+        let begun = Instant::now();
+        let result = self.run_on(&mut lease, deadline).await;
+        lease.group().note_result(&lease.member, &result, begun);
+        if let (Ok(answer), LoneKind::Write) = (&result, self.kind)
+            && answer.outcome.is_ok()
+        {
+            lease.group().note_lead(&lease.member, asked_at, answer.ready.position);
+        }
+        if lease.in_transaction && lease.connection().is_settled() {
+            roll_back_later(lease, ROLLBACK_LIMIT);
+        }
+        result
+    }
+
+    async fn run_on<W: Wire>(
+        &self,
+        lease: &mut Lease<W>,
+        deadline: Instant,
+    ) -> Result<Answer, Unanswered> {
+        let prepared = align(lease, self.session, self.shape, deadline).await?;
+        let after = match self.kind {
+            LoneKind::Read { after } => Some(after),
+            LoneKind::Write => None,
+            // A member that lost the lead refuses the begin or the read, so that what is read is as
+            // new as every commit acknowledged before.
+            LoneKind::ReadAtPrimary => {
+                begin_as_primary(lease, deadline).await?;
+                None
+            }
+        };
+        pass_on(lease, self.passed, prepared.as_deref(), after, deadline).await
+    }
+
+    /// The statement as another gateway gets it.
+    pub(crate) fn to_request(self) -> LoneRequest {
+        LoneRequest {
+            id: self.passed.id.to_owned(),
+            text: self.passed.text.to_owned(),
+            arguments: self.passed.arguments.map(str::to_owned),
+            shape: self.shape.cloned(),
+            session: self.session.values_only(),
+            kind: self.kind,
+        }
+    }
+
+    /// The statement that another gateway sent.
+    pub(crate) fn of_request(request: &LoneRequest) -> LoneStatement<'_> {
+        LoneStatement {
+            passed: PassedStatement {
+                id: &request.id,
+                text: &request.text,
+                arguments: request.arguments.as_deref(),
+            },
+            shape: request.shape.as_ref(),
+            session: &request.session,
+            kind: request.kind,
+        }
+    }
+}
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -1,14 +1,17 @@
 //! Transactions: begun at a member with their first statement, ended there.
 
 use super::Session;
-use super::alone::{Bounds, ROLLBACK_LIMIT};
+use super::alone::Bounds;
 use super::response::Response;
-use super::statement::{Unanswered, access_of, roll_back_later};
+use super::statement::access_of;
 use crate::answer::Failure;
 use crate::error::AcquireError;
 use crate::group::{Target, Wish};
 use crate::lease::Lease;
 use crate::routes::Route;
+use crate::run::{
+    ROLLBACK_LIMIT, Unanswered, align, begin_as_primary, begin_at, pass_on, roll_back_later,
+};
 use crate::wire::Wire;
 use corktack_core::registry::Consistency;
 use corktack_core::statement::{Access, ErrorCode, PreparedShape, Request, TransactionState};
@@ -158,7 +161,7 @@
             }
             Ok(answer) => {
                 if let Err(failure) = &answer.outcome {
-                    Self::note_refusal(&open.lease, failure, Instant::now());
+                    open.lease.group().note_refusal(&open.lease.member, failure.code);
                 }
                 open.abandon();
                 Response::of(answer, TransactionState::Failed)
@@ -175,9 +178,9 @@
         deadline: Instant,
     ) -> Result<crate::answer::Answer, Unanswered> {
         let before = open.lease.connection().profile.clone();
-        let prepared = self.align(&mut open.lease, shape, deadline).await?;
+        let prepared = align(&mut open.lease, &self.profile, shape, deadline).await?;
         open.aligned_inside |= open.lease.connection().profile != before;
-        Self::pass_on(&mut open.lease, request, prepared.as_deref(), None, deadline).await
+        pass_on(&mut open.lease, request.into(), prepared.as_deref(), None, deadline).await
     }
 
     /// Nothing of a transaction whose commit was not sent is kept: the connection is closed, or
@@ -185,7 +188,7 @@
     fn fail_open(open: OpenTransaction<W>, unanswered: Unanswered) -> Response {
         match unanswered {
             Unanswered::NotSent(error) | Unanswered::Sent(error) => {
-                Self::note_lost(&open.lease, &error);
+                open.lease.group().note_lost(&open.lease.member, &error);
                 let text = format!("rolled back: {error} at {}", open.lease.member);
                 Response::failure(ErrorCode::Aborted, &text, TransactionState::Failed)
             }
@@ -270,12 +273,11 @@
     fn note_unanswered(lease: &Lease<W>, unanswered: &Unanswered) -> String {
         match unanswered {
             Unanswered::NotSent(error) | Unanswered::Sent(error) => {
-                Self::note_lost(lease, error);
+                lease.group().note_lost(&lease.member, error);
                 format!("{error} at {}", lease.member)
             }
             Unanswered::Refused(Failure { code, .. }) => {
-                let failure = Failure { code: *code, text: String::new() };
-                Self::note_refusal(lease, &failure, Instant::now());
+                lease.group().note_refusal(&lease.member, *code);
                 format!("{code:?} at {}", lease.member)
             }
         }
@@ -286,8 +288,8 @@
         lease: &mut Lease<W>,
         deadline: Instant,
     ) -> Result<(), Unanswered> {
-        self.align(lease, None, deadline).await?;
-        self.begin_as_primary(lease, deadline).await
+        align(lease, &self.profile, None, deadline).await?;
+        begin_as_primary(lease, deadline).await
     }
 
     async fn begin_reading(
@@ -296,8 +298,8 @@
         needed: Option<corktack_core::position::Position>,
         deadline: Instant,
     ) -> Result<(), Unanswered> {
-        self.align(lease, None, deadline).await?;
-        let answer = Self::begin_at(lease, Access::Read, needed, deadline).await?;
+        align(lease, &self.profile, None, deadline).await?;
+        let answer = begin_at(lease, Access::Read, needed, deadline).await?;
         answer.outcome.map(drop).map_err(Unanswered::Refused)
     }
 
@@ -320,11 +322,11 @@
         };
         let asked_at = self.shared.now();
         let deadline = Instant::now() + open.route.rule.statement_timeout;
-        let answer = Self::pass_on(&mut open.lease, request, None, None, deadline).await;
+        let answer = pass_on(&mut open.lease, request.into(), None, None, deadline).await;
         let answer = match answer {
             Ok(answer) => answer,
             Err(Unanswered::Sent(error) | Unanswered::NotSent(error)) => {
-                Self::note_lost(&open.lease, &error);
+                open.lease.group().note_lost(&open.lease.member, &error);
                 let text =
                     format!("the commit may have taken effect: {error} at {}", open.lease.member);
                 return Response::failure(ErrorCode::InDoubt, &text, TransactionState::Idle);
@@ -358,8 +360,7 @@
         position: Option<corktack_core::position::Position>,
     ) {
         let Some(position) = position else { return };
-        open.route.group.note_primary(&open.lease.member);
-        open.route.group.freshness.borrow_mut().note(asked_at, position);
+        open.route.group.note_lead(&open.lease.member, asked_at, Some(position));
         self.note_own_commit(Some(position));
     }
 }
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -1,16 +1,21 @@
-//! Tunnels between gateways: connections to a member that another gateway holds.
+//! Tunnels between gateways: connections to a member that another gateway holds, and statements
+//! that it runs on them.
 
+use crate::answer::{Answer, Failure};
 use crate::error::{AcquireError, LinkError};
 use crate::group::{Group, Target, Wish};
 use crate::handle::Shared;
 use crate::lease::Lease;
+use crate::run::{LoneStatement, Unanswered};
 use crate::wire::Wire;
 use bytes::BytesMut;
 use corktack_core::gateway::{ConnectionProfile, SessionProfile};
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::position::Position;
 use corktack_protocol::frame::{FrameCodec, FrameError};
-use corktack_protocol::tunnel::{TunnelRefusal, TunnelReply, TunnelRequest};
+use corktack_protocol::tunnel::{
+    LoneRequest, MemberRefusal, RunFailure, RunOutcome, TunnelRefusal, TunnelReply, TunnelRequest,
+};
 use futures_util::{SinkExt, StreamExt};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -53,6 +58,24 @@
     Refused(TunnelRefusal),
 }
 
+/// What a holder made of a statement.
+#[derive(Debug)]
+pub(crate) enum RunReply {
+    /// It ran it, with this outcome and its newest position and age.
+    Ran(Result<Answer, Unanswered>, Option<(Duration, Position)>),
+    /// It has no connection to run it on.
+    Refused(TunnelRefusal),
+}
+
+/// Why a holder said nothing of a statement.
+#[derive(Debug)]
+pub(crate) enum RunError {
+    /// It did not get it.
+    NotSent(LinkError),
+    /// It may have run it.
+    Sent(LinkError),
+}
+
 /// What is asked of a holder.
 #[derive(Clone, Debug)]
 pub(crate) struct TunnelWish {
@@ -108,6 +131,42 @@
         }
     }
 
+    /// Whether the holder closed the tunnel, or sent something unasked, while nobody used it.
+    fn is_broken(&self) -> bool {
+        let mut byte = [0_u8; 1];
+        let unread = !self.frames.read_buffer().is_empty();
+        let read = self.frames.get_ref().try_read(&mut byte);
+        unread || !read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
+    /// Has a statement run. A frame that was not sent whole is no statement.
+    async fn run(
+        &mut self,
+        wish: &TunnelWish,
+        statement: LoneRequest,
+        limit: Duration,
+    ) -> Result<RunReply, RunError> {
+        let request = TunnelRequest::Run {
+            group: wish.group.clone(),
+            member: wish.member.clone(),
+            priority: wish.priority,
+            wait: wish.wait,
+            limit,
+            statement: Box::new(statement),
+        };
+        let sent = self.frames.send(request).await;
+        sent.map_err(|error| RunError::NotSent(link_error(error)))?;
+        let reply = timeout(limit + GRANT_SLACK, self.frames.next()).await;
+        match reply.map_err(|_| RunError::Sent(LinkError::TimedOut))? {
+            Some(Ok(TunnelReply::Ran { outcome, newest })) => {
+                Ok(RunReply::Ran(result_of(outcome), newest))
+            }
+            Some(Ok(TunnelReply::Refused(refusal))) => Ok(RunReply::Refused(refusal)),
+            Some(Ok(_)) | None => Err(RunError::Sent(LinkError::Closed)),
+            Some(Err(error)) => Err(RunError::Sent(link_error(error))),
+        }
+    }
+
     async fn release(&mut self, profile: ConnectionProfile) -> Result<(), LinkError> {
         let sending = self.frames.send(TunnelRequest::Release { profile });
         let sent = timeout(RELEASE_LIMIT, sending).await;
@@ -128,8 +187,7 @@
         holder: SocketAddr,
         wish: &TunnelWish,
     ) -> Result<Grant, LinkError> {
-        let kept = self.idle.borrow_mut().get_mut(&holder).and_then(Vec::pop);
-        if let Some(tunnel) = kept {
+        if let Some(tunnel) = self.kept(holder) {
             // The holder may have gone since; a new tunnel tells.
             if let Ok(grant) = tunnel.acquire(wish.clone()).await {
                 return Ok(grant);
@@ -139,6 +197,43 @@
         tunnel.acquire(wish.clone()).await
     }
 
+    /// Has a holder run a statement.
+    pub(crate) async fn run(
+        &self,
+        holder: SocketAddr,
+        wish: &TunnelWish,
+        statement: LoneRequest,
+        limit: Duration,
+    ) -> Result<RunReply, RunError> {
+        let mut tunnel = match self.kept(holder) {
+            Some(kept) => kept,
+            None => TunnelClient::connect(holder).await.map_err(RunError::NotSent)?,
+        };
+        let reply = tunnel.run(wish, statement, limit).await?;
+        self.keep(tunnel);
+        Ok(reply)
+    }
+
+    /// A tunnel that nobody uses and that is still open.
+    fn kept(&self, holder: SocketAddr) -> Option<TunnelClient> {
+        let mut idle = self.idle.borrow_mut();
+        let tunnels = idle.get_mut(&holder)?;
+        while let Some(tunnel) = tunnels.pop() {
+            if !tunnel.is_broken() {
+                return Some(tunnel);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, tunnel: TunnelClient) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(tunnel.holder).or_default();
+        if kept.len() < IDLE_TUNNELS {
+            kept.push(tunnel);
+        }
+    }
+
     /// Ends a lease in the background and keeps the tunnel.
     pub(crate) fn release(
         self: &Rc<Self>,
@@ -147,13 +242,8 @@
     ) {
         let tunnels = Rc::clone(self);
         actix_rt::spawn(async move {
-            if tunnel.release(profile).await.is_err() {
-                return;
-            }
-            let mut idle = tunnels.idle.borrow_mut();
-            let kept = idle.entry(tunnel.holder).or_default();
-            if kept.len() < IDLE_TUNNELS {
-                kept.push(*tunnel);
+            if tunnel.release(profile).await.is_ok() {
+                tunnels.keep(*tunnel);
             }
         });
     }
@@ -177,22 +267,77 @@
 async fn serve_tunnel<W: Wire>(stream: TcpStream, shared: Rc<Shared<W>>) {
     drop(stream.set_nodelay(true));
     let mut frames: ServerFrames = Framed::new(stream, FrameCodec::default());
-    while let Some(Ok(TunnelRequest::Acquire { group, member, priority, wait })) =
-        frames.next().await
-    {
-        let wish = TunnelWish { group, member, priority, wait };
-        match grant(&shared, &wish).await {
-            Ok(lease) => {
-                if serve_lease(&shared, &mut frames, lease).await.is_err() {
-                    return;
+    while let Some(Ok(request)) = frames.next().await {
+        let served = match request {
+            TunnelRequest::Acquire { group, member, priority, wait } => {
+                let wish = TunnelWish { group, member, priority, wait };
+                match grant(&shared, &wish).await {
+                    Ok(lease) => serve_lease(&shared, &mut frames, lease).await,
+                    Err(refusal) => answer(&mut frames, TunnelReply::Refused(refusal)).await,
                 }
             }
-            Err(refusal) => {
-                if frames.send(TunnelReply::Refused(refusal)).await.is_err() {
-                    return;
-                }
+            TunnelRequest::Run { group, member, priority, wait, limit, statement } => {
+                let wish = TunnelWish { group, member, priority, wait };
+                let reply = run(&shared, &wish, &statement, limit).await;
+                answer(&mut frames, reply.unwrap_or_else(TunnelReply::Refused)).await
             }
+            // Nothing is leased.
+            TunnelRequest::Bytes(_) | TunnelRequest::Release { .. } => return,
+        };
+        if served.is_err() {
+            return;
+        }
+    }
+}
+
+async fn answer(frames: &mut ServerFrames, reply: TunnelReply) -> Result<(), LinkError> {
+    frames.send(reply).await.map_err(link_error)
+}
+
+/// Runs a statement of another gateway.
+async fn run<W: Wire>(
+    shared: &Shared<W>,
+    wish: &TunnelWish,
+    statement: &LoneRequest,
+    limit: Duration,
+) -> Result<TunnelReply, TunnelRefusal> {
+    let deadline = Instant::now() + limit;
+    let lease = grant(shared, wish).await?;
+    let group = Rc::clone(lease.group());
+    let result = LoneStatement::of_request(statement).run(lease, deadline).await;
+    let newest = group.freshness.borrow().newest(shared.now());
+    Ok(TunnelReply::Ran { outcome: outcome_of(result), newest })
+}
+
+fn outcome_of(result: Result<Answer, Unanswered>) -> RunOutcome {
+    let refusal = |failure: Failure| MemberRefusal { code: failure.code, text: failure.text };
+    let failure = |error: LinkError| match error {
+        LinkError::TimedOut => RunFailure::TimedOut,
+        LinkError::Io(_) | LinkError::Closed | LinkError::Wire(_) => RunFailure::Lost,
+    };
+    match result {
+        Ok(Answer { rows, outcome, ready }) => {
+            RunOutcome::Answered { rows, outcome: outcome.map_err(refusal), ready }
+        }
+        Err(Unanswered::Refused(failure)) => RunOutcome::Refused(refusal(failure)),
+        Err(Unanswered::NotSent(error)) => RunOutcome::NotSent(failure(error)),
+        Err(Unanswered::Sent(error)) => RunOutcome::Unanswered(failure(error)),
+    }
+}
+
+fn result_of(outcome: RunOutcome) -> Result<Answer, Unanswered> {
+    let failure = |refusal: MemberRefusal| Failure { code: refusal.code, text: refusal.text };
+    let error = |failure: RunFailure| match failure {
+        RunFailure::TimedOut => LinkError::TimedOut,
+        RunFailure::Lost => LinkError::Closed,
+    };
+    match outcome {
+        RunOutcome::Answered { rows, outcome, ready } => {
+            Ok(Answer { rows, outcome: outcome.map_err(failure), ready })
         }
+        RunOutcome::Refused(refusal) => Err(Unanswered::Refused(failure(refusal))),
+        RunOutcome::NotSent(why) => Err(Unanswered::NotSent(error(why))),
+        RunOutcome::Unanswered(why) => Err(Unanswered::Sent(error(why))),
     }
 }
 
--- a/crates/gateway/tests/sessions/tunnels.rs
+++ b/crates/gateway/tests/sessions/tunnels.rs
@@ -78,3 +78,36 @@
         assert_eq!(caller.query("read x").await.lines, ["row|of m2", "complete|by-m2"]);
     }
 }
+
+#[actix_rt::test]
+async fn a_session_sees_its_own_write_through_another_gateway_whatever_replicas_lag() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let behind = Member::start("m2", false, "1.5").await;
+    let world = World::start(&[&primary, &behind], 3, ONE_SHARE);
+    for (gateway, name) in world.gateways.iter().zip(["a", "b", "c"]) {
+        let mut caller = Caller::start(*gateway, OWN_WRITES, name).await;
+        assert!(caller.query("read x").await.is_success());
+        assert!(caller.query("write x").await.is_success());
+        for _ in 0..3 {
+            assert_eq!(caller.query("read x").await.lines, ["row|of m1", "complete|by-m1"]);
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn prepared_statements_run_through_another_gateway_under_its_names() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::start(&[&primary], 3, ONE_SHARE);
+    for (gateway, name) in world.gateways.iter().zip(["a", "b", "c"]) {
+        let mut caller = Caller::start(*gateway, LINEARIZABLE, name).await;
+        caller.query(&format!("prepare s of-{name}")).await;
+        assert!(caller.query("execute s 7").await.is_success());
+        let texts = primary.on_connection_of(&caller.last_id());
+        let executed = texts.last().and_then(|text| text.split(' ').nth(1)).expect("a name");
+        let prepared = texts
+            .iter()
+            .rev()
+            .find_map(|text| text.strip_prefix(&format!("prepare {executed} ")).map(str::to_owned));
+        assert_eq!(prepared, Some(format!("of-{name}")));
+    }
+}
--- a/crates/protocol/src/tunnel.rs
+++ b/crates/protocol/src/tunnel.rs
@@ -1,11 +1,14 @@
 //! Between gateways: one uses a connection to a member that another holds.
 //!
-//! A tunnel serves one lease after the other. Bytes of the deployment's own wire go through it
-//! unread by the holder; what the connection knows of session values goes along with the lease.
+//! A tunnel serves one lease or statement after the other. On a lease, bytes of the deployment's own
+//! wire go through unread by the holder, and what the connection knows of session values goes along
+//! with it: so transactions run. A statement outside a transaction is sent whole and run by the
+//! holder: one round trip in place of several, and the connection is in use for none of them.
 
-use corktack_core::gateway::ConnectionProfile;
+use corktack_core::gateway::{ConnectionProfile, SessionProfile};
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::position::Position;
+use corktack_core::statement::{ErrorCode, PreparedShape, ReadyState};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -30,6 +33,90 @@
         /// What the connection knows now.
         profile: ConnectionProfile,
     },
+    /// Wants a statement run at a member.
+    Run {
+        /// The group.
+        group: GroupName,
+        /// The member.
+        member: MemberName,
+        /// Priority of the statement.
+        priority: u32,
+        /// How long it may wait for a connection.
+        wait: Duration,
+        /// How long it may take in all.
+        limit: Duration,
+        /// The statement.
+        statement: Box<LoneRequest>,
+    },
+}
+
+/// How a statement outside a transaction is run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LoneKind {
+    /// Reads at a member that holds a position.
+    Read {
+        /// The position.
+        after: Position,
+    },
+    /// Reads inside a transaction of the product's own, which only the primary begins.
+    ReadAtPrimary,
+    /// Writes.
+    Write,
+}
+
+/// A statement outside a transaction, with all that a member's connection must be brought to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoneRequest {
+    /// The caller's id.
+    pub id: String,
+    /// The caller's text.
+    pub text: String,
+    /// Arguments as they came, of a prepared statement.
+    pub arguments: Option<String>,
+    /// What was prepared.
+    pub shape: Option<PreparedShape>,
+    /// Values of the session.
+    pub session: SessionProfile,
+    /// How it is run.
+    pub kind: LoneKind,
+}
+
+/// Why a member refused, in its own words.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRefusal {
+    /// The code.
+    pub code: ErrorCode,
+    /// The text.
+    pub text: String,
+}
+
+/// How a connection to a member failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunFailure {
+    /// No answer came in time.
+    TimedOut,
+    /// The connection was lost.
+    Lost,
+}
+
+/// What came of a statement that another gateway ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunOutcome {
+    /// The member's whole answer.
+    Answered {
+        /// Its rows.
+        rows: Vec<String>,
+        /// Its signature, or why it failed.
+        outcome: Result<Option<String>, MemberRefusal>,
+        /// Its state and position.
+        ready: ReadyState,
+    },
+    /// The member refused what had to come before the statement, which was not sent.
+    Refused(MemberRefusal),
+    /// The statement was not sent.
+    NotSent(RunFailure),
+    /// It was sent and may have run.
+    Unanswered(RunFailure),
 }
 
 /// Why no connection is given.
@@ -60,4 +147,11 @@
     Bytes(Vec<u8>),
     /// The connection to the member is lost.
     Closed,
+    /// What came of [`TunnelRequest::Run`].
+    Ran {
+        /// The outcome.
+        outcome: RunOutcome,
+        /// Age and position of the holder's newest answer of the group's primary.
+        newest: Option<(Duration, Position)>,
+    },
 }
