--- a/crates/gateway/src/group/elsewhere.rs
+++ b/crates/gateway/src/group/elsewhere.rs
@@ -5,6 +5,7 @@
 use crate::connection::MemberConnection;
 use crate::error::{AcquireError, LinkError};
 use crate::lease::Lease;
+use crate::metrics::ElsewhereOutcome;
 use crate::run::{LoneStatement, Unanswered};
 use crate::transport::Transport;
 use crate::tunnel::{Grant, RunError, RunReply, TunnelClient, TunnelWish};
@@ -80,6 +81,7 @@
                 Ok(RunReply::Refused(refusal)) => Asked::refused(refusal),
                 Err(RunError::NotSent(error)) => Asked::unheard(holder, &error),
                 Err(RunError::Sent(error)) => {
+                    self.metrics.note_elsewhere(ElsewhereOutcome::Lost);
                     self.with_member(member, |it| it.ask_last(holder));
                     return Ok(Err(Unanswered::Sent(error)));
                 }
@@ -106,14 +108,17 @@
     fn heard<T>(&self, member: &MemberName, holder: SocketAddr, asked: Asked<T>) -> Option<T> {
         match asked {
             Asked::Answer(answer) => {
+                self.metrics.note_elsewhere(ElsewhereOutcome::Served);
                 self.with_member(member, |it| it.ask_first(holder));
                 Some(answer)
             }
             Asked::NoneFree => {
+                self.metrics.note_elsewhere(ElsewhereOutcome::NoneFree);
                 self.with_member(member, |it| it.detour.reached());
                 None
             }
             Asked::Next => {
+                self.metrics.note_elsewhere(ElsewhereOutcome::NotReached);
                 self.with_member(member, |it| it.ask_last(holder));
                 None
             }
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -10,6 +10,7 @@
 use crate::error::{AcquireError, DialError, LinkError};
 use crate::lease::Lease;
 use crate::member::{IdleConnection, Member};
+use crate::metrics::{Holdings, Metrics};
 use crate::settings::GatewaySettings;
 use crate::tunnel::Tunnels;
 use crate::wire::Wire;
@@ -103,6 +104,7 @@
     clock: SteadyClock,
     reach: mpsc::UnboundedSender<MemberReach>,
     tunnels: Rc<Tunnels>,
+    metrics: Metrics,
 }
 
 impl<W: Wire> Group<W> {
@@ -113,6 +115,7 @@
         clock: SteadyClock,
         reach: mpsc::UnboundedSender<MemberReach>,
         tunnels: Rc<Tunnels>,
+        metrics: Metrics,
     ) -> Self {
         let state = GroupState {
             members: BTreeMap::new(),
@@ -122,7 +125,8 @@
             waiting: WaitQueue::default(),
         };
         let freshness = RefCell::default();
-        Self { name, wire, settings, state: RefCell::new(state), freshness, clock, reach, tunnels }
+        let state = RefCell::new(state);
+        Self { name, wire, settings, state, freshness, clock, reach, tunnels, metrics }
     }
 
     /// Takes what the registry says now. Members that left get no new work.
@@ -165,6 +169,15 @@
 
     /// Waits until it is clear where the wish can be served.
     pub(crate) async fn place(self: &Rc<Self>, wish: &Wish<'_>) -> Result<Place<W>, AcquireError> {
+        let asked = Instant::now();
+        let place = self.find_place(wish).await;
+        if let Ok(Place::Here(_)) = place {
+            self.metrics.note_wait(asked.elapsed());
+        }
+        place
+    }
+
+    async fn find_place(self: &Rc<Self>, wish: &Wish<'_>) -> Result<Place<W>, AcquireError> {
         let ticket = self.ticket(wish.priority);
         loop {
             let step = self.state.borrow_mut().step(wish, &self.settings, self.clock);
@@ -375,6 +388,17 @@
         }
     }
 
+    /// Adds what is held here and who waits.
+    pub(crate) fn add_holdings(&self, holdings: &mut Holdings) {
+        let state = self.state.borrow();
+        holdings.waiting += state.waiting.len();
+        for member in state.members.values() {
+            holdings.idle += member.idle.len();
+            holdings.in_use += member.open.saturating_sub(member.idle.len());
+            holdings.unreached += usize::from(member.is_unreached());
+        }
+    }
+
     /// A connection is gone.
     pub(crate) fn closed(&self, name: &MemberName) {
         let mut state = self.state.borrow_mut();
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -148,11 +148,13 @@
         let peers = adopt(listeners.peers)?;
         let settings = Rc::new(settings);
         let clock = SteadyClock::start();
+        let metrics = Metrics::register(registry);
+        let routes = Routes::new(wire.clone(), Rc::clone(&settings), reach, clock, metrics.clone());
         let shared = Rc::new(Shared {
-            routes: Routes::new(wire.clone(), Rc::clone(&settings), reach, clock),
+            routes,
             wire,
             settings,
-            metrics: Metrics::register(registry),
+            metrics,
             sessions: Cell::new(0),
             stopping: Cell::new(false),
             stop_began: Notify::new(),
@@ -225,5 +227,6 @@
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         shared.routes.close_unused();
+        shared.metrics.note_holdings(shared.routes.holdings(), shared.sessions.get());
     }
 }
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -209,6 +209,11 @@
         self.latency = old + latency.mul_f64(LATENCY_WEIGHT);
     }
 
+    /// Whether it could not be reached when last tried.
+    pub(crate) const fn is_unreached(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Says whether that is news.
     pub(crate) fn note_reached(&mut self) -> bool {
         let news = self.failures > 0;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 use std::cell::Cell;
@@ -22,11 +23,50 @@
     outcome: String,
 }
 
+/// A state of connections.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ConnectionState {
+    state: &'static str,
+}
+
+/// What came of asking another gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ElsewhereOutcome {
+    /// It served.
+    Served,
+    /// It had no connection to give.
+    NoneFree,
+    /// It does not reach the member, or cannot be reached itself.
+    NotReached,
+    /// It may have run the statement and gave no answer.
+    Lost,
+}
+
+/// What a gateway holds now, over all members.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Holdings {
+    /// Connections in use or being opened.
+    pub(crate) in_use: usize,
+    /// Connections that nobody uses.
+    pub(crate) idle: usize,
+    /// Statements that wait for a connection.
+    pub(crate) waiting: usize,
+    /// Members that could not be reached when last tried.
+    pub(crate) unreached: usize,
+}
+
 /// Counters and times of a gateway.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
     statements: Family<Outcome, Counter>,
     statement_seconds: Histogram,
+    wait_seconds: Histogram,
+    connections: Family<ConnectionState, Gauge>,
+    waiting: Gauge,
+    unreached: Gauge,
+    elsewhere: Family<Outcome, Counter>,
+    sessions: Gauge,
+    document_version: Gauge,
     answered: Rc<Cell<u64>>,
 }
 
@@ -41,7 +81,67 @@
         let statement_seconds = Histogram::new(TIME_BUCKETS);
         let help = "Time from a statement's arrival to its answer";
         registry.register("corktack_gateway_statement_seconds", help, statement_seconds.clone());
-        Self { statements, statement_seconds, answered: Rc::default() }
+        let metrics = Self {
+            statements,
+            statement_seconds,
+            wait_seconds: Histogram::new(TIME_BUCKETS),
+            connections: Family::default(),
+            waiting: Gauge::default(),
+            unreached: Gauge::default(),
+            elsewhere: Family::default(),
+            sessions: Gauge::default(),
+            document_version: Gauge::default(),
+            answered: Rc::default(),
+        };
+        metrics.register_holdings(registry);
+        metrics
+    }
+
+    fn register_holdings(&self, registry: &mut Registry) {
+        let help = "Time that a statement waited for a connection of this gateway";
+        registry.register("corktack_gateway_wait_seconds", help, self.wait_seconds.clone());
+        let help = "Connections to members, by state: in_use or idle";
+        registry.register("corktack_gateway_connections", help, self.connections.clone());
+        let help = "Statements that wait for a connection";
+        registry.register("corktack_gateway_waiting", help, self.waiting.clone());
+        let help = "Members that could not be reached when last tried";
+        registry.register("corktack_gateway_unreached_members", help, self.unreached.clone());
+        let help = "Questions to gateways that hold connections, by outcome";
+        registry.register("corktack_gateway_elsewhere", help, self.elsewhere.clone());
+        let help = "Sessions of callers that are open";
+        registry.register("corktack_gateway_sessions", help, self.sessions.clone());
+        let help = "Version of the document in force";
+        registry.register("corktack_gateway_document_version", help, self.document_version.clone());
+    }
+
+    pub(crate) fn note_wait(&self, waited: Duration) {
+        self.wait_seconds.observe(waited.as_secs_f64());
+    }
+
+    pub(crate) fn note_elsewhere(&self, outcome: ElsewhereOutcome) {
+        let outcome = match outcome {
+            ElsewhereOutcome::Served => "served",
+            ElsewhereOutcome::NoneFree => "none_free",
+            ElsewhereOutcome::NotReached => "not_reached",
+            ElsewhereOutcome::Lost => "lost",
+        };
+        self.elsewhere.get_or_create(&Outcome { outcome: outcome.to_owned() }).inc();
+    }
+
+    pub(crate) fn note_holdings(&self, holdings: Holdings, sessions: usize) {
+        let set = |gauge: &Gauge, count: usize| {
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        };
+        let state = |state| self.connections.get_or_create(&ConnectionState { state }).clone();
+        set(&state("in_use"), holdings.in_use);
+        set(&state("idle"), holdings.idle);
+        set(&self.waiting, holdings.waiting);
+        set(&self.unreached, holdings.unreached);
+        set(&self.sessions, sessions);
+    }
+
+    pub(crate) fn note_document(&self, version: u64) {
+        self.document_version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
     /// Whether the statement just answered is one of those that are told though they succeeded.
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::SteadyClock;
 use crate::group::{Group, GroupFacts, MemberReach};
+use crate::metrics::{Holdings, Metrics};
 use crate::settings::GatewaySettings;
 use crate::tunnel::Tunnels;
 use crate::wire::Wire;
@@ -41,6 +42,7 @@
     reach: mpsc::UnboundedSender<MemberReach>,
     tunnels: Rc<Tunnels>,
     clock: SteadyClock,
+    metrics: Metrics,
 }
 
 impl<W: Wire> Routes<W> {
@@ -49,6 +51,7 @@
         settings: Rc<GatewaySettings>,
         reach: mpsc::UnboundedSender<MemberReach>,
         clock: SteadyClock,
+        metrics: Metrics,
     ) -> Self {
         Self {
             wire,
@@ -59,6 +62,7 @@
             reach,
             tunnels: Rc::default(),
             clock,
+            metrics,
         }
     }
 
@@ -79,6 +83,7 @@
         let held = self.document.borrow().clone();
         if held.is_none_or(|held| !Arc::ptr_eq(&held, document)) {
             log::info!(version = document.version, revision = view.revision.0; "document in force");
+            self.metrics.note_document(document.version);
             self.follow_document(document);
         }
     }
@@ -161,6 +166,15 @@
         }
     }
 
+    /// What is held and waited for now, over all groups.
+    pub(crate) fn holdings(&self) -> Holdings {
+        let mut holdings = Holdings::default();
+        for group in self.groups.borrow().values() {
+            group.add_holdings(&mut holdings);
+        }
+        holdings
+    }
+
     fn new_group(&self, name: &GroupName) -> Group<W> {
         Group::new(
             name.clone(),
@@ -169,6 +183,7 @@
             self.clock,
             self.reach.clone(),
             Rc::clone(&self.tunnels),
+            self.metrics.clone(),
         )
     }
 
--- a/crates/gateway/tests/sessions/tunnels.rs
+++ b/crates/gateway/tests/sessions/tunnels.rs
@@ -111,3 +111,19 @@
         assert_eq!(prepared, Some(format!("of-{name}")));
     }
 }
+
+#[actix_rt::test]
+async fn figures_tell_where_statements_ran() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::start(&[&primary], 3, ONE_SHARE);
+    for gateway in &world.gateways {
+        let mut caller = Caller::start(*gateway, LINEARIZABLE, "a").await;
+        assert!(caller.query("write x").await.is_success());
+    }
+    let all: Vec<String> = (0..3).map(|gateway| world.figures(gateway)).collect();
+    let count = |line: &str| all.iter().filter(|text| text.contains(line)).count();
+    assert_eq!(count("corktack_gateway_statements_total{outcome=\"done\"} 1"), 3);
+    assert_eq!(count("corktack_gateway_elsewhere_total{outcome=\"served\"} 1"), 2);
+    assert_eq!(count("corktack_gateway_wait_seconds_count 3"), 1, "the holder waited for all");
+    assert_eq!(count("corktack_gateway_document_version 1"), 3);
+}
--- a/crates/gateway/tests/sessions/world.rs
+++ b/crates/gateway/tests/sessions/world.rs
@@ -29,6 +29,7 @@
     /// What the gateways tell control of members.
     pub reach: mpsc::UnboundedReceiver<MemberReach>,
     _handles: Vec<GatewayHandle<TestWire>>,
+    figures: Vec<Registry>,
 }
 
 /// The listeners of a gateway, for callers and for other gateways.
@@ -158,16 +159,28 @@
         };
         let (reached, reach) = mpsc::unbounded_channel();
         let gateways = bound.iter().map(|((_, callers), _)| *callers).collect();
+        let mut figures = Vec::new();
         let handles = bound.into_iter().enumerate().map(|(place, ((callers, _), (peers, _)))| {
             let reach = reached.clone();
             let listeners = GatewayListeners { callers, peers };
             let settings = settings(&format!("g{place}"));
-            let registry = &mut Registry::default();
+            let mut registry = Registry::default();
             let watched = if place == 0 { first_watched.clone() } else { watched.clone() };
-            Gateway::start(settings, TestWire, listeners, watched, reach, registry)
-                .expect("a gateway starts")
+            let gateway =
+                Gateway::start(settings, TestWire, listeners, watched, reach, &mut registry);
+            figures.push(registry);
+            gateway.expect("a gateway starts")
         });
-        Self { gateways, _handles: handles.collect(), views, _first_views: first_views, reach }
+        let handles = handles.collect();
+        Self { gateways, _handles: handles, figures, views, _first_views: first_views, reach }
+    }
+
+    /// The figures of a gateway, as text.
+    pub fn figures(&self, gateway: usize) -> String {
+        let mut text = String::new();
+        prometheus_client::encoding::text::encode(&mut text, &self.figures[gateway])
+            .expect("text takes any figure");
+        text
     }
 
     /// Control says that a member is leaving. The gateways, which share the test's thread, follow
