Watch: no replica is asked again before the others; one without a leader is left at once; first reads wait for a position

The core was cut 2 to 3 at 1.13 s. The gateway asked a replica of the minority for 1.5 s, the other one for 1.5 s, and then the first again: each connection brings the list of replicas, and the list was shuffled each time. Change: the order stays while the cell does; a replica that knows no leader for 0.8 s turns proxies away. Lines about control name the replica. A gateway that knows no position yet lets reads wait for the question under way, where all of them went to the primary (after a loss of everything 'no connection became free' for most of a second).

--- a/crates/control/src/node/thread.rs
+++ b/crates/control/src/node/thread.rs
@@ -230,6 +230,7 @@
     /// Publishes what others may see of the replica, and follows its cell.
     pub(super) fn publish_status(&mut self) {
         let status = NodeStatus::of(&self.parts.replica, self.parts.applied);
+        let status = status.after(&self.parts.status.borrow());
         self.parts.metrics.note_status(&status);
         let cell_changed = self.parts.status.borrow().cell != status.cell;
         if cell_changed {
--- a/crates/control/src/proxies/connection.rs
+++ b/crates/control/src/proxies/connection.rs
@@ -19,14 +19,15 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 use tokio_util::codec::FramedRead;
 
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 /// A proxy that takes nothing for this long is cut off; it comes back for a snapshot.
 const SEND_TIMEOUT: Duration = Duration::from_secs(5);
-/// Longest wait for a leader before a proxy is told that nothing can be proved here.
-const ELECTION_PATIENCE: Duration = Duration::from_secs(1);
+/// How long a replica without a leader keeps proxies that come: an election or two. One that is cut
+/// off from the others is left at once.
+const ELECTION_PATIENCE: Duration = Duration::from_millis(800);
 /// Heartbeats that may wait for their proof; more of them break the protocol.
 const WAITING_HEARTBEATS: usize = 64;
 
@@ -41,6 +42,8 @@
     Slow,
     #[error("the replica belongs to no cell yet")]
     Outside,
+    #[error("the replica knows no leader")]
+    Leaderless,
     #[error("the first message is not a hello, or a later one is")]
     OutOfPlace,
     #[error("the proxy has revision {0:?}, which this cell never had")]
@@ -178,7 +181,7 @@
         if self.server.status.borrow().cell.voters.is_empty() {
             return Err(ConnectionError::Outside);
         }
-        self.until_led().await;
+        self.until_led().await?;
         let from = self.cursor.sent();
         let newest = self.server.node.read(|reader| reader.feed.newest()).await?;
         if from > newest {
@@ -189,11 +192,16 @@
 
     /// Waits while the cell elects a leader: a proof asked for meanwhile is refused, and the time
     /// until it is asked for again grows.
-    async fn until_led(&self) {
+    async fn until_led(&self) -> Result<(), ConnectionError> {
         let mut status = self.server.status.clone();
+        let leaderless_since = status.borrow().leaderless_since;
+        let Some(since) = leaderless_since else { return Ok(()) };
         let led = status.wait_for(|status| status.leader.is_some());
-        // Without a leader the proof is refused, which says so to the proxy.
-        drop(timeout(ELECTION_PATIENCE, led).await);
+        match timeout_at((since + ELECTION_PATIENCE).into(), led).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(_)) => Err(ConnectionError::Closed),
+            Err(_) => Err(ConnectionError::Leaderless),
+        }
     }
 
     fn note_heartbeat(
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -27,7 +27,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::{Instant, timeout_at};
 
 /// How long a member that said it is no primary is not asked again, unless control says it is.
@@ -101,6 +101,8 @@
     settings: Rc<GatewaySettings>,
     state: RefCell<GroupState<W>>,
     pub(crate) freshness: RefCell<Freshness>,
+    /// Told whenever a question for the primary's position has ended.
+    pub(crate) position_asked: Notify,
     clock: SteadyClock,
     reach: mpsc::UnboundedSender<MemberReach>,
     tunnels: Rc<Tunnels>,
@@ -126,7 +128,18 @@
         };
         let freshness = RefCell::default();
         let state = RefCell::new(state);
-        Self { name, wire, settings, state, freshness, clock, reach, tunnels, metrics }
+        Self {
+            name,
+            wire,
+            settings,
+            state,
+            freshness,
+            position_asked: Notify::new(),
+            clock,
+            reach,
+            tunnels,
+            metrics,
+        }
     }
 
     /// Takes what the registry says now. Members that left get no new work.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -83,6 +83,7 @@
         actix_rt::spawn(async move {
             shared.refresh(&group).await;
             shared.refreshing.borrow_mut().remove(&group.name);
+            group.position_asked.notify_waiters();
         });
     }
 
--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -16,11 +16,13 @@
 use corktack_core::time::Timestamp;
 use corktack_protocol::tunnel::LoneKind;
 use std::collections::BTreeSet;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 /// Part of the latency objective that a statement may wait without being offered to a member: a
 /// quarter, less what the way to the caller takes.
 const WAIT_PART: f64 = 0.22;
+/// Part of the time left for waiting that a read waits for the primary's position.
+const POSITION_PART: f64 = 0.6;
 /// Members that a statement is offered to in all, those that refused without running it included.
 const OFFER_LIMIT: u32 = 6;
 
@@ -98,14 +100,32 @@
         if access_of(request, shape) == Access::Write {
             return self.write(&lone).await;
         }
-        match self.needed_position(route, bounds.began) {
+        match self.needed_position(route, bounds).await {
             Some(needed) => self.read_anywhere(&lone, needed).await,
             None => self.read_at_primary(&lone).await,
         }
     }
 
-    /// The position that a read must see; none where only the primary may serve it.
-    pub(super) fn needed_position(&self, route: &Route<W>, began: Timestamp) -> Option<Position> {
+    /// The position that a read must see; none where only the primary may serve it. A gateway that
+    /// knows no position yet is asking for one: its first reads wait for that, where all of them
+    /// at the primary would be too many for it.
+    pub(super) async fn needed_position(
+        &self,
+        route: &Route<W>,
+        bounds: Bounds,
+    ) -> Option<Position> {
+        let known = self.known_position(route, bounds.began);
+        if known.is_some() || route.rule.consistency == Consistency::Linearizable {
+            return known;
+        }
+        let left = bounds.give_up.saturating_duration_since(Instant::now());
+        let asked = route.group.position_asked.notified();
+        // In vain or in time: what is known then decides.
+        drop(timeout(left.mul_f64(POSITION_PART), asked).await);
+        self.known_position(route, bounds.began)
+    }
+
+    fn known_position(&self, route: &Route<W>, began: Timestamp) -> Option<Position> {
         let rule = &route.rule;
         let group = route.group.name.as_str();
         self.decision.borrow_mut().routed(&rule.name, rule.consistency, group);
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -214,7 +214,7 @@
         let mut refused = BTreeSet::new();
         let mut why = String::new();
         loop {
-            let needed = if replicas { self.needed_position(&route, began) } else { None };
+            let needed = if replicas { self.needed_position(&route, bounds).await } else { None };
             let target = match needed {
                 Some(_) => Target::Reader { refused: refused.clone() },
                 None => Target::Primary,
--- a/crates/server/src/watch_client/state.rs
+++ b/crates/server/src/watch_client/state.rs
@@ -378,6 +378,12 @@
         if !self.settings.follows_cell || replicas.is_empty() {
             return;
         }
+        // While the cell stays the same so does the order: what was tried in vain is not tried
+        // again before the others.
+        let known = &self.settings.replicas[..replicas.len().min(self.settings.replicas.len())];
+        if known.len() == replicas.len() && replicas.iter().all(|it| known.contains(it)) {
+            return;
+        }
         replicas.shuffle(&mut self.rng);
         // Those known before stay behind them, for the day when all the others are gone.
         let former = std::mem::take(&mut self.settings.replicas);
--- a/crates/server/src/watch_client/task.rs
+++ b/crates/server/src/watch_client/task.rs
@@ -9,6 +9,7 @@
 use corktack_core::view::View;
 use corktack_protocol::control::Observation;
 use futures_util::FutureExt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
@@ -39,6 +40,7 @@
             origin,
             state,
             connection: Connection::Closed,
+            replica: None,
             connect_timeout: self.connect_timeout,
             send_limit,
             syncer: self.syncer,
@@ -56,6 +58,8 @@
     origin: Instant,
     state: WatchState,
     connection: Connection,
+    /// The replica of the connection, or of the last one.
+    replica: Option<SocketAddr>,
     connect_timeout: Duration,
     send_limit: Duration,
     syncer: Syncer,
@@ -124,7 +128,7 @@
                 Event::Connected
             }
             Arrival::Lost(error) => {
-                log::info!(error:% = error; "connection to control lost");
+                log::info!(replica:? = self.replica, error:% = error; "connection to control lost");
                 self.metrics.connected.set(0);
                 Event::Disconnected
             }
@@ -144,15 +148,21 @@
             Action::Connect(replica) => {
                 log::debug!(replica:% = replica; "connecting to control");
                 let limit = self.state.connect_limit(self.connect_timeout);
+                self.replica = Some(replica);
                 self.connection = Connection::open(replica, limit);
             }
             Action::Disconnect => {
-                log::warn!("no proof from the control replica that it is current; changing it");
+                log::warn!(
+                    replica:? = self.replica;
+                    "no proof from the control replica that it is current; changing it"
+                );
                 self.close();
             }
             Action::Send(message) => {
                 if let Err(error) = self.connection.send(message, self.send_limit).await {
-                    log::info!(error:% = error; "connection to control lost");
+                    log::info!(
+                        replica:? = self.replica, error:% = error; "connection to control lost"
+                    );
                     self.close();
                     // A lost connection only sets the time of the next try.
                     let now = self.now();
@@ -162,7 +172,10 @@
             Action::Publish => self.unpublished = true,
             Action::Current => {
                 self.publish();
-                self.proved.send_if_modified(|proved| !std::mem::replace(proved, true));
+                let news = self.proved.send_if_modified(|it| !std::mem::replace(it, true));
+                if news {
+                    log::info!(replica:? = self.replica; "configuration is proved to be current");
+                }
             }
         }
     }
