--- a/crates/core/tests/registry/promotion.rs
+++ b/crates/core/tests/registry/promotion.rs
@@ -82,6 +82,12 @@
         self.duty.take_status(&group(), &member(number), answer);
     }
 
+    /// Both replicas tell their positions; the second member is ahead.
+    fn replicas_answer(&mut self) {
+        self.answer(2, status(false, 1, 20));
+        self.answer(3, status(false, 1, 10));
+    }
+
     /// Puts a proposed decision into the log; gives its fence.
     fn commit(&mut self, actions: &[PromotionAction]) -> u64 {
         let [PromotionAction::Propose(command)] = actions else { panic!("{actions:?}") };
@@ -93,8 +99,7 @@
     fn call_for_second(&mut self) -> u64 {
         self.unreached(ENOUGH, 1);
         assert_eq!(asked(&self.advance()), names(&[2, 3]));
-        self.answer(2, status(false, 1, 20));
-        self.answer(3, status(false, 1, 10));
+        self.replicas_answer();
         let proposed = self.advance();
         let fence = self.commit(&proposed);
         assert_eq!(called(&self.advance()), Some((member(2), fence)));
@@ -139,8 +144,7 @@
 fn the_word_of_one_gateway_needs_a_look_of_the_leaders_own() {
     let mut world = World::new(0);
     assert_eq!(asked(&world.suspected_by_one()), names(&[1, 2, 3]));
-    world.answer(2, status(false, 1, 20));
-    world.answer(3, status(false, 1, 10));
+    world.replicas_answer();
     assert!(world.advance().is_empty(), "the primary may still answer");
     world.answer(1, status(true, 1, 30));
     assert!(world.advance().is_empty());
@@ -152,8 +156,7 @@
     let mut world = World::new(0);
     world.suspected_by_one();
     world.answer(1, MemberAnswer::Silent);
-    world.answer(2, status(false, 1, 20));
-    world.answer(3, status(false, 1, 10));
+    world.replicas_answer();
     assert_eq!(proposed(&world.advance()), None);
     assert_eq!(proposed(&world.after(10_000)), None);
 }
@@ -163,8 +166,7 @@
     let mut world = World::new(0);
     world.suspected_by_one();
     world.answer(1, MemberAnswer::Unreachable);
-    world.answer(2, status(false, 1, 20));
-    world.answer(3, status(false, 1, 10));
+    world.replicas_answer();
     assert_eq!(proposed(&world.advance()), Some(member(2)));
 }
 
@@ -297,8 +299,7 @@
     let mut world = World::new(0);
     world.unreached(ENOUGH, 1);
     world.advance();
-    world.answer(2, status(false, 1, 20));
-    world.answer(3, status(false, 1, 10));
+    world.replicas_answer();
     let actions = world.advance();
     assert_eq!(called(&actions), None);
     assert_eq!(called(&world.after(50)), None, "not before it is committed");
@@ -361,8 +362,7 @@
     world.duty = PromotionDuty::new(PromotionSettings::default());
     world.unreached(ENOUGH, 1);
     world.advance();
-    world.answer(2, status(false, 1, 20));
-    world.answer(3, status(false, 1, 10));
+    world.replicas_answer();
     let actions = world.advance();
     assert_eq!(called(&actions), None);
     let second = world.commit(&actions);
