Deployment: how long a gateway waits for a proof follows from the bound for configurations

Change: 0.4 of bounds.config_apply_ms, 0.8 to 1.5 s (1.2 s at the huts', 1.5 s at carte's); a deployment without the bound keeps 1.5 s.

--- a/crates/server/src/deployment.rs
+++ b/crates/server/src/deployment.rs
@@ -39,9 +39,13 @@
 /// The same for the first election after a start: when all processes were lost together, callers
 /// wait for it, and where a leader lives a pre-vote disturbs nobody.
 const FIRST_ELECTION_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time between heartbeats of a gateway, and without a proof before it changes replica.
+/// Time between heartbeats of a gateway.
 const WATCH_INTERVAL: Duration = Duration::from_millis(250);
-const WATCH_SILENCE: Duration = Duration::from_millis(1_500);
+/// Part of the time for a configuration that a gateway waits for a proof before it changes replica,
+/// and the shortest and longest such wait.
+const WATCH_SILENCE_PART: f64 = 0.4;
+const WATCH_SILENCE_SHORTEST: Duration = Duration::from_millis(800);
+const WATCH_SILENCE_LONGEST: Duration = Duration::from_millis(1_500);
 const WATCH_RETRY_FIRST: Duration = Duration::from_millis(50);
 const WATCH_RETRY_LAST: Duration = Duration::from_millis(200);
 /// First wait for a connection to control: three round trips between regions.
@@ -98,6 +102,18 @@
     pub tolerated_losses: usize,
     /// Time after which a replica that came back counts as there.
     pub catch_up: Duration,
+    /// Time in which an acknowledged configuration is in force everywhere, where there is a bound.
+    pub config_apply: Option<Duration>,
+}
+
+impl DeploymentBounds {
+    /// Time without a proof before a gateway changes its control replica: it may come upon two
+    /// replicas in vain, and have the newest configuration in time all the same.
+    fn watch_silence(&self) -> Duration {
+        let Some(bound) = self.config_apply else { return WATCH_SILENCE_LONGEST };
+        let part = bound.mul_f64(WATCH_SILENCE_PART);
+        part.clamp(WATCH_SILENCE_SHORTEST, WATCH_SILENCE_LONGEST)
+    }
 }
 
 /// What a process knows of its deployment.
@@ -178,7 +194,7 @@
         settings.first_election_timeout = FIRST_ELECTION_TIMEOUT;
         settings.heartbeat_interval = HEARTBEAT_INTERVAL;
         settings.proxy_heartbeat_interval = WATCH_INTERVAL;
-        settings.proxy_heartbeat_timeout = WATCH_SILENCE * 2;
+        settings.proxy_heartbeat_timeout = WATCH_SILENCE_LONGEST * 2;
         settings.snapshot_entries = SNAPSHOT_ENTRIES;
         settings.watch_changes = WATCH_CHANGES;
         settings.request_timeout = REQUEST_LIMIT;
@@ -245,7 +261,7 @@
             zone: self.zone.clone(),
             replicas: self.at_seeds(self.proxies_port()),
             heartbeat_interval: WATCH_INTERVAL,
-            silence_timeout: WATCH_SILENCE,
+            silence_timeout: self.bounds.watch_silence(),
             retry_minimum: WATCH_RETRY_FIRST,
             retry_maximum: WATCH_RETRY_LAST,
             follows_cell: true,
