A gateway that just started uses no position for younger than it is

What a gateway heard of another's 7 s old position 0.4 s after its own start was noted as 0.4 s old, and a replica that lacked 56 commits served reads by it. Class: a moment that a clock cannot tell replaced by the nearest that it can. Ruled out: the holder's date (taken before its question, 8.0 s in its own log line); own commits lost; frozen senders (the date is from before the holder was asked); tunnels used again with an old answer; statements without their position. Change: Timestamp::before gives no moment from before the origin, and timestamps are made only through named constructors, so that no other place can cut an age. Freshness::note_told (core, no I/O) counts the age back and refuses what it cannot tell: so a wrong date is not passed on to a third gateway either, where it would also lower samples and own commits. The gateway's clock begins as long before its start as positions are kept, so that what is young enough is used from the first moment.

--- a/crates/control/src/clock.rs
+++ b/crates/control/src/clock.rs
@@ -20,6 +20,6 @@
     #[must_use]
     pub fn now(&self) -> Timestamp {
         let micros = self.origin.elapsed().as_micros();
-        Timestamp(u64::try_from(micros).unwrap_or(u64::MAX))
+        Timestamp::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 }
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -86,7 +86,7 @@
         }
         let mut random = ChaCha8Rng::seed_from_u64(settings.seed ^ settings.id.0.rotate_left(32));
         // The time keeps batches of an earlier life with the same seed apart.
-        let first_batch = random.random::<u64>().wrapping_add(now.0);
+        let first_batch = random.random::<u64>().wrapping_add(now.as_micros());
         let mut replica = Self {
             applied: log.snapshot_index(),
             settings,
--- a/crates/core/src/failover/decide.rs
+++ b/crates/core/src/failover/decide.rs
@@ -115,7 +115,8 @@
         if !leaving || !self.has_cooled_down(look) {
             return None;
         }
-        let since = Timestamp(look.now.0.saturating_sub(FRESH_PROBE.as_micros() as u64));
+        // Nothing was probed before the origin of the clock.
+        let since = look.now.before(FRESH_PROBE).unwrap_or(Timestamp::ZERO);
         let following = Some(MemberHealth::Replica(view.term));
         let staying = self.evidence.iter().filter(|(name, _)| !view.draining.contains(*name));
         let ready = staying.filter(|(_, it)| it.control_since(since) == following).count();
--- a/crates/core/src/gateway/freshness.rs
+++ b/crates/core/src/gateway/freshness.rs
@@ -2,6 +2,11 @@
 //!
 //! A gateway knows committed positions from answers that only a primary gives. Each counts from
 //! the moment *before* the question was sent: whatever was acknowledged earlier is in it.
+//!
+//! Gateways tell each other the newest position that they know and its age. The age is counted back
+//! from the moment before the other gateway was asked, on this gateway's own clock. Where that clock
+//! does not reach back so far, the position is not used: dated any later, it would pass for younger
+//! than it is, and reads by it would lack commits that were acknowledged meanwhile.
 
 use crate::position::Position;
 use crate::time::Timestamp;
@@ -11,7 +16,7 @@
 /// Samples closer to each other than this say nothing new of any staleness bound.
 const SAMPLE_SPACING: Duration = Duration::from_millis(40);
 /// How long samples are kept; no staleness bound served from replicas is longer.
-const RETENTION: Duration = Duration::from_secs(10);
+pub const POSITION_RETENTION: Duration = Duration::from_secs(10);
 
 /// A position and when it came to be known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +27,14 @@
     pub known_at: Timestamp,
 }
 
+/// A position that was told with an age from before the clock of this gateway began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the position is {age:?} old, which this gateway's clock does not reach back to")]
+pub struct PositionTooOld {
+    /// The age it was told with.
+    pub age: Duration,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Sample {
     asked_at: Timestamp,
@@ -59,11 +72,32 @@
         if spaced {
             self.samples.push_back(sample);
         }
-        while self.samples.front().is_some_and(|first| asked_at - first.asked_at > RETENTION) {
+        while self
+            .samples
+            .front()
+            .is_some_and(|first| asked_at - first.asked_at > POSITION_RETENTION)
+        {
             self.samples.pop_front();
         }
     }
 
+    /// Notes the newest position that another gateway knows: it was asked at `asked_at`, and said
+    /// that it had asked the primary `age` before it answered.
+    ///
+    /// # Errors
+    /// [`PositionTooOld`] when that moment cannot be told on this gateway's clock; nothing is noted.
+    pub fn note_told(
+        &mut self,
+        asked_at: Timestamp,
+        age: Duration,
+        position: Position,
+    ) -> Result<(), PositionTooOld> {
+        // The answer was given later than `asked_at`, so the question is no older than this.
+        let primary_asked_at = asked_at.before(age).ok_or(PositionTooOld { age })?;
+        self.note(primary_asked_at, position);
+        Ok(())
+    }
+
     /// A position that holds every commit acknowledged more than `staleness` before `began`; the
     /// lowest known. None when no question is young enough: the primary must be asked.
     #[must_use]
--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -1,6 +1,6 @@
 //! How much of a group's log a read must see.
 
-use corktack_core::gateway::{Freshness, KnownPosition};
+use corktack_core::gateway::{Freshness, KnownPosition, PositionTooOld};
 use corktack_core::position::{Position, Term};
 use corktack_core::time::Timestamp;
 use rstest::rstest;
@@ -91,3 +91,53 @@
     let freshness = freshness(&[(1_400, position(2, 300)), (1_000, position(1, 310))]);
     assert_eq!(freshness.floor(at(1_500), STALENESS), Some(position(2, 300)));
 }
+
+/// Found by an incident (STALE, gateways that had just been started again): the age was counted back
+/// on a clock that began with the gateway, and an age above the uptime became the uptime.
+#[test]
+fn a_position_from_before_the_clock_began_is_not_used() {
+    let mut freshness = Freshness::default();
+    let age = Duration::from_millis(6_000);
+    assert_eq!(freshness.note_told(at(600), age, position(1, 111)), Err(PositionTooOld { age }));
+    assert_eq!(freshness.floor(at(700), STALENESS), None);
+    assert_eq!(freshness.newest(at(700)), None, "and is not passed on");
+}
+
+#[rstest]
+#[case::young_enough(2_700, Some(position(1, 111)))]
+#[case::the_bound_itself(3_100, Some(position(1, 111)))]
+#[case::too_old(3_101, None)]
+fn a_position_of_another_gateway_counts_with_its_age(
+    #[case] began: u64,
+    #[case] floor: Option<Position>,
+) {
+    let mut freshness = Freshness::default();
+    let told = freshness.note_told(at(2_600), Duration::from_millis(2_000), position(1, 111));
+    assert_eq!(told, Ok(()));
+    assert_eq!(freshness.floor(at(began), STALENESS), floor);
+}
+
+#[test]
+fn an_old_position_of_another_gateway_changes_nothing_of_what_is_known() {
+    let mut freshness = freshness(&[(3_000, position(1, 153))]);
+    let told = freshness.note_told(at(4_000), Duration::from_millis(2_000), position(1, 111));
+    assert_eq!(told, Ok(()));
+    assert_eq!(freshness.floor(at(4_100), STALENESS), Some(position(1, 153)));
+    let needed = freshness.needed(at(4_100), STALENESS, own(3_500, position(1, 154)));
+    assert_eq!(needed, Some(position(1, 154)), "nor does the session's own commit give way");
+}
+
+/// A gateway passes on what it was told, with the whole age: on the way through several gateways a
+/// position does not grow younger.
+#[test]
+fn a_position_keeps_its_age_from_gateway_to_gateway() {
+    let mut second = Freshness::default();
+    let told = second.note_told(at(5_000), Duration::from_millis(1_500), position(1, 111));
+    assert_eq!(told, Ok(()));
+    let (age, passed_on) = second.newest(at(5_400)).expect("a position");
+    assert_eq!((age, passed_on), (Duration::from_millis(1_900), position(1, 111)));
+    let mut third = Freshness::default();
+    assert!(third.note_told(at(1_800), age, passed_on).is_err(), "it started 1.8 s ago");
+    assert_eq!(third.note_told(at(9_000), age, passed_on), Ok(()));
+    assert_eq!(third.newest(at(9_100)), Some((Duration::from_millis(2_000), position(1, 111))));
+}
--- a/crates/core/tests/registry/promotion.rs
+++ b/crates/core/tests/registry/promotion.rs
@@ -63,7 +63,7 @@
     }
 
     fn after(&mut self, millis: u64) -> Vec<PromotionAction> {
-        self.now = Timestamp(self.now.0 + millis * 1_000);
+        self.now = self.now + std::time::Duration::from_millis(millis);
         self.advance()
     }
 
--- /dev/null
+++ b/crates/core/tests/time.rs
@@ -0,0 +1,22 @@
+//! Moments on a clock that begins with its process.
+
+use corktack_core::time::Timestamp;
+use rstest::rstest;
+use std::time::Duration;
+
+#[rstest]
+#[case::after_the_origin(1_000, Some(Timestamp::from_millis(2_000)))]
+#[case::the_origin_itself(3_000, Some(Timestamp::ZERO))]
+#[case::before_the_origin(3_001, None)]
+fn a_moment_before_the_origin_cannot_be_told(
+    #[case] age_millis: u64,
+    #[case] moment: Option<Timestamp>,
+) {
+    let now = Timestamp::from_millis(3_000);
+    assert_eq!(now.before(Duration::from_millis(age_millis)), moment);
+}
+
+#[test]
+fn an_age_beyond_all_timestamps_is_before_the_origin() {
+    assert_eq!(Timestamp::from_micros(u64::MAX).before(Duration::MAX), None);
+}
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,17 +1,23 @@
 //! The steady clock of a gateway.
 
+use corktack_core::gateway::POSITION_RETENTION;
 use corktack_core::time::Timestamp;
+use std::time::Duration;
 use tokio::time::Instant;
 
-/// The steady time since the start of the gateway.
+/// Time from the clock's origin to the start of the gateway. What other gateways found out before
+/// the start has its time as well; none of it is of use for longer than positions are kept.
+const BEFORE_START: Duration = POSITION_RETENTION;
+
+/// The steady time of a gateway, from some time before its start.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SteadyClock {
-    origin: Instant,
+    started: Instant,
 }
 
 impl SteadyClock {
     pub(crate) fn start() -> Self {
-        Self { origin: Instant::now() }
+        Self { started: Instant::now() }
     }
 
     pub(crate) fn now(&self) -> Timestamp {
@@ -20,6 +26,6 @@
 
     /// The steady time of an instant.
     pub(crate) fn at(&self, instant: Instant) -> Timestamp {
-        Timestamp::ZERO + instant.saturating_duration_since(self.origin)
+        Timestamp::ZERO + BEFORE_START + instant.saturating_duration_since(self.started)
     }
 }
--- a/crates/gateway/src/group/elsewhere.rs
+++ b/crates/gateway/src/group/elsewhere.rs
@@ -52,7 +52,7 @@
                 Err(error) => Asked::unheard(holder, &error),
             };
             if let Some((tunnel, profile, newest)) = self.heard(&member, holder, asked) {
-                self.note_newest(asked_at, newest);
+                self.note_newest(holder, asked_at, newest);
                 return Ok(self.granted(member, tunnel, profile));
             }
         }
@@ -87,7 +87,7 @@
                 }
             };
             if let Some((result, newest)) = self.heard(member, holder, asked) {
-                self.note_newest(asked_at, newest);
+                self.note_newest(holder, asked_at, newest);
                 self.note_ran_elsewhere(member, statement.kind, &result, (asked_at, begun));
                 return Ok(result);
             }
@@ -143,11 +143,20 @@
         AcquireError::Unreachable(member)
     }
 
-    /// The holder took the age after it was asked: its question is no older than that.
-    fn note_newest(&self, asked_at: Timestamp, newest: Option<(Duration, Position)>) {
-        if let Some((age, position)) = newest {
-            let primary_asked_at = Timestamp(asked_at.0.saturating_sub(age.as_micros() as u64));
-            self.freshness.borrow_mut().note(primary_asked_at, position);
+    /// Takes over the newest position that a holder knows, which was asked at `asked_at`.
+    fn note_newest(
+        &self,
+        holder: SocketAddr,
+        asked_at: Timestamp,
+        newest: Option<(Duration, Position)>,
+    ) {
+        let Some((age, position)) = newest else { return };
+        let noted = self.freshness.borrow_mut().note_told(asked_at, age, position);
+        if let Err(error) = noted {
+            log::debug!(
+                group:% = self.name, holder:% = holder, position:% = position, error:% = error;
+                "position of another gateway not used"
+            );
         }
     }
 
--- a/crates/gateway/tests/sessions/restarts.rs
+++ b/crates/gateway/tests/sessions/restarts.rs
@@ -2,7 +2,7 @@
 
 use crate::caller::Caller;
 use crate::member::Member;
-use crate::world::{BRIEFLY_BOUNDED, SHORT_STALENESS, World};
+use crate::world::{BOUNDED, BRIEFLY_BOUNDED, SHORT_STALENESS, World};
 
 /// Members take this many connections: one share, so one holder among several gateways.
 const ONE_SHARE: u32 = 4;
@@ -32,3 +32,25 @@
         assert_eq!(answered.lines, ["row|of m1", "complete|by-m1"], "gateway {place}");
     }
 }
+
+/// What was found out before a gateway's start is of use to it within the bound: replicas serve
+/// although the primary does not answer.
+#[actix_rt::test]
+async fn a_gateway_that_just_started_uses_a_position_that_is_young_enough() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let replica = Member::start("m2", false, "1.5").await;
+    let mut world = World::start(&[&primary, &replica], GATEWAYS, ONE_SHARE);
+    for gateway in world.gateways.clone() {
+        let mut caller = Caller::start(gateway, BOUNDED, "a").await;
+        assert!(caller.query("read x").await.is_success());
+    }
+    let mut served = Vec::new();
+    for (place, name) in ["b", "c", "d"].into_iter().enumerate() {
+        primary.state.borrow_mut().begins_to_lose = 1;
+        let started = world.start_again(place);
+        let mut caller = Caller::start(started, BOUNDED, name).await;
+        served.push(caller.query("read x").await.lines);
+    }
+    let by_replica = served.iter().filter(|lines| *lines == &["row|of m2", "complete|by-m2"]);
+    assert_eq!(by_replica.count(), GATEWAYS - 1, "all but the holder hear of one: {served:?}");
+}
--- a/crates/lab/src/scale/node.rs
+++ b/crates/lab/src/scale/node.rs
@@ -157,7 +157,7 @@
     }
 
     fn now(&self) -> Timestamp {
-        Timestamp(self.origin.elapsed().as_micros() as u64)
+        Timestamp::from_micros(self.origin.elapsed().as_micros() as u64)
     }
 
     /// What probes that are due saw.
--- a/crates/sim/src/run/world.rs
+++ b/crates/sim/src/run/world.rs
@@ -218,7 +218,7 @@
 
     fn local_time(&self, one: Address) -> Timestamp {
         let clock = self.clocks.get(&one).copied().unwrap_or(Clock { origin: 0, rate: 1_000 });
-        Timestamp(clock.origin + self.now * clock.rate / 1_000)
+        Timestamp::from_micros(clock.origin + self.now * clock.rate / 1_000)
     }
 
     /// Lets a participant handle a packet, or the passing of time.
