A session's own commits are remembered by group

A session kept one last commit, whatever its group. A route that led to another group and back brought the other group's position along: the session's own write was forgotten, and a replica without it served its next read (STALE on read_your_writes). Change: one last commit a group. The stand-in world of the gateway's tests has a second group and can move a route; keeping the primary busy stands once. Tests: sessions::routing, a_session_sees_its_own_write_after_its_route_led_to_another_group_and_back, seen failing without the change ('row|of m2').

--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -132,7 +132,9 @@
         let (staleness, own) = match rule.consistency {
             Consistency::Linearizable => return None,
             Consistency::BoundedStaleness(staleness) => (staleness, None),
-            Consistency::ReadYourWrites(staleness) => (staleness, self.own_commit),
+            Consistency::ReadYourWrites(staleness) => {
+                (staleness, self.own_commits.get(&route.group.name).copied())
+            }
         };
         self.shared.refresh_if_due(&route.group, staleness);
         let freshness = route.group.freshness.borrow();
@@ -251,7 +253,7 @@
                 Err(error) => return Self::refuse(&error, &why),
                 Ok((_, Offer::Done(response))) => {
                     if response.code().is_none() {
-                        self.note_own_commit(response.position());
+                        self.note_own_commit(&lone.route.group.name, response.position());
                     }
                     return response;
                 }
--- a/crates/gateway/src/session/mod.rs
+++ b/crates/gateway/src/session/mod.rs
@@ -13,11 +13,13 @@
 use crate::routes::Route;
 use crate::wire::Wire;
 use corktack_core::gateway::{KnownPosition, SessionProfile};
+use corktack_core::identity::GroupName;
 use corktack_core::position::Position;
 use corktack_core::statement::{ErrorCode, PreparedShape, Request, Statement};
 use decision::Decision;
 use response::Response;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use transaction::Transaction;
 
@@ -26,8 +28,8 @@
     shared: Rc<Shared<W>>,
     database: String,
     profile: SessionProfile,
-    /// The session's last commit.
-    own_commit: Option<KnownPosition>,
+    /// The session's last commit in each group: positions of one say nothing of another.
+    own_commits: BTreeMap<GroupName, KnownPosition>,
     transaction: Transaction<W>,
     /// What is decided for the statement under way.
     decision: RefCell<Decision>,
@@ -39,7 +41,7 @@
             shared,
             database,
             profile: SessionProfile::default(),
-            own_commit: None,
+            own_commits: BTreeMap::new(),
             transaction: Transaction::None,
             decision: RefCell::default(),
         }
@@ -126,10 +128,10 @@
         Response::failure(code, text, self.transaction.state())
     }
 
-    fn note_own_commit(&mut self, position: Option<Position>) {
+    fn note_own_commit(&mut self, group: &GroupName, position: Option<Position>) {
         let known_at = self.shared.now();
         if let Some(position) = position {
-            self.own_commit = Some(KnownPosition { position, known_at });
+            self.own_commits.insert(group.clone(), KnownPosition { position, known_at });
         }
     }
 }
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -361,6 +361,6 @@
     ) {
         let Some(position) = position else { return };
         open.route.group.note_lead(&open.lease.member, asked_at, Some(position));
-        self.note_own_commit(Some(position));
+        self.note_own_commit(&open.route.group.name, Some(position));
     }
 }
--- a/crates/gateway/tests/sessions/routing.rs
+++ b/crates/gateway/tests/sessions/routing.rs
@@ -71,7 +71,12 @@
     let world = World::with_one_gateway(&[&primary, &replica]);
     let mut caller = Caller::start(world.gateways[0], BOUNDED, "a").await;
     assert!(caller.query("read x").await.is_success());
-    // Transactions that keep the primary busy make the replica the first choice.
+    let _busy = keep_primary_busy(&world).await;
+    assert_eq!(caller.query("read x").await.lines, ["row|of m2", "complete|by-m2"]);
+}
+
+/// Transactions that keep the primary busy, as long as they live, make a replica the first choice.
+async fn keep_primary_busy(world: &World) -> Vec<Caller> {
     let mut others = Vec::new();
     for name in ["b", "c", "d"] {
         let mut other = Caller::start(world.gateways[0], LINEARIZABLE, name).await;
@@ -79,7 +84,7 @@
         assert!(other.query("read y").await.is_success());
         others.push(other);
     }
-    assert_eq!(caller.query("read x").await.lines, ["row|of m2", "complete|by-m2"]);
+    others
 }
 
 #[actix_rt::test]
@@ -141,3 +146,22 @@
         assert_ne!(before, Some("begin"), "{name} read inside a transaction of the primary");
     }
 }
+
+/// Positions of one group say nothing of another: a commit in the group that the route led to
+/// meanwhile does not take the place of the session's commit in this one.
+#[actix_rt::test]
+async fn a_session_sees_its_own_write_after_its_route_led_to_another_group_and_back() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let behind = Member::start("m2", false, "1.5").await;
+    let other = Member::start("o1", true, "1.2").await;
+    let world = World::with_two_groups(&[&primary, &behind], &[&other]);
+    let mut caller = Caller::start(world.gateways[0], OWN_WRITES, "a").await;
+    assert!(caller.query("read x").await.is_success());
+    assert!(caller.query("write x").await.is_success());
+    world.move_own_writes(true);
+    assert!(caller.query("write y").await.is_success());
+    assert_eq!(other.texts(), ["write y"]);
+    world.move_own_writes(false);
+    let _busy = keep_primary_busy(&world).await;
+    assert_eq!(caller.query("read x").await.lines, ["row|of m1", "complete|by-m1"]);
+}
--- a/crates/gateway/tests/sessions/world.rs
+++ b/crates/gateway/tests/sessions/world.rs
@@ -44,6 +44,11 @@
     GroupName::new("calls").expect("a valid name")
 }
 
+/// A second group, for routes that move from one to the other.
+fn other_group() -> GroupName {
+    GroupName::new("archive").expect("a valid name")
+}
+
 fn zone() -> ZoneName {
     ZoneName::new("north.a").expect("a valid name")
 }
@@ -96,6 +101,23 @@
     (listener, address)
 }
 
+/// Adds members of a group to what control says.
+fn register(view: &mut View, group: &GroupName, members: &[&Member]) {
+    for member in members {
+        let primary = member.state.borrow().primary;
+        let back_end = RegisteredBackEnd {
+            group: group.clone(),
+            address: member.address,
+            zone: zone(),
+            capacity: 3,
+            state: BackEndState::Ready,
+            role: if primary { BackEndRole::Primary } else { BackEndRole::Replica },
+        };
+        let name = MemberName::new(member.name.as_str()).expect("a valid name");
+        view.back_ends.insert(name, Arc::new(back_end));
+    }
+}
+
 impl World {
     pub fn with_one_gateway(members: &[&Member]) -> Self {
         Self::start(members, 1, 36)
@@ -108,6 +130,31 @@
         Self::launch(bound, view)
     }
 
+    /// One gateway before a group and, with a route of its own only after
+    /// [`World::move_own_writes`], another.
+    pub fn with_two_groups(members: &[&Member], others: &[&Member]) -> Self {
+        let (bound, mut view) = Self::prepare(members, 1, 36);
+        let mut document = document(36, LONG);
+        let other = ServiceRule { name: other_group(), ..document.services[0].clone() };
+        document.services.push(other);
+        view.document = Some(Arc::new(document));
+        register(&mut view, &other_group(), others);
+        Self::launch(bound, view)
+    }
+
+    /// The route [`OWN_WRITES`] leads to the other group, or back. The gateways, which share the
+    /// test's thread, follow before they read anything that is sent to them from now on.
+    pub fn move_own_writes(&self, to_other: bool) {
+        self.change(|view| {
+            let held = view.document.as_ref().expect("a document");
+            let mut document = Document::clone(held);
+            document.version += 1;
+            let route = document.routes.iter_mut().find(|route| route.name == OWN_WRITES);
+            route.expect("a route").group = if to_other { other_group() } else { group() };
+            view.document = Some(Arc::new(document));
+        });
+    }
+
     pub fn start(members: &[&Member], gateways: usize, max_connections: u32) -> Self {
         let (bound, view) = Self::prepare(members, gateways, max_connections);
         Self::launch(bound, view)
@@ -126,19 +173,7 @@
             };
             view.proxies.insert(ProxyName::new(format!("g{place}")).expect("a valid name"), proxy);
         }
-        for member in members {
-            let primary = member.state.borrow().primary;
-            let back_end = RegisteredBackEnd {
-                group: group(),
-                address: member.address,
-                zone: zone(),
-                capacity: 3,
-                state: BackEndState::Ready,
-                role: if primary { BackEndRole::Primary } else { BackEndRole::Replica },
-            };
-            let name = MemberName::new(member.name.as_str()).expect("a valid name");
-            view.back_ends.insert(name, Arc::new(back_end));
-        }
+        register(&mut view, &group(), members);
         (bound, view)
     }
 
@@ -214,11 +249,17 @@
     /// before they read anything that is sent to them from now on.
     pub fn drain(&self, member: &Member) {
         let name = MemberName::new(member.name.as_str()).expect("a valid name");
+        self.change(|view| {
+            let back_end = view.back_ends.get_mut(&name).expect("a registered member");
+            Arc::make_mut(back_end).state = BackEndState::Draining;
+        });
+    }
+
+    fn change(&self, change: impl FnOnce(&mut View)) {
         self.views.send_modify(|view| {
             let mut next = View::clone(view);
             next.revision = Revision(view.revision.0 + 1);
-            let back_end = next.back_ends.get_mut(&name).expect("a registered member");
-            Arc::make_mut(back_end).state = BackEndState::Draining;
+            change(&mut next);
             *view = Arc::new(next);
         });
     }
