A session whose commit was answered without a position reads at the primary

A member may answer a commit without its position; the session then kept the commit before, or none, and a replica without the write could serve its next read. Change: a commit without a position is remembered as such, and the group's next reads of the session go to the primary. Tests: sessions::routing, a_session_whose_commit_has_no_position_reads_at_the_primary (alone, in a transaction), both seen failing without the change.

--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -1,8 +1,8 @@
 //! Statements outside a transaction.
 
-use super::Session;
 use super::response::Response;
 use super::statement::access_of;
+use super::{OwnCommit, Session};
 use crate::answer::Answer;
 use crate::error::AcquireError;
 use crate::group::{Place, Target, Wish};
@@ -115,7 +115,7 @@
         bounds: Bounds,
     ) -> Option<Position> {
         let known = self.known_position(route, bounds.began);
-        if known.is_some() || route.rule.consistency == Consistency::Linearizable {
+        if known.is_some() || self.reads_primary_only(route) {
             return known;
         }
         let left = bounds.give_up.saturating_duration_since(Instant::now());
@@ -125,6 +125,19 @@
         self.known_position(route, bounds.began)
     }
 
+    /// Whether no position of the primary could let another member serve a read.
+    fn reads_primary_only(&self, route: &Route<W>) -> bool {
+        match route.rule.consistency {
+            Consistency::Linearizable => true,
+            Consistency::BoundedStaleness(_) => false,
+            Consistency::ReadYourWrites(_) => self.own_commit(route) == Some(OwnCommit::Untold),
+        }
+    }
+
+    fn own_commit(&self, route: &Route<W>) -> Option<OwnCommit> {
+        self.own_commits.get(&route.group.name).copied()
+    }
+
     fn known_position(&self, route: &Route<W>, began: Timestamp) -> Option<Position> {
         let rule = &route.rule;
         let group = route.group.name.as_str();
@@ -132,9 +145,12 @@
         let (staleness, own) = match rule.consistency {
             Consistency::Linearizable => return None,
             Consistency::BoundedStaleness(staleness) => (staleness, None),
-            Consistency::ReadYourWrites(staleness) => {
-                (staleness, self.own_commits.get(&route.group.name).copied())
-            }
+            Consistency::ReadYourWrites(staleness) => (staleness, self.own_commit(route)),
+        };
+        let own = match own {
+            Some(OwnCommit::Untold) => return None,
+            Some(OwnCommit::At(own)) => Some(own),
+            None => None,
         };
         self.shared.refresh_if_due(&route.group, staleness);
         let freshness = route.group.freshness.borrow();
--- a/crates/gateway/src/session/mod.rs
+++ b/crates/gateway/src/session/mod.rs
@@ -23,13 +23,22 @@
 use std::rc::Rc;
 use transaction::Transaction;
 
+/// A session's last commit in a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OwnCommit {
+    /// At this position.
+    At(KnownPosition),
+    /// The member did not tell its position: only the primary surely has it.
+    Untold,
+}
+
 /// One caller's session.
 pub(crate) struct Session<W: Wire> {
     shared: Rc<Shared<W>>,
     database: String,
     profile: SessionProfile,
     /// The session's last commit in each group: positions of one say nothing of another.
-    own_commits: BTreeMap<GroupName, KnownPosition>,
+    own_commits: BTreeMap<GroupName, OwnCommit>,
     transaction: Transaction<W>,
     /// What is decided for the statement under way.
     decision: RefCell<Decision>,
@@ -130,8 +139,7 @@
 
     fn note_own_commit(&mut self, group: &GroupName, position: Option<Position>) {
         let known_at = self.shared.now();
-        if let Some(position) = position {
-            self.own_commits.insert(group.clone(), KnownPosition { position, known_at });
-        }
+        let at = |position| OwnCommit::At(KnownPosition { position, known_at });
+        self.own_commits.insert(group.clone(), position.map_or(OwnCommit::Untold, at));
     }
 }
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -359,8 +359,9 @@
         asked_at: Timestamp,
         position: Option<corktack_core::position::Position>,
     ) {
-        let Some(position) = position else { return };
-        open.route.group.note_lead(&open.lease.member, asked_at, Some(position));
-        self.note_own_commit(&open.route.group.name, Some(position));
+        if position.is_some() {
+            open.route.group.note_lead(&open.lease.member, asked_at, position);
+        }
+        self.note_own_commit(&open.route.group.name, position);
     }
 }
--- a/crates/gateway/tests/sessions/member.rs
+++ b/crates/gateway/tests/sessions/member.rs
@@ -28,6 +28,8 @@
     pub answers_to_lose: usize,
     /// Begins of the product's own whose connection is closed in place of the answer.
     pub begins_to_lose: usize,
+    /// Whether writes and commits are answered without a position.
+    pub hides_commits: bool,
     /// Whether new connections are closed before they are ready: a relay stands before a member
     /// that is gone.
     pub gone: bool,
@@ -53,6 +55,7 @@
             at: position(at).expect("a position"),
             answers_to_lose: 0,
             begins_to_lose: 0,
+            hides_commits: false,
             gone: false,
             connection_limit: 10,
             open: 0,
@@ -149,10 +152,13 @@
         } else {
             String::new()
         };
-        Some(format!(
-            "{row}complete|by-{}\nready|{now}|{}.{}\n",
-            self.name, state.at.term, state.at.index
-        ))
+        let commits = text.starts_with("write") || text == "commit";
+        let position = if state.hides_commits && commits {
+            String::new()
+        } else {
+            format!("{}.{}", state.at.term, state.at.index)
+        };
+        Some(format!("{row}complete|by-{}\nready|{now}|{position}\n", self.name))
     }
 }
 
--- a/crates/gateway/tests/sessions/routing.rs
+++ b/crates/gateway/tests/sessions/routing.rs
@@ -4,6 +4,7 @@
 use crate::member::Member;
 use crate::world::{BOUNDED, LINEARIZABLE, OWN_WRITES, World};
 use futures_util::future::join_all;
+use rstest::rstest;
 
 #[actix_rt::test]
 async fn a_write_reaches_the_primary_once_and_untouched() {
@@ -165,3 +166,21 @@
     let _busy = keep_primary_busy(&world).await;
     assert_eq!(caller.query("read x").await.lines, ["row|of m1", "complete|by-m1"]);
 }
+
+#[rstest]
+#[case::alone(&["write x"])]
+#[case::in_a_transaction(&["begin", "write x", "commit"])]
+#[actix_rt::test]
+async fn a_session_whose_commit_has_no_position_reads_at_the_primary(#[case] texts: &[&str]) {
+    let primary = Member::start("m1", true, "1.5").await;
+    let behind = Member::start("m2", false, "1.5").await;
+    let world = World::with_one_gateway(&[&primary, &behind]);
+    primary.state.borrow_mut().hides_commits = true;
+    let mut caller = Caller::start(world.gateways[0], OWN_WRITES, "a").await;
+    assert!(caller.query("read x").await.is_success());
+    for text in texts {
+        assert!(caller.query(text).await.is_success());
+    }
+    let _busy = keep_primary_busy(&world).await;
+    assert_eq!(caller.query("read x").await.lines, ["row|of m1", "complete|by-m1"]);
+}
