--- a/crates/core/src/gateway/freshness.rs
+++ b/crates/core/src/gateway/freshness.rs
@@ -35,10 +35,29 @@
     pub age: Duration,
 }
 
+/// From whom a gateway knows a position of the primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PositionSource {
+    /// The primary answered this gateway.
+    Primary,
+    /// Another gateway told what the primary had answered it.
+    Gateway,
+}
+
+/// What the position rests on that a read must see.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FloorBasis {
+    /// Time from the question to the primary until the read began; zero when it was asked later.
+    pub age: Duration,
+    /// Who told the answer.
+    pub source: PositionSource,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Sample {
     asked_at: Timestamp,
     position: Position,
+    source: PositionSource,
 }
 
 /// Committed positions of one group's primary over the last seconds.
@@ -57,26 +76,25 @@
     /// may wait for it. A primary holds all that is left of earlier terms, so its own position
     /// takes the place of theirs.
     pub fn note(&mut self, asked_at: Timestamp, position: Position) {
-        if self.latest.is_some_and(|latest| latest.asked_at > asked_at) {
+        self.note_sample(Sample { asked_at, position, source: PositionSource::Primary });
+    }
+
+    fn note_sample(&mut self, newest: Sample) {
+        if self.latest.is_some_and(|latest| latest.asked_at > newest.asked_at) {
             return;
         }
         for sample in &mut self.samples {
-            if is_superseded(sample.position, position) {
-                sample.position = position;
+            if is_superseded(sample.position, newest.position) {
+                sample.position = newest.position;
+                sample.source = newest.source;
             }
         }
-        let sample = Sample { asked_at, position };
-        self.latest = Some(sample);
-        let spaced =
-            self.samples.back().is_none_or(|last| asked_at - last.asked_at >= SAMPLE_SPACING);
-        if spaced {
-            self.samples.push_back(sample);
+        self.latest = Some(newest);
+        let since = |sample: &Sample| newest.asked_at - sample.asked_at;
+        if self.samples.back().is_none_or(|last| since(last) >= SAMPLE_SPACING) {
+            self.samples.push_back(newest);
         }
-        while self
-            .samples
-            .front()
-            .is_some_and(|first| asked_at - first.asked_at > POSITION_RETENTION)
-        {
+        while self.samples.front().is_some_and(|first| since(first) > POSITION_RETENTION) {
             self.samples.pop_front();
         }
     }
@@ -93,8 +111,8 @@
         position: Position,
     ) -> Result<(), PositionTooOld> {
         // The answer was given later than `asked_at`, so the question is no older than this.
-        let primary_asked_at = asked_at.before(age).ok_or(PositionTooOld { age })?;
-        self.note(primary_asked_at, position);
+        let asked_at = asked_at.before(age).ok_or(PositionTooOld { age })?;
+        self.note_sample(Sample { asked_at, position, source: PositionSource::Gateway });
         Ok(())
     }
 
@@ -102,9 +120,19 @@
     /// lowest known. None when no question is young enough: the primary must be asked.
     #[must_use]
     pub fn floor(&self, began: Timestamp, staleness: Duration) -> Option<Position> {
+        self.floor_sample(began, staleness).map(|sample| sample.position)
+    }
+
+    /// What [`Freshness::floor`] rests on.
+    #[must_use]
+    pub fn floor_basis(&self, began: Timestamp, staleness: Duration) -> Option<FloorBasis> {
+        let sample = self.floor_sample(began, staleness)?;
+        Some(FloorBasis { age: began - sample.asked_at, source: sample.source })
+    }
+
+    fn floor_sample(&self, began: Timestamp, staleness: Duration) -> Option<&Sample> {
         let young = |sample: &&Sample| sample.asked_at + staleness >= began;
-        let sample = self.samples.iter().find(young).or(self.latest.as_ref().filter(young))?;
-        Some(sample.position)
+        self.samples.iter().find(young).or(self.latest.as_ref().filter(young))
     }
 
     /// Time since the question of the newest sample; none without one.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -10,7 +10,9 @@
 mod wait_queue;
 
 pub use detour::{Detour, DetourStep};
-pub use freshness::{Freshness, KnownPosition, POSITION_RETENTION, PositionTooOld};
+pub use freshness::{
+    FloorBasis, Freshness, KnownPosition, POSITION_RETENTION, PositionSource, PositionTooOld,
+};
 pub use member_choice::{Distance, MemberLoad, choose_reader};
 pub use profile::{ConnectionProfile, SessionProfile, UnknownName};
 pub use shares::{CONNECTIONS_PER_SHARE, asking_order, holder_count, holders};
--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -1,6 +1,8 @@
 //! How much of a group's log a read must see.
 
-use corktack_core::gateway::{Freshness, KnownPosition, PositionTooOld};
+use corktack_core::gateway::{
+    FloorBasis, Freshness, KnownPosition, PositionSource, PositionTooOld,
+};
 use corktack_core::position::{Position, Term};
 use corktack_core::time::Timestamp;
 use rstest::rstest;
@@ -141,3 +143,16 @@
     assert_eq!(third.note_told(at(9_000), age, passed_on), Ok(()));
     assert_eq!(third.newest(at(9_100)), Some((Duration::from_millis(2_000), position(1, 111))));
 }
+
+#[rstest]
+#[case::of_this_gateway(3_900, Some((900, PositionSource::Primary)))]
+#[case::of_another_gateway(6_000, Some((2_000, PositionSource::Gateway)))]
+#[case::of_none(6_501, None)]
+fn a_floor_says_what_it_rests_on(#[case] began: u64, #[case] basis: Option<(u64, PositionSource)>) {
+    let mut freshness = freshness(&[(3_000, position(1, 153))]);
+    let told = freshness.note_told(at(4_200), Duration::from_millis(200), position(1, 160));
+    assert_eq!(told, Ok(()));
+    let basis =
+        basis.map(|(millis, source)| FloorBasis { age: Duration::from_millis(millis), source });
+    assert_eq!(freshness.floor_basis(at(began), STALENESS), basis);
+}
--- a/crates/gateway/src/group/elsewhere.rs
+++ b/crates/gateway/src/group/elsewhere.rs
@@ -152,6 +152,7 @@
     ) {
         let Some((age, position)) = newest else { return };
         let noted = self.freshness.borrow_mut().note_told(asked_at, age, position);
+        self.metrics.note_told_position(noted.is_ok());
         if let Err(error) = noted {
             log::debug!(
                 group:% = self.name, holder:% = holder, position:% = position, error:% = error;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -65,6 +65,7 @@
     waiting: Gauge,
     unreached: Gauge,
     elsewhere: Family<Outcome, Counter>,
+    told_positions: Family<Outcome, Counter>,
     sessions: Gauge,
     document_version: Gauge,
     answered: Rc<Cell<u64>>,
@@ -89,6 +90,7 @@
             waiting: Gauge::default(),
             unreached: Gauge::default(),
             elsewhere: Family::default(),
+            told_positions: Family::default(),
             sessions: Gauge::default(),
             document_version: Gauge::default(),
             answered: Rc::default(),
@@ -108,6 +110,8 @@
         registry.register("corktack_gateway_unreached_members", help, self.unreached.clone());
         let help = "Questions to gateways that hold connections, by outcome";
         registry.register("corktack_gateway_elsewhere", help, self.elsewhere.clone());
+        let help = "Positions of primaries that other gateways told, by outcome: used or too_old";
+        registry.register("corktack_gateway_told_positions", help, self.told_positions.clone());
         let help = "Sessions of callers that are open";
         registry.register("corktack_gateway_sessions", help, self.sessions.clone());
         let help = "Version of the document in force";
@@ -128,6 +132,12 @@
         self.elsewhere.get_or_create(&Outcome { outcome: outcome.to_owned() }).inc();
     }
 
+    /// Another gateway told a position; one from before this gateway's clock began is too old.
+    pub(crate) fn note_told_position(&self, used: bool) {
+        let outcome = if used { "used" } else { "too_old" };
+        self.told_positions.get_or_create(&Outcome { outcome: outcome.to_owned() }).inc();
+    }
+
     pub(crate) fn note_holdings(&self, holdings: Holdings, sessions: usize) {
         let set = |gauge: &Gauge, count: usize| {
             gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -155,7 +155,8 @@
         self.shared.refresh_if_due(&route.group, staleness);
         let freshness = route.group.freshness.borrow();
         let needed = freshness.needed(began, staleness, own);
-        self.decision.borrow_mut().needs(needed, freshness.age(self.shared.now()));
+        let basis = freshness.floor_basis(began, staleness);
+        self.decision.borrow_mut().needs(needed, freshness.age(self.shared.now()), basis);
         needed
     }
 
--- a/crates/gateway/src/session/decision.rs
+++ b/crates/gateway/src/session/decision.rs
@@ -1,5 +1,6 @@
 //! What was decided for one statement, for the line that explains its outcome.
 
+use corktack_core::gateway::{FloorBasis, PositionSource};
 use corktack_core::position::Position;
 use corktack_core::registry::Consistency;
 use std::time::Duration;
@@ -17,6 +18,8 @@
     needed: Option<Position>,
     /// Age of the newest answer of the primary, when the position was chosen.
     position_age: Option<Duration>,
+    /// What the position rests on; none where only the primary could serve.
+    basis: Option<FloorBasis>,
     attempts: Vec<String>,
 }
 
@@ -33,9 +36,15 @@
     }
 
     /// The position that a member had to hold.
-    pub(super) fn needs(&mut self, needed: Option<Position>, age: Option<Duration>) {
+    pub(super) fn needs(
+        &mut self,
+        needed: Option<Position>,
+        age: Option<Duration>,
+        basis: Option<FloorBasis>,
+    ) {
         self.needed = needed;
         self.position_age = age;
+        self.basis = basis;
     }
 
     /// A member was asked in vain.
@@ -55,13 +64,23 @@
         taken: Duration,
     ) {
         let needed = self.needed.map_or_else(|| "primary".to_owned(), |it| it.to_string());
-        let age = self.position_age.map_or(-1, |age| age.as_millis() as i64);
+        let millis = |age: Option<Duration>| age.map_or(-1, |age| age.as_millis() as i64);
+        let (age, floor_age) = (millis(self.position_age), millis(self.basis.map(|it| it.age)));
+        let floor_from = self.basis.map_or("none", |basis| source_name(basis.source));
         log::info!(
             id, database, outcome, why, after_ms = taken.as_millis() as u64,
             route = self.route.as_str(), consistency = self.consistency,
             group = self.group.as_str(), needed = needed.as_str(), position_age_ms = age,
-            attempts = self.attempts.join("; ").as_str();
+            floor_age_ms = floor_age, floor_from, attempts = self.attempts.join("; ").as_str();
             "statement ended"
         );
     }
 }
+
+/// The name of a source in log lines and figures.
+pub(super) const fn source_name(source: PositionSource) -> &'static str {
+    match source {
+        PositionSource::Primary => "primary",
+        PositionSource::Gateway => "gateway",
+    }
+}
--- a/crates/gateway/tests/sessions/tunnels.rs
+++ b/crates/gateway/tests/sessions/tunnels.rs
@@ -126,4 +126,5 @@
     assert_eq!(count("corktack_gateway_elsewhere_total{outcome=\"served\"} 1"), 2);
     assert_eq!(count("corktack_gateway_wait_seconds_count 3"), 1, "the holder waited for all");
     assert_eq!(count("corktack_gateway_document_version 1"), 3);
+    assert_eq!(count("corktack_gateway_told_positions_total{outcome=\"used\"} 1"), 2);
 }
