Elections: after a start a try in vain is soon followed by another, until a leader is known

Cause: after a split vote at the start the next try waited for the usual election timeout, although the first timeout is short. Ruled out: a vote storm (each timeout that runs out doubles the next, up to the usual one; a granted vote doubles nothing but has only so many short timeouts left); a replica that waits to be added asking often (it counts timeouts, too); a first timeout of zero, which would ask at every tick (refused now; it was allowed before). Safety does not depend on deadlines. Change: the first timeout doubles until a leader is known. Tests: core consensus elections. Zero: not seen failing.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -144,6 +144,7 @@
     }
 
     pub(super) fn handle_election_timeout(&mut self, now: Timestamp) {
+        self.timeouts = self.timeouts.saturating_add(1);
         if self.may_stand() {
             self.begin_pre_vote(now);
         } else {
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -124,9 +124,9 @@
     pub id: ReplicaId,
     /// Shortest time without a leader before an election; the longest is twice this.
     pub election_timeout: Duration,
-    /// As `election_timeout`, after the start and until anything is heard of an election or a
-    /// leader: a replica that has just started does not disturb one, because it asks for
-    /// pre-votes first.
+    /// As `election_timeout`, after the start and until a leader is known: doubled each time it
+    /// runs out, up to `election_timeout`. A replica that has just started does not disturb a
+    /// leader, because it asks for pre-votes first. Zero is refused.
     pub first_election_timeout: Duration,
     /// Time between heartbeats of the leader.
     pub heartbeat_interval: Duration,
--- a/crates/core/src/consensus/recovery.rs
+++ b/crates/core/src/consensus/recovery.rs
@@ -13,6 +13,10 @@
     if settings.election_timeout <= settings.heartbeat_interval {
         return Err(ConsensusError::Settings("election_timeout"));
     }
+    // Doubled it would stay zero: a candidate without a majority would ask at every tick.
+    if settings.first_election_timeout.is_zero() {
+        return Err(ConsensusError::Settings("first_election_timeout"));
+    }
     if settings.snapshot_chunk_bytes == 0 {
         return Err(ConsensusError::Settings("snapshot_chunk_bytes"));
     }
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -47,6 +47,10 @@
     /// When the leader of the current term was last heard.
     pub(super) leader_contact: Option<Timestamp>,
     pub(super) election_deadline: Timestamp,
+    /// Whether a leader was known since the start.
+    found_leader: bool,
+    /// Election timeouts that ran out since the start.
+    pub(super) timeouts: u32,
     /// Index of the last entry handed out for applying.
     pub(super) applied: u64,
     pub(super) incoming: Option<IncomingSnapshot>,
@@ -99,13 +103,15 @@
             leader: None,
             leader_contact: None,
             election_deadline: now,
+            found_leader: false,
+            timeouts: 0,
             incoming: None,
             installed: None,
             forwarded: ForwardedReads::new(first_batch),
             reported: (Role::Follower, hard_state.term, None),
             outbox: Vec::new(),
         };
-        replica.set_election_deadline(now, replica.settings.first_election_timeout);
+        replica.reset_election_deadline(now);
         Ok(replica)
     }
 
@@ -238,17 +244,27 @@
             return;
         }
         self.leader = leader;
+        self.found_leader |= leader.is_some();
         self.leader_contact = None;
         for request in self.forwarded.take_all() {
             self.reject(request, Rejection::LeadershipLost);
         }
     }
 
-    pub(super) fn reset_election_deadline(&mut self, now: Timestamp) {
-        self.set_election_deadline(now, self.settings.election_timeout);
+    /// Until a leader is known for the first time since the start, the first timeout, doubled each
+    /// time it runs out, up to the usual one. What resets the deadline otherwise doubles nothing, so
+    /// at most so many short timeouts run out as doublings lie between the two.
+    fn shortest_election_timeout(&self) -> Duration {
+        let usual = self.settings.election_timeout;
+        if self.found_leader {
+            return usual;
+        }
+        let doubled = 1_u32.checked_shl(self.timeouts).unwrap_or(u32::MAX);
+        self.settings.first_election_timeout.saturating_mul(doubled).min(usual)
     }
 
-    fn set_election_deadline(&mut self, now: Timestamp, shortest: Duration) {
+    pub(super) fn reset_election_deadline(&mut self, now: Timestamp) {
+        let shortest = self.shortest_election_timeout();
         let micros = u64::try_from(shortest.as_micros()).unwrap_or(u64::MAX);
         let jitter = Duration::from_micros(self.random.random_range(0..micros.max(1)));
         self.election_deadline = now + shortest + jitter;
--- a/crates/core/tests/consensus/elections.rs
+++ b/crates/core/tests/consensus/elections.rs
@@ -1,7 +1,11 @@
 //! Elections, commits and reads of a cell on a quiet network.
 
-use super::network::{Answer, ELECTION_TIMEOUT, Network, SETTLE};
-use corktack_core::consensus::{Event, Rejection, Role};
+use super::network::{Answer, ELECTION_TIMEOUT, HEARTBEAT_INTERVAL, Network, SETTLE, cell_of};
+use corktack_core::consensus::{
+    ConsensusError, ConsensusSettings, Event, PersistedState, Rejection, Replica, Role,
+};
+use corktack_core::identity::ReplicaId;
+use corktack_core::time::Timestamp;
 use rstest::rstest;
 use std::time::Duration;
 
@@ -120,6 +124,67 @@
     assert!(network.leader().is_some());
 }
 
+/// Three of five must all vote for the same one: two that stand at once elect nobody.
+#[rstest]
+fn after_a_split_vote_the_next_try_of_a_start_is_soon(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] seed: u64,
+) {
+    let mut network = Network::with_first_election_timeout(5, seed, ELECTION_TIMEOUT / 40);
+    network.crash(4);
+    network.crash(5);
+    network.run_for(ELECTION_TIMEOUT * 3 / 4);
+    assert!(network.leader().is_some());
+}
+
+/// A vote storm would not end: two of five never elect a leader.
+#[test]
+fn elections_in_vain_after_a_start_become_as_rare_as_usual() {
+    let mut network = Network::with_first_election_timeout(5, 1, Duration::from_millis(1));
+    let mut asked = Vec::new();
+    for _ in 0..1_000 {
+        network.now = network.now + Duration::from_millis(1);
+        if network.sent_by(1, Event::Tick) > 0 {
+            asked.push(network.now);
+        }
+    }
+    // Timeouts of 1, 2, 4 to 64 ms and their jitter end within 254 ms.
+    let late = asked.iter().filter(|at| **at > Timestamp::from_millis(260)).count();
+    assert!((4..=8).contains(&late), "{late} of {asked:?}");
+    assert!(asked.len() <= late + 9, "{asked:?}");
+}
+
+/// The short timeout is for the start: a leader lost later is missed for the usual time first.
+#[rstest]
+fn once_a_leader_was_known_elections_wait_the_usual_time(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut network = Network::with_first_election_timeout(3, seed, Duration::from_millis(1));
+    let leader = network.expect_leader();
+    network.run_for(SETTLE);
+    network.crash(leader);
+    network.run_for(ELECTION_TIMEOUT / 2);
+    for id in network.running() {
+        assert_eq!(network.replica(id).role(), Role::Follower, "{id}");
+    }
+    network.run_for(SETTLE);
+    assert!(network.leader().is_some());
+}
+
+#[test]
+fn a_first_election_timeout_of_zero_is_refused() {
+    let settings = ConsensusSettings {
+        id: ReplicaId(1),
+        election_timeout: ELECTION_TIMEOUT,
+        first_election_timeout: Duration::ZERO,
+        heartbeat_interval: HEARTBEAT_INTERVAL,
+        append_bytes_limit: 256,
+        snapshot_chunk_bytes: 64,
+        seed: 1,
+    };
+    let now = Timestamp::from_millis(1);
+    let refused = Replica::new(settings, PersistedState::default(), Some(cell_of(1..=3)), now);
+    let error = refused.expect_err("it would ask at every tick");
+    assert!(matches!(error, ConsensusError::Settings("first_election_timeout")), "{error}");
+}
+
 #[test]
 fn leadership_is_handed_over_within_a_few_round_trips() {
     let mut network = Network::start(3, 9);
