A transaction's reads are bounded from its first statement; positions past use are not told

A caller may rest after its begin; the position its reads must see was dated by the begin. The users' rule allows that, callers would not expect it. Change: the position is chosen when the transaction is opened at a member. A gateway tells others no position older than samples are kept. Tests: sessions::routing, a_transaction_that_rested_before_its_first_read...; core freshness, a_position_is_told_to_others: both seen failing before.

--- a/crates/core/src/gateway/freshness.rs
+++ b/crates/core/src/gateway/freshness.rs
@@ -141,10 +141,13 @@
         self.latest.map(|latest| now - latest.asked_at)
     }
 
-    /// The newest sample as another gateway may use it: its age and the position.
+    /// The newest sample as another gateway may use it: its age and the position. None where it is
+    /// older than samples are kept: no bound is that long.
     #[must_use]
     pub fn newest(&self, now: Timestamp) -> Option<(Duration, Position)> {
-        self.latest.map(|latest| (now - latest.asked_at, latest.position))
+        let latest = self.latest?;
+        let age = now - latest.asked_at;
+        (age <= POSITION_RETENTION).then_some((age, latest.position))
     }
 
     /// What a session's own commit asks of a read, after changes of primary that may have rolled
--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -156,3 +156,10 @@
         basis.map(|(millis, source)| FloorBasis { age: Duration::from_millis(millis), source });
     assert_eq!(freshness.floor_basis(at(began), STALENESS), basis);
 }
+
+#[rstest]
+#[case::as_long_as_samples_are_kept(11_000, Some((Duration::from_secs(10), position(1, 111))))]
+#[case::not_longer(11_001, None)]
+fn a_position_is_told_to_others(#[case] now: u64, #[case] told: Option<(Duration, Position)>) {
+    assert_eq!(freshness(&[(1_000, position(1, 111))]).newest(at(now)), told);
+}
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 /// Time from the clock's origin to the start of the gateway. What other gateways found out before
-/// the start has its time as well; none of it is of use for longer than positions are kept.
+/// the start has its time as well; what is older than positions are kept is not told.
 const BEFORE_START: Duration = POSITION_RETENTION;
 
 /// The steady time of a gateway, from some time before its start.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -56,7 +56,7 @@
 }
 
 impl<W: Wire> Shared<W> {
-    /// The steady time since the start of the gateway.
+    /// The steady time.
     pub(crate) fn now(&self) -> Timestamp {
         self.clock.now()
     }
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -25,7 +25,7 @@
     /// None is open.
     None,
     /// The caller began one; no member has been asked for anything yet.
-    Begun { access: Access, began: Timestamp, route: Route<W> },
+    Begun { access: Access, route: Route<W> },
     /// One is open at a member.
     Open(Box<OpenTransaction<W>>),
     /// It failed and was rolled back; its end is still to come.
@@ -97,8 +97,7 @@
             return self.own_failure(ErrorCode::Malformed, "a transaction is open already");
         }
         let Some(route) = self.route() else { return self.unknown_database() };
-        let began = self.shared.now();
-        self.transaction = Transaction::Begun { access, began, route };
+        self.transaction = Transaction::Begun { access, route };
         self.own_success()
     }
 
@@ -140,8 +139,8 @@
     ) -> Response {
         let mut open = match std::mem::replace(&mut self.transaction, Transaction::Failed) {
             Transaction::Open(open) => open,
-            Transaction::Begun { access, began, route } => {
-                match self.open_transaction(access, began, route).await {
+            Transaction::Begun { access, route } => {
+                match self.open_transaction(access, route).await {
                     Ok(open) => Box::new(open),
                     Err(response) => return response,
                 }
@@ -199,14 +198,14 @@
         }
     }
 
-    /// Begins the transaction at a member that may serve it.
+    /// Begins the transaction at a member that may serve it. How fresh it must be counts from now: the
+    /// caller may have rested since its begin.
     async fn open_transaction(
         &self,
         access: Access,
-        began: Timestamp,
         route: Route<W>,
     ) -> Result<OpenTransaction<W>, Response> {
-        let bounds = Bounds::of(&route, began);
+        let bounds = Bounds::of(&route, self.shared.now());
         let group = route.group.name.as_str();
         self.decision.borrow_mut().routed(&route.rule.name, route.rule.consistency, group);
         let replicas =
@@ -307,8 +306,8 @@
     pub(super) async fn commit(&mut self, request: &Request) -> Response {
         let mut open = match std::mem::replace(&mut self.transaction, Transaction::None) {
             Transaction::Open(open) => open,
-            Transaction::Begun { access, began, route } => {
-                match self.open_transaction(access, began, route).await {
+            Transaction::Begun { access, route } => {
+                match self.open_transaction(access, route).await {
                     Ok(open) => Box::new(open),
                     Err(response) => {
                         self.transaction = Transaction::Failed;
--- a/crates/gateway/tests/sessions/routing.rs
+++ b/crates/gateway/tests/sessions/routing.rs
@@ -2,7 +2,7 @@
 
 use crate::caller::Caller;
 use crate::member::Member;
-use crate::world::{BOUNDED, LINEARIZABLE, OWN_WRITES, World};
+use crate::world::{BOUNDED, BRIEFLY_BOUNDED, LINEARIZABLE, OWN_WRITES, SHORT_STALENESS, World};
 use futures_util::future::join_all;
 use rstest::rstest;
 
@@ -184,3 +184,19 @@
     let _busy = keep_primary_busy(&world).await;
     assert_eq!(caller.query("read x").await.lines, ["row|of m1", "complete|by-m1"]);
 }
+
+/// The caller's transaction rested after its begin, longer than the bound; commits were
+/// acknowledged meanwhile.
+#[actix_rt::test]
+async fn a_transaction_that_rested_before_its_first_read_is_as_fresh_as_that_read() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let behind = Member::start("m2", false, "1.5").await;
+    let world = World::with_one_gateway(&[&primary, &behind]);
+    let mut caller = Caller::start(world.gateways[0], BRIEFLY_BOUNDED, "a").await;
+    assert!(caller.query("read x").await.is_success());
+    assert!(caller.query("begin read").await.is_success());
+    let _busy = keep_primary_busy(&world).await;
+    primary.state.borrow_mut().at.index += 10;
+    tokio::time::sleep(SHORT_STALENESS + SHORT_STALENESS / 5).await;
+    assert_eq!(caller.query("read x").await.lines, ["row|of m1", "complete|by-m1"]);
+}
