Lab: deadlines of hollow nodes by the timestamp's own method

Cause: made the number inside timestamps private and was checked for single crates only; the lab did not build since.

--- a/crates/lab/src/scale/node.rs
+++ b/crates/lab/src/scale/node.rs
@@ -112,7 +112,7 @@
 impl Node {
     async fn run(mut self, mut asked: mpsc::UnboundedReceiver<Request>) {
         loop {
-            let deadline = self.origin + Duration::from_micros(self.state.deadline().0);
+            let deadline = self.origin + Duration::from_micros(self.state.deadline().as_micros());
             let event = tokio::select! {
                 message = receive(&mut self.connection) => match message {
                     Some(message) => self.count_message(message),
