--- a/crates/sim/src/run/member.rs
+++ b/crates/sim/src/run/member.rs
@@ -130,7 +130,8 @@
         if !self.running {
             return;
         }
-        let delayed = context.is(Variant::AckBeforeSync) && context.now.0 % 500_000 > 20_000;
+        let delayed =
+            context.is(Variant::AckBeforeSync) && context.now.as_micros() % 500_000 > 20_000;
         if self.dirty && !delayed {
             self.disk = self.live.clone();
             self.dirty = false;
