Gateway: group/mod.rs is split by job into mod, acquire and reach

Moved: place, find_place, leased, wait, acquire, open and OpenPlace with their two pauses to group/acquire.rs; note_reached, note_unreachable, is_gone, note_silent, check and tell to group/reach.rs. Types, Group, follow and what takes connections back stay. Else only the module comments, the uses, and that open, is_gone and check are pub(super). A log line's target is by default the module it stands in; the two lines moved name the former one (LOG_TARGET), so that nothing operators see changes. Tests untouched.

--- /dev/null
+++ b/crates/gateway/src/group/acquire.rs
@@ -0,0 +1,178 @@
+//! Finds where a wish can be served, waits for room there, and opens connections.
+
+use super::choice::Step;
+use super::{Group, LOG_TARGET, Place, Target, Wish};
+use crate::connection::MemberConnection;
+use crate::dial::dial;
+use crate::error::{AcquireError, DialError, LinkError};
+use crate::lease::Lease;
+use crate::wire::Wire;
+use corktack_core::gateway::{Ticket, WaitingFor};
+use corktack_core::identity::MemberName;
+use corktack_core::registry::RegisteredBackEnd;
+use corktack_core::statement::ErrorCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout_at};
+
+/// Pause between two looks while no member that could serve can be reached.
+const NO_MEMBER_PAUSE: Duration = Duration::from_millis(30);
+/// Longest wait before a waiter looks by itself: what kept a member from having room may pass
+/// without a connection being given back.
+const WAIT_LOOK: Duration = Duration::from_millis(25);
+
+impl<W: Wire> Group<W> {
+    /// Waits for a connection to a member that could serve the wish, here or elsewhere.
+    pub(crate) async fn acquire(
+        self: &Rc<Self>,
+        wish: &Wish<'_>,
+    ) -> Result<Lease<W>, AcquireError> {
+        match self.place(wish).await? {
+            Place::Here(lease) => Ok(lease),
+            Place::Elsewhere(member, holders) => self.forward(member, &holders, wish).await,
+        }
+    }
+
+    /// Waits until it is clear where the wish can be served.
+    pub(crate) async fn place(self: &Rc<Self>, wish: &Wish<'_>) -> Result<Place<W>, AcquireError> {
+        let asked = Instant::now();
+        let place = self.find_place(wish).await;
+        if let Ok(Place::Here(_)) = place {
+            self.metrics.note_wait(asked.elapsed());
+        }
+        place
+    }
+
+    async fn find_place(self: &Rc<Self>, wish: &Wish<'_>) -> Result<Place<W>, AcquireError> {
+        let ticket = self.ticket(wish.priority);
+        loop {
+            let step = self.state.borrow_mut().step(wish, &self.settings, self.clock);
+            match step {
+                Step::Use(member, connection) => return Ok(self.leased(member, connection)),
+                Step::Dial(member, back_end) => {
+                    return self.open(member, &back_end).await.map(Place::Here);
+                }
+                Step::Forward(member, holders) => return Ok(Place::Elsewhere(member, holders)),
+                Step::ForwardAndCheck(member, holders, back_end) => {
+                    self.check(&member, back_end);
+                    return Ok(Place::Elsewhere(member, holders));
+                }
+                Step::Wait => {
+                    let Some(member) = self.wait(wish, ticket).await? else { continue };
+                    let step = self.state.borrow_mut().take_reserved(&member, wish, &self.settings);
+                    match step {
+                        Step::Use(member, connection) => {
+                            return Ok(self.leased(member, connection));
+                        }
+                        Step::Dial(member, back_end) => {
+                            return self.open(member, &back_end).await.map(Place::Here);
+                        }
+                        Step::Forward(..)
+                        | Step::ForwardAndCheck(..)
+                        | Step::Wait
+                        | Step::NoMember => (),
+                    }
+                }
+                // Another gateway asks the next one at once.
+                Step::NoMember if matches!(wish.target, Target::Held(_)) => {
+                    return Err(AcquireError::NoMember);
+                }
+                Step::NoMember => {
+                    let until = Instant::now() + NO_MEMBER_PAUSE;
+                    if until >= wish.give_up {
+                        return Err(AcquireError::NoMember);
+                    }
+                    tokio::time::sleep_until(until).await;
+                }
+            }
+        }
+    }
+
+    fn leased(self: &Rc<Self>, member: MemberName, connection: MemberConnection<W>) -> Place<W> {
+        Place::Here(Lease::new(Rc::clone(self), member, connection))
+    }
+
+    /// Waits for a member with room that is kept for this waiter, or until it is time to look.
+    async fn wait(
+        &self,
+        wish: &Wish<'_>,
+        ticket: Ticket,
+    ) -> Result<Option<MemberName>, AcquireError> {
+        let (waker, woken) = oneshot::channel();
+        let what = match wish.target {
+            Target::Primary => WaitingFor::Primary,
+            Target::Reader { .. } => WaitingFor::AnyMember,
+            Target::Held(_) => WaitingFor::Primary,
+        };
+        self.state.borrow_mut().waiting.wait(ticket, what, waker);
+        let look = (Instant::now() + WAIT_LOOK).min(wish.give_up);
+        let woken = timeout_at(look, woken).await;
+        self.state.borrow_mut().waiting.leave(ticket);
+        match woken {
+            Ok(member) => Ok(member.ok()),
+            Err(_) if Instant::now() < wish.give_up => Ok(None),
+            Err(_) => Err(AcquireError::NoneFree),
+        }
+    }
+
+    pub(super) async fn open(
+        self: &Rc<Self>,
+        member: MemberName,
+        back_end: &RegisteredBackEnd,
+    ) -> Result<Lease<W>, AcquireError> {
+        let place = OpenPlace { group: Rc::clone(self), member: Some(member.clone()) };
+        let dialed = dial(&self.wire, &self.settings, &self.name, &member, back_end.address).await;
+        match dialed {
+            Ok((connection, _)) => {
+                self.note_reached(&member);
+                place.keep();
+                Ok(Lease::new(Rc::clone(self), member, connection))
+            }
+            Err(error) => {
+                log::info!(
+                    target: LOG_TARGET, group:% = self.name, member:% = member, error:% = error;
+                    "member cannot be connected to"
+                );
+                match &error {
+                    DialError::Refused { code: ErrorCode::TooManyConnections, .. } => {
+                        let now = Instant::now();
+                        self.with_member(&member, |it| it.note_full(now));
+                    }
+                    DialError::Unreachable(_)
+                    | DialError::Refused { code: ErrorCode::WrongMember, .. } => {
+                        self.note_unreachable(&member);
+                    }
+                    DialError::Link(LinkError::TimedOut) if self.is_gone(&member) => {
+                        self.note_unreachable(&member);
+                    }
+                    _ => {
+                        let now = Instant::now();
+                        self.with_member(&member, |it| it.note_busy(now));
+                    }
+                }
+                Err(AcquireError::Unreachable(member))
+            }
+        }
+    }
+}
+
+/// A connection being opened counts as open; the place is given back if it never is.
+struct OpenPlace<W: Wire> {
+    group: Rc<Group<W>>,
+    member: Option<MemberName>,
+}
+
+impl<W: Wire> OpenPlace<W> {
+    fn keep(mut self) {
+        self.member = None;
+    }
+}
+
+impl<W: Wire> Drop for OpenPlace<W> {
+    fn drop(&mut self) {
+        if let Some(member) = self.member.take() {
+            self.group.closed(&member);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/group/reach.rs
@@ -0,0 +1,77 @@
+//! Notes which members answer and which do not, and reports changes to control.
+
+use super::{Group, LOG_TARGET, MemberReach};
+use crate::wire::Wire;
+use corktack_core::identity::MemberName;
+use corktack_core::registry::RegisteredBackEnd;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+impl<W: Wire> Group<W> {
+    /// A member answered; control hears of it if it counted as unreachable.
+    pub(crate) fn note_reached(&self, name: &MemberName) {
+        let now = self.clock.now();
+        let mut news = false;
+        self.with_member(name, |member| {
+            member.silence.answered(now);
+            news = member.note_reached();
+        });
+        if news {
+            self.tell(name, true);
+        }
+    }
+
+    /// A member gave no answer; control hears of it if it counted as reachable.
+    pub(crate) fn note_unreachable(&self, name: &MemberName) {
+        let now = Instant::now();
+        let mut news = false;
+        self.with_member(name, |member| news = member.note_unreachable(now));
+        if news {
+            self.tell(name, false);
+        }
+    }
+
+    /// Whether a member that has just left one more question without an answer counts as gone.
+    pub(super) fn is_gone(&self, name: &MemberName) -> bool {
+        let now = self.clock.now();
+        let mut gone = false;
+        // Through another gateway, it is that one that may be slow.
+        self.with_member(name, |it| gone = it.limit > 0 && it.silence.unanswered(now));
+        if gone {
+            log::warn!(
+                target: LOG_TARGET, group:% = self.name, member:% = name;
+                "member accepts connections and answers nothing: it counts as unreachable"
+            );
+        }
+        gone
+    }
+
+    /// A member owes an answer that should have come. Slow or gone: a new connection will tell.
+    pub(crate) fn note_silent(self: &Rc<Self>, name: &MemberName) {
+        let now = Instant::now();
+        if self.is_gone(name) {
+            return self.note_unreachable(name);
+        }
+        let mut checked = None;
+        self.with_member(name, |member| checked = member.note_silent(now));
+        if let Some(back_end) = checked {
+            self.check(name, back_end);
+        }
+    }
+
+    /// Connects to a member in the background; its place counts as open already.
+    pub(super) fn check(self: &Rc<Self>, name: &MemberName, back_end: Arc<RegisteredBackEnd>) {
+        let (group, name) = (Rc::clone(self), name.clone());
+        actix_rt::spawn(async move {
+            // The connection goes to the idle ones, or says that the member cannot be reached.
+            drop(group.open(name, &back_end).await);
+        });
+    }
+
+    fn tell(&self, member: &MemberName, reached: bool) {
+        let (group, member) = (self.name.clone(), member.clone());
+        // Nobody listens at the end of the process only.
+        let _ = self.reach.send(MemberReach { group, member, reached });
+    }
+}
