Core: registry/promotion/mod.rs is split by job into mod, look and steps

Moved: look with its two limits to promotion/look.rs; ask, stand_down, choose and call to promotion/steps.rs. Types, what is reported, and advance stay. Else only the module comments, the uses, and that the five functions are pub(super); the log lines moved keep their target (LOG_TARGET). Tests untouched. Of other crates nothing was compiled or run.

--- a/crates/core/src/registry/promotion/mod.rs
+++ b/crates/core/src/registry/promotion/mod.rs
@@ -9,25 +9,22 @@
 //! receiving, all of them answer, and none is chosen that is behind another.
 
 mod evidence;
+mod look;
 mod messages;
+mod steps;
 
 pub use messages::{
     GatewayContact, MemberAnswer, PromotionAction, PromotionAnswer, PromotionSettings, ReachReport,
 };
 
-use super::back_end::{BackEndRole, BackEndState};
-use super::state::{RegistryCommand, RegistryState};
+use super::state::RegistryState;
 use crate::identity::{GroupName, MemberName, ProxyName};
-use crate::position::Position;
 use crate::time::Timestamp;
-use evidence::{Evidence, candidates, judge, primary_of, statuses};
+use evidence::{Evidence, judge};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Part of the gateways whose word is enough, without a look of the leader's own: fewer are served
-/// through the others meanwhile.
-const SUSPECTING_PART: f64 = 0.5;
-/// Gateways whose word is enough where there are few.
-const FEWEST_SUSPECTING: usize = 2;
+/// Target of the log lines of `look` and `steps`: operators may filter by it.
+const LOG_TARGET: &str = module_path!();
 
 #[derive(Clone, Debug)]
 enum Phase {
@@ -226,171 +223,4 @@
         }
         self.call(now, state, group, duty, actions);
     }
-
-    /// Whether the primary must be replaced, or the leader has to see for itself.
-    fn look(
-        &self,
-        now: Timestamp,
-        state: &RegistryState,
-        group: &GroupName,
-        duty: &mut GroupDuty,
-        gateways: GatewayContact,
-    ) {
-        let Some(primary) = primary_of(state, group) else {
-            let since = *duty.vacant_since.get_or_insert(now);
-            let anyone = candidates(state, group).next().is_some();
-            if anyone && now.saturating_since(since) >= self.settings.vacancy_limit {
-                duty.phase = Self::asking(None);
-            }
-            return;
-        };
-        duty.vacant_since = None;
-        let Some(back_end) = state.back_end(&primary) else { return };
-        if back_end.state == BackEndState::Draining {
-            log::info!(group:% = group, member:% = primary; "primary leaves: it is replaced");
-            duty.phase = Self::asking(None);
-            return;
-        }
-        let suspecting = self.unreached.get(&(group.clone(), primary.clone()));
-        let suspecting = suspecting.map_or(0, BTreeSet::len);
-        if suspecting == 0 {
-            duty.suspected_since = None;
-            return;
-        }
-        let GatewayContact { heard, silent } = gateways;
-        let enough = ((heard + silent) as f64 * SUSPECTING_PART).ceil() as usize;
-        if suspecting >= enough.max(FEWEST_SUSPECTING) {
-            log::warn!(
-                group:% = group, member:% = primary, suspecting, heard, silent;
-                "primary cannot be reached: it is replaced"
-            );
-            duty.phase = Self::asking(None);
-            return;
-        }
-        let waited = now.saturating_since(*duty.suspected_since.get_or_insert(now));
-        let cut = silent > suspecting && waited < self.settings.cut_patience;
-        if cut || waited < self.settings.suspicion_pause {
-            return;
-        }
-        log::info!(
-            group:% = group, member:% = primary, suspecting, heard, silent;
-            "primary is suspected"
-        );
-        duty.phase = Self::asking(Some(primary));
-    }
-
-    fn ask(
-        &self,
-        now: Timestamp,
-        state: &RegistryState,
-        group: &GroupName,
-        duty: &mut GroupDuty,
-        holds: bool,
-        actions: &mut Vec<PromotionAction>,
-    ) {
-        duty.refused.retain(|_, until| now < *until);
-        let Phase::Asking { suspect, .. } = &duty.phase else { return };
-        let suspect = suspect.clone();
-        let primary = primary_of(state, group);
-        let mut answers = BTreeMap::new();
-        for (member, back_end) in candidates(state, group) {
-            let leads = primary.as_ref() == Some(member) && suspect.as_ref() != Some(member);
-            if leads || duty.refused.contains_key(member) {
-                continue;
-            }
-            answers.insert(member.clone(), None);
-            actions.push(PromotionAction::Ask {
-                group: group.clone(),
-                member: member.clone(),
-                address: back_end.address,
-                // A primary that is only suspected goes on.
-                hold: holds && suspect.as_ref() != Some(member),
-            });
-        }
-        duty.phase = Phase::Asking { since: now, suspect, answers };
-    }
-
-    /// Leaves the lead where it is; what was held receives again.
-    fn stand_down(
-        &mut self,
-        state: &RegistryState,
-        group: &GroupName,
-        duty: &mut GroupDuty,
-        holds: bool,
-        actions: &mut Vec<PromotionAction>,
-    ) {
-        log::info!(group:% = group; "the lead stays where it is");
-        if holds {
-            actions.extend(candidates(state, group).map(|(member, back_end)| {
-                let (group, member) = (group.clone(), member.clone());
-                PromotionAction::Release { group, member, address: back_end.address }
-            }));
-        }
-        // Gateways that still do not reach the primary say so again.
-        self.unreached.retain(|(suspected, _), _| suspected != group);
-        duty.phase = Phase::Steady;
-    }
-
-    /// The most advanced member that answered.
-    fn choose(
-        &mut self,
-        now: Timestamp,
-        group: &GroupName,
-        duty: &mut GroupDuty,
-        actions: &mut Vec<PromotionAction>,
-    ) {
-        let Phase::Asking { answers, .. } = &duty.phase else { return };
-        let order = |position: &Position| (position.term, position.index);
-        let best = statuses(answers).max_by_key(|(_, status)| order(&status.received));
-        let Some((target, status)) = best else {
-            duty.phase = Self::asking(None);
-            return;
-        };
-        let target = target.clone();
-        log::info!(
-            group:% = group, member:% = target, received:% = status.received;
-            "member is to be promoted"
-        );
-        self.unreached.remove(&(group.clone(), target.clone()));
-        let command = RegistryCommand::Promote { group: group.clone(), target: target.clone() };
-        actions.push(PromotionAction::Propose(command));
-        duty.phase = Phase::Deciding { since: now, target };
-    }
-
-    fn call(
-        &self,
-        now: Timestamp,
-        state: &RegistryState,
-        group: &GroupName,
-        duty: &mut GroupDuty,
-        actions: &mut Vec<PromotionAction>,
-    ) {
-        let Phase::Calling { since, target, fence, next_call, in_flight, accepted } =
-            &mut duty.phase
-        else {
-            return;
-        };
-        let leads = state.back_end(target).is_some_and(|it| it.role == BackEndRole::Primary);
-        if leads {
-            log::info!(
-                group:% = group, member:% = target, fence = *fence,
-                after_ms = (now - *since).as_millis() as u64;
-                "member leads"
-            );
-            duty.phase = Phase::Steady;
-            return;
-        }
-        let gone = state.back_end(target).is_none_or(|it| it.state == BackEndState::Draining);
-        if gone || now.saturating_since(*since) >= self.settings.lead_limit {
-            log::warn!(group:% = group, member:% = target, fence = *fence; "member does not lead");
-            duty.refused.insert(target.clone(), now + self.settings.refused_pause);
-            duty.phase = Self::asking(None);
-            return;
-        }
-        if !*in_flight && !*accepted && now >= *next_call {
-            *in_flight = true;
-            let (target, fence) = (target.clone(), *fence);
-            actions.push(PromotionAction::Call { group: group.clone(), target, fence });
-        }
-    }
 }
