Edge: Flush outside a transaction is carried to the back end, and the batch goes on to its Sync

Cause: the edge sent every Flush as a Sync of its own. Behind Bind or Execute outside a transaction block that Sync would have committed, so the edge refused the batch (0A000) and a driver that flushes before its Sync did not work.

Ruled out: leaving the Flush out (a driver that waits for the answer waits for ever); a BEGIN and COMMIT of the edge's own (some statements do not run in a block, and errors and tags change); Flush on a replica (a later part may write).

Change: a Flush goes to the owner, which answers when everything before it is answered (the reply tracker knows the end of a part, also when its last Parse was left out) and keeps stream and connection until Sync. The edge sends only the first part again, and only as before; a lost later part is 08007 where a write may have run, else 40001. After an error the edge ends the batch at once and skips up to the caller's Sync, simple queries included (they ran before). A batch that is left has its connection closed, not reused. Limits: 60 s from the first Flush (25P03), the batch's parts together within the batch limit (54000). Portals are known up to Sync. Flush with Sync right behind it is left out. Still refused (0A000): Flush before the Sync of a write under an idempotency key; edge statements in one unfinished batch with others.

--- a/crates/core/src/pool/replies.rs
+++ b/crates/core/src/pool/replies.rs
@@ -93,6 +93,8 @@
     InjectedClose(String),
     /// Sync.
     Sync,
+    /// Flush: the end of a part of a batch; the back end does not answer it.
+    Flush,
 }
 
 /// What to do with a back-end message.
@@ -188,6 +190,17 @@
         self.expected.push_back(message);
     }
 
+    /// Whether everything up to a Flush is answered. If so it is taken off, and the
+    /// `ParseComplete` messages to make up for the caller before it are counted.
+    pub fn flushed(&mut self) -> Option<usize> {
+        let skipped = self.expected.iter().take_while(|sent| **sent == Sent::SkippedParse).count();
+        if self.expected.get(skipped) != Some(&Sent::Flush) {
+            return None;
+        }
+        self.expected.drain(..=skipped);
+        Some(skipped)
+    }
+
     /// Places a back-end message.
     ///
     /// # Errors
@@ -217,7 +230,7 @@
             return Ok(self.place_in_query(tag));
         }
         if tag == back::ERROR {
-            self.skip_to_sync();
+            self.skip_to_end_of_part();
             return Ok(Disposition::Forward);
         }
         let (fits, completes) = answers(&first, tag);
@@ -239,9 +252,11 @@
         Disposition::Ready
     }
 
-    /// After an error the back end reads and drops everything up to the Sync.
-    fn skip_to_sync(&mut self) {
-        while self.expected.front().is_some_and(|sent| *sent != Sent::Sync) {
+    /// After an error the back end reads and drops everything up to the Sync. At a
+    /// Flush the caller has its whole answer so far.
+    fn skip_to_end_of_part(&mut self) {
+        let ends = |sent: &Sent| matches!(sent, Sent::Sync | Sent::Flush);
+        while self.expected.front().is_some_and(|sent| !ends(sent)) {
             self.expected.pop_front();
         }
     }
@@ -278,7 +293,7 @@
             &[back::COMMAND_COMPLETE, back::EMPTY_QUERY, back::PORTAL_SUSPENDED],
         ),
         Sent::Sync => (&[], &[back::READY]),
-        Sent::Query | Sent::SkippedParse => (&[], &[]),
+        Sent::Query | Sent::SkippedParse | Sent::Flush => (&[], &[]),
     };
     let completes = ends.contains(&tag);
     (completes || parts.contains(&tag), completes)
--- a/crates/core/tests/replies.rs
+++ b/crates/core/tests/replies.rs
@@ -48,6 +48,31 @@
     assert_eq!(placed(&mut tracker, tags), expected);
 }
 
+#[rstest]
+#[case::nothing_to_wait_for(vec![Sent::Flush], "", "", Some(0))]
+#[case::answered(vec![Sent::Bind, Sent::Execute, Sent::Flush], "2DC", "2DC", Some(0))]
+#[case::not_answered(vec![Sent::Bind, Sent::Execute, Sent::Flush], "2D", "2D", None)]
+#[case::only_skipped(vec![Sent::SkippedParse, Sent::SkippedParse, Sent::Flush], "", "", Some(2))]
+#[case::skipped_last(vec![Sent::Bind, Sent::SkippedParse, Sent::Flush], "2", "2", Some(1))]
+#[case::error(vec![Sent::Bind, Sent::SkippedParse, Sent::Execute, Sent::Flush], "E", "E", Some(0))]
+#[case::sync(vec![Sent::Bind, Sent::Sync], "2", "2", None)]
+fn a_part_ends_when_all_before_its_flush_is_answered(
+    #[case] sent: Vec<Sent>,
+    #[case] tags: &str,
+    #[case] expected: &str,
+    #[case] flushed: Option<usize>,
+) {
+    let mut tracker = ReplyTracker::default();
+    sent.into_iter().for_each(|message| tracker.sent(message));
+    assert_eq!(placed(&mut tracker, tags), expected);
+    assert_eq!(tracker.flushed(), flushed);
+    if flushed.is_some() {
+        assert!(tracker.is_idle(), "nothing of the part is left");
+        tracker.sent(Sent::Sync);
+        assert_eq!(placed(&mut tracker, "Z"), "!");
+    }
+}
+
 #[rstest]
 fn a_statement_exists_only_after_its_completion() {
     let mut tracker = ReplyTracker::default();
--- a/crates/edge/src/batch.rs
+++ b/crates/edge/src/batch.rs
@@ -1,11 +1,12 @@
 //! Gathers a caller's messages into batches.
 //!
-//! A batch ends with `Sync` or a simple query. `Flush` also ends one: the
-//! messages before it are sent with a `Sync` of the edge's own whose
-//! `ReadyForQuery` the caller does not see. That keeps the caller's meaning only
-//! where the extra `Sync` commits nothing: inside an open transaction, or after
-//! nothing but `Parse`, `Describe` and `Close` of statements. Elsewhere `Flush`
-//! is refused, so that no caller waits for an answer that does not come.
+//! A batch ends with `Sync` or a simple query. `Flush` ends a part of one: what is
+//! before it is sent at once, so that no caller waits for an answer that does not
+//! come. Where a `Sync` commits nothing (inside an open transaction, or after
+//! nothing but `Parse`, `Describe` and `Close` of statements) the part is sent with
+//! a `Sync` of the edge's own whose `ReadyForQuery` the caller does not see.
+//! Elsewhere it is sent with the `Flush`, and the batch stays unfinished on its
+//! server connection until the caller's `Sync`.
 
 use crate::error::Rejection;
 use pgwire::messages::PgWireFrontendMessage as Message;
@@ -27,6 +28,8 @@
     pub messages: Vec<Message>,
     /// What ended it.
     pub end: BatchEnd,
+    /// Bytes of its messages.
+    pub bytes: usize,
     /// Why it is refused, if it is.
     pub rejection: Option<Rejection>,
 }
@@ -67,6 +70,9 @@
 
     /// After an error before a `Flush`: ignores everything up to the next `Sync`.
     pub fn discard_until_sync(&mut self) {
+        self.messages.clear();
+        self.bytes = 0;
+        self.rejection = None;
         self.discarding = true;
     }
 
@@ -78,8 +84,9 @@
         match message {
             Message::Terminate(_) => Ok(Gathered::Terminate),
             Message::Sync(_) => Ok(Gathered::Batch(self.take(BatchEnd::Ready))),
-            Message::Flush(_) if self.discarding || self.messages.is_empty() => Ok(Gathered::More),
+            Message::Flush(_) if self.has_nothing_to_flush() => Ok(Gathered::More),
             Message::Flush(_) => Ok(Gathered::Batch(self.take(BatchEnd::Flush))),
+            Message::Query(_) if self.discarding => Ok(Gathered::More),
             Message::Query(_) => {
                 self.keep(message, bytes);
                 Ok(Gathered::Batch(self.take(BatchEnd::Ready)))
@@ -101,6 +108,10 @@
         }
     }
 
+    fn has_nothing_to_flush(&self) -> bool {
+        self.discarding || (self.messages.is_empty() && self.rejection.is_none())
+    }
+
     fn keep(&mut self, message: Message, bytes: usize) {
         if self.discarding {
             return;
@@ -115,16 +126,16 @@
     }
 
     fn take(&mut self, end: BatchEnd) -> CallerBatch {
-        self.bytes = 0;
         self.discarding = false;
+        let bytes = std::mem::take(&mut self.bytes);
         let messages = std::mem::take(&mut self.messages);
-        CallerBatch { messages, end, rejection: self.rejection.take() }
+        CallerBatch { messages, end, bytes, rejection: self.rejection.take() }
     }
 }
 
 impl CallerBatch {
     /// Whether the batch may be sent with a `Sync` where the caller wrote `Flush`
-    /// outside a transaction.
+    /// outside a transaction, with nothing before it.
     #[must_use]
     pub fn only_prepares(&self) -> bool {
         self.messages.iter().all(|message| match message {
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -97,6 +97,11 @@
         !self.input.is_empty()
     }
 
+    /// Whether the next message is here, or can be read at once, and is `Sync`.
+    pub fn next_is_sync(&mut self) -> bool {
+        self.has_more_input() && self.input.starts_with(codec::SYNC)
+    }
+
     /// Whether more may be read ahead while an answer is under way.
     #[must_use]
     pub fn may_read_ahead(&self) -> bool {
--- a/crates/edge/src/codec.rs
+++ b/crates/edge/src/codec.rs
@@ -11,6 +11,8 @@
 use pgwire::messages::startup::{GssEncRequest, SslRequest, Startup};
 use pgwire::messages::{DecodeContext, Message, PgWireFrontendMessage, ProtocolVersion};
 
+/// A whole `Sync` message.
+pub const SYNC: &[u8] = b"S\0\0\0\x04";
 /// Bytes of the length field.
 const LENGTH_BYTES: usize = 4;
 /// Bytes of a message's type and length.
--- a/crates/edge/src/error.rs
+++ b/crates/edge/src/error.rs
@@ -3,6 +3,7 @@
 use corktack_core::classify::Unsupported;
 use corktack_core::session::{StatementError, TokenError};
 use corktack_protocol::peer::NotRunReason;
+use std::time::Duration;
 
 /// Why the edge could not start.
 #[derive(Debug, thiserror::Error)]
@@ -106,9 +107,16 @@
     /// A batch is too long.
     #[error("batch of more than {0} bytes before Sync, not run")]
     BatchTooLarge(usize),
-    /// `Flush` after `Bind` or `Execute` outside a transaction.
-    #[error("Flush after Bind or Execute needs an open transaction, not run")]
-    FlushOutsideTransaction,
+    /// `Flush` before the `Sync` of a write under an idempotency key: its answer is
+    /// kept with its commit, so none of it can be given before.
+    #[error("Flush before the Sync of a write under an idempotency key, not run")]
+    FlushOfKeyedWrite,
+    /// The parts of a batch are too long together.
+    #[error("batch of more than {0} bytes before Sync, ended; the rest of it is not run")]
+    UnfinishedTooLarge(usize),
+    /// The `Sync` of a batch did not come in time.
+    #[error("no Sync within {} ms of the first Flush, batch ended", .0.as_millis())]
+    UnfinishedTooLong(Duration),
     /// A batch mixes statements that the edge answers with others.
     #[error("{}; not run", Unsupported::EdgeStatementAmongOthers)]
     MixedBatch,
@@ -164,9 +172,11 @@
         match self {
             Self::MalformedStartup | Self::MalformedMessage(_) => "08P01",
             Self::NotUtf8 => "22021",
-            Self::MessageTooLarge { .. } | Self::BatchTooLarge(_) | Self::RequestTooLarge(_) => {
-                "54000"
-            }
+            Self::MessageTooLarge { .. }
+            | Self::BatchTooLarge(_)
+            | Self::UnfinishedTooLarge(_)
+            | Self::RequestTooLarge(_) => "54000",
+            Self::UnfinishedTooLong(_) => "25P03",
             Self::NoUser => "28000",
             Self::UnknownDatabase(_) => "3D000",
             Self::TooManyConnections => "53300",
@@ -177,7 +187,7 @@
             Self::ProtocolVersion(..)
             | Self::Encoding(_)
             | Self::Unsupported(_)
-            | Self::FlushOutsideTransaction
+            | Self::FlushOfKeyedWrite
             | Self::MixedBatch => "0A000",
             Self::Statement(StatementError::Duplicate(_)) => "42P05",
             Self::Statement(StatementError::Unknown(_)) => "26000",
--- a/crates/edge/src/session/forward.rs
+++ b/crates/edge/src/session/forward.rs
@@ -15,12 +15,15 @@
 use tokio::time::Instant;
 
 /// How a batch ended, and whether the answer held an error.
-type BatchOutcome = (Outcome, bool);
+pub(super) type BatchOutcome = (Outcome, bool);
 
 impl Session {
     /// Sends a batch and passes the answer on. The caller gets everything but `ReadyForQuery`.
     pub(super) async fn forward(&mut self, plan: ForwardPlan) -> Result<BatchOutcome, SessionEnd> {
         self.registration.cancelled.mark_unchanged();
+        if let Some(unfinished) = self.unfinished.take() {
+            return self.continue_unfinished(unfinished, plan).await;
+        }
         match self.transaction.take() {
             Some(transaction) => self.continue_transaction(transaction, plan).await,
             None => {
@@ -86,8 +89,7 @@
     ) -> Result<Result<BatchOutcome, Rejection>, SessionEnd> {
         let deadline = Instant::now() + self.context.settings.request_timeout;
         // A batch that only prepares a write leaves the key to the one that runs it.
-        let runs_write = plan.access == Access::Write && plan.executes;
-        let key = if runs_write { self.idempotency_key.take() } else { None };
+        let key = if plan.runs_write() { self.idempotency_key.take() } else { None };
         let mut view = self.context.view.clone();
         let mut attempt = 0;
         loop {
@@ -139,6 +141,12 @@
             keyed,
         };
         Ok(match self.pass_answer(&mut stream, group, &mut progress).await? {
+            Answered::Ready { status, failed, .. }
+                if plan.flushes && status != TransactionStatus::Idle =>
+            {
+                self.keep_unfinished(stream, group, plan, failed).await?;
+                Ok((Outcome::Done, failed))
+            }
             Answered::Ready { status, served_by, failed } => {
                 self.end_of_batch(stream, group, plan.access, status, served_by);
                 Ok((Outcome::Done, failed))
@@ -159,7 +167,8 @@
         OpenRequest {
             group: group.clone(),
             class: choose_class(&view, &self.identity, &self.context.settings.default_class),
-            access: plan.access,
+            // The rest of an unfinished batch may write, and runs where its start ran.
+            access: if plan.flushes { Access::Write } else { plan.access },
             minimum: self.token.position(group),
             timeout_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
             idempotency_key,
@@ -167,7 +176,7 @@
         }
     }
 
-    fn end_of_batch(
+    pub(super) fn end_of_batch(
         &mut self,
         stream: OwnerStream,
         group: &GroupName,
--- a/crates/edge/src/session/local.rs
+++ b/crates/edge/src/session/local.rs
@@ -11,7 +11,6 @@
 use pgwire::messages::extendedquery::{
     BindComplete, CloseComplete, Parse, ParseComplete, TARGET_TYPE_BYTE_STATEMENT,
 };
-use std::collections::HashMap;
 use std::sync::Arc;
 
 /// Longest idempotency key, in bytes.
@@ -20,9 +19,8 @@
 /// Answers a batch; after an error its later messages are skipped. Tells whether
 /// all went well.
 pub(super) fn answer_locally(session: &mut Session, messages: &[Message]) -> bool {
-    let mut portals = HashMap::new();
     for message in messages {
-        if let Err(rejection) = answer_message(session, message, &mut portals) {
+        if let Err(rejection) = answer_message(session, message) {
             answer::put_rejection(&mut session.caller.output, &rejection, Severity::Error);
             return false;
         }
@@ -30,13 +28,7 @@
     true
 }
 
-type Portals = HashMap<String, Arc<StatementProfile>>;
-
-fn answer_message(
-    session: &mut Session,
-    message: &Message,
-    portals: &mut Portals,
-) -> Result<(), Rejection> {
+fn answer_message(session: &mut Session, message: &Message) -> Result<(), Rejection> {
     match message {
         Message::Query(query) => {
             let profile = session.context.profile(&query.query);
@@ -47,9 +39,9 @@
         Message::Parse(parse) => define(session, parse),
         Message::Bind(bind) => {
             let name = bind.statement_name.as_deref().unwrap_or_default();
-            let profile = profile_of(session, name)?;
-            check(session, &profile)?;
-            portals.insert(bind.portal_name.clone().unwrap_or_default(), profile);
+            let statement = statement_of(session, name)?;
+            check(session, &statement.profile)?;
+            session.portals.insert(bind.portal_name.clone().unwrap_or_default(), statement);
             put(session, Answer::BindComplete(BindComplete::new()));
             Ok(())
         }
@@ -57,15 +49,15 @@
             let name = target.name.as_deref().unwrap_or_default();
             let is_statement = target.target_type == TARGET_TYPE_BYTE_STATEMENT;
             let (profile, described) = if is_statement {
-                (profile_of(session, name)?, Described::Statement)
+                (statement_of(session, name)?.profile.clone(), Described::Statement)
             } else {
-                (portal(portals, name)?, Described::Portal)
+                (portal(session, name)?, Described::Portal)
             };
             describe(&mut session.caller.output, &profile, described);
             Ok(())
         }
         Message::Execute(target) => {
-            let profile = portal(portals, target.name.as_deref().unwrap_or_default())?;
+            let profile = portal(session, target.name.as_deref().unwrap_or_default())?;
             execute(session, &profile)
         }
         Message::Close(target) => {
@@ -111,13 +103,14 @@
     Ok(())
 }
 
-fn profile_of(session: &Session, name: &str) -> Result<Arc<StatementProfile>, Rejection> {
-    let found = session.statements.find(name).map(|statement| statement.profile.clone());
+fn statement_of(session: &Session, name: &str) -> Result<Arc<SessionStatement>, Rejection> {
+    let found = session.statements.find(name);
     Ok(found.ok_or_else(|| StatementError::Unknown(name.to_owned()))?)
 }
 
-fn portal(portals: &Portals, name: &str) -> Result<Arc<StatementProfile>, Rejection> {
-    portals.get(name).cloned().ok_or_else(|| Rejection::UnknownPortal(name.to_owned()))
+fn portal(session: &Session, name: &str) -> Result<Arc<StatementProfile>, Rejection> {
+    let found = session.portals.get(name).map(|statement| statement.profile.clone());
+    found.ok_or_else(|| Rejection::UnknownPortal(name.to_owned()))
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
--- a/crates/edge/src/session/mod.rs
+++ b/crates/edge/src/session/mod.rs
@@ -6,8 +6,9 @@
 mod outcome;
 mod owner_wait;
 mod plan;
+mod unfinished;
 
-pub use outcome::{Loss, Progress, Verdict, judge};
+pub use outcome::{Loss, Progress, Verdict, judge, judge_unfinished};
 
 use crate::answer;
 use crate::batch::{BatchCollector, BatchEnd, CallerBatch, Gathered};
@@ -21,9 +22,11 @@
 use corktack_core::identity::GroupName;
 use corktack_core::session::{SessionStatements, SessionToken};
 use corktack_protocol::peer::{Access, TransactionStatus};
-use plan::Plan;
+use pgwire::messages::PgWireFrontendMessage as Message;
+use plan::{Known, Place, Plan, Portals};
 use std::rc::Rc;
 use tokio::time::Instant;
+use unfinished::{UnfinishedBatch, until};
 
 /// Most prepared statements of one session.
 const STATEMENT_LIMIT: usize = 10_000;
@@ -47,6 +50,10 @@
     statements: SessionStatements,
     idempotency_key: Option<String>,
     transaction: Option<OpenTransaction>,
+    /// A batch of which a part is answered and whose `Sync` has not come.
+    unfinished: Option<UnfinishedBatch>,
+    /// The portals bound since the last `Sync`.
+    portals: Portals,
     status: TransactionStatus,
     /// Whether the caller's transaction block is lost and the caller has not ended it.
     abandoned: bool,
@@ -73,6 +80,8 @@
             statements: SessionStatements::new(STATEMENT_LIMIT),
             idempotency_key: None,
             transaction: None,
+            unfinished: None,
+            portals: Portals::new(),
             status: TransactionStatus::Idle,
             abandoned: false,
             collector,
@@ -84,6 +93,7 @@
         let end = self.serve().await;
         // The owner learns at once; the caller may take its time.
         self.transaction = None;
+        self.unfinished = None;
         if let Err(SessionEnd::Fatal(rejection)) = end {
             self.caller.finish(&rejection).await;
         }
@@ -104,6 +114,10 @@
             }
             let limit = self.context.settings.message_limit;
             while let Some((message, bytes)) = self.caller.buffered_message(limit)? {
+                // The answers to both come together, and the batch stays in one piece.
+                if matches!(message, Message::Flush(_)) && self.caller.next_is_sync() {
+                    continue;
+                }
                 match self.collector.push(message, bytes)? {
                     Gathered::More => {}
                     Gathered::Batch(batch) => return Ok(Some(batch)),
@@ -114,17 +128,21 @@
         }
     }
 
-    /// Waits for the caller; an idle caller is told when the edge drains.
+    /// Waits for the caller; an idle caller is told when the edge drains, and one that
+    /// does not end its batch in time that the batch is over.
     async fn wait_for_input(&mut self) -> Result<(), SessionEnd> {
-        let idle =
-            self.transaction.is_none() && self.collector.is_empty() && self.caller.input_is_empty();
+        let in_flight = self.transaction.is_some() || self.unfinished.is_some();
+        let idle = !in_flight && self.collector.is_empty() && self.caller.input_is_empty();
+        let deadline = self.unfinished.as_ref().map(|unfinished| unfinished.deadline);
         let last = if idle { DrainPhase::Draining } else { DrainPhase::Ending };
         let mut drain = self.context.drain.clone();
         tokio::select! {
             biased;
-            result = self.caller.read_more() => result,
-            _ = drain.wait_for(|phase| *phase >= last) => Err(Rejection::Stopping.into()),
+            result = self.caller.read_more() => return result,
+            _ = drain.wait_for(|phase| *phase >= last) => return Err(Rejection::Stopping.into()),
+            () = until(deadline) => {}
         }
+        self.end_late_batch().await
     }
 
     async fn answer_batch(&mut self, batch: CallerBatch) -> Result<(), SessionEnd> {
@@ -138,7 +156,10 @@
             self.context.metrics.latency.observe(start.elapsed().as_secs_f64());
         }
         match end {
-            BatchEnd::Ready => answer::put_ready(&mut self.caller.output, self.status),
+            BatchEnd::Ready => {
+                self.portals.clear();
+                answer::put_ready(&mut self.caller.output, self.status);
+            }
             BatchEnd::Flush if failed => self.collector.discard_until_sync(),
             BatchEnd::Flush => {}
         }
@@ -147,16 +168,7 @@
 
     /// How a batch ended, and whether its answer holds an error.
     async fn run_batch(&mut self, batch: CallerBatch) -> Result<(Outcome, bool), SessionEnd> {
-        let plan = {
-            let mut profiles = self.context.profiles.borrow_mut();
-            let in_transaction = self.transaction.is_some();
-            if self.abandoned {
-                batch.rejection.map_or(Ok(Plan::Local(batch.messages)), Err)
-            } else {
-                plan::plan(batch, in_transaction, &mut self.statements, &mut profiles)
-            }
-        };
-        let outcome = match plan {
+        let outcome = match self.plan(batch) {
             Ok(Plan::Local(messages)) => match local::answer_locally(self, &messages) {
                 true => return Ok((Outcome::Local, false)),
                 false => Outcome::Local,
@@ -170,6 +182,7 @@
                 Outcome::NotRun
             }
         };
+        self.drop_unfinished();
         // An error fails an open transaction, whoever found it.
         if self.status == TransactionStatus::Open {
             self.abandon_transaction();
@@ -177,6 +190,24 @@
         Ok((outcome, true))
     }
 
+    fn plan(&mut self, batch: CallerBatch) -> Result<Plan, Rejection> {
+        if self.abandoned {
+            return batch.rejection.map_or(Ok(Plan::Local(batch.messages)), Err);
+        }
+        self.check_unfinished(batch.bytes)?;
+        let place = Place {
+            in_transaction: self.transaction.is_some(),
+            unfinished: self.unfinished.is_some(),
+            keyed: self.idempotency_key.is_some(),
+        };
+        let known = Known {
+            statements: &mut self.statements,
+            portals: &mut self.portals,
+            cache: &mut self.context.profiles.borrow_mut(),
+        };
+        plan::plan(batch, place, known)
+    }
+
     /// Has the owner roll back; nothing of the caller's transaction block runs any more.
     fn abandon_transaction(&mut self) {
         self.transaction = None;
--- a/crates/edge/src/session/outcome.rs
+++ b/crates/edge/src/session/outcome.rs
@@ -117,6 +117,18 @@
     }
 }
 
+/// Decides what a part of an unfinished batch comes to that was lost after an earlier
+/// part was answered. It is never sent again. Its `Sync` would have committed it, and
+/// some statements commit as they run, so a write that may have run has no known outcome.
+#[must_use]
+pub fn judge_unfinished(loss: Loss, ran_write: bool, runs_write: bool) -> Rejection {
+    let sent = match loss {
+        Loss::Link { sent } | Loss::TimedOut { sent } => sent,
+        Loss::Failed(failure) => failure == Failure::Unknown,
+    };
+    if ran_write || (runs_write && sent) { Rejection::Unknown } else { Rejection::TransactionLost }
+}
+
 /// Whether a later try may find another owner or primary.
 fn is_passing(reason: NotRunReason) -> bool {
     match reason {
--- a/crates/edge/src/session/plan.rs
+++ b/crates/edge/src/session/plan.rs
@@ -11,7 +11,7 @@
 use corktack_protocol::peer::{Access, Batch, PreparedStatement};
 use pgwire::messages::PgWireFrontendMessage as Message;
 use pgwire::messages::extendedquery::{
-    Bind, Close, Describe, Parse, Sync, TARGET_TYPE_BYTE_STATEMENT,
+    Bind, Close, Describe, Flush, Parse, Sync, TARGET_TYPE_BYTE_STATEMENT,
 };
 use pgwire::messages::simplequery::Query;
 use std::collections::{BTreeMap, HashSet};
@@ -48,28 +48,65 @@
     pub executes: bool,
     /// What it leaves behind of a transaction block.
     pub block: BlockEffect,
+    /// Whether it ends with a `Flush`, and leaves the batch unfinished.
+    pub flushes: bool,
+}
+
+impl ForwardPlan {
+    /// Whether it may run a write, and does not only prepare one.
+    #[must_use]
+    pub fn runs_write(&self) -> bool {
+        self.access == Access::Write && self.executes
+    }
+
+    /// Whether a write may stay of it, and not only a transaction that it started.
+    #[must_use]
+    pub fn may_leave_write(&self) -> bool {
+        self.runs_write() && !self.repeatable
+    }
+}
+
+/// Statements of portals by the portals' names.
+pub type Portals = BTreeMap<String, Arc<SessionStatement>>;
+
+/// Where in a session a batch stands.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// Inside an open transaction block.
+    pub in_transaction: bool,
+    /// Behind a `Flush` whose `Sync` has not come.
+    pub unfinished: bool,
+    /// Whether the next write runs under an idempotency key.
+    pub keyed: bool,
+}
+
+/// What a plan depends on beside the batch.
+#[derive(Debug)]
+pub struct Known<'a> {
+    /// The session's statements.
+    pub statements: &'a mut SessionStatements,
+    /// The portals bound since the last `Sync`.
+    pub portals: &'a mut Portals,
+    /// Profiles of texts.
+    pub cache: &'a mut ProfileCache,
 }
 
 /// Plans a batch. Its effects on `statements` stay pending.
 ///
 /// # Errors
 /// A [`Rejection`] when no message of the batch may run.
-pub fn plan(
-    batch: CallerBatch,
-    in_transaction: bool,
-    statements: &mut SessionStatements,
-    cache: &mut ProfileCache,
-) -> Result<Plan, Rejection> {
+pub fn plan(batch: CallerBatch, place: Place, known: Known<'_>) -> Result<Plan, Rejection> {
     if let Some(rejection) = batch.rejection {
         return Err(rejection);
     }
-    if batch.end == BatchEnd::Flush && !in_transaction && !batch.only_prepares() {
-        return Err(Rejection::FlushOutsideTransaction);
-    }
-    let mut planner = Planner::new(statements, cache);
+    let syncs = place.in_transaction || (batch.only_prepares() && !place.unfinished);
+    let flushes = batch.end == BatchEnd::Flush && !syncs;
+    let mut planner = Planner::new(known, flushes);
     for message in &batch.messages {
-        planner.take(message, in_transaction)?;
+        planner.take(message, place.in_transaction)?;
     }
+    // Even an empty part of an unfinished batch has the Sync that ends it.
+    planner.uses_owner |= place.unfinished;
     if !planner.uses_owner {
         planner.statements.end_batch();
         return Ok(Plan::Local(batch.messages));
@@ -77,8 +114,13 @@
     if planner.uses_edge {
         return Err(Rejection::MixedBatch);
     }
+    if flushes && place.keyed && planner.writes {
+        return Err(Rejection::FlushOfKeyedWrite);
+    }
     let is_query = matches!(batch.messages.last(), Some(Message::Query(_)));
-    if !is_query {
+    if flushes {
+        planner.put(&Message::Flush(Flush::new()))?;
+    } else if !is_query {
         planner.put(&Message::Sync(Sync::new()))?;
     }
     let plan = planner.finish();
@@ -100,8 +142,8 @@
 struct Planner<'a> {
     statements: &'a mut SessionStatements,
     cache: &'a mut ProfileCache,
-    /// Statements of the portals bound in this batch.
-    portals: BTreeMap<String, Arc<SessionStatement>>,
+    /// Statements of the portals bound since the last `Sync`.
+    portals: &'a mut Portals,
     /// Shared names that the batch itself has parsed so far.
     parsed: HashSet<String>,
     prepared: BTreeMap<String, Arc<SessionStatement>>,
@@ -114,14 +156,16 @@
     repeatable: bool,
     executes: bool,
     block: BlockEffect,
+    flushes: bool,
 }
 
 impl<'a> Planner<'a> {
-    fn new(statements: &'a mut SessionStatements, cache: &'a mut ProfileCache) -> Self {
+    fn new(known: Known<'a>, flushes: bool) -> Self {
+        let Known { statements, portals, cache } = known;
         Self {
             statements,
             cache,
-            portals: BTreeMap::new(),
+            portals,
             parsed: HashSet::new(),
             prepared: BTreeMap::new(),
             output: BytesMut::new(),
@@ -132,6 +176,7 @@
             repeatable: true,
             executes: false,
             block: BlockEffect::None,
+            flushes,
         }
     }
 
@@ -144,7 +189,7 @@
             Message::Execute(execute) => {
                 self.executes = true;
                 let name = execute.name.as_deref().unwrap_or_default();
-                self.use_portal(name);
+                self.use_portal(name)?;
                 if let Some(statement) = self.portals.get(name) {
                     self.block = self.block.then(statement.profile.block);
                 }
@@ -196,7 +241,7 @@
     fn take_describe(&mut self, describe: &Describe) -> Result<(), Rejection> {
         let name = describe.name.as_deref().unwrap_or_default();
         if describe.target_type != TARGET_TYPE_BYTE_STATEMENT {
-            self.use_portal(name);
+            self.use_portal(name)?;
             return self.put(&Message::Describe(Describe::new(
                 describe.target_type,
                 describe.name.clone(),
@@ -247,14 +292,15 @@
     }
 
     /// A portal of an earlier batch may run anything.
-    fn use_portal(&mut self, name: &str) {
-        if self.portals.contains_key(name) {
-            return;
+    fn use_portal(&mut self, name: &str) -> Result<(), Rejection> {
+        if let Some(statement) = self.portals.get(name).cloned() {
+            return self.use_text(&statement.profile);
         }
         self.uses_owner = true;
         self.writes = true;
         self.may_commit = true;
         self.repeatable = false;
+        Ok(())
     }
 
     fn put(&mut self, message: &Message) -> Result<(), Rejection> {
@@ -275,6 +321,7 @@
             repeatable: self.repeatable || !self.executes,
             executes: self.executes,
             block: self.block,
+            flushes: self.flushes,
         }
     }
 }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -66,6 +66,10 @@
     pub authentication: Authentication,
     /// Longest wait until a request starts, and for any message of its answer.
     pub request_timeout: Duration,
+    /// Longest time from the first `Flush` of a batch outside a transaction block to
+    /// its `Sync`. The batch holds one of the group's server connections meanwhile,
+    /// so a caller that never ends it must not keep it from others.
+    pub unfinished_batch_timeout: Duration,
     /// Seed of the waits before a request is sent again.
     pub retry_seed: u64,
     /// Longest wait of a drain for transactions in flight.
@@ -88,6 +92,7 @@
             default_class,
             authentication: Authentication::Trust,
             request_timeout: Duration::from_secs(30),
+            unfinished_batch_timeout: Duration::from_secs(60),
             retry_seed: rand::random(),
             drain_timeout: Duration::from_secs(60),
         }
--- a/crates/edge/tests/callers/main.rs
+++ b/crates/edge/tests/callers/main.rs
@@ -5,6 +5,8 @@
 mod support;
 
 mod drain;
+mod flush;
+mod flush_lost;
 mod hostile;
 mod link;
 mod protocol;
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A scripted owner, an edge in front of it, and callers.
 #![allow(clippy::unwrap_used, dead_code)]
 
+pub mod extended;
 pub mod owner;
 pub mod wire;
 
--- a/crates/edge/tests/support/wire.rs
+++ b/crates/edge/tests/support/wire.rs
@@ -158,6 +158,15 @@
         }
     }
 
+    /// Types of the next messages, as many as asked for.
+    pub async fn read_kinds(&mut self, count: usize) -> String {
+        let mut kinds = String::new();
+        for _ in 0..count {
+            kinds.push(self.read().await.0);
+        }
+        kinds
+    }
+
     /// Types of the messages up to `ReadyForQuery`.
     pub async fn read_until_ready(&mut self) -> String {
         let mut kinds = String::new();
--- a/crates/edge/tests/whole.rs
+++ b/crates/edge/tests/whole.rs
@@ -14,6 +14,8 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
+use support::extended::{bind, execute, flush, parse, sync, target};
+use support::wire::RawCaller;
 use support::{group, proxy_view, settings, view_with_owner};
 use tokio::sync::{mpsc, watch};
 use tokio_postgres::{Client, Config};
@@ -168,3 +170,67 @@
     let reader = path.caller().await;
     assert_eq!(count(&reader, "id >= 0").await, (2 * CALLERS * WRITES) as i64);
 }
+
+/// What several drivers send for a statement with parameters.
+#[actix_rt::test]
+async fn flushed_write_runs_once_and_is_read_by_its_session() {
+    let path = Path::start(1);
+    let setup = path.caller().await;
+    setup.batch_execute("CREATE TABLE entries (id int)").await.expect("it is created");
+    let mut caller = RawCaller::start(path.edge.address()).await;
+    let insert = "INSERT INTO entries VALUES (1)";
+    caller.send(&[parse("", insert), target('D', 'S', ""), flush()].concat()).await;
+    assert_eq!(caller.read_kinds(3).await, "1tn");
+    caller.send(&[bind("", ""), target('D', 'P', ""), flush()].concat()).await;
+    assert_eq!(caller.read_kinds(2).await, "2n");
+    caller.send(&[execute("", 0), flush()].concat()).await;
+    assert_eq!(caller.read_kinds(2).await, "SC", "the position comes before the completion");
+    caller.send(&sync()).await;
+    assert_eq!(caller.ready().await, 'I');
+    let select = [parse("", "SELECT id FROM entries"), bind("", ""), execute("", 0), flush()];
+    caller.send(&select.concat()).await;
+    assert_eq!(answers(&mut caller, 4).await, "12DC");
+    caller.send(&sync()).await;
+    assert_eq!(caller.ready().await, 'I');
+    assert_eq!(count(&caller_with_token(&path, &mut caller).await, "id = 1").await, 1);
+}
+
+/// Types of the next messages; what tells the session's position is passed over.
+async fn answers(caller: &mut RawCaller, count: usize) -> String {
+    let mut kinds = String::new();
+    while kinds.len() < count {
+        kinds.extend(Some(caller.read().await.0).filter(|kind| *kind != 'S'));
+    }
+    kinds
+}
+
+/// A session that has seen what this one has.
+async fn caller_with_token(path: &Path, caller: &mut RawCaller) -> Client {
+    caller.send(&support::wire::query("SHOW corktack.token")).await;
+    assert_eq!(caller.read().await.0, 'T');
+    let (_, row) = caller.read().await;
+    caller.ready().await;
+    // A row of one column: count of columns, length, text.
+    let token = String::from_utf8(row[6..].to_vec()).expect("tokens are text");
+    let mut config = path.config();
+    config.options(format!("-c corktack.token={token}"));
+    support::connect(&config).await.expect("the token is accepted")
+}
+
+#[actix_rt::test]
+async fn error_between_flushes_frees_the_session_and_its_connection() {
+    let path = Path::start(1);
+    let setup = path.caller().await;
+    setup.batch_execute("CREATE TABLE entries (id int)").await.expect("it is created");
+    let mut caller = RawCaller::start(path.edge.address()).await;
+    for _ in 0..3 {
+        let part = [parse("", "SELECT id FROM entries"), bind("", ""), execute("", 0), flush()];
+        caller.send(&part.concat()).await;
+        assert_eq!(answers(&mut caller, 3).await, "12C");
+        caller.send(&[parse("", "SELECT id FROM missing"), flush()].concat()).await;
+        assert_eq!(caller.error_code().await, "42P01");
+        caller.send(&[bind("", ""), execute("", 0), flush(), sync()].concat()).await;
+        assert_eq!(caller.read().await, ('Z', b"I".to_vec()));
+    }
+    assert_eq!(count(&setup, "id > 0").await, 0);
+}
--- a/crates/owner/src/batch.rs
+++ b/crates/owner/src/batch.rs
@@ -23,9 +23,12 @@
     /// A message that a batch may not hold.
     #[error("batch with a message of tag {0}")]
     Tag(u8),
-    /// The batch does not end with a Sync or a simple query.
+    /// The batch does not end with a Sync, a simple query or a Flush.
     #[error("batch without an end")]
     Incomplete,
+    /// A Flush stands elsewhere than at the end of the batch.
+    #[error("batch that goes on after a Flush")]
+    AfterFlush,
 }
 
 /// What the texts of a batch say about it.
@@ -39,6 +42,10 @@
     pub only_begins: bool,
     /// It may open or end a transaction.
     pub controls_transaction: bool,
+    /// It runs a statement, and does not only prepare or describe.
+    pub executes: bool,
+    /// It ends with a Flush: what it runs is committed by a later Sync.
+    pub flushes: bool,
 }
 
 /// Finds out what a batch may do, without regard to a connection.
@@ -50,6 +57,9 @@
     let mut last = 0;
     let mut rest = BytesMut::from(batch.messages.as_slice());
     while let Some(message) = wire::split_message(&mut rest)? {
+        if last == front::FLUSH {
+            return Err(BatchError::AfterFlush);
+        }
         match message.tag {
             front::QUERY => texts.push(wire::decode::<Query>(&message)?.query),
             front::PARSE => texts.push(wire::decode::<Parse>(&message)?.query),
@@ -59,7 +69,7 @@
         }
         last = message.tag;
     }
-    if !rest.is_empty() || !matches!(last, front::QUERY | front::SYNC) {
+    if !rest.is_empty() || !matches!(last, front::QUERY | front::SYNC | front::FLUSH) {
         return Err(BatchError::Incomplete);
     }
     // The text behind a portal of an earlier batch is not at hand.
@@ -72,6 +82,8 @@
             && texts.iter().all(|t| statements::only_begins(t)),
         controls_transaction: unseen
             || texts.iter().any(|text| statements::may_control_transaction(text)),
+        executes: executes || last == front::QUERY,
+        flushes: last == front::FLUSH,
     })
 }
 
@@ -130,7 +142,7 @@
             front::EXECUTE => Some(Sent::Execute),
             front::CLOSE => Some(sent_close(wire::decode::<Close>(&message)?)),
             front::SYNC => Some(Sent::Sync),
-            front::FLUSH => None,
+            front::FLUSH => Some(Sent::Flush),
             tag if front::COPY.contains(&tag) => None,
             tag => return Err(BatchError::Tag(tag)),
         };
--- a/crates/owner/src/exchange/ending.rs
+++ b/crates/owner/src/exchange/ending.rs
@@ -20,9 +20,11 @@
 impl Exchange<'_> {
     /// The batch is answered: decides whether the answer counts.
     pub(super) fn end_of_batch(&mut self, status: TransactionStatus) -> Step {
-        if let Some(cause) = self.refusal.filter(|_| status == TransactionStatus::Idle) {
+        let alone = status == TransactionStatus::Idle || self.is_first_flush();
+        if let Some(cause) = self.refusal.filter(|_| alone) {
             return self.refused(cause);
         }
+        self.unfinished.answered(&self.facts);
         if self.is_unverified(status) && !self.forwarded {
             let member = &self.lease.destination().member;
             let observed = self.observed;
@@ -90,8 +92,15 @@
         swept.is_ok()
     }
 
+    /// Whether the batch in flight is the first of the stream and ends with a Flush.
+    fn is_first_flush(&self) -> bool {
+        self.facts.flushes && self.status == TransactionStatus::Idle
+    }
+
+    /// The caller is gone. A connection in an unfinished batch is closed, for which the
+    /// back end rolls back: a Sync would commit, and after an error it hears nothing else.
     pub(super) async fn abandon(self) {
-        if !self.cancelled {
+        if !self.cancelled && !self.unfinished.is_open() {
             self.lease.roll_back().await;
         }
     }
@@ -133,11 +142,12 @@
 
     pub(super) fn failure_of_loss(&mut self) -> Failure {
         let sent = self.lease.connection().map_or(0, |connection| connection.sent_bytes);
-        let may_have_committed = match self.status {
-            TransactionStatus::Idle => sent > 0,
-            TransactionStatus::Open => sent > 0 && self.facts.may_commit,
-            TransactionStatus::Failed => false,
-        };
+        let may_have_committed = self.unfinished.may_have_committed(sent)
+            || match self.status {
+                TransactionStatus::Idle => sent > 0,
+                TransactionStatus::Open => sent > 0 && self.facts.may_commit,
+                TransactionStatus::Failed => false,
+            };
         if self.request.access == Access::Write && may_have_committed {
             return Failure::Unknown;
         }
--- a/crates/owner/src/exchange/mod.rs
+++ b/crates/owner/src/exchange/mod.rs
@@ -5,6 +5,7 @@
 mod keyed;
 mod own;
 mod replies;
+mod unfinished;
 
 use crate::batch::{self, BatchFacts};
 use crate::connection::{CancelTarget, ConnectionError};
@@ -17,6 +18,7 @@
 use corktack_protocol::peer::{Access, Batch, Failure, OpenRequest, TransactionStatus};
 use keyed::KeyedWrite;
 use std::sync::Arc;
+use unfinished::Unfinished;
 
 /// How an exchange ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,6 +77,8 @@
     cancelled: bool,
     /// The write runs under an idempotency key.
     keyed: Option<KeyedWrite>,
+    /// What a batch between its first Flush and its Sync has done.
+    unfinished: Unfinished,
 }
 
 impl<'stream> Exchange<'stream> {
@@ -104,6 +108,7 @@
             failed: false,
             cancelled: false,
             keyed: KeyedWrite::of(request),
+            unfinished: Unfinished::default(),
         }
     }
 
@@ -131,6 +136,9 @@
 
     async fn run_first_batch(&mut self) -> Step {
         let batch = &self.request.batch;
+        if self.breaks_flush_rules() {
+            return Step::Violation;
+        }
         match self.keyed {
             Some(_) => self.open_keyed(batch).await,
             None => self.run_batch(batch).await,
@@ -144,6 +152,9 @@
                     return Step::Violation;
                 };
                 self.facts = facts;
+                if self.breaks_flush_rules() {
+                    return Step::Violation;
+                }
                 return match self.keyed {
                     Some(_) => self.continue_keyed(&batch).await,
                     None => self.run_batch(&batch).await,
@@ -172,6 +183,10 @@
         }
     }
 
+    fn breaks_flush_rules(&self) -> bool {
+        self.facts.flushes && !unfinished::may_flush(self.request)
+    }
+
     async fn run_batch(&mut self, batch: &Batch) -> Step {
         self.observed = None;
         self.failed = false;
@@ -180,6 +195,7 @@
         };
         connection.sent_bytes = 0;
         connection.session_changed |= self.facts.may_change_session;
+        self.unfinished.sent(&self.facts);
         if batch::queue(batch, &mut connection.tracker, &mut connection.output).is_err() {
             return Step::Violation;
         }
--- a/crates/owner/src/exchange/replies.rs
+++ b/crates/owner/src/exchange/replies.rs
@@ -37,7 +37,18 @@
                 return Ok(None);
             }
         }
-        Ok(None)
+        self.read_flush()
+    }
+
+    /// The status when everything up to a Flush is answered: the transaction goes on.
+    fn read_flush(&mut self) -> Result<Option<TransactionStatus>, ConnectionError> {
+        let Some(skipped) = self.lease.connection()?.tracker.flushed() else {
+            return Ok(None);
+        };
+        for _ in 0..skipped {
+            wire::encode(&ParseComplete::new(), &mut self.held)?;
+        }
+        Ok(Some(TransactionStatus::Open))
     }
 
     pub(super) fn take_reply(
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -38,7 +38,10 @@
     pub parameter_types: Vec<u32>,
 }
 
-/// Messages of the caller up to and including one `Sync`, or one simple query.
+/// Messages of the caller up to and including one `Sync`, one simple query, or one
+/// `Flush`. A `Flush` leaves the batch unfinished: its transaction is not committed
+/// and the stream goes on, with further messages up to a `Sync` or a simple query.
+/// Only a stream opened for [`Access::Write`] and without an idempotency key has it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
     /// Prepared statements that must exist on the server connection first.
@@ -193,7 +196,8 @@
         /// What the session has seen.
         position: Position,
     },
-    /// The back end is ready; the end of the answer to one batch.
+    /// The end of the answer to one batch: the back end is ready, or everything up to
+    /// a `Flush` is answered, for which the status is [`TransactionStatus::Open`].
     Ready {
         /// The stream.
         stream: StreamId,
