Control: a path that nothing is served at gets the typed error body

Cause: the operator interface had no default service, so the web framework answered unknown paths with an empty 404.

Ruled out: a catch-all route in /v1 alone; paths outside it would stay empty.

Change: the application's default service answers 404 with code NotFound. Under /v1 the token is still asked for first. A method that a path does not serve is still the framework's 405.

Tests seen failing: path_that_is_not_served_is_answered_with_the_error_body, 3 of 4 cases on the code before; the case of an unknown kind passed.

Conclusion: tests of resources pass (18); other tests of control were not run.

--- a/crates/control/src/http/mod.rs
+++ b/crates/control/src/http/mod.rs
@@ -62,6 +62,7 @@
         .route("/live", web::get().to(health::live))
         .route("/ready", web::get().to(health::ready))
         .route("/metrics", web::get().to(health::metrics))
+        .default_service(web::to(path::not_served))
         .service(
             web::scope("/v1")
                 .wrap(from_fn(auth::require_token))
--- a/crates/control/src/http/path.rs
+++ b/crates/control/src/http/path.rs
@@ -2,9 +2,15 @@
 
 use super::answer::ErrorAnswer;
 use crate::api::{BINDINGS, CLASSES, ErrorCode, GROUPS};
+use actix_web::HttpResponse;
 use corktack_core::identity::{BindingName, ClassName, GroupName, NameError};
 use corktack_core::resources::{Kind, ResourceKey};
 
+/// Answers a path that nothing is served at.
+pub(super) async fn not_served() -> Result<HttpResponse, ErrorAnswer> {
+    Err(ErrorAnswer::new(ErrorCode::NotFound, "there is nothing at this path"))
+}
+
 /// The kind that a path segment stands for.
 pub(super) fn parse_kind(segment: &str) -> Result<Kind, ErrorAnswer> {
     match segment {
--- a/crates/control/tests/resources.rs
+++ b/crates/control/tests/resources.rs
@@ -39,6 +39,19 @@
     }
 }
 
+#[rstest]
+#[case::root("/")]
+#[case::outside("/nowhere")]
+#[case::kind("/v1/nowhere")]
+#[case::behind_a_resource("/v1/classes/gold/more")]
+#[actix_rt::test]
+async fn path_that_is_not_served_is_answered_with_the_error_body(#[case] path: &str) {
+    let cell = Cell::start(1);
+    cell.leader().await;
+    let answer = cell.replicas[0].operator().get(path).await.refused(StatusCode::NOT_FOUND);
+    assert_eq!(answer.code, ErrorCode::NotFound);
+}
+
 #[actix_rt::test]
 async fn of_two_changes_from_one_version_one_conflicts() {
     let cell = Cell::start(3);
