A signal that comes while a process starts does not end it

The roles listened for signals only once they served; until then SIGHUP and SIGTERM have their usual effect. A control replica that reads its log again at the start would be open to it for longer. Change: ProcessSignals listens for SIGTERM, SIGINT and SIGHUP before the settings are read, and the roles take them when they serve. What is left are the moments until the program's first statement.

--- a/crates/server/src/deployment.rs
+++ b/crates/server/src/deployment.rs
@@ -4,7 +4,6 @@
 //! must be kept. Every timer follows from the bounds, here and nowhere else.
 
 use crate::listeners::{ListenError, bind};
-use crate::signals::{ReloadSignal, StopSignals};
 use crate::watch_client::state::WatchSettings;
 use crate::watch_client::{self, NotKept, WatchError, WatchHandle};
 use corktack_control::{
@@ -83,9 +82,6 @@
     /// The gateway cannot start.
     #[error(transparent)]
     Gateway(#[from] GatewayError),
-    /// Signals cannot be listened for.
-    #[error("signals cannot be listened for")]
-    Signals(#[source] std::io::Error),
     /// The machine has no disk, and the role needs one.
     #[error("the role needs a data folder")]
     NoDataFolder,
@@ -369,19 +365,3 @@
         self.watch.stop().await;
     }
 }
-
-/// Waits for the signal that asks for a planned stop; calls `reload` whenever the settings have
-/// changed meanwhile.
-///
-/// # Errors
-/// [`DeploymentError::Signals`].
-pub async fn until_stopped(mut reload: impl FnMut()) -> Result<(), DeploymentError> {
-    let mut stop = StopSignals::listen().map_err(DeploymentError::Signals)?;
-    let mut changed = ReloadSignal::listen().map_err(DeploymentError::Signals)?;
-    loop {
-        tokio::select! {
-            () = stop.received() => return Ok(()),
-            () = changed.received() => reload(),
-        }
-    }
-}
--- a/crates/server/src/signals.rs
+++ b/crates/server/src/signals.rs
@@ -31,22 +31,35 @@
     }
 }
 
-/// The signal that says that the settings have changed.
-pub struct ReloadSignal(Signal);
+/// The signals of a process of a deployment: those of [`StopSignals`], and SIGHUP, which says that
+/// the settings have changed.
+///
+/// A process listens before it does anything else: a signal that comes while it starts is taken once
+/// it has started, and ends it no more.
+pub struct ProcessSignals {
+    stop: StopSignals,
+    reload: Signal,
+}
 
-impl ReloadSignal {
-    /// Starts to listen; from now on SIGHUP no longer ends the process.
+impl ProcessSignals {
+    /// Starts to listen; from now on none of the signals ends the process.
     ///
     /// # Errors
     /// What the operating system reports.
     pub fn listen() -> std::io::Result<Self> {
-        signal(SignalKind::hangup()).map(Self)
+        Ok(Self { stop: StopSignals::listen()?, reload: signal(SignalKind::hangup())? })
     }
 
-    /// Waits for SIGHUP.
-    pub async fn received(&mut self) {
-        // None comes only at the end of the process.
-        let _ = self.0.recv().await;
+    /// Waits for the signal that asks for a planned stop; calls `reload` whenever the settings have
+    /// changed meanwhile.
+    pub async fn until_stop(&mut self, mut reload: impl FnMut()) {
+        loop {
+            tokio::select! {
+                () = self.stop.received() => return,
+                // None comes only at the end of the process.
+                _ = self.reload.recv() => reload(),
+            }
+        }
     }
 }
 
