Core: who holds connections is kept up change by change

Cause: at every view (any gateway's start, stop or loss) each gateway worked out the holders and the asking order of every member anew, with a linear search by name for each holder: gateways x holders x members.

Change: a holder table in the core. A gateway that comes is weighed once a member, one that goes leaves a place only where it held one; groups follow only what touches them. Quotas by zone are worked out only when the size of a zone matters.

A property: whatever changes came, the table says what one made anew says.

The order in which a gateway asks holders is no longer reset by every view, only by one that changes the holders. Holders are spread over the zones of the member's region, the own zone is asked first. Regions are compared without copies of names; the distance of zones stood twice.

--- /dev/null
+++ b/crates/core/src/gateway/holders/quotas.rs
@@ -0,0 +1,58 @@
+//! How many gateways hold connections to a member, and in which zones they are.
+
+use crate::distance::Distance;
+use crate::identity::ZoneName;
+use std::collections::BTreeMap;
+
+/// Connections that make a share worth holding: fewer would be dialed anew all the time.
+pub const CONNECTIONS_PER_SHARE: u32 = 4;
+
+/// How many of the gateways hold connections to a member that takes `max_connections`.
+#[must_use]
+pub fn holder_count(max_connections: u32, gateways: usize) -> usize {
+    let shares = (max_connections / CONNECTIONS_PER_SHARE).max(1);
+    (shares as usize).min(gateways.max(1))
+}
+
+/// Holders by zone: spread over the zones of the member's region, its own zone first, as far as
+/// there are gateways. Where that is a single zone one holder is elsewhere, so that gateways that are
+/// lost together with their zone leave a way to a member that is not.
+#[must_use]
+pub fn zone_quotas(
+    member_zone: &ZoneName,
+    gateways: &BTreeMap<ZoneName, usize>,
+    count: usize,
+) -> BTreeMap<ZoneName, usize> {
+    let mut zones: Vec<_> = gateways.iter().filter(|(_, size)| **size > 0).collect();
+    zones.sort_by_key(|(zone, _)| (Distance::between(member_zone, zone), *zone));
+    let near = zones
+        .partition_point(|(zone, _)| Distance::between(member_zone, zone) != Distance::OtherRegion);
+    let (near, far) = zones.split_at(near);
+    let elsewhere = usize::from(near.len() == 1 && count > 1 && !far.is_empty());
+    let mut quotas = BTreeMap::new();
+    let placed = deal_out(near, count - elsewhere, &mut quotas);
+    deal_out(far, count - placed, &mut quotas);
+    quotas
+}
+
+/// Deals places out to zones in turn, no more to a zone than it has gateways; says how many.
+fn deal_out(
+    zones: &[(&ZoneName, &usize)],
+    places: usize,
+    quotas: &mut BTreeMap<ZoneName, usize>,
+) -> usize {
+    let mut placed = 0;
+    let mut round = 0;
+    while placed < places {
+        let open: Vec<_> = zones.iter().filter(|(_, size)| **size > round).collect();
+        if open.is_empty() {
+            break;
+        }
+        for (zone, _) in open.into_iter().take(places - placed) {
+            *quotas.entry((*zone).clone()).or_default() += 1;
+            placed += 1;
+        }
+        round += 1;
+    }
+    placed
+}
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -3,9 +3,9 @@
 
 mod detour;
 mod freshness;
+mod holders;
 mod member_choice;
 mod profile;
-mod shares;
 mod silence;
 mod wait_queue;
 
@@ -13,8 +13,11 @@
 pub use freshness::{
     FloorBasis, Freshness, KnownPosition, POSITION_RETENTION, PositionSource, PositionTooOld,
 };
-pub use member_choice::{Distance, MemberLoad, choose_reader};
+pub use holders::{
+    CONNECTIONS_PER_SHARE, GatewayPlace, HolderTable, MemberNeeds, asking_order, holder_count,
+    zone_quotas,
+};
+pub use member_choice::{MemberLoad, choose_reader};
 pub use profile::{ConnectionProfile, SessionProfile, UnknownName};
-pub use shares::{CONNECTIONS_PER_SHARE, asking_order, holder_count, holders};
 pub use silence::Silence;
 pub use wait_queue::{Ticket, WaitQueue, WaitingFor};
--- a/crates/core/src/identity.rs
+++ b/crates/core/src/identity.rs
@@ -114,6 +114,14 @@
     ZoneName
 );
 
+impl ZoneName {
+    /// The region: the text before the first `.`.
+    #[must_use]
+    pub fn region(&self) -> &str {
+        self.as_str().split('.').next().unwrap_or_default()
+    }
+}
+
 /// Number drawn afresh at every start of a process, to tell its lives apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -4,6 +4,7 @@
 
 pub use observers::SecondObservers;
 
+use crate::distance::Distance;
 use crate::identity::{GroupName, MemberName, ProxyName, ZoneName};
 use crate::position::{Position, Term};
 use crate::view::{GroupView, ProxyState, View};
@@ -124,7 +125,7 @@
         let nearest =
             candidates.filter(|member| self.covers(&member.name, minimum)).min_by_key(|member| {
                 let busy = self.members.get(&member.name).map_or(0, |known| known.busy);
-                (zone_distance(own_zone, &member.zone), busy, &member.name)
+                (Distance::between(own_zone, &member.zone), busy, &member.name)
             });
         nearest.map_or(ReadRoute::Behind, |member| ReadRoute::Replica(member.name.clone()))
     }
@@ -155,19 +156,6 @@
     declared.is_none_or(|member| member.draining) || group.draining.contains(name)
 }
 
-/// Distance between zones: 0 same zone, 1 same region, 2 otherwise.
-#[must_use]
-pub fn zone_distance(own: &ZoneName, other: &ZoneName) -> u8 {
-    let region = |zone: &ZoneName| zone.as_str().split('.').next().map(str::to_owned);
-    if own == other {
-        0
-    } else if region(own) == region(other) {
-        1
-    } else {
-        2
-    }
-}
-
 /// Weight of a proxy for a group in a rendezvous hash; the same on every machine.
 #[must_use]
 pub fn observer_weight(group: &GroupName, proxy: &ProxyName) -> u64 {
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -1,10 +1,11 @@
 //! Decisions of a gateway: profiles of sessions and connections, the choice of members, waiting.
 
+use corktack_core::distance::Distance;
 use corktack_core::gateway::{
-    ConnectionProfile, Detour, DetourStep, Distance, MemberLoad, SessionProfile, Silence,
-    WaitQueue, WaitingFor, asking_order, choose_reader, holder_count, holders,
+    ConnectionProfile, Detour, DetourStep, MemberLoad, SessionProfile, Silence, WaitQueue,
+    WaitingFor, choose_reader,
 };
-use corktack_core::identity::{MemberName, ProxyName, ZoneName};
+use corktack_core::identity::ZoneName;
 use corktack_core::statement::{Access, OwnStatement, PreparedShape};
 use corktack_core::time::Timestamp;
 use rstest::rstest;
@@ -254,77 +255,3 @@
     }
     assert_eq!(pauses, [150, 300, 600, 1_000, 1_000]);
 }
-
-fn zone(name: &str) -> ZoneName {
-    ZoneName::new(name).expect("a valid name")
-}
-
-fn proxy(number: usize) -> ProxyName {
-    ProxyName::new(format!("g{number}")).expect("a valid name")
-}
-
-fn member_name() -> MemberName {
-    MemberName::new("m1").expect("a valid name")
-}
-
-/// Gateways spread over six zones of three regions.
-fn gateways(count: usize) -> Vec<(ProxyName, ZoneName)> {
-    let zones = ["n.a", "n.b", "s.a", "s.b", "w.a", "w.b"];
-    (0..count).map(|number| (proxy(number), zone(zones[number % zones.len()]))).collect()
-}
-
-fn holders_of(gateways: &[(ProxyName, ZoneName)], count: usize) -> Vec<(ProxyName, ZoneName)> {
-    let borrowed: Vec<_> = gateways.iter().map(|(name, zone)| (name, zone)).collect();
-    let names = holders(&member_name(), &zone("n.a"), &borrowed, count);
-    let zone_of = |name: &ProxyName| gateways.iter().find(|(it, _)| it == name).map(|it| &it.1);
-    names.into_iter().map(|name| (name.clone(), zone_of(&name).expect("known").clone())).collect()
-}
-
-#[rstest]
-#[case(36, 7, 7)]
-#[case(40, 73, 10)]
-#[case(3, 73, 1)]
-#[case(36, 0, 1)]
-fn a_share_is_worth_holding(#[case] max: u32, #[case] gateways: usize, #[case] count: usize) {
-    assert_eq!(holder_count(max, gateways), count);
-}
-
-#[test]
-fn holders_are_near_the_member_but_one_is_elsewhere() {
-    let holders = holders_of(&gateways(72), 10);
-    let near = holders.iter().filter(|(_, at)| *at == zone("n.a")).count();
-    assert_eq!((holders.len(), near), (10, 9));
-}
-
-#[test]
-fn every_gateway_asks_every_holder_in_the_end_and_far_ones_last() {
-    let all = gateways(72);
-    let holders = holders_of(&all, 10);
-    for (own, own_zone) in &all {
-        let order = asking_order(own, own_zone, (&member_name(), &zone("n.a")), &holders);
-        let mut sorted: Vec<_> = order.clone();
-        sorted.sort();
-        let mut expected: Vec<_> = holders.iter().map(|(name, _)| name.clone()).collect();
-        expected.sort();
-        assert_eq!(sorted, expected);
-        let region = |zone: &ZoneName| zone.as_str().split('.').next().map(str::to_owned);
-        let detours = order.iter().map(|name| {
-            let at = &holders.iter().find(|(it, _)| it == name).expect("a holder").1;
-            region(at) != region(own_zone) && region(at) != Some("n".to_owned())
-        });
-        assert!(detours.is_sorted(), "holders in a third region come last");
-    }
-}
-
-#[test]
-fn gateways_spread_over_the_holders() {
-    let all = gateways(72);
-    let holders = holders_of(&all, 10);
-    let first = |(own, own_zone): &(ProxyName, ZoneName)| {
-        let order = asking_order(own, own_zone, (&member_name(), &zone("n.a")), &holders);
-        order[0].clone()
-    };
-    let firsts: Vec<_> = all.iter().map(first).collect();
-    let busiest = holders.iter().map(|(it, _)| firsts.iter().filter(|first| *first == it).count());
-    assert!(busiest.max() <= Some(15), "72 gateways, 10 holders");
-}
--- /dev/null
+++ b/crates/core/tests/holders.rs
@@ -0,0 +1,228 @@
+//! Which gateways hold connections to a member, and what it costs to know.
+
+use corktack_core::distance::Distance;
+use corktack_core::gateway::{
+    GatewayPlace, HolderTable, MemberNeeds, asking_order, holder_count, zone_quotas,
+};
+use corktack_core::identity::{MemberName, ProxyName, ZoneName};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// Six zones of three regions.
+const ZONES: [&str; 6] = ["n.a", "n.b", "s.a", "s.b", "w.a", "w.b"];
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::new(name).expect("a valid name")
+}
+
+fn gateway(number: usize) -> ProxyName {
+    ProxyName::new(format!("g{number}")).expect("a valid name")
+}
+
+fn member(number: usize) -> MemberName {
+    MemberName::new(format!("m{number}")).expect("a valid name")
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number / 256) as u8, (number % 256) as u8], 7_443))
+}
+
+fn place(number: usize) -> GatewayPlace {
+    GatewayPlace { zone: zone(ZONES[number % ZONES.len()]), address: address(number) }
+}
+
+fn needs(number: usize) -> MemberNeeds {
+    MemberNeeds { zone: zone(ZONES[number % 3 * 2]), max_connections: 24 }
+}
+
+/// A table as gateway 0 has it.
+fn table(gateways: usize, members: usize) -> HolderTable {
+    let mut table = HolderTable::new(gateway(0), place(0));
+    (0..members).for_each(|number| table.put_member(&member(number), needs(number)));
+    (1..gateways).for_each(|number| table.put_gateway(&gateway(number), place(number)));
+    table.take_changed();
+    table
+}
+
+#[rstest]
+#[case(36, 7, 7)]
+#[case(40, 73, 10)]
+#[case(3, 73, 1)]
+#[case(36, 0, 1)]
+fn a_share_is_worth_holding(
+    #[case] max_connections: u32,
+    #[case] gateways: usize,
+    #[case] count: usize,
+) {
+    assert_eq!(holder_count(max_connections, gateways), count);
+}
+
+fn quotas(sizes: &[(&str, usize)], count: usize) -> Vec<(String, usize)> {
+    let sizes: BTreeMap<_, _> = sizes.iter().map(|(name, size)| (zone(name), *size)).collect();
+    let quotas = zone_quotas(&zone("n.a"), &sizes, count);
+    quotas.into_iter().map(|(zone, quota)| (zone.to_string(), quota)).collect()
+}
+
+#[rstest]
+#[case::spread_over_the_region(&[("n.a", 9), ("n.b", 9), ("s.a", 9)], 5, &[("n.a", 3), ("n.b", 2)])]
+#[case::one_elsewhere(&[("n.a", 9), ("s.a", 9)], 4, &[("n.a", 3), ("s.a", 1)])]
+#[case::too_few_near(&[("n.a", 1), ("n.b", 1), ("s.a", 9)], 4, &[("n.a", 1), ("n.b", 1), ("s.a", 2)])]
+#[case::nobody_else(&[("n.a", 9)], 4, &[("n.a", 4)])]
+#[case::nobody_near(&[("s.a", 9), ("w.a", 9)], 3, &[("s.a", 2), ("w.a", 1)])]
+#[case::alone(&[("n.a", 9), ("s.a", 9)], 1, &[("n.a", 1)])]
+fn holders_are_in_the_members_region(
+    #[case] sizes: &[(&str, usize)],
+    #[case] count: usize,
+    #[case] expected: &[(&str, usize)],
+) {
+    let expected: Vec<_> =
+        expected.iter().map(|(zone, quota)| ((*zone).to_owned(), *quota)).collect();
+    assert_eq!(quotas(sizes, count), expected);
+}
+
+/// Weighing every gateway for every member anew at each change costs gateways times members; a
+/// change must cost about a weighing a member, at any size.
+#[rstest]
+#[case::large_site(295, 60)]
+#[case::aim(1_100, 2_200)]
+fn one_gateway_that_restarts_costs_little(#[case] gateways: usize, #[case] members: usize) {
+    let mut table = table(gateways, members);
+    let before = table.weighings();
+    for number in 100..110 {
+        table.remove_gateway(&gateway(number));
+        table.put_gateway(&gateway(number), place(number));
+    }
+    let each = (table.weighings() - before) / 10;
+    let all = (gateways * members) as u64;
+    assert!(each <= 3 * members as u64, "{each} weighings a restart; all would be {all}");
+}
+
+#[test]
+fn only_members_that_a_gateway_held_change_with_it() {
+    let mut table = table(295, 60);
+    let mut touched = 0;
+    for number in 1..295 {
+        table.remove_gateway(&gateway(number));
+        touched += table.take_changed().len();
+        table.put_gateway(&gateway(number), place(number));
+        table.take_changed();
+    }
+    // 60 members with 6 holders each; gateway 0 does not go.
+    assert!((300..=360).contains(&touched), "{touched}");
+}
+
+#[test]
+fn a_gateway_at_another_address_is_asked_there() {
+    let mut table = table(30, 20);
+    let asked = |table: &HolderTable| {
+        (0..20).filter(|number| table.others(&member(*number)).contains(&address(7))).count()
+    };
+    let before = asked(&table);
+    assert!(before > 0);
+    let moved = GatewayPlace { address: address(999), ..place(7) };
+    table.put_gateway(&gateway(7), moved);
+    assert_eq!(table.take_changed().len(), before);
+    assert_eq!(asked(&table), 0);
+}
+
+#[test]
+fn an_unknown_gateway_counts_itself() {
+    let mut table = HolderTable::new(gateway(0), place(0));
+    table.put_member(&member(0), needs(0));
+    assert!(table.holds(&member(0)));
+    table.remove_gateway(&gateway(0));
+    assert!(table.holds(&member(0)), "control may take it for gone; it is there all the same");
+}
+
+#[derive(Clone, Debug)]
+enum Change {
+    Put(usize),
+    Remove(usize),
+    PutMember(usize, u32),
+    RemoveMember(usize),
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        (1..40_usize).prop_map(Change::Put),
+        (1..40_usize).prop_map(Change::Remove),
+        (0..6_usize, 1..60_u32).prop_map(|(number, most)| Change::PutMember(number, most)),
+        (0..6_usize).prop_map(Change::RemoveMember),
+    ]
+}
+
+proptest! {
+    /// However it came about, the table says what one says that is made anew.
+    #[test]
+    fn changes_add_up_to_what_is_there(changes in prop::collection::vec(change(), 0..80)) {
+        let mut kept = HolderTable::new(gateway(0), place(0));
+        let mut gateways = BTreeSet::new();
+        let mut members = BTreeMap::new();
+        for change in changes {
+            match change {
+                Change::Put(number) => {
+                    kept.put_gateway(&gateway(number), place(number));
+                    gateways.insert(number);
+                }
+                Change::Remove(number) => {
+                    kept.remove_gateway(&gateway(number));
+                    gateways.remove(&number);
+                }
+                Change::PutMember(number, max_connections) => {
+                    let needs = MemberNeeds { max_connections, ..needs(number) };
+                    kept.put_member(&member(number), needs.clone());
+                    members.insert(number, needs);
+                }
+                Change::RemoveMember(number) => {
+                    kept.remove_member(&member(number));
+                    members.remove(&number);
+                }
+            }
+        }
+        let mut anew = HolderTable::new(gateway(0), place(0));
+        gateways.iter().for_each(|number| anew.put_gateway(&gateway(*number), place(*number)));
+        members.iter().for_each(|(number, needs)| anew.put_member(&member(*number), needs.clone()));
+        for number in 0..6 {
+            let name = member(number);
+            prop_assert_eq!(kept.others(&name), anew.others(&name));
+            prop_assert_eq!(kept.holds(&name), anew.holds(&name));
+            prop_assert_eq!(kept.count(&name), anew.count(&name));
+        }
+    }
+}
+
+/// Gateways spread over the six zones.
+fn gateways(count: usize) -> Vec<(ProxyName, ZoneName)> {
+    (0..count).map(|number| (gateway(number), place(number).zone)).collect()
+}
+
+#[test]
+fn every_gateway_asks_every_holder_in_the_end_and_far_ones_last() {
+    let all = gateways(72);
+    let holders = &all[..12];
+    for (own, own_zone) in &all {
+        let order = asking_order(own, own_zone, (&member(0), &zone("n.a")), holders);
+        let expected: BTreeSet<_> = holders.iter().map(|(name, _)| name).collect();
+        assert_eq!(order.iter().collect::<BTreeSet<_>>(), expected);
+        let out_of_the_way = order.iter().map(|name| {
+            let at = &holders.iter().find(|(it, _)| it == name).expect("a holder").1;
+            let near = |zone: &ZoneName| Distance::between(at, zone) != Distance::OtherRegion;
+            (at != own_zone, !near(own_zone) && !near(&zone("n.a")))
+        });
+        assert!(out_of_the_way.is_sorted(), "the own zone first, a third region last");
+    }
+}
+
+#[test]
+fn gateways_spread_over_the_holders() {
+    let all = gateways(72);
+    let holders = &all[..6];
+    let first = |(own, own_zone): &(ProxyName, ZoneName)| {
+        asking_order(own, own_zone, (&member(0), &zone("n.a")), holders)[0].clone()
+    };
+    let firsts: Vec<_> = all.iter().map(first).collect();
+    let busiest = holders.iter().map(|(it, _)| firsts.iter().filter(|first| *first == it).count());
+    assert!(busiest.max() <= Some(24), "72 gateways, 6 holders");
+}
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -38,7 +38,7 @@
     let mut connection = MemberConnection::new(wire.clone(), Transport::Direct(stream));
     let start = MemberRequest::Start {
         group: group.as_str(),
-        who: &settings.name,
+        who: settings.name.as_str(),
         member: member.as_str(),
     };
     connection.send(&start).await?;
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -16,7 +16,8 @@
 use crate::tunnel::Tunnels;
 use crate::wire::Wire;
 use choice::GroupState;
-use corktack_core::gateway::{Detour, Distance, Freshness, SessionProfile, Ticket, WaitQueue};
+use corktack_core::distance::Distance;
+use corktack_core::gateway::{Detour, Freshness, SessionProfile, Ticket, WaitQueue};
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::registry::{Promotion, RegisteredBackEnd};
 use std::cell::RefCell;
@@ -79,14 +80,26 @@
 /// What the registry says of a group.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct GroupFacts {
-    pub(crate) members: BTreeMap<MemberName, Arc<RegisteredBackEnd>>,
+    pub(crate) members: BTreeMap<MemberName, MemberFacts>,
     pub(crate) promotion: Option<Promotion>,
-    /// Connections to each member that this gateway may have; none where it holds no share.
-    pub(crate) shares: BTreeMap<MemberName, usize>,
-    /// Other gateways that hold connections to each member, in the order to ask.
-    pub(crate) holders: BTreeMap<MemberName, Vec<SocketAddr>>,
-    /// Gateways that share each member.
-    pub(crate) gateways: usize,
+}
+
+/// What the registry says of a member, and who holds connections to it.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberFacts {
+    pub(crate) back_end: Arc<RegisteredBackEnd>,
+    pub(crate) share: MemberShare,
+}
+
+/// Who holds connections to a member.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct MemberShare {
+    /// Connections that this gateway may have; none where it holds no share.
+    pub(crate) connections: usize,
+    /// Other gateways that hold some, in the order to ask.
+    pub(crate) others: Vec<SocketAddr>,
+    /// All that hold some.
+    pub(crate) holder_count: usize,
 }
 
 /// A group of back ends as this gateway uses it.
@@ -142,14 +155,12 @@
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
         state.members.retain(|name, _| facts.members.contains_key(name));
-        for (name, back_end) in &facts.members {
+        for (name, MemberFacts { back_end, share }) in &facts.members {
             let distance = Distance::between(&self.settings.zone, &back_end.zone);
             let new = || Member::new(Arc::clone(back_end), distance);
             let member = state.members.entry(name.clone()).or_insert_with(new);
             member.follow(back_end, now);
-            let share = facts.shares.get(name).copied().unwrap_or_default();
-            let holders = facts.holders.get(name).cloned().unwrap_or_default();
-            member.share(share, holders, facts.gateways);
+            member.share(share);
         }
         if state.promotion != facts.promotion {
             state.members.values_mut().for_each(|member| member.detour = Detour::default());
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -1,8 +1,10 @@
 //! One member as this gateway uses it: its idle connections, its load, its troubles.
 
 use crate::connection::MemberConnection;
+use crate::group::MemberShare;
 use crate::wire::Wire;
-use corktack_core::gateway::{Detour, Distance, MemberLoad, SessionProfile, Silence};
+use corktack_core::distance::Distance;
+use corktack_core::gateway::{Detour, MemberLoad, SessionProfile, Silence};
 use corktack_core::registry::{BackEndState, RegisteredBackEnd};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -53,8 +55,8 @@
     pub(crate) limit: usize,
     /// Places kept for waiters that were woken.
     pub(crate) reserved: usize,
-    /// Gateways that share the member's capacity.
-    gateways: usize,
+    /// What the registry says of the gateways that hold connections to it.
+    share: MemberShare,
     latency: Duration,
     failures: u32,
     unreachable_until: Option<Instant>,
@@ -75,9 +77,9 @@
             detour: Detour::default(),
             forwarded: 0,
             open: 0,
-            limit: 1,
+            limit: 0,
             reserved: 0,
-            gateways: 1,
+            share: MemberShare::default(),
             latency: distance.expected_latency(),
             failures: 0,
             unreachable_until: None,
@@ -101,10 +103,14 @@
     }
 
     /// Sets this gateway's share of the member.
-    pub(crate) fn share(&mut self, limit: usize, holders: Vec<SocketAddr>, gateways: usize) {
-        self.limit = limit;
-        self.holders = holders;
-        self.gateways = gateways.max(1);
+    pub(crate) fn share(&mut self, share: &MemberShare) {
+        if self.share == *share {
+            // The order in which others are asked stays as experience has made it.
+            return;
+        }
+        self.share = share.clone();
+        self.limit = share.connections;
+        self.holders.clone_from(&share.others);
     }
 
     /// Whether it takes reads as far as is known.
@@ -176,7 +182,8 @@
         MemberLoad {
             latency: self.latency,
             running: self.open - self.idle.len() + self.forwarded,
-            capacity_share: f64::from(self.back_end.capacity) / self.gateways as f64,
+            capacity_share: f64::from(self.back_end.capacity)
+                / self.share.holder_count.max(1) as f64,
         }
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,13 +1,16 @@
 //! Settings of a gateway.
 
-use corktack_core::identity::ZoneName;
+use corktack_core::identity::{ProxyName, ZoneName};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Settings of a gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GatewaySettings {
     /// Who connections to members say they are from.
-    pub name: String,
+    pub name: ProxyName,
+    /// Where other gateways reach it.
+    pub peers: SocketAddr,
     /// Its zone, for the choice of near members.
     pub zone: ZoneName,
     /// Longest wait until a member accepts a connection; one that does not counts as unreachable.
--- a/crates/gateway/tests/sessions/world.rs
+++ b/crates/gateway/tests/sessions/world.rs
@@ -81,9 +81,10 @@
     }
 }
 
-fn settings(name: &str) -> GatewaySettings {
+fn settings(place: usize, peers: SocketAddr) -> GatewaySettings {
     GatewaySettings {
-        name: name.to_owned(),
+        name: gateway_name(place),
+        peers,
         zone: zone(),
         connect_timeout: LONG,
         dial_timeout: LONG,
@@ -95,6 +96,10 @@
     }
 }
 
+fn gateway_name(place: usize) -> ProxyName {
+    ProxyName::new(format!("g{place}")).expect("a valid name")
+}
+
 fn bind() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
     let address = listener.local_addr().expect("a bound listener has an address");
@@ -171,7 +176,7 @@
                 incarnation: Incarnation(1),
                 state: ProxyState::Live,
             };
-            view.proxies.insert(ProxyName::new(format!("g{place}")).expect("a valid name"), proxy);
+            view.proxies.insert(gateway_name(place), proxy);
         }
         register(&mut view, &group(), members);
         (bound, view)
@@ -201,10 +206,10 @@
         let (reached, reach) = mpsc::unbounded_channel();
         let gateways = bound.iter().map(|((_, callers), _)| *callers).collect();
         let mut figures = Vec::new();
-        let handles = bound.into_iter().enumerate().map(|(place, ((callers, _), (peers, _)))| {
+        let handles = bound.into_iter().enumerate().map(|(place, ((callers, _), (peers, at)))| {
             let reach = reached.clone();
             let listeners = GatewayListeners { callers, peers };
-            let settings = settings(&format!("g{place}"));
+            let settings = settings(place, at);
             let mut registry = Registry::default();
             let watched = if place == 0 { first_watched.clone() } else { watched.clone() };
             let gateway =
@@ -227,9 +232,9 @@
     /// The process of a gateway starts anew: same name, no memory, a clock that starts now. Gives
     /// where it listens for callers; the one before goes on for the other gateways.
     pub fn start_again(&mut self, place: usize) -> SocketAddr {
-        let ((callers, address), (peers, _)) = (bind(), bind());
+        let ((callers, address), (peers, at)) = (bind(), bind());
         let listeners = GatewayListeners { callers, peers };
-        let settings = settings(&format!("g{place}"));
+        let settings = settings(place, at);
         let mut registry = Registry::default();
         let (views, reach) = (self.views.subscribe(), self.reached.clone());
         let gateway = Gateway::start(settings, TestWire, listeners, views, reach, &mut registry);
--- a/crates/server/src/deployment.rs
+++ b/crates/server/src/deployment.rs
@@ -152,6 +152,11 @@
         self.first_port + 3
     }
 
+    /// Where other gateways reach this one.
+    fn peers(&self) -> SocketAddr {
+        SocketAddr::new(self.machine, self.peers_port())
+    }
+
     fn listening_at(&self, port: u16) -> SocketAddr {
         SocketAddr::new(self.listen.unwrap_or(self.machine), port)
     }
@@ -194,7 +199,8 @@
         settings.snapshot_entries = SNAPSHOT_ENTRIES;
         settings.watch_changes = WATCH_CHANGES;
         settings.request_timeout = REQUEST_LIMIT;
-        settings.registry_calls = authority.map(|authority| self.calls(wire, authority));
+        let calls = authority.map(|authority| self.calls(wire, authority));
+        settings.registry_calls = calls.transpose()?;
         settings.workers = 1;
         settings.cell_address = Some(own);
         settings.join_through = self.at_seeds(self.proxies_port());
@@ -234,7 +240,7 @@
         let settings = self.watch_settings()?;
         let store = Box::new(NotKept);
         let watch = watch_client::start(settings, CONNECT_LIMIT, store, observed, &mut registry)?;
-        let settings = self.gateway_settings();
+        let settings = self.gateway_settings()?;
         let gateway =
             Gateway::start(settings, wire, listeners, watch.views(), reach, &mut registry)?;
         log::info!(machine = self.name.as_str(), callers:% = callers; "gateway starts");
@@ -245,15 +251,15 @@
         &self,
         wire: W,
         authority: Arc<dyn PromotionAuthority>,
-    ) -> Arc<dyn RegistryCalls> {
-        Arc::new(Calls { wire, settings: self.gateway_settings(), authority })
+    ) -> Result<Arc<dyn RegistryCalls>, DeploymentError> {
+        Ok(Arc::new(Calls { wire, settings: self.gateway_settings()?, authority }))
     }
 
     fn watch_settings(&self) -> Result<WatchSettings, DeploymentError> {
         Ok(WatchSettings {
             proxy: ProxyName::new(self.name.as_str())?,
             incarnation: Incarnation(rand::random()),
-            address: SocketAddr::new(self.machine, self.peers_port()),
+            address: self.peers(),
             zone: self.zone.clone(),
             replicas: self.at_seeds(self.proxies_port()),
             heartbeat_interval: WATCH_INTERVAL,
@@ -265,9 +271,10 @@
         })
     }
 
-    fn gateway_settings(&self) -> GatewaySettings {
-        GatewaySettings {
-            name: self.name.clone(),
+    fn gateway_settings(&self) -> Result<GatewaySettings, DeploymentError> {
+        Ok(GatewaySettings {
+            name: ProxyName::new(self.name.as_str())?,
+            peers: self.peers(),
             zone: self.zone.clone(),
             connect_timeout: MEMBER_CONNECT_LIMIT,
             dial_timeout: DIAL_LIMIT,
@@ -276,7 +283,7 @@
             drain_limit: self.bounds.drain / 2,
             notice: self.bounds.stop_grace / 3,
             transaction_grace: self.bounds.stop_grace / 6,
-        }
+        })
     }
 }
 
