Gateways: statements under way at a member are limited, control is reached by raced connections, sessions wait for the first document

Change: up to three replicas are tried at the same time, 50 ms apart; sessions that begin in the first 1.2 s of a process wait for its first document; a gateway has at most four statements under way for each that the member runs at once, all holders together, half after a refusal for lack of room. Transactions that rest take no part in it.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! waits before whom.
 
 mod detour;
+mod flight_limit;
 mod freshness;
 mod holders;
 mod member_choice;
@@ -13,6 +14,7 @@
 mod wait_queue;
 
 pub use detour::{Detour, DetourStep};
+pub use flight_limit::FlightLimit;
 pub use freshness::{
     FloorBasis, Freshness, KnownPosition, OwnPosition, POSITION_RETENTION, PositionSource,
     PositionTooOld, ReadBound, ReadPosition,
--- a/crates/gateway/src/group/choice.rs
+++ b/crates/gateway/src/group/choice.rs
@@ -67,7 +67,7 @@
         if wish.target == Target::Primary && member.needs_detour(now) {
             return Self::detour(name, member, now, clock, tunnels);
         }
-        if !member.has_room(now) {
+        if !member.has_room(now, wish.needs_slot) {
             return Step::Wait;
         }
         Self::take(name, member, wish)
@@ -127,7 +127,7 @@
             Target::Reader { refused } => member.takes_reads(now) && !refused.contains(name),
             Target::Primary | Target::Held(_) => member.takes_writes(now, settings.drain_limit),
         };
-        if !able || !member.has_room(now) {
+        if !able || !member.has_room(now, wish.needs_slot) {
             return Step::Wait;
         }
         Self::take(name.clone(), member, wish)
@@ -191,7 +191,7 @@
             choose_reader(&loads).map(|place| able[place].0.clone())
         };
         let good = able.iter().copied().filter(|(_, member)| !member.is_passed_over(now));
-        let free = good.clone().filter(|(_, member)| member.has_room(now));
+        let free = good.clone().filter(|(_, member)| member.has_room(now, true));
         choose(free.collect()).or_else(|| choose(good.collect())).or_else(|| choose(able))
     }
 
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -80,6 +80,8 @@
     pub(crate) priority: u32,
     /// What a read that any member may serve must see.
     pub(crate) bound: Option<ReadBound>,
+    /// Whether it takes one of the slots of the member.
+    pub(crate) needs_slot: bool,
     /// When waiting for a connection ends.
     pub(crate) give_up: Instant,
 }
@@ -244,6 +246,18 @@
         }
     }
 
+    /// A transaction rests between two statements, or goes on.
+    pub(crate) fn note_resting(&self, name: &MemberName, rests: bool) {
+        let mut state = self.state.borrow_mut();
+        let Some(member) = state.members.get_mut(name) else { return };
+        if rests {
+            member.resting += 1;
+            state.wake_next(name);
+        } else {
+            member.resting = member.resting.saturating_sub(1);
+        }
+    }
+
     /// A connection is gone.
     pub(crate) fn closed(&self, name: &MemberName) {
         let mut state = self.state.borrow_mut();
--- a/crates/gateway/src/group/notes.rs
+++ b/crates/gateway/src/group/notes.rs
@@ -56,7 +56,8 @@
     ) {
         match result {
             Ok(answer) => match &answer.outcome {
-                Ok(_) => self.with_member(name, |it| it.note_latency(begun.elapsed())),
+                Ok(_) => self.with_member(name, |it| it.note_served(begun.elapsed())),
+                Err(failure) if failure.code == ErrorCode::Busy => self.note_no_room(name),
                 Err(failure) if failure.code.did_not_run() => {
                     self.note_refusal(name, failure.code);
                 }
@@ -69,6 +70,12 @@
         }
     }
 
+    /// A member had no room for a statement on a connection of this gateway.
+    fn note_no_room(&self, name: &MemberName) {
+        let (steady, now) = (self.now(), Instant::now());
+        self.with_member(name, |it| it.note_refused(steady, now));
+    }
+
     /// Remembers of a member why it did not run a statement.
     pub(crate) fn note_refusal(&self, name: &MemberName, code: ErrorCode) {
         let now = Instant::now();
--- a/crates/gateway/src/group/positions.rs
+++ b/crates/gateway/src/group/positions.rs
@@ -106,8 +106,15 @@
     async fn refresh(self: &Rc<Self>, target: Target, max_age: Duration, limit: Duration) {
         let give_up = Instant::now() + limit;
         let session = SessionProfile::default();
-        let wish =
-            Wish { target, session: &session, priority: REFRESH_PRIORITY, bound: None, give_up };
+        let wish = Wish {
+            target,
+            session: &session,
+            priority: REFRESH_PRIORITY,
+            bound: None,
+            // The begin and the rollback of a transaction take none.
+            needs_slot: false,
+            give_up,
+        };
         match self.place(&wish).await {
             Ok(Place::Here(located)) => self.ask_primary(located.lease, give_up).await,
             Ok(Place::Elsewhere(member, holders)) => {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -25,8 +25,11 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Time between two looks for connections that have not been used for long.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
-/// Longest time that the start of a session waits for the first configuration.
+/// Longest time that the start of a session waits for the first configuration; longer in the first
+/// moments of the process, when control is about to tell it. After a loss of all machines of the users'
+/// large deployments it came 0.4 to 1.1 s after the start; callers wait 2 s for the start of a session.
 const DOCUMENT_LIMIT: Duration = Duration::from_millis(100);
+const FIRST_DOCUMENT_LIMIT: Duration = Duration::from_millis(1_200);
 /// What all sessions of a gateway share.
 pub(crate) struct Shared<W: Wire> {
     pub(crate) wire: W,
@@ -39,6 +42,7 @@
     pub(crate) transactions_over: Notify,
     pub(crate) session_ended: Notify,
     document_came: Notify,
+    started: Instant,
     clock: SteadyClock,
 }
 
@@ -50,7 +54,7 @@
 
     /// Waits until there is a configuration to go by; says whether there is one.
     pub(crate) async fn document_there(&self) -> bool {
-        let until = Instant::now() + DOCUMENT_LIMIT;
+        let until = (Instant::now() + DOCUMENT_LIMIT).max(self.started + FIRST_DOCUMENT_LIMIT);
         while !self.routes.has_document() {
             if timeout_at(until, self.document_came.notified()).await.is_err() {
                 return false;
@@ -109,6 +113,7 @@
             transactions_over: Notify::new(),
             session_ended: Notify::new(),
             document_came: Notify::new(),
+            started: Instant::now(),
             clock,
         });
         actix_rt::spawn(follow_views(Rc::clone(&shared), views));
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -16,6 +16,8 @@
     remote: bool,
     /// Set while a transaction may be open.
     pub(crate) in_transaction: bool,
+    /// Set while a transaction rests between two statements.
+    rests: bool,
 }
 
 impl<W: Wire> Lease<W> {
@@ -24,7 +26,7 @@
         member: MemberName,
         connection: MemberConnection<W>,
     ) -> Self {
-        Self { group, member, connection: Some(connection), remote: false, in_transaction: false }
+        Self::with(group, member, connection, false)
     }
 
     /// A connection that another gateway holds.
@@ -33,7 +35,26 @@
         member: MemberName,
         connection: MemberConnection<W>,
     ) -> Self {
-        Self { group, member, connection: Some(connection), remote: true, in_transaction: false }
+        Self::with(group, member, connection, true)
+    }
+
+    fn with(
+        group: Rc<Group<W>>,
+        member: MemberName,
+        connection: MemberConnection<W>,
+        remote: bool,
+    ) -> Self {
+        let connection = Some(connection);
+        Self { group, member, connection, remote, in_transaction: false, rests: false }
+    }
+
+    /// Notes whether a transaction rests between two statements: it takes no slot of the member then.
+    pub(crate) fn set_resting(&mut self, rests: bool) {
+        if self.remote || self.rests == rests {
+            return;
+        }
+        self.rests = rests;
+        self.group.note_resting(&self.member, rests);
     }
 
     pub(crate) fn group(&self) -> &Rc<Group<W>> {
@@ -53,6 +74,7 @@
 
 impl<W: Wire> Drop for Lease<W> {
     fn drop(&mut self) {
+        self.set_resting(false);
         let Some(connection) = self.connection.take() else { return };
         if self.remote {
             let settled = connection.is_settled() && !self.in_transaction;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -4,8 +4,11 @@
 use crate::group::MemberShare;
 use crate::wire::Wire;
 use corktack_core::distance::Distance;
-use corktack_core::gateway::{Detour, HolderChoice, MemberLoad, SessionProfile, Silence};
+use corktack_core::gateway::{
+    Detour, FlightLimit, HolderChoice, MemberLoad, SessionProfile, Silence,
+};
 use corktack_core::registry::{BackEndState, RegisteredBackEnd};
+use corktack_core::time::Timestamp;
 use corktack_protocol::tunnel::MemberLoadReport;
 use std::sync::Arc;
 use std::time::Duration;
@@ -64,8 +67,11 @@
     pub(crate) limit: usize,
     /// Until when it has connections that it holds no share of.
     stand_in_until: Option<Instant>,
+    /// Connections in use by transactions that rest between two statements.
+    pub(crate) resting: usize,
     /// Places kept for waiters that were woken.
     pub(crate) reserved: usize,
+    flight_limit: FlightLimit,
     /// What the registry says of the gateways that hold connections to it.
     share: MemberShare,
     /// Mean time of a statement there, the way included.
@@ -96,7 +102,9 @@
             open: 0,
             limit: 0,
             stand_in_until: None,
+            resting: 0,
             reserved: 0,
+            flight_limit: FlightLimit::new(1, 1),
             share: MemberShare::default(),
             latency: distance.expected_latency(),
             way: distance.expected_latency().saturating_sub(Distance::SameZone.expected_latency()),
@@ -130,6 +138,7 @@
         }
         self.share = share.clone();
         self.limit = share.connections;
+        self.flight_limit = FlightLimit::new(self.back_end.capacity, share.holder_count);
         self.stand_in_until = None;
         self.holders.replace(&share.others);
     }
@@ -191,15 +200,24 @@
     }
 
     /// Whether a statement could be sent there now.
-    pub(crate) fn has_room(&self, now: Instant) -> bool {
+    pub(crate) fn has_room(&self, now: Instant, needs_slot: bool) -> bool {
         if self.limit == 0 {
             return !self.holders.is_empty();
         }
+        let under_way = self.under_way() + self.reserved;
+        if needs_slot && !self.flight_limit.allows(under_way) {
+            return false;
+        }
         let full = is_pending(self.full_until, now);
         let may_open = if full { 0 } else { self.limit.saturating_sub(self.open) };
         self.idle.len() + may_open > self.reserved
     }
 
+    /// Statements of this gateway under way there, on connections of its own.
+    fn under_way(&self) -> usize {
+        self.open.saturating_sub(self.idle.len() + self.resting)
+    }
+
     /// What it is expected to take for one more statement.
     pub(crate) fn load(&self, now: Instant) -> MemberLoad {
         // What a gateway without connections runs there is a small part of what holders run.
@@ -207,7 +225,7 @@
         let told = self.told.filter(|(_, at)| now - *at < TOLD_LOAD_LIFE);
         MemberLoad {
             latency: self.latency,
-            running: self.open - self.idle.len() + self.forwarded,
+            running: self.under_way() + self.forwarded,
             capacity_share: f64::from(self.back_end.capacity) / sharers as f64,
             waiting: told.map_or(0.0, |(waiting, _)| waiting),
         }
@@ -255,7 +273,9 @@
         }
     }
 
-    pub(crate) fn note_latency(&mut self, latency: Duration) {
+    /// It ran a statement of this gateway in `latency`.
+    pub(crate) fn note_served(&mut self, latency: Duration) {
+        self.flight_limit.served();
         self.latency = mixed(self.latency, latency, LATENCY_WEIGHT);
     }
 
@@ -308,6 +328,12 @@
         self.passed_over_until = Some(now + LAGGING_PAUSE);
     }
 
+    /// It had no room for a statement of this gateway.
+    pub(crate) fn note_refused(&mut self, steady: Timestamp, now: Instant) {
+        self.flight_limit.refused(steady);
+        self.note_busy(now);
+    }
+
     pub(crate) fn note_busy(&mut self, now: Instant) {
         self.passed_over_until = Some(now + BUSY_PAUSE);
     }
--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -120,6 +120,7 @@
             session: &self.profile,
             priority: lone.route.rule.priority,
             bound: kind.bound(),
+            needs_slot: true,
             give_up: lone.bounds.give_up,
         };
         let statement = LoneStatement {
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -149,12 +149,14 @@
                 return self.own_failure(ErrorCode::Malformed, "no transaction is open");
             }
         };
+        open.lease.set_resting(false);
         let wrote = access_of(request, shape) == Access::Write;
         let deadline = Instant::now() + open.route.rule.statement_timeout;
         let answer = self.run_open(&mut open, request, shape, deadline).await;
         match answer {
             Ok(answer) if answer.outcome.is_ok() => {
                 open.wrote |= wrote;
+                open.lease.set_resting(true);
                 self.transaction = Transaction::Open(open);
                 Response::of(answer, TransactionState::Open)
             }
@@ -224,6 +226,7 @@
                 session: &self.profile,
                 priority: route.rule.priority,
                 bound,
+                needs_slot: true,
                 give_up: bounds.give_up,
             };
             let acquired = route.group.acquire(&wish).await;
@@ -330,6 +333,7 @@
                 return self.own_failure(ErrorCode::Malformed, "no transaction is open");
             }
         };
+        open.lease.set_resting(false);
         let asked_at = self.shared.now();
         let deadline = Instant::now() + open.route.rule.statement_timeout;
         let answer = pass_on(&mut open.lease, request.into(), None, None, deadline).await;
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -135,6 +135,7 @@
         session: &session,
         priority: wish.priority,
         bound: wish.bound,
+        needs_slot: true,
         give_up: Instant::now() + wish.wait,
     };
     group.acquire(&local).await.map_err(|error| match error {
@@ -162,6 +163,7 @@
         tokio::select! {
             request = frames.next() => match request {
                 Some(Ok(TunnelRequest::Bytes(bytes))) => {
+                    lease.set_resting(false);
                     asked_at = Some(Instant::now());
                     sign_due = Instant::now() + FIRST_SIGN;
                     if lease.connection().write_bytes(&bytes).await.is_err() {
@@ -183,6 +185,7 @@
                     return close(frames).await;
                 }
                 asked_at = None;
+                lease.set_resting(true);
                 let bytes = buffer.split().to_vec();
                 frames.send(TunnelReply::Bytes(bytes)).await.map_err(link_error)?;
             }
--- a/crates/lab/src/scale/node.rs
+++ b/crates/lab/src/scale/node.rs
@@ -202,8 +202,9 @@
 
     async fn perform(&mut self, action: Action) -> Option<Event> {
         match action {
-            Action::Connect(address) => {
-                self.connection = connect(address, &self.counters).await;
+            Action::Connect(addresses) => {
+                let first = addresses.first()?;
+                self.connection = connect(*first, &self.counters).await;
                 Some(if self.connection.is_some() { Event::Connected } else { Event::Disconnected })
             }
             Action::Disconnect => {
--- a/crates/server/src/watch_client/connection.rs
+++ b/crates/server/src/watch_client/connection.rs
@@ -3,20 +3,25 @@
 use corktack_protocol::control::{ControlMessage, ProxyMessage};
 use corktack_protocol::frame::{FrameCodec, FrameError};
 use futures_util::future::{BoxFuture, FutureExt, pending};
+use futures_util::stream::FuturesUnordered;
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 
+/// Time after which the next replica is tried beside one that has not accepted: a round trip between
+/// the users' farthest regions takes 40 ms.
+const CONNECT_STAGGER: Duration = Duration::from_millis(50);
+
 type Frames = Framed<TcpStream, FrameCodec<ProxyMessage, ControlMessage>>;
 
 /// What came of waiting on a connection.
 #[derive(Debug)]
 pub(super) enum Arrival {
-    /// It is open now.
-    Opened,
+    /// It is open now, to this replica.
+    Opened(Option<SocketAddr>),
     /// It could not be opened, or is lost.
     Lost(FrameError),
     /// A message came in.
@@ -34,9 +39,9 @@
 }
 
 impl Connection {
-    /// Starts to open a connection.
-    pub(super) fn open(replica: SocketAddr, limit: Duration) -> Self {
-        Self::Opening(connect(replica, limit).boxed())
+    /// Starts to open a connection to one of the replicas.
+    pub(super) fn open(replicas: Vec<SocketAddr>, limit: Duration) -> Self {
+        Self::Opening(connect_first(replicas, limit).boxed())
     }
 
     /// Waits for the next thing to happen. May be dropped and called again.
@@ -45,8 +50,9 @@
             Self::Closed => pending().await,
             Self::Opening(opening) => match opening.await {
                 Ok(frames) => {
+                    let replica = frames.get_ref().peer_addr().ok();
                     *self = Self::Open(Box::new(frames));
-                    Arrival::Opened
+                    Arrival::Opened(replica)
                 }
                 Err(error) => self.lost(error.into()),
             },
@@ -77,6 +83,27 @@
     }
 }
 
+/// Connects to the first replica that accepts. Each is tried a little after the one before, whether
+/// that has failed or is still silent: a machine that is dark costs little time.
+async fn connect_first(replicas: Vec<SocketAddr>, limit: Duration) -> std::io::Result<Frames> {
+    let mut tries: FuturesUnordered<_> = replicas
+        .into_iter()
+        .zip(0..)
+        .map(|(replica, place)| async move {
+            sleep(CONNECT_STAGGER * place).await;
+            connect(replica, limit).await
+        })
+        .collect();
+    let mut failure = std::io::Error::from(std::io::ErrorKind::AddrNotAvailable);
+    while let Some(connected) = tries.next().await {
+        match connected {
+            Ok(frames) => return Ok(frames),
+            Err(error) => failure = error,
+        }
+    }
+    Err(failure)
+}
+
 async fn connect(replica: SocketAddr, limit: Duration) -> std::io::Result<Frames> {
     let late = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
     let stream = timeout(limit, TcpStream::connect(replica)).await.map_err(late)??;
--- a/crates/server/src/watch_client/state.rs
+++ b/crates/server/src/watch_client/state.rs
@@ -21,6 +21,9 @@
 /// How often the time for a connection is doubled after failures.
 const CONNECT_LIMIT_DOUBLINGS: u32 = 2;
 
+/// Replicas that are tried at the same time for one connection. As many as the users' deployments may
+/// lose at once, and one more.
+const REPLICAS_TRIED: usize = 3;
 /// Replicas that are remembered.
 const REPLICA_LIMIT: usize = 16;
 
@@ -143,8 +146,8 @@
 /// What the shell must do, in order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Open a connection; the one before is closed.
-    Connect(SocketAddr),
+    /// Open a connection to the first of these that accepts one; the one before is closed.
+    Connect(Vec<SocketAddr>),
     /// Close the connection.
     Disconnect,
     /// Send on the open connection.
@@ -271,11 +274,14 @@
     }
 
     fn connect(&mut self, now: Timestamp) -> Action {
-        let replica = self.settings.replicas[self.next_replica % self.settings.replicas.len()];
+        let mut replicas = self.settings.replicas.clone();
+        let first = self.next_replica % replicas.len();
+        replicas.rotate_left(first);
+        replicas.truncate(REPLICAS_TRIED);
         self.next_replica += 1;
         self.phase = Phase::Connecting;
         self.last_proof = now;
-        Action::Connect(replica)
+        Action::Connect(replicas)
     }
 
     /// Longest wait for a connection: `first` at the first attempt, and twice and four times that
--- a/crates/server/src/watch_client/task.rs
+++ b/crates/server/src/watch_client/task.rs
@@ -111,7 +111,8 @@
         let mut next = Some(first);
         let mut taken = 0;
         while let Some(arrival) = next.take() {
-            self.handle(self.event(arrival)).await;
+            let event = self.event(arrival);
+            self.handle(event).await;
             taken += 1;
             if taken < MESSAGES_BEFORE_PUBLISH {
                 next = self.connection.next().now_or_never();
@@ -120,9 +121,10 @@
         self.publish();
     }
 
-    fn event(&self, arrival: Arrival) -> Event {
+    fn event(&mut self, arrival: Arrival) -> Event {
         match arrival {
-            Arrival::Opened => {
+            Arrival::Opened(replica) => {
+                self.replica = replica;
                 self.metrics.connections.inc();
                 self.metrics.connected.set(1);
                 Event::Connected
@@ -145,11 +147,10 @@
 
     async fn perform(&mut self, action: Action) {
         match action {
-            Action::Connect(replica) => {
-                log::debug!(replica:% = replica; "connecting to control");
+            Action::Connect(replicas) => {
+                log::debug!(replicas:? = replicas; "connecting to control");
                 let limit = self.state.connect_limit(self.connect_timeout);
-                self.replica = Some(replica);
-                self.connection = Connection::open(replica, limit);
+                self.connection = Connection::open(replicas, limit);
             }
             Action::Disconnect => {
                 log::warn!(
