Gateways: holders are reached by raced connections, wait for their first document and connect before the first statement

After a loss of all machines a statement was tried at one holder after the other, 100 ms for each that was not up yet, while a booking may wait 88 ms; a holder without its document said that it holds nothing and was left aside for 500 ms.

Change: holders are tried side by side, half of the longest wait for a connection apart; nothing is sent before one accepts. A holder waits for its first document as long as the statement may. A gateway that comes to hold connections opens one and asks for a position. Debug lines say why a holder did not take a statement and what kept it.

--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -14,6 +14,9 @@
 /// started again is back within a second; one that stays away is out of the view soon.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Part of the longest wait for a connection after which another gateway is tried beside: with it a
+/// gateway at work has nearly always accepted.
+const STAGGER_PART: f64 = 0.5;
 /// Gateways of which something is remembered. The aim is 1,100 gateways in all.
 const REMEMBERED: usize = 4_096;
 
@@ -61,6 +64,13 @@
         self.round_trips.entry(distance).or_default().note(taken);
     }
 
+    /// Time after which another gateway is tried beside one at this distance that has not accepted a
+    /// connection yet.
+    #[must_use]
+    pub fn stagger(&self, distance: Distance) -> Duration {
+        self.round_trip_limit(distance).mul_f64(STAGGER_PART)
+    }
+
     /// Longest wait for a gateway at this distance, beside its own work.
     #[must_use]
     pub fn round_trip_limit(&self, distance: Distance) -> Duration {
--- a/crates/core/tests/peers.rs
+++ b/crates/core/tests/peers.rs
@@ -50,6 +50,8 @@
     (0..50).for_each(|_| peers.note_connected(Distance::SameZone, millis(1)));
     assert_eq!(peers.round_trip_limit(Distance::SameZone), millis(30));
     assert_eq!(peers.round_trip_limit(Distance::OtherRegion), millis(100));
+    assert_eq!(peers.stagger(Distance::SameZone), millis(15));
+    assert_eq!(peers.stagger(Distance::OtherRegion), millis(50), "another is tried beside it");
 }
 
 #[test]
--- a/crates/gateway/src/group/acquire.rs
+++ b/crates/gateway/src/group/acquire.rs
@@ -124,7 +124,24 @@
         match woken {
             Ok(member) => Ok(member.ok()),
             Err(_) if Instant::now() < wish.give_up => Ok(None),
-            Err(_) => Err(AcquireError::NoneFree),
+            Err(_) => {
+                self.explain_wait(wish);
+                Err(AcquireError::NoneFree)
+            }
+        }
+    }
+
+    /// Says what kept a wish from being served in its time.
+    fn explain_wait(&self, wish: &Wish<'_>) {
+        let state = self.state.borrow();
+        let waiting = state.waiting.len();
+        for (name, member) in state.members.iter().filter(|(_, member)| member.limit > 0) {
+            log::debug!(
+                target: LOG_TARGET, group:% = self.name, member:% = name, wish:? = wish.target,
+                waiting, open = member.open, idle = member.idle.len(), resting = member.resting,
+                limit = member.limit;
+                "no room at a member in time"
+            );
         }
     }
 
--- a/crates/gateway/src/group/elsewhere.rs
+++ b/crates/gateway/src/group/elsewhere.rs
@@ -8,7 +8,7 @@
 use crate::metrics::ElsewhereOutcome;
 use crate::run::{LoneStatement, Unanswered};
 use crate::transport::Transport;
-use crate::tunnel::{Granted, RanElsewhere, TunnelError, TunnelWish};
+use crate::tunnel::{Granted, RanElsewhere, TunnelClient, TunnelError, TunnelWish};
 use crate::wire::Wire;
 use corktack_core::gateway::{Holder, ReadPosition};
 use corktack_core::identity::MemberName;
@@ -44,11 +44,12 @@
         holders: &[Holder],
         wish: &Wish<'_>,
     ) -> Result<Located<W>, AcquireError> {
-        for (holder, wait) in tries(holders, wish) {
-            let tunnel_wish = self.tunnel_wish(&member, wish, wait());
+        let mut left = holders.to_vec();
+        while let Some((tunnel, wait)) = self.next_tunnel(&mut left, wish).await {
+            let holder = tunnel.holder();
+            let tunnel_wish = self.tunnel_wish(&member, wish, wait);
             let asked_at = self.now();
-            let granted = self.tunnels.acquire(holder, &tunnel_wish).await;
-            let asked = match granted {
+            let asked = match self.tunnels.acquire(tunnel, &tunnel_wish).await {
                 Ok(granted) => Asked::Answer(granted),
                 Err(TunnelError::Refused(refusal)) => self.refused(&member, holder, refusal),
                 // Nothing was run on a connection that was not granted.
@@ -78,11 +79,13 @@
         deadline: Instant,
     ) -> Result<(Result<Answer, Unanswered>, Option<ReadPosition>), AcquireError> {
         let _place = ForwardedPlace::new(self, member);
-        for (holder, wait) in tries(holders, wish) {
-            let tunnel_wish = self.tunnel_wish(member, wish, wait());
+        let mut left = holders.to_vec();
+        while let Some((tunnel, wait)) = self.next_tunnel(&mut left, wish).await {
+            let holder = tunnel.holder();
+            let tunnel_wish = self.tunnel_wish(member, wish, wait);
             let begun = Begun { asked_at: self.now(), instant: Instant::now() };
             let limit = deadline.saturating_duration_since(begun.instant);
-            let ran = self.tunnels.run(holder, &tunnel_wish, statement.to_request(), limit).await;
+            let ran = self.tunnels.run(tunnel, &tunnel_wish, statement.to_request(), limit).await;
             let asked = match ran {
                 Ok(ran) => Asked::Answer(ran),
                 Err(TunnelError::Refused(refusal)) => self.refused(member, holder, refusal),
@@ -106,7 +109,35 @@
         Err(self.none_elsewhere(member.clone(), wish))
     }
 
-    fn tunnel_wish(&self, member: &MemberName, wish: &Wish<'_>, wait: Duration) -> TunnelWish {
+    /// A tunnel to one of the holders that are left to ask, which is taken off, and how long the wish
+    /// may wait there: half of its time, and all of it at the last one. None when the time is over or
+    /// no holder can be reached.
+    pub(super) async fn next_tunnel(
+        &self,
+        left: &mut Vec<Holder>,
+        wish: &Wish<'_>,
+    ) -> Option<(TunnelClient, Duration)> {
+        let time_left = || wish.give_up.saturating_duration_since(Instant::now());
+        if left.is_empty() || time_left().is_zero() {
+            return None;
+        }
+        let Ok(tunnel) = self.tunnels.reach(left).await else {
+            self.metrics.note_elsewhere(ElsewhereOutcome::NotReached);
+            left.clear();
+            return None;
+        };
+        let holder = tunnel.holder();
+        left.retain(|it| it.address != holder.address);
+        let wait = if left.is_empty() { time_left() } else { time_left() / 2 };
+        Some((tunnel, wait))
+    }
+
+    pub(super) fn tunnel_wish(
+        &self,
+        member: &MemberName,
+        wish: &Wish<'_>,
+        wait: Duration,
+    ) -> TunnelWish {
         TunnelWish {
             group: self.name.clone(),
             member: member.clone(),
@@ -273,22 +304,6 @@
     }
 }
 
-/// The gateways to ask, each with how long a wish may wait there: half of what is left, and all of
-/// it at the last one.
-fn tries(
-    holders: &[Holder],
-    wish: &Wish<'_>,
-) -> impl Iterator<Item = (Holder, impl Fn() -> Duration)> {
-    let give_up = wish.give_up;
-    let count = holders.len();
-    holders.iter().enumerate().filter_map(move |(place, holder)| {
-        let left = move || give_up.saturating_duration_since(Instant::now());
-        let last = place + 1 == count;
-        let due = place == 0 || !left().is_zero();
-        due.then_some((*holder, move || if last { left() } else { left() / 2 }))
-    })
-}
-
 /// A statement that another gateway runs counts at the member while it does.
 struct ForwardedPlace<'g, W: Wire> {
     group: &'g Group<W>,
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -177,9 +177,24 @@
         }
     }
 
-    /// Takes what the registry says now. Members that left get no new work.
-    pub(crate) fn follow(&self, facts: &GroupFacts) {
+    /// Takes what the registry says now. Members that left get no new work; those that this gateway
+    /// holds connections to from now on are connected to before the first statement comes.
+    pub(crate) fn follow(self: &Rc<Self>, facts: &GroupFacts) {
+        let held = self.take_facts(facts);
+        if held.is_empty() {
+            return;
+        }
+        for (name, back_end) in held {
+            self.check(&name, back_end);
+        }
+        self.refresh_position();
+    }
+
+    /// Gives the members that this gateway holds connections to from now on; a place for one
+    /// connection to each is taken.
+    fn take_facts(&self, facts: &GroupFacts) -> Vec<(MemberName, Arc<RegisteredBackEnd>)> {
         let now = Instant::now();
+        let mut held = Vec::new();
         let mut state = self.state.borrow_mut();
         state.members.retain(|name, _| facts.members.contains_key(name));
         for (name, MemberFacts { back_end, share }) in &facts.members {
@@ -187,7 +202,10 @@
             let new = || Member::new(Arc::clone(back_end), distance);
             let member = state.members.entry(name.clone()).or_insert_with(new);
             member.follow(back_end, now);
-            member.share(share);
+            if member.share(share) {
+                member.open += 1;
+                held.push((name.clone(), Arc::clone(back_end)));
+            }
         }
         if state.promotion != facts.promotion {
             state.members.values_mut().for_each(|member| member.detour = Detour::default());
@@ -195,6 +213,7 @@
             state.not_primary_until.clear();
             state.proven_primary = None;
         }
+        held
     }
 
     /// A place in the order of waiters.
--- a/crates/gateway/src/group/positions.rs
+++ b/crates/gateway/src/group/positions.rs
@@ -8,7 +8,6 @@
 use crate::connection::MemberConnection;
 use crate::error::AcquireError;
 use crate::lease::Lease;
-use crate::tunnel::TunnelWish;
 use crate::wire::Wire;
 use corktack_core::gateway::{Holder, ReadBound, ReadPosition, SessionProfile};
 use corktack_core::identity::MemberName;
@@ -71,12 +70,23 @@
     fn refresh_if_due(self: &Rc<Self>, staleness: Duration) {
         let due = staleness.mul_f64(REFRESH_PART);
         let young = self.freshness.borrow().age(self.now()).is_some_and(|age| age < due);
-        if young || self.asking_position.replace(true) {
+        if !young {
+            self.ask_in_background(due.mul_f64(TOLD_PART));
+        }
+    }
+
+    /// Asks for the primary's position before a read needs one.
+    pub(super) fn refresh_position(self: &Rc<Self>) {
+        self.ask_in_background(Duration::ZERO);
+    }
+
+    fn ask_in_background(self: &Rc<Self>, max_age: Duration) {
+        if self.asking_position.replace(true) {
             return;
         }
         let group = Rc::clone(self);
         actix_rt::spawn(async move {
-            group.refresh(Target::Primary, due.mul_f64(TOLD_PART), REFRESH_LIMIT).await;
+            group.refresh(Target::Primary, max_age, REFRESH_LIMIT).await;
             group.asking_position.set(false);
             group.position_asked.notify_waiters();
         });
@@ -151,18 +161,13 @@
         wish: &Wish<'_>,
         max_age: Duration,
     ) {
-        for holder in holders {
-            let wait = wish.give_up.saturating_duration_since(Instant::now());
-            let tunnel_wish = TunnelWish {
-                group: self.name.clone(),
-                member: member.clone(),
-                priority: wish.priority,
-                wait,
-                bound: None,
-            };
+        let mut left = holders.to_vec();
+        while let Some((tunnel, wait)) = self.next_tunnel(&mut left, wish).await {
+            let holder = tunnel.holder();
+            let tunnel_wish = self.tunnel_wish(member, wish, wait);
             let asked_at = self.now();
-            match self.tunnels.ask_position(*holder, &tunnel_wish, max_age).await {
-                Ok(Some(newest)) => return self.note_newest(*holder, asked_at, Some(newest)),
+            match self.tunnels.ask_position(tunnel, &tunnel_wish, max_age).await {
+                Ok(Some(newest)) => return self.note_newest(holder, asked_at, Some(newest)),
                 Ok(None) => (),
                 Err(error) => log::debug!(
                     group:% = self.name, holder:% = holder.address, error:? = error;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -55,6 +55,11 @@
     /// Waits until there is a configuration to go by; says whether there is one.
     pub(crate) async fn document_there(&self) -> bool {
         let until = (Instant::now() + DOCUMENT_LIMIT).max(self.started + FIRST_DOCUMENT_LIMIT);
+        self.document_by(until).await
+    }
+
+    /// Waits for a configuration until this time; says whether there is one.
+    pub(crate) async fn document_by(&self, until: Instant) -> bool {
         while !self.routes.has_document() {
             if timeout_at(until, self.document_came.notified()).await.is_err() {
                 return false;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -130,17 +130,20 @@
         }
     }
 
-    /// Sets this gateway's share of the member.
-    pub(crate) fn share(&mut self, share: &MemberShare) {
+    /// Sets this gateway's share of the member; says whether it holds connections from now on and has
+    /// none yet.
+    pub(crate) fn share(&mut self, share: &MemberShare) -> bool {
         if self.share == *share {
             // The order in which others are asked stays as experience has made it.
-            return;
+            return false;
         }
+        let newly_held = self.share.connections == 0 && share.connections > 0;
         self.share = share.clone();
         self.limit = share.connections;
         self.flight_limit = FlightLimit::new(self.back_end.capacity, share.holder_count);
         self.stand_in_until = None;
         self.holders.replace(&share.others);
+        newly_held && self.open == 0 && self.draining_since.is_none()
     }
 
     /// None of the gateways that hold connections to it answers: this one opens a few of its own.
--- a/crates/gateway/src/tunnel/pool.rs
+++ b/crates/gateway/src/tunnel/pool.rs
@@ -6,13 +6,16 @@
 use corktack_core::gateway::{ConnectionProfile, Holder, HolderChoice, PeerTable};
 use corktack_core::position::Position;
 use corktack_protocol::tunnel::LoneRequest;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep, timeout};
 
 /// Tunnels to one gateway that are kept while nobody uses them.
 const IDLE_TUNNELS: usize = 4;
@@ -35,13 +38,75 @@
         holders.to_ask(self.clock.now(), &self.peers.borrow(), most)
     }
 
+    /// A tunnel to the first of these holders that can be reached. Each is tried a little after the one
+    /// before, whether that has failed or is still silent. Nothing is sent before one is there, so that
+    /// it does not matter who else was tried.
+    pub(crate) async fn reach(
+        self: &Rc<Self>,
+        holders: &[Holder],
+    ) -> Result<TunnelClient, TunnelError> {
+        if let Some(kept) = holders.first().and_then(|first| self.kept(*first)) {
+            return Ok(kept);
+        }
+        let mut delay = Duration::ZERO;
+        let mut tries = FuturesUnordered::new();
+        for holder in holders {
+            tries.push(self.open_after(delay, *holder));
+            delay += self.peers.borrow().stagger(holder.distance);
+        }
+        let mut failure = LinkError::Closed;
+        while let Some(opened) = tries.next().await {
+            match opened {
+                Ok(Ok(tunnel)) => return Ok(tunnel),
+                Ok(Err(error)) => failure = error,
+                // The task ends only with the process.
+                Err(_) => (),
+            }
+        }
+        Err(TunnelError::NotSent(failure))
+    }
+
+    /// Opens a tunnel after some time, if it is still wanted then; one that comes too late is kept.
+    fn open_after(
+        self: &Rc<Self>,
+        delay: Duration,
+        holder: Holder,
+    ) -> oneshot::Receiver<Result<TunnelClient, LinkError>> {
+        let (wanted, opened) = oneshot::channel();
+        let tunnels = Rc::clone(self);
+        actix_rt::spawn(async move {
+            sleep(delay).await;
+            if wanted.is_closed() {
+                return;
+            }
+            let tunnel = tunnels.open(holder).await;
+            if let Err(Ok(unwanted)) = wanted.send(tunnel) {
+                tunnels.keep(unwanted);
+            }
+        });
+        opened
+    }
+
+    /// A kept tunnel, or a new one.
+    async fn open(&self, holder: Holder) -> Result<TunnelClient, LinkError> {
+        if let Some(kept) = self.kept(holder) {
+            return Ok(kept);
+        }
+        let connected = self.connect(holder).await;
+        if let Err(error) = &connected {
+            log::info!(holder:% = holder.address, error:% = error; "gateway cannot be reached");
+            self.peers.borrow_mut().note_unanswered(holder.address, self.clock.now());
+        }
+        connected
+    }
+
     /// Asks a holder for a connection.
     pub(crate) async fn acquire(
         &self,
-        holder: Holder,
+        tunnel: TunnelClient,
         wish: &TunnelWish,
     ) -> Result<Granted, TunnelError> {
-        let tunnel = self.tunnel(holder).await?;
+        let holder = tunnel.holder();
         let granted = tunnel.acquire(wish).await;
         self.note(holder, &granted);
         granted
@@ -50,12 +115,11 @@
     /// Has a holder run a statement.
     pub(crate) async fn run(
         &self,
-        holder: Holder,
+        mut tunnel: TunnelClient,
         wish: &TunnelWish,
         statement: LoneRequest,
         limit: Duration,
     ) -> Result<RanElsewhere, TunnelError> {
-        let mut tunnel = self.tunnel(holder).await?;
         let ran = tunnel.run(wish, statement, limit).await;
         self.ended(tunnel, &ran);
         ran
@@ -64,11 +128,10 @@
     /// Asks a holder for the newest position of a group's primary.
     pub(crate) async fn ask_position(
         &self,
-        holder: Holder,
+        mut tunnel: TunnelClient,
         wish: &TunnelWish,
         max_age: Duration,
     ) -> Result<Option<(Duration, Position)>, TunnelError> {
-        let mut tunnel = self.tunnel(holder).await?;
         let told = tunnel.ask_position(wish, max_age).await;
         self.ended(tunnel, &told);
         told
@@ -95,19 +158,6 @@
         self.peers.borrow_mut().note_unanswered(holder.address, self.clock.now());
     }
 
-    /// A tunnel that nobody uses: a kept one, or a new one.
-    async fn tunnel(&self, holder: Holder) -> Result<TunnelClient, TunnelError> {
-        if let Some(kept) = self.kept(holder) {
-            return Ok(kept);
-        }
-        let connected = self.connect(holder).await;
-        connected.map_err(|error| {
-            log::info!(holder:% = holder.address, error:% = error; "gateway cannot be reached");
-            self.peers.borrow_mut().note_unanswered(holder.address, self.clock.now());
-            TunnelError::NotSent(error)
-        })
-    }
-
     async fn connect(&self, holder: Holder) -> Result<TunnelClient, LinkError> {
         let limit = self.peers.borrow().round_trip_limit(holder.distance);
         let begun = Instant::now();
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -73,8 +73,11 @@
             with_signs(frames, running).await?.unwrap_or_else(TunnelReply::Refused)
         }
         TunnelRequest::Position { group, member, max_age, wait } => {
-            let group = find_group(shared, &group);
-            let told = async { Ok(group?.tell_position(member, max_age, wait).await) };
+            let told = async {
+                shared.document_by(Instant::now() + wait).await;
+                let group = find_group(shared, &group)?;
+                Ok(group.tell_position(member, max_age, wait).await)
+            };
             let told = with_signs(frames, told).await?;
             told.map_or_else(TunnelReply::Refused, TunnelReply::Position)
         }
@@ -128,6 +131,10 @@
     shared: &Shared<W>,
     wish: &TunnelWish,
 ) -> Result<Located<W>, TunnelRefusal> {
+    let begun = Instant::now();
+    let give_up = begun + wish.wait;
+    // In the first moments of a process control is about to tell it what it holds.
+    shared.document_by(give_up).await;
     let group = find_group(shared, &wish.group)?;
     let session = SessionProfile::default();
     let local = Wish {
@@ -136,14 +143,26 @@
         priority: wish.priority,
         bound: wish.bound,
         needs_slot: true,
-        give_up: Instant::now() + wish.wait,
+        give_up,
     };
-    group.acquire(&local).await.map_err(|error| match error {
+    let acquired = group.acquire(&local).await;
+    acquired.map_err(|error| {
+        log::debug!(
+            target: LOG_TARGET, group:% = wish.group, member:% = wish.member, error:% = error,
+            after_ms = begun.elapsed().as_millis() as u64;
+            "statement of another gateway not taken"
+        );
+        refusal_of(&error)
+    })
+}
+
+fn refusal_of(error: &AcquireError) -> TunnelRefusal {
+    match error {
         AcquireError::NoneFree => TunnelRefusal::NoneFree,
         AcquireError::NoPosition => TunnelRefusal::NoPosition,
         AcquireError::Unreachable(_) => TunnelRefusal::Unreachable,
         AcquireError::NoMember | AcquireError::NoHolder(_) => TunnelRefusal::NotHeld,
-    })
+    }
 }
 
 /// Passes bytes both ways until the lease ends. An error says that the tunnel is over; a member's
--- a/crates/gateway/tests/sessions/holders.rs
+++ b/crates/gateway/tests/sessions/holders.rs
@@ -4,6 +4,7 @@
 use crate::caller::Caller;
 use crate::member::Member;
 use crate::world::{BOUNDED, LINEARIZABLE, ONE_SHARE, OWN_WRITES, World};
+use futures_util::future::join_all;
 use rstest::rstest;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -109,3 +110,46 @@
     }
     assert_eq!(primary.texts().iter().filter(|text| *text == "read x").count(), 1);
 }
+
+/// A gateway that just started knows what it holds as soon as control has told it.
+#[actix_rt::test]
+async fn a_holder_without_a_document_is_waited_for() {
+    let (primary, world) = primary_held_by_the_first().await;
+    let mut caller = Caller::start(world.gateways[1], LINEARIZABLE, "a").await;
+    let telling = async {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        world.tell_first();
+    };
+    let (answered, ()) = tokio::join!(caller.query("write x"), telling);
+    assert!(answered.is_success());
+    assert_eq!(primary.texts(), ["write x"]);
+    let served = "corktack_gateway_elsewhere_total{outcome=\"served\"} 1";
+    assert!(world.figures(1).contains(served), "{}", world.figures(1));
+}
+
+async fn primary_held_by_the_first() -> (Member, World) {
+    for number in 1..50 {
+        let primary = Member::start(&format!("m{number}"), true, "1.5").await;
+        let world = World::with_first_untold(&[&primary], 3, ONE_SHARE);
+        if world.holder_of(&primary) == 0 {
+            return (primary, world);
+        }
+    }
+    panic!("the first of three gateways holds the connections to one of fifty members");
+}
+
+/// Three gateways hold the connections; a member that runs three statements at once gets four from each
+/// of them, and the rest waits where it is served by priority.
+#[actix_rt::test]
+async fn a_gateway_has_few_statements_under_way_at_a_member() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::start(&[&primary], 3, 36);
+    let mut callers = Vec::new();
+    for name in ["a", "b", "c", "d", "e", "f", "g", "h"] {
+        callers.push(Caller::start(world.gateways[0], LINEARIZABLE, name).await);
+    }
+    primary.state.borrow_mut().work = Duration::from_millis(30);
+    let answers = join_all(callers.iter_mut().map(|caller| caller.query("write x"))).await;
+    assert!(answers.iter().all(|answered| answered.is_success()), "{answers:?}");
+    assert_eq!(primary.state.borrow().most_running, 4);
+}
--- a/crates/gateway/tests/sessions/member.rs
+++ b/crates/gateway/tests/sessions/member.rs
@@ -40,6 +40,9 @@
     pub gone: bool,
     /// Time that a statement of a caller takes.
     pub work: Duration,
+    /// Statements of callers under way now, and the most there were.
+    pub running: usize,
+    pub most_running: usize,
     /// Connections that may be open.
     pub connection_limit: usize,
     pub open: usize,
@@ -67,6 +70,8 @@
             hides_commits: false,
             gone: false,
             work: Duration::ZERO,
+            running: 0,
+            most_running: 0,
             connection_limit: 10,
             open: 0,
             ran: Vec::new(),
@@ -105,9 +110,11 @@
         loop {
             while let Some(line) = take_line(&mut buffer) {
                 let answer = self.answer(&line, connection, &mut in_transaction);
-                if !line.starts_with("query||") {
+                if line.starts_with("start") {
                     let work = self.state.borrow().work;
                     tokio::time::sleep(work).await;
+                } else if !line.starts_with("query||") {
+                    self.work().await;
                 }
                 match answer {
                     Some(answer) => drop(stream.write_all(answer.as_bytes()).await),
@@ -124,6 +131,17 @@
         }
     }
 
+    async fn work(&self) {
+        let work = {
+            let mut state = self.state.borrow_mut();
+            state.running += 1;
+            state.most_running = state.most_running.max(state.running);
+            state.work
+        };
+        tokio::time::sleep(work).await;
+        self.state.borrow_mut().running -= 1;
+    }
+
     /// The answer to a line; none closes the connection.
     fn answer(&self, line: &str, connection: usize, in_transaction: &mut bool) -> Option<String> {
         let mut state = self.state.borrow_mut();
--- a/crates/gateway/tests/sessions/world.rs
+++ b/crates/gateway/tests/sessions/world.rs
@@ -36,7 +36,7 @@
     pub gateways: Vec<SocketAddr>,
     /// Ends the watch of the gateways when dropped.
     views: watch::Sender<Arc<View>>,
-    _first_views: watch::Sender<Arc<View>>,
+    first_views: watch::Sender<Arc<View>>,
     /// What the gateways tell control of members.
     pub reach: mpsc::UnboundedReceiver<MemberReach>,
     reached: mpsc::UnboundedSender<MemberReach>,
@@ -205,6 +205,17 @@
         Self::launch_cut(bound, view, Some(cut))
     }
 
+    /// Gateways of which the first has no document until [`World::tell_first`].
+    pub fn with_first_untold(members: &[&Member], gateways: usize, max_connections: u32) -> Self {
+        let (bound, view) = Self::prepare(members, gateways, max_connections);
+        Self::launch_cut(bound, view, Some(View::default()))
+    }
+
+    /// Control tells the first gateway what the others know.
+    pub fn tell_first(&self) {
+        self.first_views.send_replace(Arc::clone(&self.views.borrow()));
+    }
+
     fn launch_cut(bound: Vec<Bound>, view: View, first: Option<View>) -> Self {
         let (views, watched) = watch::channel(Arc::new(view));
         let (first_views, first_watched) = match first {
@@ -226,15 +237,7 @@
             gateway.expect("a gateway starts")
         });
         let handles = handles.collect();
-        Self {
-            gateways,
-            _handles: handles,
-            figures,
-            views,
-            _first_views: first_views,
-            reach,
-            reached,
-        }
+        Self { gateways, _handles: handles, figures, views, first_views, reach, reached }
     }
 
     /// The process of a gateway starts anew: same name, no memory, a clock that starts now. Gives
