Identity: callers are known by the keys of tenants, members are told the tenant

What a caller may do is looked up when an operation begins; an unknown key is told UNAUTH and the session ends. Connections to members are opened in a tenant's name and used for that tenant alone; the oldest idle one of another makes room. Tunnels tell the tenant, never the key. A document without tenants is served as before.

--- a/crates/control/tests/formation.rs
+++ b/crates/control/tests/formation.rs
@@ -75,6 +75,7 @@
         priority: 1,
         group: group.clone(),
         attempts: 2,
+        public: false,
     };
     let service = ServiceRule { name: group, max_connections: 10, synchronous_replicas: 0 };
     let document = Document {
@@ -82,6 +83,7 @@
         routes: vec![route],
         services: vec![service],
         limits: DocumentLimits { transaction_idle: Duration::from_secs(3) },
+        tenants: None,
     };
     let source = format!("source of version {version}");
     StoredDocument { document: Arc::new(document), source: source.into() }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod session;
 pub mod state;
 pub mod statement;
+pub mod tenancy;
 pub mod time;
 pub mod view;
 pub mod watch;
--- a/crates/core/src/registry/document.rs
+++ b/crates/core/src/registry/document.rs
@@ -1,8 +1,10 @@
 //! The whole configuration of a deployment as one versioned document.
 
 use crate::identity::GroupName;
+use crate::tenancy::{TenantError, TenantRule, check_tenants};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,6 +40,8 @@
     pub group: GroupName,
     /// Members that a read may be offered to.
     pub attempts: u32,
+    /// Whether callers are served without a key, also where there are tenants.
+    pub public: bool,
 }
 
 /// What is declared of one group of back ends.
@@ -69,17 +73,26 @@
     pub services: Vec<ServiceRule>,
     /// Limits for all routes.
     pub limits: DocumentLimits,
+    /// The tenants; none where callers are served without a key.
+    pub tenants: Option<Vec<TenantRule>>,
 }
 
 /// A document together with the text it was read from, which is given back as it came.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredDocument {
     /// What the text says.
     pub document: Arc<Document>,
-    /// The text.
+    /// The text, which holds callers' keys.
     pub source: Arc<str>,
 }
 
+impl fmt::Debug for StoredDocument {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut text = formatter.debug_struct("StoredDocument");
+        text.field("document", &self.document).finish_non_exhaustive()
+    }
+}
+
 /// Why a document cannot be put in force.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
 pub enum DocumentError {
@@ -109,13 +122,16 @@
         /// The name.
         service: String,
     },
+    /// The tenants cannot be put in force.
+    #[error(transparent)]
+    Tenants(#[from] TenantError),
 }
 
 impl Document {
     /// Checks what the parts of a document say of each other.
     ///
     /// # Errors
-    /// [`DocumentError`], which names the route or service.
+    /// [`DocumentError`], which names the route, service or tenant.
     pub fn check(&self) -> Result<(), DocumentError> {
         let mut services = BTreeSet::new();
         for service in &self.services {
@@ -128,6 +144,7 @@
         for route in &self.routes {
             self.check_route(route, &services, &mut places)?;
         }
+        check_tenants(self.tenants.as_deref().unwrap_or_default())?;
         Ok(())
     }
 
--- a/crates/core/src/statement.rs
+++ b/crates/core/src/statement.rs
@@ -4,6 +4,7 @@
 //! what a member is to run is passed on as it came.
 
 use crate::position::Position;
+use crate::tenancy::ApiKey;
 use serde::{Deserialize, Serialize};
 
 /// What a statement reads or writes.
@@ -86,8 +87,8 @@
     Start {
         /// The database's name.
         database: String,
-        /// Who asks.
-        who: String,
+        /// By what the caller says who it is: any word where nobody asks for a key.
+        key: ApiKey,
     },
     /// A statement.
     Query(Request),
@@ -134,6 +135,8 @@
     UnknownStatement,
     /// No database of this name is served.
     UnknownDatabase,
+    /// The caller's key stands for nobody; nothing ran.
+    Unauthenticated,
     /// The message does not belong here.
     Malformed,
     /// It ran and failed.
--- a/crates/core/tests/registry/support.rs
+++ b/crates/core/tests/registry/support.rs
@@ -31,6 +31,7 @@
         priority: 1,
         group: group(),
         attempts: 2,
+        public: false,
     }
 }
 
@@ -40,6 +41,7 @@
         routes: vec![route("r-1", "db1")],
         services: vec![ServiceRule { name: group(), max_connections: 36, synchronous_replicas: 0 }],
         limits: DocumentLimits { transaction_idle: Duration::from_secs(3) },
+        tenants: None,
     }
 }
 
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -1,12 +1,13 @@
 //! Questions to members on behalf of control, each on a connection of its own.
 
-use crate::dial::dial;
+use crate::dial::{Destination, dial};
 use crate::error::DialError;
 use crate::settings::GatewaySettings;
 use crate::wire::Wire;
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::registry::MemberAnswer;
 use corktack_core::statement::{ErrorCode, OwnStatement};
+use corktack_core::tenancy::Principal;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -55,7 +56,8 @@
 ) -> MemberAnswer {
     let deadline = Instant::now() + QUESTION_LIMIT;
     loop {
-        let dialed = dial(wire, settings, group, member, address).await;
+        let destination = Destination { group, member, address, principal: &Principal::Unnamed };
+        let dialed = dial(wire, settings, destination).await;
         let mut connection = match dialed {
             Ok((connection, _)) => connection,
             Err(DialError::Refused { code: ErrorCode::TooManyConnections, .. }) => {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 use corktack_core::gateway::{ConnectionProfile, SessionProfile};
 use corktack_core::statement::{MemberRequest, OwnStatement, PreparedShape, Reply};
+use corktack_core::tenancy::Principal;
 use tokio::time::{Instant, timeout_at};
 
 /// First size of the buffers.
@@ -30,6 +31,8 @@
     input: BytesMut,
     output: BytesMut,
     pub(crate) profile: ConnectionProfile,
+    /// On whose behalf it was opened.
+    principal: Principal,
     /// Set while an answer is outstanding: the connection may not be used by another.
     unanswered: bool,
     /// When the member last answered.
@@ -37,18 +40,24 @@
 }
 
 impl<W: Wire> MemberConnection<W> {
-    pub(crate) fn new(wire: W, transport: Transport) -> Self {
+    pub(crate) fn new(wire: W, transport: Transport, principal: Principal) -> Self {
         Self {
             wire,
             transport,
             input: BytesMut::with_capacity(BUFFER_BYTES),
             output: BytesMut::with_capacity(BUFFER_BYTES),
             profile: ConnectionProfile::default(),
+            principal,
             unanswered: false,
             answered_at: Instant::now(),
         }
     }
 
+    /// On whose behalf it was opened: statements of others do not run on it.
+    pub(crate) const fn principal(&self) -> &Principal {
+        &self.principal
+    }
+
     /// Whether every answer asked for has come.
     pub(crate) const fn is_settled(&self) -> bool {
         !self.unanswered
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -7,22 +7,30 @@
 use crate::wire::Wire;
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::statement::{MemberRequest, ReadyState, Reply};
+use corktack_core::tenancy::{Principal, TenantName};
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+/// The member that a connection is opened to, and on whose behalf.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Destination<'d> {
+    pub(crate) group: &'d GroupName,
+    pub(crate) member: &'d MemberName,
+    pub(crate) address: SocketAddr,
+    pub(crate) principal: &'d Principal,
+}
+
 /// Opens a connection and waits until the member is ready for statements.
 pub(crate) async fn dial<W: Wire>(
     wire: &W,
     settings: &GatewaySettings,
-    group: &GroupName,
-    member: &MemberName,
-    address: SocketAddr,
+    destination: Destination<'_>,
 ) -> Result<(MemberConnection<W>, ReadyState), DialError> {
-    let stream = timeout(settings.connect_timeout, TcpStream::connect(address)).await;
+    let stream = timeout(settings.connect_timeout, TcpStream::connect(destination.address)).await;
     let stream = stream.map_err(|_| DialError::Unreachable(LinkError::TimedOut))?;
     let stream = stream.map_err(|error| DialError::Unreachable(LinkError::Io(error)))?;
-    let opening = open(wire, settings, group, member, stream);
+    let opening = open(wire, settings, destination, stream);
     let opened = timeout(settings.dial_timeout, opening).await;
     opened.map_err(|_| DialError::Link(LinkError::TimedOut))?.map_err(DialError::of_opening)
 }
@@ -30,15 +38,15 @@
 async fn open<W: Wire>(
     wire: &W,
     settings: &GatewaySettings,
-    group: &GroupName,
-    member: &MemberName,
+    Destination { group, member, principal, .. }: Destination<'_>,
     stream: TcpStream,
 ) -> Result<(MemberConnection<W>, ReadyState), DialError> {
     tune(&stream, settings).map_err(LinkError::Io)?;
-    let mut connection = MemberConnection::new(wire.clone(), Transport::Direct(stream));
+    let mut connection =
+        MemberConnection::new(wire.clone(), Transport::Direct(stream), principal.clone());
     let start = MemberRequest::Start {
         group: group.as_str(),
-        who: settings.name.as_str(),
+        who: principal.tenant().map_or(settings.name.as_str(), TenantName::as_str),
         member: member.as_str(),
     };
     connection.send(&start).await?;
--- a/crates/gateway/src/group/acquire.rs
+++ b/crates/gateway/src/group/acquire.rs
@@ -3,7 +3,7 @@
 use super::choice::Step;
 use super::{Group, LOG_TARGET, Located, Place, Target, Wish};
 use crate::connection::MemberConnection;
-use crate::dial::dial;
+use crate::dial::{Destination, dial};
 use crate::error::{AcquireError, DialError, LinkError};
 use crate::lease::Lease;
 use crate::wire::Wire;
@@ -11,6 +11,7 @@
 use corktack_core::identity::MemberName;
 use corktack_core::registry::RegisteredBackEnd;
 use corktack_core::statement::ErrorCode;
+use corktack_core::tenancy::Principal;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -55,7 +56,7 @@
             match self.next_step(wish) {
                 Step::Use(member, connection) => return Ok(here(self.leased(member, connection))),
                 Step::Dial(member, back_end) => {
-                    return self.open(member, &back_end).await.map(here);
+                    return self.open(member, &back_end, wish.principal).await.map(here);
                 }
                 Step::Forward(member, holders) => return Ok(Place::Elsewhere(member, holders)),
                 Step::ForwardAndCheck(member, holders, back_end) => {
@@ -70,7 +71,7 @@
                             return Ok(here(self.leased(member, connection)));
                         }
                         Step::Dial(member, back_end) => {
-                            return self.open(member, &back_end).await.map(here);
+                            return self.open(member, &back_end, wish.principal).await.map(here);
                         }
                         Step::Forward(..)
                         | Step::ForwardAndCheck(..)
@@ -152,9 +153,16 @@
         self: &Rc<Self>,
         member: MemberName,
         back_end: &RegisteredBackEnd,
+        principal: Option<&Principal>,
     ) -> Result<Lease<W>, AcquireError> {
         let place = OpenPlace { group: Rc::clone(self), member: Some(member.clone()) };
-        let dialed = dial(&self.wire, &self.settings, &self.name, &member, back_end.address).await;
+        let destination = Destination {
+            group: &self.name,
+            member: &member,
+            address: back_end.address,
+            principal: principal.unwrap_or(&Principal::Unnamed),
+        };
+        let dialed = dial(&self.wire, &self.settings, destination).await;
         match dialed {
             Ok((connection, _)) => {
                 self.note_reached(&member);
--- a/crates/gateway/src/group/choice.rs
+++ b/crates/gateway/src/group/choice.rs
@@ -134,10 +134,10 @@
     }
 
     fn take(name: MemberName, member: &mut Member<W>, wish: &Wish<'_>) -> Step<W> {
-        if let Some(connection) = member.take_idle(wish.session) {
+        if let Some(connection) = member.take_idle(wish.session, wish.principal) {
             return Step::Use(name, connection);
         }
-        if member.open >= member.limit {
+        if member.open >= member.limit && !member.make_room() {
             return Step::Wait;
         }
         member.open += 1;
--- a/crates/gateway/src/group/elsewhere.rs
+++ b/crates/gateway/src/group/elsewhere.rs
@@ -13,6 +13,7 @@
 use corktack_core::gateway::{Holder, ReadPosition};
 use corktack_core::identity::MemberName;
 use corktack_core::position::Position;
+use corktack_core::tenancy::Principal;
 use corktack_core::time::Timestamp;
 use corktack_protocol::tunnel::{LoneKind, TunnelRefusal};
 use std::rc::Rc;
@@ -59,7 +60,7 @@
                 Asked::Answer(granted) => {
                     self.heard(&member, holder);
                     self.note_newest(holder, asked_at, granted.newest);
-                    return Ok(self.granted(member, granted));
+                    return Ok(self.granted(member, granted, tunnel_wish.principal));
                 }
                 Asked::Next => (),
                 Asked::Over(error) => return Err(error),
@@ -141,6 +142,7 @@
         TunnelWish {
             group: self.name.clone(),
             member: member.clone(),
+            principal: wish.principal.cloned().unwrap_or_default(),
             priority: wish.priority,
             wait,
             bound: wish.bound,
@@ -276,10 +278,15 @@
         }
     }
 
-    fn granted(self: &Rc<Self>, member: MemberName, granted: Granted) -> Located<W> {
+    fn granted(
+        self: &Rc<Self>,
+        member: MemberName,
+        granted: Granted,
+        principal: Principal,
+    ) -> Located<W> {
         self.with_member(&member, |it| it.forwarded += 1);
         let transport = Transport::Tunnel(granted.tunnel);
-        let mut connection = MemberConnection::new(self.wire.clone(), transport);
+        let mut connection = MemberConnection::new(self.wire.clone(), transport, principal);
         connection.profile = granted.profile;
         let lease = Lease::remote(Rc::clone(self), member, connection);
         Located { lease, position: granted.position }
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -23,6 +23,7 @@
 };
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::registry::{Promotion, RegisteredBackEnd};
+use corktack_core::tenancy::Principal;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -77,6 +78,8 @@
 pub(crate) struct Wish<'s> {
     pub(crate) target: Target,
     pub(crate) session: &'s SessionProfile,
+    /// On whose behalf; none for questions of the product's own, which any connection will do for.
+    pub(crate) principal: Option<&'s Principal>,
     pub(crate) priority: u32,
     /// What a read that any member may serve must see.
     pub(crate) bound: Option<ReadBound>,
--- a/crates/gateway/src/group/positions.rs
+++ b/crates/gateway/src/group/positions.rs
@@ -119,6 +119,7 @@
         let wish = Wish {
             target,
             session: &session,
+            principal: None,
             priority: REFRESH_PRIORITY,
             bound: None,
             // The begin and the rollback of a transaction take none.
--- a/crates/gateway/src/group/reach.rs
+++ b/crates/gateway/src/group/reach.rs
@@ -65,7 +65,7 @@
         let (group, name) = (Rc::clone(self), name.clone());
         actix_rt::spawn(async move {
             // The connection goes to the idle ones, or says that the member cannot be reached.
-            drop(group.open(name, &back_end).await);
+            drop(group.open(name, &back_end, None).await);
         });
     }
 
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -8,6 +8,7 @@
     Detour, FlightLimit, HolderChoice, MemberLoad, SessionProfile, Silence,
 };
 use corktack_core::registry::{BackEndState, RegisteredBackEnd};
+use corktack_core::tenancy::Principal;
 use corktack_core::time::Timestamp;
 use corktack_protocol::tunnel::MemberLoadReport;
 use std::sync::Arc;
@@ -252,11 +253,19 @@
         self.told = Some((f64::from(report.waiting_percent) / 100.0, Instant::now()));
     }
 
-    /// Takes the idle connection that is nearest to the session's values.
-    pub(crate) fn take_idle(&mut self, session: &SessionProfile) -> Option<MemberConnection<W>> {
+    /// Takes the idle connection that is nearest to the session's values, among those that were opened
+    /// on behalf of this principal.
+    pub(crate) fn take_idle(
+        &mut self,
+        session: &SessionProfile,
+        principal: Option<&Principal>,
+    ) -> Option<MemberConnection<W>> {
+        let may_use = |idle: &IdleConnection<W>| {
+            principal.is_none_or(|principal| idle.connection.principal() == principal)
+        };
         while !self.idle.is_empty() {
             // The last one used comes first among equals, so that the others may rest.
-            let places = self.idle.iter().enumerate().rev();
+            let places = self.idle.iter().enumerate().rev().filter(|(_, idle)| may_use(idle));
             let distance = |idle: &IdleConnection<W>| idle.connection.profile.distance(session);
             let nearest = places.min_by_key(|(_, idle)| distance(idle));
             let place = nearest.map(|(place, _)| place)?;
@@ -269,6 +278,17 @@
         None
     }
 
+    /// Closes the idle connection that has rested longest, for one on behalf of somebody else; says
+    /// whether there was one.
+    pub(crate) fn make_room(&mut self) -> bool {
+        if self.idle.is_empty() {
+            return false;
+        }
+        self.idle.remove(0).connection.terminate();
+        self.open -= 1;
+        true
+    }
+
     pub(crate) fn close_unused(&mut self, now: Instant) {
         while self.idle.len() > IDLE_KEPT && now - self.idle[0].since >= IDLE_LIMIT {
             self.idle.remove(0).connection.terminate();
--- a/crates/gateway/src/routes/mod.rs
+++ b/crates/gateway/src/routes/mod.rs
@@ -11,6 +11,8 @@
 use corktack_core::gateway::GatewayPlace;
 use corktack_core::identity::GroupName;
 use corktack_core::registry::{Document, RouteRule};
+use corktack_core::statement::ErrorCode;
+use corktack_core::tenancy::{ApiKey, Principal, TenantDirectory};
 use corktack_core::view::View;
 use membership::Membership;
 use std::cell::RefCell;
@@ -28,6 +30,34 @@
     pub(crate) transaction_idle: Duration,
 }
 
+/// What a caller may do now.
+#[derive(Clone)]
+pub(crate) struct Admitted<W: Wire> {
+    pub(crate) route: Route<W>,
+    /// On whose behalf its statements are run.
+    pub(crate) principal: Principal,
+}
+
+/// Why a caller may do nothing. Its key is not told.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum NotAdmitted {
+    /// No route has the database's name.
+    #[error("{0}")]
+    UnknownDatabase(String),
+    /// The route asks for a key, and the caller's stands for nobody.
+    #[error("the key stands for nobody")]
+    UnknownKey,
+}
+
+impl NotAdmitted {
+    pub(crate) const fn code(&self) -> ErrorCode {
+        match self {
+            Self::UnknownDatabase(_) => ErrorCode::UnknownDatabase,
+            Self::UnknownKey => ErrorCode::Unauthenticated,
+        }
+    }
+}
+
 /// The routes in force.
 pub(crate) struct Routes<W: Wire> {
     wire: W,
@@ -36,6 +66,8 @@
     groups: RefCell<BTreeMap<GroupName, Rc<Group<W>>>>,
     routes: RefCell<BTreeMap<String, Route<W>>>,
     document: RefCell<Option<Arc<Document>>>,
+    /// The tenants in force; none where callers are served without a key.
+    tenants: RefCell<Option<TenantDirectory>>,
     reach: mpsc::UnboundedSender<MemberReach>,
     tunnels: Rc<Tunnels>,
     clock: SteadyClock,
@@ -59,6 +91,7 @@
             groups: RefCell::default(),
             routes: RefCell::default(),
             document: RefCell::default(),
+            tenants: RefCell::default(),
             reach,
             tunnels: Rc::new(Tunnels::new(clock)),
             clock,
@@ -71,9 +104,24 @@
         self.document.borrow().is_some()
     }
 
-    /// The route of a database name in force now.
-    pub(crate) fn find(&self, database: &str) -> Option<Route<W>> {
-        self.routes.borrow().get(database).cloned()
+    /// What a caller that shows this key may do on a database now.
+    pub(crate) fn admit(&self, database: &str, key: &ApiKey) -> Result<Admitted<W>, NotAdmitted> {
+        let routes = self.routes.borrow();
+        let unknown = || NotAdmitted::UnknownDatabase(database.to_owned());
+        let route = routes.get(database).ok_or_else(unknown)?;
+        let principal = self.principal(&route.rule, key)?;
+        Ok(Admitted { route: route.clone(), principal })
+    }
+
+    fn principal(&self, rule: &RouteRule, key: &ApiKey) -> Result<Principal, NotAdmitted> {
+        let tenants = self.tenants.borrow();
+        match tenants.as_ref().filter(|_| !rule.public) {
+            None => Ok(Principal::Unnamed),
+            Some(tenants) => {
+                let tenant = tenants.holder(key).ok_or(NotAdmitted::UnknownKey)?;
+                Ok(Principal::Tenant(tenant.clone()))
+            }
+        }
     }
 
     /// Puts a view in force.
@@ -134,6 +182,14 @@
         )
     }
 
+    fn follow_tenants(&self, document: &Document) {
+        let mut tenants = self.tenants.borrow_mut();
+        match &document.tenants {
+            None => *tenants = None,
+            Some(declared) => tenants.get_or_insert_default().follow(declared),
+        }
+    }
+
     fn follow_document(&self, document: &Arc<Document>) {
         let groups = self.groups.borrow();
         let transaction_idle = document.limits.transaction_idle;
@@ -144,6 +200,7 @@
         };
         let routes = document.routes.iter().filter_map(route).collect();
         *self.routes.borrow_mut() = routes;
+        self.follow_tenants(document);
         *self.document.borrow_mut() = Some(Arc::clone(document));
     }
 }
--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -6,11 +6,12 @@
 use crate::answer::Answer;
 use crate::error::{AcquireError, LinkError};
 use crate::group::{Located, Place, Target, Wish};
-use crate::routes::Route;
+use crate::routes::{Admitted, Route};
 use crate::run::{LoneStatement, PassedStatement, Unanswered};
 use crate::wire::Wire;
 use corktack_core::identity::MemberName;
 use corktack_core::statement::{Access, ErrorCode, PreparedShape, Request, TransactionState};
+use corktack_core::tenancy::Principal;
 use corktack_protocol::tunnel::LoneKind;
 use tokio::time::Instant;
 
@@ -81,6 +82,7 @@
 /// A statement on its way to a member.
 pub(super) struct Lone<'s, W: Wire> {
     route: &'s Route<W>,
+    principal: &'s Principal,
     request: &'s Request,
     shape: Option<&'s PreparedShape>,
     bounds: Bounds,
@@ -90,7 +92,7 @@
     /// Runs a statement outside a transaction.
     pub(super) async fn run_alone(
         &mut self,
-        route: &Route<W>,
+        Admitted { route, principal }: &Admitted<W>,
         request: &Request,
         shape: Option<&PreparedShape>,
     ) -> Response {
@@ -98,7 +100,7 @@
         let rule = &route.rule;
         let group = route.group.name.as_str();
         self.decision.borrow_mut().routed(&rule.name, rule.consistency, group);
-        let lone = Lone { route, request, shape, bounds };
+        let lone = Lone { route, principal, request, shape, bounds };
         if access_of(request, shape) == Access::Write {
             return self.write(&lone).await;
         }
@@ -118,6 +120,7 @@
         let wish = Wish {
             target,
             session: &self.profile,
+            principal: Some(lone.principal),
             priority: lone.route.rule.priority,
             bound: kind.bound(),
             needs_slot: true,
--- a/crates/gateway/src/session/mod.rs
+++ b/crates/gateway/src/session/mod.rs
@@ -11,13 +11,14 @@
 pub(crate) use serve::serve_caller;
 
 use crate::handle::Shared;
-use crate::routes::Route;
+use crate::routes::{Admitted, Route};
 use crate::wire::Wire;
 use corktack_core::gateway::{KnownPosition, OwnPosition, ReadBound, SessionProfile};
 use corktack_core::identity::GroupName;
 use corktack_core::position::Position;
 use corktack_core::registry::Consistency;
 use corktack_core::statement::{ErrorCode, PreparedShape, Request, Statement};
+use corktack_core::tenancy::ApiKey;
 use decision::Decision;
 use response::Response;
 use std::cell::RefCell;
@@ -38,6 +39,8 @@
 pub(crate) struct Session<W: Wire> {
     shared: Rc<Shared<W>>,
     database: String,
+    /// What the caller showed to say who it is.
+    key: ApiKey,
     profile: SessionProfile,
     /// The session's last commit in each group: positions of one say nothing of another.
     own_commits: BTreeMap<GroupName, OwnCommit>,
@@ -47,10 +50,11 @@
 }
 
 impl<W: Wire> Session<W> {
-    fn new(shared: Rc<Shared<W>>, database: String) -> Self {
+    fn new(shared: Rc<Shared<W>>, database: String, key: ApiKey) -> Self {
         Self {
             shared,
             database,
+            key,
             profile: SessionProfile::default(),
             own_commits: BTreeMap::new(),
             transaction: Transaction::None,
@@ -91,9 +95,9 @@
             Err(response) => return response,
         };
         if self.transaction.is_none() {
-            match self.route() {
-                Some(route) => self.run_alone(&route, request, shape.as_ref()).await,
-                None => self.unknown_database(),
+            match self.admitted() {
+                Ok(admitted) => self.run_alone(&admitted, request, shape.as_ref()).await,
+                Err(response) => response,
             }
         } else {
             self.run_inside(request, shape.as_ref()).await
@@ -112,9 +116,12 @@
         }
     }
 
-    /// The route in force now; a change binds from the next transaction on.
-    fn route(&self) -> Option<Route<W>> {
-        self.shared.routes.find(&self.database)
+    /// What the caller may do now: a change of its route or key binds from the next operation on.
+    fn admitted(&self) -> Result<Admitted<W>, Response> {
+        let admitted = self.shared.routes.admit(&self.database, &self.key);
+        admitted.map_err(|refused| {
+            Response::failure(refused.code(), &refused.to_string(), self.transaction.state())
+        })
     }
 
     /// Remembers that a member was asked in vain.
@@ -122,10 +129,6 @@
         self.decision.borrow_mut().attempted(outcome);
     }
 
-    fn unknown_database(&self) -> Response {
-        Response::failure(ErrorCode::UnknownDatabase, &self.database, self.transaction.state())
-    }
-
     /// The product's own success.
     fn own_success(&self) -> Response {
         Response::own_success(self.transaction.state())
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -31,6 +31,8 @@
     Wire,
     /// The gateway stops.
     Stopping,
+    /// The caller's key stands for nobody any longer; it has been told.
+    Unauthenticated,
 }
 
 /// Serves a caller until it goes or the gateway stops.
@@ -64,20 +66,20 @@
     async fn run(&mut self) -> Result<(), Ended> {
         let first = timeout_at(Instant::now() + START_LIMIT, self.receive()).await;
         let first = first.map_err(|_| Ended::Caller)??;
-        let CallerMessage::Start { database, .. } = first else {
+        let CallerMessage::Start { database, key } = first else {
             return self.refuse(ErrorCode::Malformed, "a session begins with its start").await;
         };
         if !self.shared.document_there().await {
             let text = "not run: no configuration yet; retry_after_ms=500";
             return self.refuse(ErrorCode::Busy, text).await;
         }
-        if self.shared.routes.find(&database).is_none() {
-            return self.refuse(ErrorCode::UnknownDatabase, &database).await;
+        if let Err(refused) = self.shared.routes.admit(&database, &key) {
+            return self.refuse(refused.code(), &refused.to_string()).await;
         }
         let ready = ReadyState { state: TransactionState::Idle, position: None };
         self.shared.wire.encode_reply(&Reply::Ready(ready), &mut self.output);
         self.send().await?;
-        let mut session = Session::new(Rc::clone(&self.shared), database);
+        let mut session = Session::new(Rc::clone(&self.shared), database, key);
         self.serve(&mut session).await
     }
 
@@ -98,10 +100,12 @@
         let id = request.id.clone();
         let response = session.handle(request).await;
         let taken = begun.elapsed();
+        let is_known = response.code() != Some(ErrorCode::Unauthenticated);
         self.shared.metrics.note_statement(response.code(), taken);
         self.explain(session, &id, &response, taken);
         response.encode(&self.shared.wire, &mut self.output);
-        self.send().await
+        self.send().await?;
+        if is_known { Ok(()) } else { Err(Ended::Unauthenticated) }
     }
 
     /// Writes the line that explains a statement: of each that failed, and of some others.
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -8,7 +8,7 @@
 use crate::error::AcquireError;
 use crate::group::{Located, Target, Wish};
 use crate::lease::Lease;
-use crate::routes::Route;
+use crate::routes::{Admitted, Route};
 use crate::run::{
     ROLLBACK_LIMIT, Unanswered, align, begin_as_primary, begin_at, pass_on, roll_back_later,
 };
@@ -25,7 +25,7 @@
     /// None is open.
     None,
     /// The caller began one; no member has been asked for anything yet.
-    Begun { access: Access, route: Route<W> },
+    Begun { access: Access, admitted: Admitted<W> },
     /// One is open at a member.
     Open(Box<OpenTransaction<W>>),
     /// It failed and was rolled back; its end is still to come.
@@ -75,7 +75,7 @@
     /// How long it may rest between two statements; none outside a transaction.
     pub(super) fn idle_limit(&self) -> Option<Duration> {
         let route = match self {
-            Self::Begun { route, .. } => route,
+            Self::Begun { admitted, .. } => &admitted.route,
             Self::Open(open) => &open.route,
             Self::None | Self::Failed | Self::RolledBack => return None,
         };
@@ -96,8 +96,11 @@
             self.transaction.fail();
             return self.own_failure(ErrorCode::Malformed, "a transaction is open already");
         }
-        let Some(route) = self.route() else { return self.unknown_database() };
-        self.transaction = Transaction::Begun { access, route };
+        let admitted = match self.admitted() {
+            Ok(admitted) => admitted,
+            Err(response) => return response,
+        };
+        self.transaction = Transaction::Begun { access, admitted };
         self.own_success()
     }
 
@@ -139,8 +142,8 @@
     ) -> Response {
         let mut open = match std::mem::replace(&mut self.transaction, Transaction::Failed) {
             Transaction::Open(open) => open,
-            Transaction::Begun { access, route } => {
-                match self.open_transaction(access, route).await {
+            Transaction::Begun { access, admitted } => {
+                match self.open_transaction(access, admitted).await {
                     Ok(open) => Box::new(open),
                     Err(response) => return response,
                 }
@@ -205,7 +208,7 @@
     async fn open_transaction(
         &self,
         access: Access,
-        route: Route<W>,
+        Admitted { route, principal }: Admitted<W>,
     ) -> Result<OpenTransaction<W>, Response> {
         let bounds = Bounds::of(&route);
         let group = route.group.name.as_str();
@@ -224,6 +227,7 @@
             let wish = Wish {
                 target,
                 session: &self.profile,
+                principal: Some(&principal),
                 priority: route.rule.priority,
                 bound,
                 needs_slot: true,
@@ -320,8 +324,8 @@
     pub(super) async fn commit(&mut self, request: &Request) -> Response {
         let mut open = match std::mem::replace(&mut self.transaction, Transaction::None) {
             Transaction::Open(open) => open,
-            Transaction::Begun { access, route } => {
-                match self.open_transaction(access, route).await {
+            Transaction::Begun { access, admitted } => {
+                match self.open_transaction(access, admitted).await {
                     Ok(open) => Box::new(open),
                     Err(response) => {
                         self.transaction = Transaction::Failed;
--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -9,6 +9,7 @@
 use corktack_core::gateway::{ConnectionProfile, Holder, ReadBound, ReadPosition};
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::position::Position;
+use corktack_core::tenancy::Principal;
 use corktack_protocol::frame::FrameCodec;
 use corktack_protocol::tunnel::{
     LoneRequest, MemberLoadReport, TunnelRefusal, TunnelReply, TunnelRequest,
@@ -29,6 +30,8 @@
 pub(crate) struct TunnelWish {
     pub(crate) group: GroupName,
     pub(crate) member: MemberName,
+    /// On whose behalf.
+    pub(crate) principal: Principal,
     pub(crate) priority: u32,
     /// How long it may wait for a connection.
     pub(crate) wait: Duration,
@@ -111,8 +114,9 @@
 
     /// Asks for a connection. A tunnel on which none was granted ends.
     pub(super) async fn acquire(mut self, wish: &TunnelWish) -> Result<Granted, TunnelError> {
-        let TunnelWish { group, member, priority, wait, bound } = wish.clone();
-        self.send(TunnelRequest::Acquire { group, member, priority, wait, bound }).await?;
+        let TunnelWish { group, member, principal, priority, wait, bound } = wish.clone();
+        let request = TunnelRequest::Acquire { group, member, principal, priority, wait, bound };
+        self.send(request).await?;
         let until = Instant::now() + wait + self.silence_limit;
         match self.reply(until, true).await? {
             TunnelReply::Granted { profile, position, newest } => {
@@ -134,6 +138,7 @@
         let request = TunnelRequest::Run {
             group: wish.group.clone(),
             member: wish.member.clone(),
+            principal: wish.principal.clone(),
             priority: wish.priority,
             wait: wish.wait,
             limit,
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -59,16 +59,16 @@
     request: TunnelRequest,
 ) -> Result<(), LinkError> {
     let reply = match request {
-        TunnelRequest::Acquire { group, member, priority, wait, bound } => {
-            let wish = TunnelWish { group, member, priority, wait, bound };
+        TunnelRequest::Acquire { group, member, principal, priority, wait, bound } => {
+            let wish = TunnelWish { group, member, principal, priority, wait, bound };
             match with_signs(frames, grant(shared, &wish)).await? {
                 Ok(located) => return serve_lease(shared, frames, located).await,
                 Err(refusal) => TunnelReply::Refused(refusal),
             }
         }
-        TunnelRequest::Run { group, member, priority, wait, limit, statement } => {
+        TunnelRequest::Run { group, member, principal, priority, wait, limit, statement } => {
             let bound = statement.kind.bound();
-            let wish = TunnelWish { group, member, priority, wait, bound };
+            let wish = TunnelWish { group, member, principal, priority, wait, bound };
             let running = run(shared, &wish, &statement, limit);
             with_signs(frames, running).await?.unwrap_or_else(TunnelReply::Refused)
         }
@@ -140,6 +140,7 @@
     let local = Wish {
         target: Target::Held(wish.member.clone()),
         session: &session,
+        principal: Some(&wish.principal),
         priority: wish.priority,
         bound: wish.bound,
         needs_slot: true,
--- a/crates/gateway/tests/sessions/caller.rs
+++ b/crates/gateway/tests/sessions/caller.rs
@@ -41,6 +41,18 @@
         caller
     }
 
+    /// As [`Caller::start`], where the gateway refuses: gives what it says before it closes.
+    pub async fn refused(gateway: SocketAddr, database: &str, name: &'static str) -> Vec<String> {
+        let stream = TcpStream::connect(gateway).await.expect("the gateway listens");
+        let caller = Self { stream, buffer: BytesMut::new(), queries: 0, name };
+        caller.answers_to(&format!("start|{database}|{name}\n")).await
+    }
+
+    /// Whether the gateway closes the connection without a word.
+    pub async fn sees_a_close(mut self) -> bool {
+        self.line().await.is_none()
+    }
+
     async fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).await.expect("the gateway reads");
     }
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -8,6 +8,7 @@
 mod restarts;
 mod routing;
 mod state;
+mod tenants;
 mod tunnels;
 mod wire;
 mod world;
--- a/crates/gateway/tests/sessions/member.rs
+++ b/crates/gateway/tests/sessions/member.rs
@@ -46,6 +46,8 @@
     /// Connections that may be open.
     pub connection_limit: usize,
     pub open: usize,
+    /// Who each connection was opened for, in order.
+    pub opened_for: Vec<String>,
     pub ran: Vec<Ran>,
 }
 
@@ -74,6 +76,7 @@
             most_running: 0,
             connection_limit: 10,
             open: 0,
+            opened_for: Vec::new(),
             ran: Vec::new(),
         };
         let member = Self { name: name.to_owned(), address, state: Rc::new(RefCell::new(state)) };
@@ -114,6 +117,13 @@
         upto.map(|ran| ran.text.clone()).collect()
     }
 
+    /// Who the connection of a caller's statement was opened for.
+    pub fn ran_for(&self, id: &str) -> String {
+        let state = self.state.borrow();
+        let ran = state.ran.iter().find(|ran| ran.id == id).expect("the statement ran here");
+        state.opened_for[ran.connection].clone()
+    }
+
     async fn serve(self, mut stream: TcpStream, connection: usize) {
         self.state.borrow_mut().open += 1;
         let mut buffer = BytesMut::new();
@@ -162,7 +172,8 @@
             ["start", ..] if state.open > state.connection_limit => {
                 return Some("error|toomany|no more\n".to_owned());
             }
-            ["start", _, name] if *name == self.name => {
+            ["start", _, who, name] if *name == self.name => {
+                state.opened_for.push((*who).to_owned());
                 return Some(format!("ready|idle|{}.{}\n", state.at.term, state.at.index));
             }
             ["query", id, after, text] => (*id, position(after), *text),
--- /dev/null
+++ b/crates/gateway/tests/sessions/tenants.rs
@@ -0,0 +1,118 @@
+//! Who a caller is by its key, and that members are told the tenant and never the key.
+
+use crate::caller::Caller;
+use crate::member::Member;
+use crate::world::{BOUNDED, LINEARIZABLE, ONE_SHARE, World};
+
+/// Two tenants; the first has two keys.
+const TENANTS: &[(&str, &[&str])] = &[("alfa", &["key-a", "key-b"]), ("beta", &["key-c"])];
+
+async fn primary() -> Member {
+    Member::start("m1", true, "1.5").await
+}
+
+#[actix_rt::test]
+async fn a_key_that_stands_for_nobody_ends_the_session() {
+    let primary = primary().await;
+    let world = World::with_tenants(&[&primary], 1, 36, TENANTS);
+    let answered = Caller::refused(world.gateways[0], LINEARIZABLE, "key-x").await;
+    assert_eq!(answered, ["error|unauth|the key stands for nobody"]);
+    assert!(primary.texts().is_empty());
+}
+
+#[actix_rt::test]
+async fn a_database_that_is_not_there_is_told_whatever_the_key() {
+    let primary = primary().await;
+    let world = World::with_tenants(&[&primary], 1, 36, TENANTS);
+    for key in ["key-a", "key-x"] {
+        let answered = Caller::refused(world.gateways[0], "nowhere", key).await;
+        assert_eq!(answered, ["error|nodb|nowhere"]);
+    }
+}
+
+#[actix_rt::test]
+async fn a_member_is_told_the_tenant_and_never_the_key() {
+    let primary = primary().await;
+    let world = World::with_tenants(&[&primary], 1, 36, TENANTS);
+    for (key, tenant) in [("key-a", "alfa"), ("key-b", "alfa"), ("key-c", "beta")] {
+        let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, key).await;
+        assert!(caller.query("write x").await.is_success());
+        assert_eq!(primary.ran_for(&caller.last_id()), tenant);
+    }
+    let state = primary.state.borrow();
+    let told = state.opened_for.iter().map(String::as_str);
+    // Others are opened for the gateway's own questions.
+    let told: Vec<&str> = told.filter(|who| *who != "g0").collect();
+    assert_eq!(told, ["alfa", "beta"], "two keys of a tenant share its connections");
+}
+
+#[actix_rt::test]
+async fn the_gateway_that_holds_the_connections_tells_the_tenant_too() {
+    let primary = primary().await;
+    let world = World::with_tenants(&[&primary], 2, ONE_SHARE, TENANTS);
+    let other = 1 - world.holder_of(&primary);
+    let mut caller = Caller::start(world.gateways[other], LINEARIZABLE, "key-c").await;
+    assert!(caller.query("write x").await.is_success());
+    assert_eq!(primary.ran_for(&caller.last_id()), "beta");
+    assert!(caller.query("begin").await.is_success());
+    assert!(caller.query("write y").await.is_success());
+    assert_eq!(primary.ran_for(&caller.last_id()), "beta");
+}
+
+#[actix_rt::test]
+async fn where_connections_are_short_one_of_another_tenant_makes_room() {
+    let primary = primary().await;
+    // Of the connections that a member takes two are control's.
+    let world = World::with_tenants(&[&primary], 1, 3, TENANTS);
+    let mut first = Caller::start(world.gateways[0], LINEARIZABLE, "key-a").await;
+    let mut second = Caller::start(world.gateways[0], LINEARIZABLE, "key-c").await;
+    for _ in 0..3 {
+        assert!(first.query("write x").await.is_success());
+        assert_eq!(primary.ran_for(&first.last_id()), "alfa");
+        assert!(second.query("write x").await.is_success());
+        assert_eq!(primary.ran_for(&second.last_id()), "beta");
+    }
+}
+
+#[actix_rt::test]
+async fn a_key_that_is_passed_on_is_served_as_its_new_tenants() {
+    let primary = primary().await;
+    let world = World::with_tenants(&[&primary], 1, 36, TENANTS);
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "key-b").await;
+    assert!(caller.query("write x").await.is_success());
+    world.change_tenants(&[("alfa", &["key-a"]), ("beta", &["key-c", "key-b"])]);
+    assert!(caller.query("write x").await.is_success());
+    assert_eq!(primary.ran_for(&caller.last_id()), "beta");
+}
+
+#[actix_rt::test]
+async fn a_key_that_is_taken_away_ends_the_session_with_its_next_operation() {
+    let primary = primary().await;
+    let world = World::with_tenants(&[&primary], 1, 36, TENANTS);
+    let mut inside = Caller::start(world.gateways[0], LINEARIZABLE, "key-b").await;
+    let mut outside = Caller::start(world.gateways[0], LINEARIZABLE, "key-b").await;
+    assert!(inside.query("begin").await.is_success());
+    assert!(inside.query("write x").await.is_success());
+    world.change_tenants(&[("alfa", &["key-a"]), ("beta", &["key-c"])]);
+    assert_eq!(outside.query("write y").await.code(), "unauth");
+    assert!(outside.sees_a_close().await);
+    // What is under way ends as it began.
+    assert!(inside.query("write z").await.is_success());
+    assert!(inside.query("commit").await.is_success());
+    assert_eq!(inside.query("begin").await.code(), "unauth");
+    assert!(inside.sees_a_close().await);
+    assert_eq!(primary.texts(), ["write x", "write z", "commit"]);
+}
+
+#[actix_rt::test]
+async fn a_public_route_asks_for_no_key() {
+    let primary = primary().await;
+    let world = World::with_tenants(&[&primary], 1, 36, TENANTS);
+    world.make_public(BOUNDED, true);
+    let mut caller = Caller::start(world.gateways[0], BOUNDED, "key-x").await;
+    assert!(caller.query("read x").await.is_success());
+    assert_eq!(primary.ran_for(&caller.last_id()), "g0");
+    world.make_public(BOUNDED, false);
+    assert_eq!(caller.query("read x").await.code(), "unauth");
+    assert!(caller.sees_a_close().await);
+}
--- a/crates/gateway/tests/sessions/wire.rs
+++ b/crates/gateway/tests/sessions/wire.rs
@@ -6,19 +6,21 @@
     Access, CallerMessage, ErrorCode, MemberRequest, MemberStatus, OwnStatement, PreparedShape,
     ReadyState, Reply, Request, Statement, TransactionState,
 };
+use corktack_core::tenancy::ApiKey;
 use corktack_gateway::{Wire, WireError};
 
 /// The wire of the tests.
 #[derive(Clone, Copy, Debug)]
 pub struct TestWire;
 
-const CODES: [(&str, ErrorCode); 10] = [
+const CODES: [(&str, ErrorCode); 11] = [
     ("busy", ErrorCode::Busy),
     ("aborted", ErrorCode::Aborted),
     ("lagging", ErrorCode::Lagging),
     ("readonly", ErrorCode::ReadOnly),
     ("toomany", ErrorCode::TooManyConnections),
     ("nodb", ErrorCode::UnknownDatabase),
+    ("unauth", ErrorCode::Unauthenticated),
     ("timeout", ErrorCode::TimedOut),
     ("indoubt", ErrorCode::InDoubt),
     ("malformed", ErrorCode::Malformed),
@@ -90,8 +92,8 @@
         let Some(line) = take_line(buffer) else { return Ok(None) };
         let fields: Vec<&str> = line.split('|').collect();
         Ok(Some(match fields.as_slice() {
-            ["start", database, who] => {
-                CallerMessage::Start { database: (*database).to_owned(), who: (*who).to_owned() }
+            ["start", database, key] => {
+                CallerMessage::Start { database: (*database).to_owned(), key: ApiKey::new(key) }
             }
             ["query", id, text] => CallerMessage::Query(Request {
                 id: (*id).to_owned(),
@@ -126,7 +128,9 @@
 
     fn encode_request(&self, request: &MemberRequest<'_>, buffer: &mut BytesMut) {
         match request {
-            MemberRequest::Start { group, member, .. } => put(buffer, &["start", group, member]),
+            MemberRequest::Start { group, who, member } => {
+                put(buffer, &["start", group, who, member]);
+            }
             MemberRequest::Forward { id, after, text } => {
                 put(buffer, &["query", id, &position_text(*after), text]);
             }
--- a/crates/gateway/tests/sessions/world.rs
+++ b/crates/gateway/tests/sessions/world.rs
@@ -8,6 +8,7 @@
     BackEndRole, BackEndState, Consistency, Document, DocumentLimits, RegisteredBackEnd, RouteRule,
     ServiceRule,
 };
+use corktack_core::tenancy::{ApiKey, TenantName, TenantRule};
 use corktack_core::view::{ProxyState, ProxyView, Revision, View};
 use corktack_gateway::{Gateway, GatewayHandle, GatewayListeners, GatewaySettings, MemberReach};
 use prometheus_client::registry::Registry;
@@ -71,6 +72,7 @@
         priority: 1,
         group: group(),
         attempts: 2,
+        public: false,
     }
 }
 
@@ -86,9 +88,19 @@
         ],
         services: vec![ServiceRule { name: group(), max_connections, synchronous_replicas: 0 }],
         limits: DocumentLimits { transaction_idle },
+        tenants: None,
     }
 }
 
+fn tenant_rules(tenants: &[(&str, &[&str])]) -> Vec<TenantRule> {
+    let rule = |(name, keys): &(&str, &[&str])| TenantRule {
+        name: TenantName::new(name).expect("a valid name"),
+        keys: keys.iter().map(|key| ApiKey::new(key)).collect(),
+        rate: None,
+    };
+    tenants.iter().map(rule).collect()
+}
+
 fn settings(place: usize, peers: SocketAddr) -> GatewaySettings {
     GatewaySettings {
         name: gateway_name(place),
@@ -155,16 +167,48 @@
         Self::launch(bound, view)
     }
 
+    /// Gateways that serve only callers with the keys of tenants: each tenant has the keys given.
+    pub fn with_tenants(
+        members: &[&Member],
+        gateways: usize,
+        max_connections: u32,
+        tenants: &[(&str, &[&str])],
+    ) -> Self {
+        let (bound, mut view) = Self::prepare(members, gateways, max_connections);
+        let mut document = document(max_connections, LONG);
+        document.tenants = Some(tenant_rules(tenants));
+        view.document = Some(Arc::new(document));
+        Self::launch(bound, view)
+    }
+
+    /// Another document with other tenants is in force.
+    pub fn change_tenants(&self, tenants: &[(&str, &[&str])]) {
+        self.change_document(|document| document.tenants = Some(tenant_rules(tenants)));
+    }
+
+    /// A route asks for no key any more, or does so again.
+    pub fn make_public(&self, name: &str, public: bool) {
+        self.change_document(|document| {
+            let route = document.routes.iter_mut().find(|route| route.name == name);
+            route.expect("a route").public = public;
+        });
+    }
+
+    fn change_document(&self, change: impl FnOnce(&mut Document)) {
+        self.change(|view| {
+            let mut document = Document::clone(view.document.as_ref().expect("a document"));
+            document.version += 1;
+            change(&mut document);
+            view.document = Some(Arc::new(document));
+        });
+    }
+
     /// The route [`OWN_WRITES`] leads to the other group, or back. The gateways, which share the
     /// test's thread, follow before they read anything that is sent to them from now on.
     pub fn move_own_writes(&self, to_other: bool) {
-        self.change(|view| {
-            let held = view.document.as_ref().expect("a document");
-            let mut document = Document::clone(held);
-            document.version += 1;
+        self.change_document(|document| {
             let route = document.routes.iter_mut().find(|route| route.name == OWN_WRITES);
             route.expect("a route").group = if to_other { other_group() } else { group() };
-            view.document = Some(Arc::new(document));
         });
     }
 
--- a/crates/protocol/src/tunnel.rs
+++ b/crates/protocol/src/tunnel.rs
@@ -13,6 +13,7 @@
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::position::Position;
 use corktack_core::statement::{ErrorCode, PreparedShape, ReadyState};
+use corktack_core::tenancy::Principal;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -25,6 +26,8 @@
         group: GroupName,
         /// The member.
         member: MemberName,
+        /// On whose behalf.
+        principal: Principal,
         /// Priority of the statement that waits.
         priority: u32,
         /// How long it may wait.
@@ -45,6 +48,8 @@
         group: GroupName,
         /// The member.
         member: MemberName,
+        /// On whose behalf.
+        principal: Principal,
         /// Priority of the statement.
         priority: u32,
         /// How long it may wait for a connection.
