Connections by tenant: a home for each tenant at a member, shares that add up to the cap

Change: all statements of a tenant at a member go through one holder, chosen by rendezvous hash of tenant and holder's address; the next in the order stands in for one that is gone, and a holder uses an idle connection of its own. Where there are tenants shares add up to the cap and idle connections are kept 10 s. Without tenants nothing changes: as before by construction of the policy (POOLED_FOR_ALL). Tests: 5 of core (order, spread, moves, own place, silence), 2 of sessions.

--- a/crates/core/src/gateway/holders/asking.rs
+++ b/crates/core/src/gateway/holders/asking.rs
@@ -1,7 +1,9 @@
 //! Which holders of a member one gateway asks now.
 
 use super::Holder;
+use super::home::home_weight;
 use crate::gateway::peers::PeerTable;
+use crate::tenancy::TenantName;
 use crate::time::Timestamp;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -41,6 +43,29 @@
         asked.map(|(holder, _)| *holder).take(most).collect()
     }
 
+    /// The holders to ask now for a tenant, its home first. A gateway that holds connections itself gives
+    /// its own address: only those that are before it in the tenant's order are asked.
+    #[must_use]
+    pub fn to_ask_for(
+        &self,
+        tenant: &TenantName,
+        own: Option<SocketAddr>,
+        now: Timestamp,
+        peers: &PeerTable,
+        most: usize,
+    ) -> Vec<Holder> {
+        let own_weight = own.map(|own| home_weight(tenant, own));
+        let weighed = self
+            .to_ask(now, peers, usize::MAX)
+            .into_iter()
+            .map(|holder| (home_weight(tenant, holder.address), holder));
+        let mut before: Vec<_> =
+            weighed.filter(|(weight, _)| own_weight.is_none_or(|own| *weight > own)).collect();
+        before.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        before.truncate(most);
+        before.into_iter().map(|(_, holder)| holder).collect()
+    }
+
     /// A holder said that it does not reach the member, or holds no connections to it.
     pub fn refused(&mut self, address: SocketAddr, now: Timestamp) {
         if let Some(entry) = self.entry(address) {
--- a/crates/core/src/gateway/holders/mod.rs
+++ b/crates/core/src/gateway/holders/mod.rs
@@ -11,10 +11,12 @@
 //! that goes leaves a place only at the members that it held.
 
 mod asking;
+mod home;
 mod order;
 mod quotas;
 
 pub use asking::HolderChoice;
+pub use home::home_weight;
 pub use order::asking_order;
 pub use quotas::{CONNECTIONS_PER_SHARE, holder_count, zone_quotas};
 
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -21,7 +21,7 @@
 };
 pub use holders::{
     CONNECTIONS_PER_SHARE, GatewayPlace, Holder, HolderChoice, HolderTable, MemberNeeds,
-    asking_order, holder_count, zone_quotas,
+    asking_order, holder_count, home_weight, zone_quotas,
 };
 pub use member_choice::{MemberLoad, choose_reader};
 pub use peers::PeerTable;
--- a/crates/core/tests/holders.rs
+++ b/crates/core/tests/holders.rs
@@ -232,3 +232,96 @@
     let busiest = holders.iter().map(|(it, _)| firsts.iter().filter(|first| *first == it).count());
     assert!(busiest.max() <= Some(24), "72 gateways, 6 holders");
 }
+
+mod homes {
+    use super::{address, at_hand};
+    use corktack_core::distance::Distance;
+    use corktack_core::gateway::{Holder, HolderChoice, PeerTable, home_weight};
+    use corktack_core::tenancy::TenantName;
+    use corktack_core::time::Timestamp;
+    use std::collections::BTreeMap;
+    use std::net::SocketAddr;
+
+    fn tenant(number: usize) -> TenantName {
+        TenantName::new(&format!("t{number}")).expect("a valid name")
+    }
+
+    fn holders(numbers: std::ops::Range<usize>) -> HolderChoice {
+        let mut choice = HolderChoice::default();
+        choice.replace(&at_hand(numbers));
+        choice
+    }
+
+    fn order(choice: &HolderChoice, tenant: &TenantName) -> Vec<SocketAddr> {
+        let asked =
+            choice.to_ask_for(tenant, None, Timestamp::ZERO, &PeerTable::default(), usize::MAX);
+        asked.iter().map(|holder| holder.address).collect()
+    }
+
+    #[test]
+    fn the_order_is_the_tenants_and_not_the_asking_gateways() {
+        let forwards = holders(0..4);
+        let mut backwards = HolderChoice::default();
+        let reversed: Vec<Holder> = at_hand(0..4).into_iter().rev().collect();
+        backwards.replace(&reversed);
+        for number in 0..50 {
+            assert_eq!(order(&forwards, &tenant(number)), order(&backwards, &tenant(number)));
+        }
+    }
+
+    #[test]
+    fn homes_spread_over_the_holders() {
+        let choice = holders(0..4);
+        let mut homes = BTreeMap::new();
+        for number in 0..400 {
+            *homes.entry(order(&choice, &tenant(number))[0]).or_insert(0) += 1;
+        }
+        assert_eq!(homes.len(), 4);
+        assert!(homes.values().all(|count| (60..=140).contains(count)), "{homes:?}");
+    }
+
+    #[test]
+    fn only_the_tenants_of_a_holder_that_goes_have_another_home() {
+        let (before, after) = (holders(0..4), holders(0..3));
+        for number in 0..100 {
+            let homes = order(&before, &tenant(number));
+            let left: Vec<_> = homes.iter().copied().filter(|it| *it != address(3)).collect();
+            assert_eq!(order(&after, &tenant(number)), left);
+        }
+    }
+
+    #[test]
+    fn a_holder_asks_only_those_that_come_before_it() {
+        let choice = holders(0..3);
+        let (own, peers) = (address(9), PeerTable::default());
+        for number in 0..100 {
+            let tenant = tenant(number);
+            let asked = choice.to_ask_for(&tenant, Some(own), Timestamp::ZERO, &peers, 9);
+            let own_weight = home_weight(&tenant, own);
+            assert!(asked.iter().all(|it| home_weight(&tenant, it.address) > own_weight));
+            let lighter = order(&choice, &tenant).len() - asked.len();
+            let expected = (0..3).filter(|it| home_weight(&tenant, address(*it)) < own_weight);
+            assert_eq!(lighter, expected.count());
+        }
+    }
+
+    #[test]
+    fn a_home_that_does_not_answer_is_passed_over() {
+        let choice = holders(0..4);
+        let mut peers = PeerTable::default();
+        let homes = order(&choice, &tenant(1));
+        peers.note_unanswered(homes[0], Timestamp::ZERO);
+        let asked = choice.to_ask_for(&tenant(1), None, Timestamp::ZERO, &peers, 1);
+        assert_eq!(asked[0].address, homes[1]);
+        assert_eq!(asked[0].distance, Distance::SameZone);
+    }
+}
+
+/// Holders in the zone of the gateway that asks.
+fn at_hand(numbers: std::ops::Range<usize>) -> Vec<corktack_core::gateway::Holder> {
+    let holder = |number| corktack_core::gateway::Holder {
+        address: address(number),
+        distance: Distance::SameZone,
+    };
+    numbers.map(holder).collect()
+}
--- a/crates/gateway/src/group/choice.rs
+++ b/crates/gateway/src/group/choice.rs
@@ -10,6 +10,7 @@
 use corktack_core::gateway::{DetourStep, Holder, WaitQueue, choose_reader};
 use corktack_core::identity::MemberName;
 use corktack_core::registry::{BackEndRole, Promotion, RegisteredBackEnd};
+use corktack_core::tenancy::Principal;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -62,7 +63,10 @@
         let Some(member) = self.members.get_mut(&name) else { return Step::NoMember };
         member.end_stand_in(now);
         if member.limit == 0 {
-            return Self::forward(name, member, tunnels);
+            return Self::forward(name, member, wish, tunnels);
+        }
+        if let Some(homes) = Self::homes(member, wish, settings, tunnels) {
+            return Step::Forward(name, homes);
         }
         if wish.target == Target::Primary && member.needs_detour(now) {
             return Self::detour(name, member, now, clock, tunnels);
@@ -73,8 +77,33 @@
         Self::take(name, member, wish)
     }
 
-    fn forward(name: MemberName, member: &Member<W>, tunnels: &Tunnels) -> Step<W> {
-        let holders = tunnels.to_ask(&member.holders, HOLDERS_ASKED);
+    /// The gateways that keep the connections of the wish's tenant to a member; none where this one
+    /// does, or has one that is idle.
+    fn homes(
+        member: &Member<W>,
+        wish: &Wish<'_>,
+        settings: &GatewaySettings,
+        tunnels: &Tunnels,
+    ) -> Option<Vec<Holder>> {
+        let tenant = wish.principal?.tenant()?;
+        if matches!(wish.target, Target::Held(_)) || member.has_idle_for(wish.principal) {
+            return None;
+        }
+        let homes =
+            tunnels.to_ask_for(&member.holders, tenant, Some(settings.peers), HOLDERS_ASKED);
+        (!homes.is_empty()).then_some(homes)
+    }
+
+    fn forward(
+        name: MemberName,
+        member: &Member<W>,
+        wish: &Wish<'_>,
+        tunnels: &Tunnels,
+    ) -> Step<W> {
+        let holders = match wish.principal.and_then(Principal::tenant) {
+            Some(tenant) => tunnels.to_ask_for(&member.holders, tenant, None, HOLDERS_ASKED),
+            None => tunnels.to_ask(&member.holders, HOLDERS_ASKED),
+        };
         if holders.is_empty() {
             return Step::NoHolder(name);
         }
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -127,6 +127,8 @@
     pub(crate) others: Vec<Holder>,
     /// All that hold some.
     pub(crate) holder_count: usize,
+    /// How long a connection may rest before it is closed.
+    pub(crate) idle_limit: Duration,
 }
 
 /// A group of back ends as this gateway uses it.
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -38,8 +38,6 @@
 /// How long a refused connection keeps the gateway from asking for more of them.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 
-/// How long a connection may rest before it is closed.
-const IDLE_LIMIT: Duration = Duration::from_millis(800);
 /// Connections that rest for as long as they like.
 const IDLE_KEPT: usize = 1;
 
@@ -50,6 +48,12 @@
     pub(crate) since: Instant,
 }
 
+impl<W: Wire> IdleConnection<W> {
+    fn may_serve(&self, principal: Option<&Principal>) -> bool {
+        principal.is_none_or(|principal| self.connection.principal() == principal)
+    }
+}
+
 /// A member as this gateway uses it.
 #[derive(Debug)]
 pub(crate) struct Member<W: Wire> {
@@ -260,9 +264,7 @@
         session: &SessionProfile,
         principal: Option<&Principal>,
     ) -> Option<MemberConnection<W>> {
-        let may_use = |idle: &IdleConnection<W>| {
-            principal.is_none_or(|principal| idle.connection.principal() == principal)
-        };
+        let may_use = |idle: &IdleConnection<W>| idle.may_serve(principal);
         while !self.idle.is_empty() {
             // The last one used comes first among equals, so that the others may rest.
             let places = self.idle.iter().enumerate().rev().filter(|(_, idle)| may_use(idle));
@@ -278,6 +280,11 @@
         None
     }
 
+    /// Whether there is an idle connection on behalf of this principal.
+    pub(crate) fn has_idle_for(&self, principal: Option<&Principal>) -> bool {
+        self.idle.iter().any(|idle| idle.may_serve(principal))
+    }
+
     /// Closes the idle connection that has rested longest, for one on behalf of somebody else; says
     /// whether there was one.
     pub(crate) fn make_room(&mut self) -> bool {
@@ -290,7 +297,8 @@
     }
 
     pub(crate) fn close_unused(&mut self, now: Instant) {
-        while self.idle.len() > IDLE_KEPT && now - self.idle[0].since >= IDLE_LIMIT {
+        let limit = self.share.idle_limit;
+        while self.idle.len() > IDLE_KEPT && now - self.idle[0].since >= limit {
             self.idle.remove(0).connection.terminate();
             self.open -= 1;
         }
--- a/crates/gateway/src/routes/membership.rs
+++ b/crates/gateway/src/routes/membership.rs
@@ -11,12 +11,30 @@
 use corktack_core::view::{ProxyState, ProxyView, View};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Connections of a member that are left to control's questions.
 const CONTROL_CONNECTIONS: u32 = 2;
-/// How many times its even share of a member's connections a gateway may take: callers are spread
-/// unevenly, and what others leave unused they close. A member that has no more to give says so.
-const SHARE_FACTOR: f64 = 1.25;
+
+/// How connections to members are kept.
+#[derive(Clone, Copy, Debug)]
+struct Pooling {
+    /// How many times its even share of a member's connections a gateway may take.
+    share_factor: f64,
+    /// How long a connection may rest before it is closed.
+    idle_limit: Duration,
+}
+
+/// Any connection serves any statement: a few are enough, and what others leave unused they close.
+/// Callers are spread unevenly, so a gateway may take more than its share; a member that has no more to
+/// give says so. Connections of a machine that lost power fill a member's cap for 3 s: idle ones kept for
+/// 2.5 s served less after power losses (docs/PLATFORM.md).
+const POOLED_FOR_ALL: Pooling =
+    Pooling { share_factor: 1.25, idle_limit: Duration::from_millis(800) };
+/// A connection serves one tenant, and there are more tenants than connections: all are kept until
+/// another tenant needs the room, so that shares must not add up to more than the member takes.
+const POOLED_BY_TENANT: Pooling =
+    Pooling { share_factor: 1.0, idle_limit: Duration::from_secs(10) };
 
 /// The gateways and members of the view in force.
 #[derive(Debug)]
@@ -150,9 +168,10 @@
     /// What is known of a declared group.
     pub(super) fn facts(&self, group: &GroupName, document: &Document) -> GroupFacts {
         let max_connections = document.service(group).map_or(1, |it| it.max_connections);
+        let pooling = if document.tenants.is_some() { POOLED_BY_TENANT } else { POOLED_FOR_ALL };
         let members = self.members.get(group).into_iter().flatten();
         let facts = |(name, back_end): (&MemberName, &Arc<RegisteredBackEnd>)| {
-            let share = self.share(name, max_connections);
+            let share = self.share(name, max_connections, pooling);
             (name.clone(), MemberFacts { back_end: Arc::clone(back_end), share })
         };
         GroupFacts {
@@ -161,15 +180,16 @@
         }
     }
 
-    fn share(&self, member: &MemberName, max_connections: u32) -> MemberShare {
+    fn share(&self, member: &MemberName, max_connections: u32, pooling: Pooling) -> MemberShare {
         let holder_count = self.holders.count(member).max(1);
         let all = max_connections.saturating_sub(CONTROL_CONNECTIONS).max(1);
         let even = f64::from(all) / holder_count as f64;
-        let connections = ((even * SHARE_FACTOR) as usize).clamp(1, all as usize);
+        let connections = ((even * pooling.share_factor) as usize).clamp(1, all as usize);
         MemberShare {
             connections: if self.holders.holds(member) { connections } else { 0 },
             others: self.holders.others(member),
             holder_count,
+            idle_limit: pooling.idle_limit,
         }
     }
 }
--- a/crates/gateway/src/tunnel/pool.rs
+++ b/crates/gateway/src/tunnel/pool.rs
@@ -5,6 +5,7 @@
 use crate::error::LinkError;
 use corktack_core::gateway::{ConnectionProfile, Holder, HolderChoice, PeerTable};
 use corktack_core::position::Position;
+use corktack_core::tenancy::TenantName;
 use corktack_protocol::tunnel::LoneRequest;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -38,6 +39,18 @@
         holders.to_ask(self.clock.now(), &self.peers.borrow(), most)
     }
 
+    /// The holders to ask now for a tenant, its home first; of a gateway that holds connections itself,
+    /// only those before it.
+    pub(crate) fn to_ask_for(
+        &self,
+        holders: &HolderChoice,
+        tenant: &TenantName,
+        own: Option<SocketAddr>,
+        most: usize,
+    ) -> Vec<Holder> {
+        holders.to_ask_for(tenant, own, self.clock.now(), &self.peers.borrow(), most)
+    }
+
     /// A tunnel to the first of these holders that can be reached. Each is tried a little after the one
     /// before, whether that has failed or is still silent. Nothing is sent before one is there, so that
     /// it does not matter who else was tried.
--- a/crates/gateway/tests/sessions/tenants.rs
+++ b/crates/gateway/tests/sessions/tenants.rs
@@ -116,3 +116,31 @@
     assert_eq!(caller.query("read x").await.code(), "unauth");
     assert!(caller.sees_a_close().await);
 }
+
+#[actix_rt::test]
+async fn all_gateways_use_the_same_connection_of_a_tenant() {
+    let primary = primary().await;
+    // Each of the gateways holds connections to the member.
+    let world = World::with_tenants(&[&primary], 3, 36, TENANTS);
+    for key in ["key-a", "key-c"] {
+        for gateway in &world.gateways {
+            let mut caller = Caller::start(*gateway, LINEARIZABLE, key).await;
+            assert!(caller.query("write x").await.is_success());
+        }
+    }
+    let state = primary.state.borrow();
+    let opened = |tenant: &str| state.opened_for.iter().filter(|who| *who == tenant).count();
+    assert_eq!((opened("alfa"), opened("beta")), (1, 1));
+}
+
+#[actix_rt::test]
+async fn another_gateway_stands_in_for_one_that_is_gone() {
+    let primary = primary().await;
+    // Nobody listens at these addresses: whichever is the home of a tenant is not there.
+    let gone = ["127.0.0.1:1", "127.0.0.1:2"].map(|address| address.parse().expect("an address"));
+    let world = World::with_tenants_among(&[&primary], &gone, TENANTS);
+    for key in ["key-a", "key-c"] {
+        let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, key).await;
+        caller.until_served("write x").await;
+    }
+}
--- a/crates/gateway/tests/sessions/world.rs
+++ b/crates/gateway/tests/sessions/world.rs
@@ -308,7 +308,24 @@
 
     /// One gateway among others that are only said to be there, at these addresses.
     pub fn among(members: &[&Member], others: &[SocketAddr], max_connections: u32) -> Self {
-        let (bound, mut view) = Self::prepare(members, 1, max_connections);
+        let (bound, view) = Self::prepare(members, 1, max_connections);
+        Self::launch_among(bound, view, others)
+    }
+
+    /// As [`World::among`], for callers with the keys of tenants.
+    pub fn with_tenants_among(
+        members: &[&Member],
+        others: &[SocketAddr],
+        tenants: &[(&str, &[&str])],
+    ) -> Self {
+        let (bound, mut view) = Self::prepare(members, 1, 36);
+        let mut document = document(36, LONG);
+        document.tenants = Some(tenant_rules(tenants));
+        view.document = Some(Arc::new(document));
+        Self::launch_among(bound, view, others)
+    }
+
+    fn launch_among(bound: Vec<Bound>, mut view: View, others: &[SocketAddr]) -> Self {
         for (place, address) in others.iter().enumerate() {
             let proxy = ProxyView {
                 address: *address,
