Limits over all gateways: allowances that the leader leases, as a model without I/O

Change: the leader gives gateways allowances: operations that may begin in any sliding window. A gateway counts an operation before it is sent on; a lease ends a life after it was asked for, on the gateway's clock; the leader books the most that a gateway may hold, keeps what a process that is gone may have begun for one window, and has a ceiling of what it gives in the log before it exceeds it, so that a new leader knows what others may hold until they report. Reports name the term they are for. Ruled out: an even split over the gateways (a tenant with 3 operations a second has its callers at one or two of 59); counting at connection homes (24 members make 24 homes a tenant: the same sharing with other holders); a tenant's home gateway with a lease from control (one hop more on the path and a second lease for the same bound; the leader's messages are off the path as well). Not wired yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod failover;
 pub mod gateway;
 pub mod identity;
+pub mod limits;
 pub mod map_difference;
 pub mod membership;
 pub mod ownership;
--- /dev/null
+++ b/crates/core/src/limits/messages.rs
@@ -0,0 +1,68 @@
+//! What gateways and the leader say to each other about limits.
+
+use crate::identity::{Incarnation, ProxyName};
+use crate::position::Term;
+use crate::tenancy::TenantName;
+use serde::{Deserialize, Serialize};
+
+/// What a gateway holds of one tenant's limit, and what it could use.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AllowanceWish {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// Operations that it may begin in a window: never more until it gets another allowance.
+    pub held: u64,
+    /// Operations that it could use in a window.
+    pub wanted: u64,
+}
+
+/// From a gateway to the leader of a term.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AllowanceReport {
+    /// The gateway.
+    pub gateway: ProxyName,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Term of the leader that this is for; the gateway takes allowances of no other from now on.
+    pub term: Term,
+    /// Rises with each report of this life.
+    pub sequence: u64,
+    /// Number of the newest grant of this term that the gateway has taken.
+    pub taken: u64,
+    /// Whether the gateway holds nothing beside what is told.
+    pub whole: bool,
+    /// Tenants.
+    pub wishes: Vec<AllowanceWish>,
+}
+
+/// What a gateway may use of one tenant's limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TenantAllowance {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// Operations that the gateway may begin in any window.
+    pub operations: u64,
+    /// Operations that all gateways may begin in a window, by which this was worked out. Where the
+    /// gateway knows a lower limit, the allowance falls in proportion.
+    pub window_limit: u64,
+}
+
+/// From the leader to a gateway, in answer to a report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AllowanceGrant {
+    /// The gateway.
+    pub gateway: ProxyName,
+    /// The life that it is for.
+    pub incarnation: Incarnation,
+    /// Term of the leader.
+    pub term: Term,
+    /// Rises with each grant of a term to a gateway.
+    pub number: u64,
+    /// Sequence of the report that it answers: the life of the allowances counts from when that was
+    /// made.
+    pub answers: u64,
+    /// Whether the leader wants to be told everything that the gateway holds first.
+    pub wants_whole: bool,
+    /// Allowances, each in place of the one before.
+    pub allowances: Vec<TenantAllowance>,
+}
--- /dev/null
+++ b/crates/core/src/limits/mod.rs
@@ -0,0 +1,41 @@
+//! How many operations a tenant may begin, over all gateways together.
+//!
+//! A tenant's rate and burst make its *window limit* `L`: the operations that may begin in any span of
+//! one window ([`LimitBounds::window_limit`]). The leader of the control cell gives gateways
+//! *allowances*: a gateway with the allowance `a` begins at most `a` operations in any window. An
+//! allowance is a lease: it ends [`LimitBounds::allowance_life`] after the gateway asked for it, on the
+//! gateway's own clock.
+//!
+//! # Invariant
+//!
+//! At any moment the allowances that can still be used, and what ones that were taken back may have let
+//! begin within the last window, add up to at most `L`. Then no window holds more than `L` operations.
+//!
+//! It rests on these rules:
+//!
+//! 1. A gateway counts an operation before it sends it to a member, and lowers its allowance at most to
+//!    what it has begun within the last window ([`GatewayLimits`]).
+//! 2. The leader books a gateway with the largest allowance that the gateway may hold: what it reported
+//!    last, and every allowance sent to it that the report did not answer ([`LimitLedger`]).
+//! 3. What a process that is gone may have begun stays booked for one window after that is known, and
+//!    what one that is silent holds until its lease has ended and a window more.
+//! 4. Before the bookings of a tenant exceed its *ceiling*, a higher ceiling is in the log. A new leader
+//!    books the whole ceiling as given by others, and takes off only what gateways report to it.
+//! 5. A report names the term of the leader that it is for. From then on its gateway takes allowances of
+//!    that term only, so that a leader that was replaced gives nothing that the new one does not know.
+//!
+//! Clocks may differ in their origin, and by a hundredth in their rate.
+
+mod account;
+mod bounds;
+mod gateway;
+mod ledger;
+mod messages;
+mod trailing;
+
+pub use account::OverLimit;
+pub use bounds::LimitBounds;
+pub use gateway::GatewayLimits;
+pub use ledger::{CeilingChange, GatewayLife, LimitLedger, default_ceiling};
+pub use messages::{AllowanceGrant, AllowanceReport, AllowanceWish, TenantAllowance};
+pub use trailing::TrailingCount;
--- /dev/null
+++ b/crates/core/src/limits/trailing.rs
@@ -0,0 +1,85 @@
+//! Counts what happened within the last window.
+
+use crate::time::Timestamp;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Slots that a window is counted in.
+const SLOTS_PER_WINDOW: u64 = 50;
+/// Slots that count after the one in which something happened: a window, and one more for a clock that
+/// runs up to a fiftieth too fast. So the count is never too low, and too high by two slots in fifty.
+const SLOTS_COUNTED: u64 = SLOTS_PER_WINDOW + 1;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Slot {
+    number: u64,
+    count: u64,
+}
+
+/// How often something happened within the last window; a little more at most, never less.
+#[derive(Clone, Debug, Default)]
+pub struct TrailingCount {
+    slots: VecDeque<Slot>,
+    total: u64,
+}
+
+impl TrailingCount {
+    fn slot_micros(window: Duration) -> u64 {
+        (window.as_micros() as u64 / SLOTS_PER_WINDOW).max(1)
+    }
+
+    fn slot_of(now: Timestamp, window: Duration) -> u64 {
+        now.as_micros() / Self::slot_micros(window)
+    }
+
+    /// Forgets what is older than the window.
+    fn expire(&mut self, now: Timestamp, window: Duration) {
+        let newest = Self::slot_of(now, window);
+        while let Some(first) = self.slots.front()
+            && first.number + SLOTS_COUNTED < newest
+        {
+            self.total -= first.count;
+            self.slots.pop_front();
+        }
+    }
+
+    /// How often it happened within the window that ends now.
+    pub fn count(&mut self, now: Timestamp, window: Duration) -> u64 {
+        self.expire(now, window);
+        self.total
+    }
+
+    /// It happened now; gives a mark to take it back by.
+    pub fn add(&mut self, now: Timestamp, window: Duration) -> Timestamp {
+        self.expire(now, window);
+        let number = Self::slot_of(now, window);
+        match self.slots.back_mut() {
+            // A clock that stood still for a moment counts on in its newest slot.
+            Some(last) if last.number >= number => last.count += 1,
+            _ => self.slots.push_back(Slot { number, count: 1 }),
+        }
+        self.total += 1;
+        now
+    }
+
+    /// What was counted at this time did not happen after all.
+    pub fn take_back(&mut self, marked: Timestamp, window: Duration) {
+        let number = Self::slot_of(marked, window);
+        let slot = self.slots.iter_mut().find(|slot| slot.number == number);
+        if let Some(slot) = slot.filter(|slot| slot.count > 0) {
+            slot.count -= 1;
+            self.total -= 1;
+        }
+    }
+
+    /// Time until the count falls.
+    #[must_use]
+    pub fn until_lower(&self, now: Timestamp, window: Duration) -> Duration {
+        let Some(first) = self.slots.iter().find(|slot| slot.count > 0) else {
+            return Duration::ZERO;
+        };
+        let slot = Self::slot_micros(window);
+        let gone_at = (first.number + SLOTS_COUNTED + 1) * slot;
+        Duration::from_micros(gone_at.saturating_sub(now.as_micros()))
+    }
+}
--- a/crates/core/src/registry/state.rs
+++ b/crates/core/src/registry/state.rs
@@ -3,6 +3,8 @@
 use super::back_end::{BackEndReport, BackEndState, RegisteredBackEnd};
 use super::document::StoredDocument;
 use crate::identity::{GroupName, MemberName};
+use crate::limits::CeilingChange;
+use crate::tenancy::TenantName;
 use crate::view::Revision;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -36,6 +38,8 @@
         /// The member that shall lead.
         target: MemberName,
     },
+    /// Changes how much of tenants' limits may be given at most.
+    ChangeCeilings(Vec<CeilingChange>),
 }
 
 /// A decision on who leads a group.
@@ -65,6 +69,8 @@
     },
     /// The member named is not one of the group, or is leaving.
     NoSuchMember,
+    /// The ceilings are in the state.
+    CeilingsChanged,
 }
 
 /// A back end with what only the registry needs of it.
@@ -92,6 +98,8 @@
     back_ends: BTreeMap<MemberName, BackEndRecord>,
     departed: BTreeMap<MemberName, Revision>,
     promotions: BTreeMap<GroupName, Promotion>,
+    /// The most that is given of tenants' limits, where it is more than the default.
+    ceilings: BTreeMap<TenantName, u64>,
 }
 
 impl RegistryState {
@@ -109,6 +117,7 @@
             RegistryCommand::Promote { group, target } => {
                 self.promote(revision, group, target, changes)
             }
+            RegistryCommand::ChangeCeilings(ceilings) => self.change_ceilings(ceilings),
         }
     }
 
@@ -203,6 +212,29 @@
         RegistryOutcome::Promoting { fence: revision }
     }
 
+    /// A raise is never below what stands: the one before it may have been made use of.
+    fn change_ceilings(&mut self, changes: Vec<CeilingChange>) -> RegistryOutcome {
+        for change in changes {
+            match change {
+                CeilingChange::Raise(tenant, operations) => {
+                    let ceiling = self.ceilings.entry(tenant).or_default();
+                    *ceiling = operations.max(*ceiling);
+                }
+                CeilingChange::Lower(tenant, Some(operations)) => {
+                    self.ceilings.insert(tenant, operations);
+                }
+                CeilingChange::Lower(tenant, None) => drop(self.ceilings.remove(&tenant)),
+            }
+        }
+        RegistryOutcome::CeilingsChanged
+    }
+
+    /// The most that is given of tenants' limits, where it is more than the default.
+    #[must_use]
+    pub const fn ceilings(&self) -> &BTreeMap<TenantName, u64> {
+        &self.ceilings
+    }
+
     /// The document in force, with its text.
     #[must_use]
     pub const fn document(&self) -> Option<&StoredDocument> {
--- a/crates/core/src/tenancy/directory.rs
+++ b/crates/core/src/tenancy/directory.rs
@@ -1,6 +1,6 @@
 //! Which tenant a key stands for.
 
-use super::{ApiKey, TenantName, TenantRule};
+use super::{ApiKey, TenantName, TenantRate, TenantRule};
 use std::collections::{HashMap, HashSet};
 
 /// The tenants in force, by key and by name. It is kept up from one document to the next: what did
@@ -60,6 +60,11 @@
         self.tenants.get(name)
     }
 
+    /// The tenants whose operations are limited.
+    pub fn rates(&self) -> impl Iterator<Item = (&TenantName, TenantRate)> {
+        self.tenants.iter().filter_map(|(name, tenant)| Some((name, tenant.rate?)))
+    }
+
     /// How many tenants there are.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/sim/src/flags.rs
+++ b/crates/sim/src/flags.rs
@@ -23,5 +23,16 @@
             /// Print everything that happens.
             optional --trace
         }
+        /// Run the limits of tenants over all gateways under faults drawn by seed.
+        cmd limits {
+            /// The seeds, FIRST..END without END, or one seed.
+            required --seeds seeds: String
+            /// Run this deliberately broken variant.
+            optional --variant variant: String
+            /// Threads to share the seeds; one by default.
+            optional --threads threads: usize
+            /// Print the report of every seed, not only of those that fail.
+            optional --verbose
+        }
     }
 }
--- /dev/null
+++ b/crates/sim/src/limits/leader.rs
@@ -0,0 +1,106 @@
+//! A leader of one term: the core's ledger over the state that was committed.
+
+use super::gateway::{Clock, tenant};
+use super::variant::LimitsVariant;
+use corktack_core::limits::{
+    AllowanceGrant, AllowanceReport, CeilingChange, GatewayLife, LimitBounds, LimitLedger,
+};
+use corktack_core::position::Term;
+use corktack_core::tenancy::{TenantName, TenantRate};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What the cell has committed.
+#[derive(Clone, Debug)]
+pub(super) struct Committed {
+    pub(super) lives: BTreeSet<GatewayLife>,
+    pub(super) ceilings: BTreeMap<TenantName, u64>,
+    pub(super) rate: TenantRate,
+}
+
+impl Committed {
+    pub(super) fn change(&mut self, change: CeilingChange) {
+        match change {
+            CeilingChange::Raise(tenant, operations) => {
+                let ceiling = self.ceilings.entry(tenant).or_default();
+                *ceiling = operations.max(*ceiling);
+            }
+            CeilingChange::Lower(tenant, Some(operations)) => {
+                self.ceilings.insert(tenant, operations);
+            }
+            CeilingChange::Lower(tenant, None) => drop(self.ceilings.remove(&tenant)),
+        }
+    }
+
+    /// A life takes the place of the one before it on its machine.
+    pub(super) fn register(&mut self, life: &GatewayLife) {
+        self.lives.retain(|it| it.gateway != life.gateway);
+        self.lives.insert(life.clone());
+    }
+}
+
+/// A leader, which may have been replaced without knowing.
+pub(super) struct Leader {
+    pub(super) term: Term,
+    pub(super) clock: Clock,
+    /// The committed state as this leader has applied it.
+    pub(super) state: Committed,
+    ledger: LimitLedger,
+    /// Changes that are proposed and not applied.
+    pub(super) changing: bool,
+}
+
+impl Leader {
+    pub(super) fn start(
+        now: u64,
+        term: Term,
+        clock: Clock,
+        bounds: LimitBounds,
+        state: Committed,
+        variant: LimitsVariant,
+    ) -> Self {
+        let known = match variant {
+            LimitsVariant::LeaderForgets => (BTreeSet::new(), BTreeMap::from([(tenant(), 0)])),
+            _ => (state.lives.clone(), state.ceilings.clone()),
+        };
+        let ledger = LimitLedger::new(clock.at(now), term, bounds, known.0, known.1);
+        Self { term, clock, state, ledger, changing: false }
+    }
+
+    /// Takes what was committed since.
+    pub(super) fn apply(&mut self, now: u64, state: &Committed) {
+        self.state = state.clone();
+        self.ledger.follow_gateways(self.clock.at(now), &state.lives);
+    }
+
+    pub(super) fn changes_applied(&mut self) {
+        self.changing = false;
+        self.ledger.lowered();
+    }
+
+    /// Answers a report; gives the changes of ceilings that it wants.
+    pub(super) fn take(
+        &mut self,
+        now: u64,
+        report: &AllowanceReport,
+        variant: LimitsVariant,
+    ) -> Option<(AllowanceGrant, Vec<CeilingChange>)> {
+        let life = GatewayLife { gateway: report.gateway.clone(), incarnation: report.incarnation };
+        if !self.state.lives.contains(&life) {
+            return None;
+        }
+        let now = self.clock.at(now);
+        self.ledger.expire(now);
+        let (rate, ceilings) = (self.state.rate, self.state.ceilings.clone());
+        let before_commit = variant == LimitsVariant::CeilingBeforeCommit;
+        let ceiling = |tenant: &TenantName| {
+            if before_commit { Some(u64::MAX) } else { ceilings.get(tenant).copied() }
+        };
+        self.ledger.take_report(now, report, |_| Some(rate), ceiling)
+    }
+
+    pub(super) fn lower(&mut self, now: u64) -> Vec<CeilingChange> {
+        let rate = self.state.rate;
+        let now = self.clock.at(now);
+        self.ledger.lower_ceilings(now, &self.state.ceilings, |_| Some(rate))
+    }
+}
--- /dev/null
+++ b/crates/sim/src/limits/variant.rs
@@ -0,0 +1,32 @@
+//! Ways in which a shell round the core could break the limits; the checker must see each of them.
+
+/// A variant of the shells round the core.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitsVariant {
+    /// As built.
+    Correct,
+    /// The life of an allowance counts from when it arrives.
+    LifeFromArrival,
+    /// A new leader takes it that earlier ones gave nothing.
+    LeaderForgets,
+    /// A ceiling counts as raised before the raise is committed.
+    CeilingBeforeCommit,
+    /// A gateway takes what leaders of earlier terms give.
+    AnyTermTaken,
+    /// A process that starts again goes on as the one before.
+    LifeNotNew,
+    /// A report says that every grant before it was taken.
+    TakenNotTold,
+}
+
+impl LimitsVariant {
+    /// All that are broken.
+    pub const BROKEN: [Self; 6] = [
+        Self::LifeFromArrival,
+        Self::LeaderForgets,
+        Self::CeilingBeforeCommit,
+        Self::AnyTermTaken,
+        Self::LifeNotNew,
+        Self::TakenNotTold,
+    ];
+}
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -1,6 +1,7 @@
 //! Command line of the simulator and the model checker.
 
 mod flags;
+mod limit_seeds;
 mod seeds;
 
 use corktack_sim::model::scenario::{self, Scenario};
@@ -25,6 +26,7 @@
     let passed = match flags.subcommand {
         CorktackSimCmd::Model(model) => check_models(&model)?,
         CorktackSimCmd::Run(run) => seeds::run(&run)?,
+        CorktackSimCmd::Limits(limits) => limit_seeds::run(&limits)?,
     };
     Ok(if passed { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
--- a/crates/sim/src/seeds.rs
+++ b/crates/sim/src/seeds.rs
@@ -25,27 +25,12 @@
     let seeds = parse_seeds(&flags.seeds)?;
     let variant = parse_variant(flags.variant.as_deref())?;
     let begin = Instant::now();
-    let next = AtomicU64::new(seeds.start);
     let totals = Mutex::new(Totals::default());
-    std::thread::scope(|scope| {
-        for _ in 0..flags.threads.unwrap_or(1).max(1) {
-            scope.spawn(|| {
-                loop {
-                    let seed = next.fetch_add(1, Ordering::Relaxed);
-                    if seed >= seeds.end {
-                        return;
-                    }
-                    let report = if flags.trace {
-                        run_traced(seed, variant)
-                    } else {
-                        run_seed(seed, variant)
-                    };
-                    let mut totals = totals.lock().unwrap_or_else(PoisonError::into_inner);
-                    totals.add(&report);
-                    print(flags, &report, variant);
-                }
-            });
-        }
+    for_each_seed(&seeds, flags.threads, |seed| {
+        let report = if flags.trace { run_traced(seed, variant) } else { run_seed(seed, variant) };
+        let mut totals = totals.lock().unwrap_or_else(PoisonError::into_inner);
+        totals.add(&report);
+        print(flags, &report, variant);
     });
     let totals = totals.into_inner().unwrap_or_else(PoisonError::into_inner);
     writeln!(
@@ -64,6 +49,24 @@
     Ok(totals.failed.is_empty())
 }
 
+/// Runs seeds on so many threads, one if not said.
+pub fn for_each_seed(seeds: &Range<u64>, threads: Option<usize>, run: impl Fn(u64) + Sync) {
+    let next = AtomicU64::new(seeds.start);
+    std::thread::scope(|scope| {
+        for _ in 0..threads.unwrap_or(1).max(1) {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= seeds.end {
+                        return;
+                    }
+                    run(seed);
+                }
+            });
+        }
+    });
+}
+
 impl Totals {
     fn add(&mut self, report: &Report) {
         self.events += report.events;
@@ -98,7 +101,8 @@
     }
 }
 
-fn parse_seeds(text: &str) -> Result<Range<u64>, CommandError> {
+/// Reads `FIRST..END` or one seed.
+pub fn parse_seeds(text: &str) -> Result<Range<u64>, CommandError> {
     let parsed = || match text.split_once("..") {
         Some((first, end)) => Some(first.parse().ok()?..end.parse().ok()?),
         None => text.parse::<u64>().ok().map(|seed| seed..seed.saturating_add(1)),
