--- /dev/null
+++ b/crates/control/src/leader/limits.rs
@@ -0,0 +1,185 @@
+//! The limits of tenants, as the leader keeps their books.
+//!
+//! The ledger begins once an entry of the leader's own term is applied: the state then holds everything
+//! that earlier leaders have committed, the ceilings of what they gave among it.
+
+use corktack_core::limits::{
+    AllowanceGrant, AllowanceReport, CeilingChange, GatewayLife, LedgerAnswer, LimitBounds,
+    LimitLedger,
+};
+use corktack_core::position::Term;
+use corktack_core::registry::{Document, RegistryCommand};
+use corktack_core::state::ControlState;
+use corktack_core::state::command::Command;
+use corktack_core::tenancy::{TenantName, TenantRate};
+use corktack_core::time::Timestamp;
+use corktack_core::view::Revision;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Where the ledger stands.
+#[derive(Debug)]
+enum Books {
+    /// No tenant of the document is limited, or nothing was asked for yet.
+    Closed,
+    /// An entry of the own term is proposed.
+    Opening,
+    /// That entry is applied: the ledger begins with the next look at the state.
+    Applied,
+    Open(Box<LimitLedger>),
+}
+
+/// The limits of tenants in one leadership.
+#[derive(Debug)]
+pub(super) struct LeaderLimits {
+    term: Term,
+    bounds: LimitBounds,
+    books: Books,
+    /// The rates of the document followed last.
+    rates: HashMap<TenantName, TenantRate>,
+    document: Option<Arc<Document>>,
+    followed: Option<Revision>,
+    /// Ceilings that should be raised.
+    raises: BTreeMap<TenantName, u64>,
+    /// Whether a proposal's outcome is not known yet.
+    proposed: bool,
+    expiry_due: Timestamp,
+}
+
+/// Time between two looks for what has ended by itself.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
+impl LeaderLimits {
+    pub(super) fn new(term: Term, bounds: LimitBounds) -> Self {
+        Self {
+            term,
+            bounds,
+            books: Books::Closed,
+            rates: HashMap::new(),
+            document: None,
+            followed: None,
+            raises: BTreeMap::new(),
+            proposed: false,
+            expiry_due: Timestamp::ZERO,
+        }
+    }
+
+    /// Follows the state; gives what should be proposed.
+    pub(super) fn advance(&mut self, now: Timestamp, state: &ControlState) -> Option<Command> {
+        self.follow(now, state);
+        if let Books::Open(ledger) = &mut self.books
+            && now >= self.expiry_due
+        {
+            self.expiry_due = now + EXPIRY_INTERVAL;
+            ledger.expire(now);
+        }
+        if self.proposed {
+            return None;
+        }
+        let changes = match &mut self.books {
+            Books::Closed if !self.rates.is_empty() => {
+                self.books = Books::Opening;
+                Vec::new()
+            }
+            Books::Closed | Books::Applied => return None,
+            // The one before was lost.
+            Books::Opening => Vec::new(),
+            Books::Open(ledger) => {
+                let raises = std::mem::take(&mut self.raises);
+                let raises = raises.into_iter().map(|(name, to)| CeilingChange::Raise(name, to));
+                let ceilings = state.registry().ceilings();
+                let lowered =
+                    ledger.lower_ceilings(now, ceilings, |name| self.rates.get(name).copied());
+                let changes: Vec<_> = raises.chain(lowered).collect();
+                if changes.is_empty() {
+                    return None;
+                }
+                changes
+            }
+        };
+        self.proposed = true;
+        Some(Command::Registry(Box::new(RegistryCommand::ChangeCeilings(changes))))
+    }
+
+    fn follow(&mut self, now: Timestamp, state: &ControlState) {
+        let revision = Some(state.view_revision());
+        if self.followed != revision {
+            self.followed = revision;
+            self.follow_document(state);
+            if let Books::Open(ledger) = &mut self.books {
+                ledger.follow_gateways(now, &lives(state));
+            }
+        }
+        if matches!(self.books, Books::Applied) {
+            let ceilings = state.registry().ceilings().clone();
+            log::info!(
+                term = self.term.0, gateways = state.proxies().count(), ceilings = ceilings.len();
+                "the books of tenants' limits are open"
+            );
+            let ledger = LimitLedger::new(now, self.term, self.bounds, lives(state), ceilings);
+            self.books = Books::Open(Box::new(ledger));
+        }
+    }
+
+    fn follow_document(&mut self, state: &ControlState) {
+        let document = state.registry().document().map(|stored| &stored.document);
+        let is_same = match (document, &self.document) {
+            (Some(document), Some(known)) => Arc::ptr_eq(document, known),
+            (None, None) => true,
+            _ => false,
+        };
+        if is_same {
+            return;
+        }
+        self.document = document.cloned();
+        let tenants = document.and_then(|document| document.tenants.as_deref());
+        let rates = tenants.unwrap_or_default().iter();
+        self.rates = rates.filter_map(|it| Some((it.name.clone(), it.rate?))).collect();
+    }
+
+    /// Takes whether the last proposal was applied; where that is not known it is made again.
+    pub(super) fn take_outcome(&mut self, applied: bool) {
+        self.proposed = false;
+        match &mut self.books {
+            Books::Opening if applied => self.books = Books::Applied,
+            Books::Open(ledger) if applied => ledger.lowered(),
+            _ => (),
+        }
+    }
+
+    /// Answers a gateway, and tells others what it needs of theirs.
+    pub(super) fn take_report(
+        &mut self,
+        now: Timestamp,
+        report: &AllowanceReport,
+        state: &ControlState,
+    ) -> Vec<AllowanceGrant> {
+        self.follow(now, state);
+        let Books::Open(ledger) = &mut self.books else { return Vec::new() };
+        // Only lives in the state are given anything: a new leader awaits the reports of those.
+        let stored = state.proxy(&report.gateway);
+        if stored.is_none_or(|stored| stored.incarnation != report.incarnation) {
+            return Vec::new();
+        }
+        let rate_of = |name: &TenantName| self.rates.get(name).copied();
+        let ceiling_of = |name: &TenantName| state.registry().ceilings().get(name).copied();
+        let LedgerAnswer { grants, ceilings } =
+            ledger.take_report(now, report, rate_of, ceiling_of);
+        for change in ceilings {
+            if let CeilingChange::Raise(tenant, operations) = change {
+                let raise = self.raises.entry(tenant).or_default();
+                *raise = operations.max(*raise);
+            }
+        }
+        grants
+    }
+}
+
+fn lives(state: &ControlState) -> BTreeSet<GatewayLife> {
+    let life = |(gateway, proxy): (&_, &corktack_core::view::ProxyView)| GatewayLife {
+        gateway: Clone::clone(gateway),
+        incarnation: proxy.incarnation,
+    };
+    state.proxies().map(life).collect()
+}
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -7,6 +7,7 @@
 
 mod convert;
 mod heard;
+mod limits;
 
 use crate::back_end::{BackEndCall, BackEndResult, BackEnds, Operation};
 use crate::metrics::{Metrics, PhaseLabel};
@@ -17,7 +18,9 @@
     CallTarget, FailoverAction, FailoverManager, FailoverSettings, ProposalId,
 };
 use corktack_core::identity::{GroupName, MemberName, ProxyName};
+use corktack_core::limits::{AllowanceGrant, AllowanceReport, LimitBounds};
 use corktack_core::membership::{Membership, MembershipSettings, PlatformList};
+use corktack_core::position::Term;
 use corktack_core::registry::{PromotionAction, PromotionDuty, PromotionSettings, ReachReport};
 use corktack_core::state::ControlState;
 use corktack_core::state::command::{Command, FailoverStep, Outcome};
@@ -26,6 +29,7 @@
 use corktack_protocol::cell::ProxyReport;
 use corktack_protocol::control::{MemberHealth, Observation};
 use heard::HeardGateways;
+use limits::LeaderLimits;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -45,6 +49,7 @@
     Failover(ProposalId),
     /// What is decided is read from the state.
     Promotion,
+    Limits,
 }
 
 /// A command that the leader's duties want in the log.
@@ -62,6 +67,7 @@
     probe_timeout: Duration,
     back_ends: BackEnds,
     registry: Option<RegistryCaller>,
+    limits: LimitBounds,
     metrics: Metrics,
     /// Counts the times this replica became leader.
     leadership: u64,
@@ -80,6 +86,7 @@
     failover_due: Timestamp,
     promotion: PromotionDuty,
     gateways: HeardGateways,
+    limits: LeaderLimits,
     followed: Option<Revision>,
     observed: HashMap<ObservationKey, MemberHealth>,
     begun: HashMap<GroupName, Timestamp>,
@@ -104,19 +111,23 @@
             probe_timeout: settings.probe_timeout,
             back_ends,
             registry,
+            limits: settings.limits,
             metrics,
             leadership: 0,
             leading: None,
         }
     }
 
-    /// Begins or ends the duties with the leadership.
-    pub(crate) fn follow_role(&mut self, now: Timestamp, leads: bool) {
-        if !leads {
+    /// Begins or ends the duties with the leadership of a term.
+    pub(crate) fn follow_role(&mut self, now: Timestamp, leads: Option<Term>) {
+        let Some(term) = leads else {
             self.leading = None;
-        } else if self.leading.is_none() {
+            return;
+        };
+        if self.leading.is_none() {
             self.leadership += 1;
-            self.leading = Some(Leading::new(now, &self.membership, &self.failover));
+            let limits = LeaderLimits::new(term, self.limits);
+            self.leading = Some(Leading::new(now, &self.membership, &self.failover, limits));
         }
     }
 
@@ -138,6 +149,9 @@
         for command in leading.membership_commands(now, state) {
             propose(Duty::Membership, command);
         }
+        if let Some(command) = leading.limits.advance(now, state) {
+            propose(Duty::Limits, command);
+        }
         let mut calls = Vec::new();
         for action in leading.failover_actions(now, state) {
             match action {
@@ -187,6 +201,7 @@
         match id.duty {
             Duty::Membership => leading.take_membership_outcome(now),
             Duty::Promotion => (),
+            Duty::Limits => leading.limits.take_outcome(outcome.is_some()),
             Duty::Failover(proposal) => leading.take_failover_outcome(now, proposal, outcome),
         }
     }
@@ -206,6 +221,17 @@
         }
     }
 
+    /// Answers what a gateway holds of tenants' limits, and tells others.
+    pub(crate) fn take_allowances(
+        &mut self,
+        now: Timestamp,
+        report: &AllowanceReport,
+        state: &ControlState,
+    ) -> Vec<AllowanceGrant> {
+        let leading = self.leading.as_mut();
+        leading.map_or_else(Vec::new, |it| it.limits.take_report(now, report, state))
+    }
+
     /// Takes a back end's answer. One to an earlier leadership names a term that
     /// the failover manager does not act on.
     pub(crate) fn take_answer(&mut self, now: Timestamp, result: BackEndResult) {
@@ -251,7 +277,12 @@
 }
 
 impl Leading {
-    fn new(now: Timestamp, membership: &MembershipSettings, failover: &FailoverSettings) -> Self {
+    fn new(
+        now: Timestamp,
+        membership: &MembershipSettings,
+        failover: &FailoverSettings,
+        limits: LeaderLimits,
+    ) -> Self {
         Self {
             membership: Membership::new(membership.clone(), now),
             membership_due: now,
@@ -260,6 +291,7 @@
             failover_due: now,
             promotion: PromotionDuty::new(PromotionSettings::default()),
             gateways: HeardGateways::new(now),
+            limits,
             followed: None,
             observed: HashMap::new(),
             begun: HashMap::new(),
--- a/crates/control/src/node/handle.rs
+++ b/crates/control/src/node/handle.rs
@@ -8,6 +8,7 @@
 use crate::registry_calls::RegistryAnswer;
 use corktack_core::consensus::{CellChange, CellConfig, CellMember, Rejection};
 use corktack_core::identity::{Incarnation, ProxyName, ReplicaId};
+use corktack_core::limits::AllowanceReport;
 use corktack_core::membership::PlatformList;
 use corktack_core::state::ControlState;
 use corktack_core::state::command::{Command, Outcome};
@@ -79,6 +80,8 @@
     ProxyRevisions(oneshot::Sender<ProxyRevisions>),
     /// Proxies that are connected here.
     Reports(Vec<ProxyReport>),
+    /// What a proxy that is connected here holds of tenants' limits.
+    Allowances(AllowanceReport),
     /// A back end's answer to the leader.
     BackEnd(BackEndResult),
     /// The platform's list was polled.
--- a/crates/control/src/node/inputs.rs
+++ b/crates/control/src/node/inputs.rs
@@ -8,6 +8,7 @@
 use crate::leader::DutyProposal;
 use corktack_core::consensus::{Event, Message, Rejection, Role};
 use corktack_core::identity::ReplicaId;
+use corktack_core::limits::AllowanceReport;
 use corktack_protocol::cell::{ProxyReport, ProxyRevision};
 use corktack_protocol::frame::{decode, encode};
 use tokio::sync::oneshot;
@@ -25,6 +26,7 @@
             NodeInput::Peek(task) => self.run_reads(vec![task]),
             NodeInput::ProxyRevisions(reply) => self.query_revisions(reply),
             NodeInput::Reports(reports) => self.take_own_reports(reports),
+            NodeInput::Allowances(report) => self.take_own_allowances(report),
             NodeInput::BackEnd(result) => {
                 self.parts.duties.take_answer(self.parts.clock.now(), result);
             }
@@ -45,6 +47,10 @@
         match message {
             PeerMessage::Consensus(message) => batch.events.push(Event::Message { from, message }),
             PeerMessage::Proxies { reports } => self.take_reports(reports),
+            PeerMessage::AllowanceReport(report) => {
+                self.answer_allowances(Some(from), &report);
+            }
+            PeerMessage::AllowanceGrant(grant) => self.parts.proxies.grant(grant),
             PeerMessage::Join { member } => self.take_join(member),
             PeerMessage::Forward { request, command } => {
                 batch.events.extend(self.take_forward(from, request, &command));
@@ -166,6 +172,30 @@
         self.parts.duties.take_reports(self.parts.clock.now(), reports, &self.parts.state);
     }
 
+    /// A report that is lost, or that comes to a replica which does not lead, is made good by the
+    /// next one.
+    fn take_own_allowances(&mut self, report: AllowanceReport) {
+        if self.leads() {
+            self.answer_allowances(None, &report);
+        } else if let Some(leader) = self.parts.replica.leader() {
+            self.parts.links.send(leader, PeerMessage::AllowanceReport(report));
+        }
+    }
+
+    /// Answers a report that came through another replica, or from a proxy that is connected here.
+    fn answer_allowances(&mut self, through: Option<ReplicaId>, report: &AllowanceReport) {
+        let now = self.parts.clock.now();
+        self.grant_routes.insert(report.gateway.clone(), through);
+        for grant in self.parts.duties.take_allowances(now, report, &self.parts.state) {
+            match self.grant_routes.get(&grant.gateway) {
+                Some(Some(replica)) => {
+                    self.parts.links.send(*replica, PeerMessage::AllowanceGrant(grant));
+                }
+                _ => self.parts.proxies.grant(grant),
+            }
+        }
+    }
+
     fn query_revisions(&mut self, reply: oneshot::Sender<ProxyRevisions>) {
         if self.leads() {
             drop(reply.send(self.proxy_revisions.clone()));
--- a/crates/control/src/node/thread.rs
+++ b/crates/control/src/node/thread.rs
@@ -11,8 +11,9 @@
 use crate::feed::Feed;
 use crate::leader::LeaderDuties;
 use crate::metrics::Metrics;
+use crate::proxies::ProxyTable;
 use corktack_core::consensus::{Action, Event, Message, Replica, Role};
-use corktack_core::identity::ReplicaId;
+use corktack_core::identity::{ProxyName, ReplicaId};
 use corktack_core::registry::CellRepair;
 use corktack_core::state::ControlState;
 use corktack_core::time::Timestamp;
@@ -38,6 +39,8 @@
     pub(crate) links: Links,
     pub(crate) feed: Feed,
     pub(crate) duties: LeaderDuties,
+    /// The proxies that are connected here.
+    pub(crate) proxies: ProxyTable,
     pub(crate) cell_repair: Option<CellRepair>,
     pub(crate) status: watch::Sender<NodeStatus>,
     pub(crate) metrics: Metrics,
@@ -62,6 +65,8 @@
     pub(super) proxy_revisions: ProxyRevisions,
     pub(super) revision_queries: HashMap<u64, oneshot::Sender<ProxyRevisions>>,
     pub(super) last_query: u64,
+    /// The replica that each proxy's last word on limits came through; none where it is connected here.
+    pub(super) grant_routes: HashMap<ProxyName, Option<ReplicaId>>,
     pub(super) snapshot_index: u64,
     pub(super) repair: RepairState,
     next_housekeeping: Timestamp,
@@ -83,6 +88,7 @@
             proxy_revisions: ProxyRevisions::new(),
             revision_queries: HashMap::new(),
             last_query: 0,
+            grant_routes: HashMap::new(),
             snapshot_index: parts.applied,
             repair: RepairState::default(),
             next_housekeeping: parts.clock.now(),
@@ -198,7 +204,8 @@
 
     fn follow_role(&mut self, role: Role, leader: Option<ReplicaId>) {
         let now = self.parts.clock.now();
-        self.parts.duties.follow_role(now, role == Role::Leader);
+        let term = self.parts.replica.term();
+        self.parts.duties.follow_role(now, (role == Role::Leader).then_some(term));
         if leader != self.parts.status.borrow().leader {
             self.pending.give_back_forwarded();
         }
--- a/crates/control/src/proxies/connection.rs
+++ b/crates/control/src/proxies/connection.rs
@@ -8,6 +8,8 @@
 use bytes::Bytes;
 use corktack_core::consensus::{CellConfig, CellMember};
 use corktack_core::identity::ProxyName;
+use corktack_core::limits::AllowanceGrant;
+use corktack_core::position::Term;
 use corktack_core::view::Revision;
 use corktack_core::watch::WatchCursor;
 use corktack_protocol::control::{ControlMessage, ProxyMessage};
@@ -18,7 +20,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{timeout, timeout_at};
 use tokio_util::codec::FramedRead;
 
@@ -72,10 +74,11 @@
         Err(_) => return,
     };
     let proxy = identity.proxy.clone();
-    server.table.connect(id, identity, revision);
+    let (outlet, grants) = mpsc::unbounded_channel();
+    server.table.connect(id, identity, revision, outlet);
     server.metrics.proxies_connected.inc();
     let cursor = WatchCursor::new(revision);
-    let mut connection = Connection { id, proxy, reader, write_half, cursor, server };
+    let mut connection = Connection { id, proxy, reader, write_half, cursor, grants, server };
     let ended = connection.run_until_stopped().await;
     connection.server.table.disconnect(id, &connection.proxy);
     connection.server.metrics.proxies_connected.dec();
@@ -116,12 +119,27 @@
     }
 }
 
+/// What a proxy was told of the cell.
+#[derive(Default)]
+struct Told {
+    cell: CellConfig,
+    /// Term of the leader.
+    led: Option<Term>,
+}
+
+impl Told {
+    fn of(status: &NodeStatus) -> Self {
+        Self { cell: status.cell.clone(), led: status.leader.map(|_| status.term) }
+    }
+}
+
 struct Connection {
     id: ConnectionId,
     proxy: ProxyName,
     reader: Reader,
     write_half: OwnedWriteHalf,
     cursor: WatchCursor,
+    grants: mpsc::UnboundedReceiver<AllowanceGrant>,
     server: ProxyServer,
 }
 
@@ -138,13 +156,13 @@
         let mut feed = self.server.feed.subscribe();
         let mut status = self.server.status.clone();
         self.prove_and_catch_up().await?;
-        let mut told = self.send_cell(&mut status, CellConfig::default()).await?;
+        let mut told = self.send_status(&mut status, Told::default()).await?;
         let mut acknowledgements = FuturesOrdered::new();
         loop {
             tokio::select! {
                 message = timeout(self.server.heartbeat_timeout, self.reader.next()) => {
                     let message = message.map_err(|_| ConnectionError::Silent)?;
-                    let sequence = self.note_heartbeat(message)?;
+                    let Some(sequence) = self.take_message(message)? else { continue };
                     if acknowledgements.len() >= WAITING_HEARTBEATS {
                         return Err(ConnectionError::TooManyHeartbeats);
                     }
@@ -164,7 +182,10 @@
                 }
                 changed = status.changed() => {
                     changed.map_err(|_| ConnectionError::Closed)?;
-                    told = self.send_cell(&mut status, told).await?;
+                    told = self.send_status(&mut status, told).await?;
+                }
+                Some(grant) = self.grants.recv() => {
+                    self.send(&encode_frame(ControlMessage::Allowances(grant))?).await?;
                 }
                 changed = feed.changed() => {
                     changed.map_err(|_| ConnectionError::Closed)?;
@@ -204,33 +225,48 @@
         }
     }
 
-    fn note_heartbeat(
+    /// Takes a message; gives the sequence of a heartbeat, which is to be acknowledged.
+    fn take_message(
         &self,
         message: Option<Result<ProxyMessage, FrameError>>,
-    ) -> Result<u64, ConnectionError> {
-        let Some(message) = message else { return Err(ConnectionError::Closed) };
-        let ProxyMessage::Heartbeat { sequence, revision, draining, observations } = message?
-        else {
-            return Err(ConnectionError::OutOfPlace);
-        };
-        let report = HeartbeatReport { revision, draining, observations };
+    ) -> Result<Option<u64>, ConnectionError> {
+        match message.ok_or(ConnectionError::Closed)?? {
+            ProxyMessage::Heartbeat { sequence, revision, draining, observations } => {
+                let report = HeartbeatReport { revision, draining, observations };
+                self.note_heartbeat(report)?;
+                Ok(Some(sequence))
+            }
+            ProxyMessage::Allowances(report) if report.gateway == self.proxy => {
+                self.server.node.send(NodeInput::Allowances(report))?;
+                Ok(None)
+            }
+            _ => Err(ConnectionError::OutOfPlace),
+        }
+    }
+
+    fn note_heartbeat(&self, report: HeartbeatReport) -> Result<(), ConnectionError> {
         match self.server.table.heartbeat(self.id, &self.proxy, report) {
-            true => Ok(sequence),
+            true => Ok(()),
             false => Err(ConnectionError::Replaced),
         }
     }
 
-    /// Tells the proxy which replicas there are, if that changed; returns what it was told.
-    async fn send_cell(
+    /// Tells the proxy which replicas there are and in which term one leads, as far as that changed;
+    /// returns what it was told.
+    async fn send_status(
         &mut self,
         status: &mut watch::Receiver<NodeStatus>,
-        told: CellConfig,
-    ) -> Result<CellConfig, ConnectionError> {
-        let cell = status.borrow_and_update().cell.clone();
-        if cell != told {
-            self.send(&encode_frame(ControlMessage::Cell(cell.clone()))?).await?;
+        told: Told,
+    ) -> Result<Told, ConnectionError> {
+        let now = Told::of(&status.borrow_and_update());
+        if now.cell != told.cell {
+            self.send(&encode_frame(ControlMessage::Cell(now.cell.clone()))?).await?;
+        }
+        let Some(term) = now.led else { return Ok(Told { led: told.led, ..now }) };
+        if told.led != now.led {
+            self.send(&encode_frame(ControlMessage::Led { term })?).await?;
         }
-        Ok(cell)
+        Ok(now)
     }
 
     /// Sends what was applied since the last time, in order and without gaps.
--- a/crates/control/src/proxies/table.rs
+++ b/crates/control/src/proxies/table.rs
@@ -3,6 +3,7 @@
 use crate::node::{NodeHandle, NodeInput};
 use crate::stop::StopSignal;
 use corktack_core::identity::{GroupName, Incarnation, MemberName, ProxyName, ZoneName};
+use corktack_core::limits::AllowanceGrant;
 use corktack_core::view::Revision;
 use corktack_protocol::cell::ProxyReport;
 use corktack_protocol::control::{MemberHealth, Observation};
@@ -11,7 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 const SHARDS: usize = 16;
@@ -59,6 +60,8 @@
 
 struct ConnectedProxy {
     connection: ConnectionId,
+    /// Takes what the leader gives of tenants' limits.
+    grants: mpsc::UnboundedSender<AllowanceGrant>,
     identity: ProxyIdentity,
     revision: Revision,
     draining: bool,
@@ -97,9 +100,11 @@
         connection: ConnectionId,
         identity: ProxyIdentity,
         revision: Revision,
+        grants: mpsc::UnboundedSender<AllowanceGrant>,
     ) {
         let proxy = ConnectedProxy {
             connection,
+            grants,
             revision,
             draining: false,
             heard: true,
@@ -111,6 +116,14 @@
         self.shard(&proxy.identity.proxy.clone()).insert(proxy.identity.proxy.clone(), proxy);
     }
 
+    /// Passes on what the leader gives to a proxy that is still connected here.
+    pub(crate) fn grant(&self, grant: AllowanceGrant) {
+        if let Some(entry) = self.shard(&grant.gateway).get(&grant.gateway) {
+            // A connection that ends now makes the proxy ask again elsewhere.
+            let _ = entry.grants.send(grant);
+        }
+    }
+
     /// Removes a proxy, unless a newer connection has replaced this one.
     pub(crate) fn disconnect(&self, connection: ConnectionId, proxy: &ProxyName) {
         let mut shard = self.shard(proxy);
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -5,7 +5,7 @@
 use crate::feed::Feed;
 use crate::metrics::Metrics;
 use crate::node::{NodeHandle, NodeInput, NodeStatus};
-use crate::proxies::Proofs;
+use crate::proxies::{Proofs, ProxyTable};
 use crate::recovered::Recovered;
 use crate::registry::RegistryHandle;
 use crate::settings::{ControlListeners, ControlSettings};
@@ -165,6 +165,7 @@
         node: NodeHandle::new(inputs, settings.request_timeout),
         feed: Feed::new(recovered.state.view_revision(), settings.watch_changes.max(1)),
         proofs: Proofs::default(),
+        proxies: ProxyTable::new(),
         disks: recovered.disks.clone(),
         status,
         arbiters: (0..=settings.workers.max(1)).map(|_| Arbiter::new()).collect(),
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -3,6 +3,7 @@
 use crate::registry_calls::RegistryCalls;
 use corktack_core::consensus::{CellConfig, CellMember};
 use corktack_core::identity::{Incarnation, ReplicaId};
+use corktack_core::limits::LimitBounds;
 use corktack_core::registry::CellRepairSettings;
 use corktack_protocol::cell::CellName;
 use std::net::{SocketAddr, TcpListener};
@@ -87,6 +88,8 @@
     pub cell_repair: Option<CellRepairSettings>,
     /// How the leader reaches registered back ends; without it their primaries are not replaced.
     pub registry_calls: Option<Arc<dyn RegistryCalls>>,
+    /// By what the limits of tenants are kept.
+    pub limits: LimitBounds,
     /// How long after its start a replica leaves registry changes unacknowledged while the
     /// cell has fewer voters than it should have: with few voters, fewer lost disks than
     /// tolerated could lose them.
@@ -124,6 +127,7 @@
             operator_token: None,
             cell_repair: None,
             registry_calls: None,
+            limits: LimitBounds::default(),
             formation_grace: Duration::ZERO,
             join_through: Vec::new(),
             cell_address: None,
--- a/crates/core/src/limits/account.rs
+++ b/crates/core/src/limits/account.rs
@@ -8,13 +8,13 @@
 
 /// Part of the operations of the last window that is asked for beside them: callers come unevenly.
 const HEADROOM: f64 = 0.5;
-/// Operations that are asked for beside that, so that a tenant that begins to be used is not asked for
-/// with each of its first operations.
-const FIRST_OPERATIONS: u64 = 5;
-/// More is asked for once the operations of the last window, so much more and these come to more than
-/// the allowance: early enough for the answer to come before it is used up.
+/// Operations that are asked for beside that. A tenant's callers may be spread over many gateways, each
+/// of which has little use for it: on the users' deployment with tenants half of them begin less than
+/// one operation in two windows at a gateway.
+const SPARE_OPERATIONS: u64 = 1;
+/// More is asked for once the operations of the last window and so much more come to more than the
+/// allowance: early enough for the answer to come before it is used up.
 const EARLY_PART: f64 = 0.2;
-const EARLY_OPERATIONS: u64 = 2;
 /// An allowance is lowered to what is wanted once that is less than this part of it.
 const KEPT_PART: f64 = 0.6;
 /// How long operations are refused at once after the leader gave less than was wanted.
@@ -36,6 +36,17 @@
     pub may_change: bool,
 }
 
+/// What a gateway tells the leader of one tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Told {
+    /// Operations that it may begin in a window, and those that it has begun in the last one.
+    pub(super) held: u64,
+    /// Operations begun within the last window, and those that wait.
+    pub(super) needed: u64,
+    /// Operations that it could use.
+    pub(super) wanted: u64,
+}
+
 /// One tenant's operations at one gateway.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Account {
@@ -52,12 +63,14 @@
     ends: Timestamp,
     /// The limit of all gateways in force here.
     limit: u64,
-    /// What was told to the leader last: held and wanted.
-    told: Option<(u64, u64)>,
+    /// What was told to the leader last.
+    told: Option<Told>,
     /// Whether the leader has not answered that yet.
     unanswered: bool,
-    /// Whether an operation was refused since.
-    lacking: bool,
+    /// Operations refused since.
+    lacking: u64,
+    /// Whether the leader should hear at once that a lower allowance was taken.
+    lowered: bool,
     exhausted_until: Timestamp,
 }
 
@@ -90,6 +103,12 @@
         self.asked.add(now, bounds.window);
     }
 
+    /// Notes that operations are likely to be asked for: somebody who may ask has come.
+    pub(super) fn expect(&mut self, now: Timestamp, bounds: &LimitBounds) {
+        self.turn(now, bounds);
+        self.asked_before = self.asked_before.max(1);
+    }
+
     /// Counts an operation if it may begin; gives the mark to take it back by.
     pub(super) fn begin(
         &mut self,
@@ -100,7 +119,7 @@
         if self.begun.count(now, bounds.window) < allowance {
             return Ok(self.begun.add(now, bounds.window));
         }
-        self.lacking = true;
+        self.lacking += 1;
         let retry_after = if allowance == 0 {
             bounds.window.mul_f64(RETRY_PART)
         } else {
@@ -136,12 +155,12 @@
             return 0;
         }
         let headroom = (demand as f64 * HEADROOM).ceil() as u64;
-        (demand + headroom + FIRST_OPERATIONS).min(self.limit)
+        (demand + headroom + SPARE_OPERATIONS).min(self.limit)
     }
 
     /// Whether the allowance will not be enough for long.
     fn runs_short(&self, demand: u64, held: u64) -> bool {
-        let soon = demand + (demand as f64 * EARLY_PART).ceil() as u64 + EARLY_OPERATIONS;
+        let soon = demand + (demand as f64 * EARLY_PART).ceil() as u64;
         demand > 0 && soon.min(self.limit) > held
     }
 
@@ -151,21 +170,24 @@
         now: Timestamp,
         bounds: &LimitBounds,
         renews: bool,
-    ) -> Option<(u64, u64)> {
+    ) -> Option<Told> {
         let demand = self.demand(now, bounds);
         let wanted = self.wanted(demand);
         self.settle(now, wanted);
         let held = self.held(now, bounds);
-        let told_held = self.told.map_or(0, |(held, _)| held);
-        let is_news = told_held != held || self.runs_short(demand, held) || self.lacking;
+        let told_held = self.told.map_or(0, |told| told.held);
+        let is_news = told_held != held || self.runs_short(demand, held) || self.lacking > 0;
         let is_known_nothing = held == 0 && wanted == 0 && told_held == 0;
         if is_known_nothing || !(renews || is_news) {
             return None;
         }
-        self.told = Some((held, wanted));
+        let needed = self.begun.count(now, bounds.window) + self.lacking;
+        let told = Told { held, needed: needed.min(self.limit), wanted };
+        self.told = Some(told);
         self.unanswered = true;
-        self.lacking = false;
-        Some((held, wanted))
+        self.lacking = 0;
+        self.lowered = false;
+        Some(told)
     }
 
     /// Lowers the allowance to what may be used of it now, before that is told: it must not rise again
@@ -173,13 +195,27 @@
     fn settle(&mut self, now: Timestamp, wanted: u64) {
         let allowance = self.allowance(now);
         let has_surplus = (wanted as f64) < allowance as f64 * KEPT_PART;
-        self.allowance = if has_surplus { wanted } else { allowance };
+        self.lower(now, if has_surplus { wanted } else { allowance });
+    }
+
+    /// Lowers the allowance, if it is higher; a limit that falls later still lowers it in proportion.
+    fn lower(&mut self, now: Timestamp, to: u64) {
+        self.allowance = self.allowance(now).min(to);
         self.basis = self.basis.min(self.limit).max(self.allowance);
     }
 
-    /// Whether the leader should be asked at once: an operation was refused that it may allow.
+    /// Gives back what others need.
+    pub(super) fn keep(&mut self, now: Timestamp, kept: u64) {
+        let before = self.allowance(now);
+        self.lower(now, kept);
+        self.lowered |= self.allowance < before;
+    }
+
+    /// Whether the leader should hear at once: an operation was refused that it may allow, or a lower
+    /// allowance was taken that others may wait for.
     pub(super) fn is_urgent(&self, now: Timestamp) -> bool {
-        self.lacking && !self.unanswered && now >= self.exhausted_until
+        let lacks = self.lacking > 0 && !self.unanswered && now >= self.exhausted_until;
+        lacks || self.lowered
     }
 
     /// Takes another allowance. One that is lower than what began within the last window lets nothing
@@ -189,10 +225,11 @@
         self.basis = granted.window_limit.max(granted.operations);
         self.ends = self.ends.max(ends);
         self.unanswered = false;
-        if let Some((held, wanted)) = &mut self.told {
+        if let Some(told) = &mut self.told {
             // The leader knows what it gives; it does not know that a lower allowance was taken.
-            *held = granted.operations.max(*held);
-            if granted.operations < *wanted {
+            self.lowered = granted.operations < told.held;
+            told.held = granted.operations.max(told.held);
+            if granted.operations < told.needed {
                 self.exhausted_until = now + EXHAUSTED_PAUSE;
             }
         }
@@ -206,7 +243,7 @@
 
     /// Whether there is nothing to remember.
     pub(super) fn is_unused(&mut self, now: Timestamp, bounds: &LimitBounds) -> bool {
-        let quiet = self.asked.count(now, bounds.window) == 0 && self.held(now, bounds) == 0;
-        quiet && self.told.is_none_or(|(held, _)| held == 0)
+        let quiet = self.demand(now, bounds) == 0 && self.held(now, bounds) == 0;
+        quiet && self.told.is_none_or(|told| told.held == 0)
     }
 }
--- a/crates/core/src/limits/gateway.rs
+++ b/crates/core/src/limits/gateway.rs
@@ -1,6 +1,6 @@
 //! The limits of tenants at one gateway.
 
-use super::account::{Account, OverLimit};
+use super::account::{Account, OverLimit, Told};
 use super::bounds::LimitBounds;
 use super::messages::{AllowanceGrant, AllowanceReport, AllowanceWish};
 use crate::identity::{Incarnation, ProxyName};
@@ -70,6 +70,14 @@
         }
     }
 
+    /// Notes that operations are likely to be asked for.
+    pub fn expect(&mut self, now: Timestamp, tenant: &TenantName) {
+        let bounds = self.bounds;
+        if let Some(account) = self.account(tenant) {
+            account.expect(now, &bounds);
+        }
+    }
+
     /// Counts an operation that may begin; gives the mark to take it back by, none where nothing is
     /// limited.
     ///
@@ -110,9 +118,14 @@
         self.accounts.values().any(|account| account.is_urgent(now))
     }
 
-    /// A control replica tells that a leader has been elected.
+    /// A control replica tells that a leader has been elected. One that tells the same again has just
+    /// been connected to: what was said to it through another may be lost.
     pub fn follow_leader(&mut self, now: Timestamp, term: Term) {
-        if self.term.is_some_and(|known| known >= term) {
+        if self.term.is_some_and(|known| known > term) {
+            return;
+        }
+        if self.term == Some(term) {
+            self.whole_due = now;
             return;
         }
         self.term = Some(term);
@@ -132,8 +145,8 @@
             self.accounts.retain(|_, account| !account.is_unused(now, &bounds));
         }
         let wish = |(tenant, account): (&TenantName, &mut Account)| {
-            let (held, wanted) = account.report(now, &self.bounds, whole)?;
-            Some(AllowanceWish { tenant: tenant.clone(), held, wanted })
+            let Told { held, needed, wanted } = account.report(now, &self.bounds, whole)?;
+            Some(AllowanceWish { tenant: tenant.clone(), held, needed, wanted })
         };
         let wishes: Vec<_> = self.accounts.iter_mut().filter_map(wish).collect();
         if wishes.is_empty() && !whole {
@@ -170,5 +183,10 @@
                 account.take(now, allowance, ends);
             }
         }
+        for recall in &grant.recalls {
+            if let Some(account) = self.account(&recall.tenant) {
+                account.keep(now, recall.kept);
+            }
+        }
     }
 }
--- a/crates/core/src/limits/ledger.rs
+++ b/crates/core/src/limits/ledger.rs
@@ -3,7 +3,9 @@
 mod tenant;
 
 use super::bounds::LimitBounds;
-use super::messages::{AllowanceGrant, AllowanceReport, AllowanceWish, TenantAllowance};
+use super::messages::{
+    AllowanceGrant, AllowanceRecall, AllowanceReport, AllowanceWish, TenantAllowance,
+};
 use crate::identity::{Incarnation, ProxyName};
 use crate::position::Term;
 use crate::tenancy::{TenantName, TenantRate};
@@ -11,18 +13,20 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
-use tenant::TenantLedger;
+use tenant::{Offer, Recall, TenantLedger};
 
 /// Part of a limit that may be given without a ceiling in the log. What is left is enough for most of a
 /// usual window where a new leader does not know yet what the one before gave.
 const DEFAULT_CEILING_PART: f64 = 0.5;
 /// How much above what is given a ceiling is raised, so that it is not raised with every report.
-const CEILING_ROOM: f64 = 1.2;
+const CEILING_ROOM: f64 = 1.1;
 /// A ceiling is lowered once no more than this part of it is given.
-const CEILING_KEPT_PART: f64 = 0.6;
+const CEILING_KEPT_PART: f64 = 0.8;
 /// How long a leader that was replaced may go on: it steps down once it has not heard from a majority for
 /// an election timeout, which no deployment sets as long as this.
 const STEPPING_DOWN: Duration = Duration::from_secs(10);
+/// Shortest time between two recalls from one gateway: it answers the first one within that.
+const RECALL_SPACING: Duration = Duration::from_millis(100);
 /// Time between two looks for ceilings that can be lowered.
 const LOWERING_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -41,6 +45,15 @@
     Lower(TenantName, Option<u64>),
 }
 
+/// What a leader does about a report.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LedgerAnswer {
+    /// To the gateway that reported, and to others whose spare allowances it needs.
+    pub grants: Vec<AllowanceGrant>,
+    /// Ceilings that would allow more.
+    pub ceilings: Vec<CeilingChange>,
+}
+
 /// One life of a gateway.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct GatewayLife {
@@ -59,6 +72,8 @@
     heard_at: Timestamp,
     /// Number of the newest grant to it.
     number: u64,
+    /// When it was told to give something back last.
+    recalled_at: Option<Timestamp>,
     /// Whether it has told everything that it holds.
     told_whole: bool,
 }
@@ -118,36 +133,81 @@
     }
 
     /// Takes a report of a gateway whose life is the one in the state; `rate_of` gives the rates in
-    /// force, `ceiling_of` the ceilings in the log. Gives the answer, and ceilings that would allow
-    /// more. A report for another leader, or one that was overtaken, is not answered.
+    /// force, `ceiling_of` the ceilings in the log. A report for another leader, or one that was
+    /// overtaken, is not answered.
     pub fn take_report(
         &mut self,
         now: Timestamp,
         report: &AllowanceReport,
         rate_of: impl Fn(&TenantName) -> Option<TenantRate>,
         ceiling_of: impl Fn(&TenantName) -> Option<u64>,
-    ) -> Option<(AllowanceGrant, Vec<CeilingChange>)> {
+    ) -> LedgerAnswer {
         let life = GatewayLife { gateway: report.gateway.clone(), incarnation: report.incarnation };
         if report.term != self.term || self.ended.contains(&life) {
-            return None;
+            return LedgerAnswer::default();
         }
-        let mut grant = self.note_heard(now, &life, report)?;
+        let Some(mut grant) = self.note_heard(now, &life, report) else {
+            return LedgerAnswer::default();
+        };
         if grant.wants_whole {
-            return Some((grant, Vec::new()));
+            return LedgerAnswer { grants: vec![grant], ceilings: Vec::new() };
         }
         self.book(now, report, &life);
-        let mut ceilings = Vec::new();
+        let (mut ceilings, mut recalled) = (Vec::new(), Vec::new());
         for wish in &report.wishes {
             let Some(rate) = rate_of(&wish.tenant) else { continue };
             let offer = self.offer(now, (report, wish), rate, ceiling_of(&wish.tenant));
-            let Some((allowance, raise)) = offer else { continue };
+            let Some((allowance, offer)) = offer else { continue };
             if let Some(tenant) = self.tenants.get_mut(&wish.tenant) {
                 tenant.note_granted(&report.gateway, grant.number, allowance.operations);
+                let recalls = tenant.recalls(&report.gateway, offer.lacking);
+                recalled.extend(recalls.into_iter().map(|recall| (wish.tenant.clone(), recall)));
             }
             grant.allowances.push(allowance);
-            ceilings.extend(raise);
+            ceilings
+                .extend(offer.needed_ceiling.map(|needed| raise(wish, needed, rate, self.bounds)));
         }
-        Some((grant, ceilings))
+        let mut grants = vec![grant];
+        grants.extend(self.recall(now, recalled));
+        LedgerAnswer { grants, ceilings }
+    }
+
+    /// Tells gateways to give back what others need; none that was told a moment ago.
+    fn recall(
+        &mut self,
+        now: Timestamp,
+        recalled: Vec<(TenantName, Recall)>,
+    ) -> Vec<AllowanceGrant> {
+        let mut grants: BTreeMap<ProxyName, AllowanceGrant> = BTreeMap::new();
+        for (tenant, Recall { gateway, kept }) in recalled {
+            let Some(holder) = self.holders.get_mut(&gateway) else { continue };
+            let is_new = !grants.contains_key(&gateway);
+            let recently = |at: Timestamp| now.saturating_since(at) < RECALL_SPACING;
+            if is_new && holder.recalled_at.is_some_and(recently) {
+                continue;
+            }
+            if is_new {
+                holder.number += 1;
+                holder.recalled_at = Some(now);
+            }
+            let (incarnation, number, answers) =
+                (holder.incarnation, holder.number, holder.sequence);
+            let grant = grants.entry(gateway.clone()).or_insert_with(|| AllowanceGrant {
+                gateway: gateway.clone(),
+                incarnation,
+                term: self.term,
+                number,
+                answers,
+                wants_whole: false,
+                allowances: Vec::new(),
+                recalls: Vec::new(),
+            });
+            if let Some(ledger) = self.tenants.get_mut(&tenant) {
+                ledger.note_recalled(&gateway, number);
+            }
+            grant.recalls.push(AllowanceRecall { tenant, kept });
+        }
+        grants.into_values().collect()
     }
 
     /// Notes that a gateway reports, and begins the answer; none to a report that was overtaken. The
@@ -167,6 +227,7 @@
             sequence: 0,
             heard_at: now,
             number: 0,
+            recalled_at: None,
             told_whole: false,
         };
         let holder = self.holders.entry(life.gateway.clone()).or_insert_with(new);
@@ -185,33 +246,30 @@
             answers: report.sequence,
             wants_whole: !holder.told_whole,
             allowances: Vec::new(),
+            recalls: Vec::new(),
         })
     }
 
-    /// What a gateway is given of one tenant's limit, and the ceiling that would allow more.
+    /// What a gateway is given of one tenant's limit.
     fn offer(
         &mut self,
         now: Timestamp,
         (report, wish): (&AllowanceReport, &AllowanceWish),
         rate: TenantRate,
         logged: Option<u64>,
-    ) -> Option<(TenantAllowance, Option<CeilingChange>)> {
+    ) -> Option<(TenantAllowance, Offer)> {
         let limit = self.bounds.window_limit(rate);
         let lowering = self.lowering.get(&wish.tenant).copied().unwrap_or(u64::MAX);
         let ceiling = logged.unwrap_or_else(|| default_ceiling(limit)).min(lowering);
         let settled = self.is_settled(now);
         let tenant = self.tenants.get_mut(&wish.tenant)?;
         let offer = tenant.offer(now, &report.gateway, (limit, ceiling), settled);
-        let raise = offer.needed_ceiling.map(|needed| {
-            let roomy = (needed as f64 * CEILING_ROOM) as u64;
-            CeilingChange::Raise(wish.tenant.clone(), roomy.min(limit).max(needed))
-        });
         let allowance = TenantAllowance {
             tenant: wish.tenant.clone(),
             operations: offer.operations,
             window_limit: limit,
         };
-        Some((allowance, raise))
+        Some((allowance, offer))
     }
 
     /// A life is over: another process runs on its machine. What it may have begun counts for one
@@ -233,7 +291,7 @@
                 .tenants
                 .entry(wish.tenant.clone())
                 .or_insert_with(|| TenantLedger::new(inherited));
-            tenant.book(&report.gateway, (wish.held, wish.wanted), report.taken, was_awaited);
+            tenant.book(&report.gateway, wish, report.taken, was_awaited);
         }
         if report.whole {
             let told: BTreeSet<_> = report.wishes.iter().map(|wish| &wish.tenant).collect();
@@ -348,3 +406,15 @@
         self.tenants.get_mut(tenant).map_or(0, |it| it.given(now, settled))
     }
 }
+
+/// The ceiling that allows what a gateway needs, with some room.
+fn raise(
+    wish: &AllowanceWish,
+    needed: u64,
+    rate: TenantRate,
+    bounds: LimitBounds,
+) -> CeilingChange {
+    let roomy = (needed as f64 * CEILING_ROOM) as u64;
+    let limit = bounds.window_limit(rate);
+    CeilingChange::Raise(wish.tenant.clone(), roomy.min(limit).max(needed))
+}
--- a/crates/core/src/limits/ledger/tenant.rs
+++ b/crates/core/src/limits/ledger/tenant.rs
@@ -1,17 +1,26 @@
 //! What has been given of one tenant's limit.
 
 use crate::identity::ProxyName;
+use crate::limits::messages::AllowanceWish;
 use crate::time::Timestamp;
 use std::collections::BTreeMap;
 
+/// Part of a limit up to which gateways are given more than they need. A new leader that does not know
+/// what the one before gave has the rest for what is needed at once: where all processes were lost
+/// together, most of what a window usually asks for.
+const SPARE_PART: f64 = 0.6;
+
 /// What one gateway may hold.
 #[derive(Clone, Debug, Default)]
 struct Booking {
     /// What it reported last.
     held: u64,
+    needed: u64,
     wanted: u64,
     /// Allowances that its last report did not answer, by number of the grant.
     unanswered: Vec<(u64, u64)>,
+    /// Number of the grant that told it to give something back, until it answers.
+    recalled: Option<u64>,
 }
 
 impl Booking {
@@ -20,6 +29,22 @@
         let unanswered = self.unanswered.iter().map(|(_, operations)| *operations);
         unanswered.fold(self.held, u64::max)
     }
+
+    /// It has taken grants up to this number.
+    fn answered(&mut self, taken: u64) {
+        self.unanswered.retain(|(number, _)| *number > taken);
+        self.recalled = self.recalled.filter(|number| *number > taken);
+    }
+
+    /// What it wants beside what it needs.
+    const fn spare_wanted(&self) -> u64 {
+        self.wanted.saturating_sub(self.needed)
+    }
+
+    /// What it may hold beside what it needs.
+    fn spare(&self) -> u64 {
+        self.amount().saturating_sub(self.needed)
+    }
 }
 
 /// What a gateway is offered.
@@ -29,6 +54,16 @@
     pub(super) operations: u64,
     /// The ceiling that would allow what the limit allows.
     pub(super) needed_ceiling: Option<u64>,
+    /// Operations that it needs and others hold to spare.
+    pub(super) lacking: u64,
+}
+
+/// A gateway that should give some of what it holds back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Recall {
+    pub(super) gateway: ProxyName,
+    /// Operations that it may keep.
+    pub(super) kept: u64,
 }
 
 /// What has been given of one tenant's limit.
@@ -52,24 +87,26 @@
     pub(super) fn book(
         &mut self,
         gateway: &ProxyName,
-        (held, wanted): (u64, u64),
+        wish: &AllowanceWish,
         taken: u64,
         was_awaited: bool,
     ) {
         let booking = self.bookings.entry(gateway.clone()).or_default();
-        booking.unanswered.retain(|(number, _)| *number > taken);
-        booking.held = held;
-        booking.wanted = wanted;
+        booking.answered(taken);
+        booking.held = wish.held;
+        booking.needed = wish.needed;
+        booking.wanted = wish.wanted;
         if was_awaited {
-            self.reported += held;
+            self.reported += wish.held;
         }
     }
 
     /// A gateway that told everything holds nothing of this tenant's.
     pub(super) fn book_nothing(&mut self, gateway: &ProxyName, taken: u64) {
         if let Some(booking) = self.bookings.get_mut(gateway) {
-            booking.unanswered.retain(|(number, _)| *number > taken);
+            booking.answered(taken);
             booking.held = 0;
+            booking.needed = 0;
             booking.wanted = 0;
         }
     }
@@ -107,8 +144,8 @@
         self.given_to_others(now, None) + self.unreported(0, settled)
     }
 
-    /// Works out what a gateway may have: what it wants, or its part of the limit by what all want, and
-    /// never more than others leave.
+    /// Works out what a gateway may have: what it needs, and of what is left its part by what all want
+    /// beside; never more than others leave.
     pub(super) fn offer(
         &mut self,
         now: Timestamp,
@@ -119,22 +156,57 @@
         let unreported = self.unreported(super::default_ceiling(limit), settled);
         let others = self.given_to_others(now, Some(gateway)) + unreported;
         let gone = unreported + self.ended.iter().map(|(_, amount)| amount).sum::<u64>();
-        let wanted = self.bookings.get(gateway).map_or(0, |booking| booking.wanted);
-        let fair = self.fair_part(wanted, limit.saturating_sub(gone));
+        let for_spare = (limit as f64 * SPARE_PART) as u64;
+        let fair = self.fair_part(gateway, (limit.saturating_sub(gone), for_spare));
         let by_limit = fair.min(limit.saturating_sub(others));
         let operations = by_limit.min(ceiling.saturating_sub(others));
         let needed_ceiling = (operations < by_limit).then_some(others + by_limit);
-        Offer { operations, needed_ceiling }
+        let needed = self.bookings.get(gateway).map_or(0, |booking| booking.needed.min(fair));
+        Offer { operations, needed_ceiling, lacking: needed.saturating_sub(by_limit) }
     }
 
-    /// A gateway's part of what there is, by what all of them want; at least one operation.
-    fn fair_part(&self, wanted: u64, available: u64) -> u64 {
-        let all: u64 = self.bookings.values().map(|booking| booking.wanted).sum();
-        if all <= available {
-            return wanted;
+    /// A gateway's part of what there is: by what all of them need where that is more, else what it
+    /// needs and its part of the rest by what they want beside.
+    fn fair_part(&self, gateway: &ProxyName, (available, for_spare): (u64, u64)) -> u64 {
+        let Some(own) = self.bookings.get(gateway) else { return 0 };
+        let all_needed: u64 = self.bookings.values().map(|booking| booking.needed).sum();
+        if all_needed > available {
+            return part_of(available, own.needed, all_needed).clamp(1, own.needed.max(1));
+        }
+        let spare: u64 = self.bookings.values().map(Booking::spare_wanted).sum();
+        let left = available.min(for_spare).saturating_sub(all_needed);
+        if spare <= left {
+            return own.needed.max(own.wanted);
+        }
+        own.needed + part_of(left, own.spare_wanted(), spare)
+    }
+
+    /// Who should give back how much, so that others get what they need: those with most to spare
+    /// first. What a gateway was told to keep already is not recalled again.
+    pub(super) fn recalls(&self, gateway: &ProxyName, mut lacking: u64) -> Vec<Recall> {
+        let others = self.bookings.iter().filter(|(name, booking)| {
+            *name != gateway && booking.recalled.is_none() && booking.spare() > 0
+        });
+        let mut holders: Vec<_> =
+            others.map(|(name, it)| (it.spare(), it.amount(), name)).collect();
+        holders.sort_by(|left, right| right.0.cmp(&left.0).then_with(|| left.2.cmp(right.2)));
+        let mut recalls = Vec::new();
+        for (spare, amount, name) in holders {
+            if lacking == 0 {
+                break;
+            }
+            let back = spare.min(lacking);
+            lacking -= back;
+            recalls.push(Recall { gateway: name.clone(), kept: amount - back });
+        }
+        recalls
+    }
+
+    /// A gateway was told to give something back. It counts as held until it says otherwise.
+    pub(super) fn note_recalled(&mut self, gateway: &ProxyName, number: u64) {
+        if let Some(booking) = self.bookings.get_mut(gateway) {
+            booking.recalled = Some(number);
         }
-        let part = u128::from(available) * u128::from(wanted) / u128::from(all.max(1));
-        u64::try_from(part).unwrap_or(wanted).max(1).min(wanted)
     }
 
     /// An allowance was sent.
@@ -143,3 +215,9 @@
         booking.unanswered.push((number, operations));
     }
 }
+
+/// The part of a whole that this much of all comes to.
+fn part_of(whole: u64, part: u64, all: u64) -> u64 {
+    let product = u128::from(whole) * u128::from(part);
+    u64::try_from(product / u128::from(all.max(1))).unwrap_or(whole)
+}
--- a/crates/core/src/limits/messages.rs
+++ b/crates/core/src/limits/messages.rs
@@ -12,7 +12,9 @@
     pub tenant: TenantName,
     /// Operations that it may begin in a window: never more until it gets another allowance.
     pub held: u64,
-    /// Operations that it could use in a window.
+    /// Operations that it needs: those begun within the last window, and those that wait.
+    pub needed: u64,
+    /// Operations that it could use in a window, for those that come to begin at once.
     pub wanted: u64,
 }
 
@@ -47,7 +49,16 @@
     pub window_limit: u64,
 }
 
-/// From the leader to a gateway, in answer to a report.
+/// What a gateway may keep of an allowance, for the sake of others that need some of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AllowanceRecall {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// Operations that the gateway may begin in any window at most.
+    pub kept: u64,
+}
+
+/// From the leader to a gateway: an answer to a report, or lower allowances that others need.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AllowanceGrant {
     /// The gateway.
@@ -58,11 +69,13 @@
     pub term: Term,
     /// Rises with each grant of a term to a gateway.
     pub number: u64,
-    /// Sequence of the report that it answers: the life of the allowances counts from when that was
-    /// made.
+    /// Sequence of the newest report that it goes by: the life of the allowances counts from when that
+    /// was made.
     pub answers: u64,
     /// Whether the leader wants to be told everything that the gateway holds first.
     pub wants_whole: bool,
     /// Allowances, each in place of the one before.
     pub allowances: Vec<TenantAllowance>,
+    /// Allowances that are lowered, if they are higher.
+    pub recalls: Vec<AllowanceRecall>,
 }
--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -36,6 +36,8 @@
 pub use account::OverLimit;
 pub use bounds::LimitBounds;
 pub use gateway::GatewayLimits;
-pub use ledger::{CeilingChange, GatewayLife, LimitLedger, default_ceiling};
-pub use messages::{AllowanceGrant, AllowanceReport, AllowanceWish, TenantAllowance};
+pub use ledger::{CeilingChange, GatewayLife, LedgerAnswer, LimitLedger, default_ceiling};
+pub use messages::{
+    AllowanceGrant, AllowanceRecall, AllowanceReport, AllowanceWish, TenantAllowance,
+};
 pub use trailing::TrailingCount;
--- a/crates/core/src/statement.rs
+++ b/crates/core/src/statement.rs
@@ -137,6 +137,8 @@
     UnknownDatabase,
     /// The caller's key stands for nobody; nothing ran.
     Unauthenticated,
+    /// The tenant's limit is reached; nothing ran.
+    OverLimit,
     /// The message does not belong here.
     Malformed,
     /// It ran and failed.
@@ -161,6 +163,7 @@
                 | Self::WrongMember
                 | Self::TooManyConnections
                 | Self::UnknownStatement
+                | Self::OverLimit
         )
     }
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -4,6 +4,7 @@
 use crate::drain::drain;
 use crate::error::GatewayError;
 use crate::group::MemberReach;
+use crate::limits::{Limits, LimitsLink, keep_allowances};
 use crate::metrics::Metrics;
 use crate::routes::Routes;
 use crate::session::serve_caller;
@@ -36,6 +37,7 @@
     pub(crate) settings: Rc<GatewaySettings>,
     pub(crate) routes: Routes<W>,
     pub(crate) metrics: Metrics,
+    pub(crate) limits: Rc<Limits>,
     pub(crate) sessions: Cell<usize>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) stop_began: Notify,
@@ -78,6 +80,19 @@
     pub peers: std::net::TcpListener,
 }
 
+/// How a gateway and control hear of each other.
+#[derive(Debug)]
+pub struct GatewayLinks {
+    /// The configuration in force.
+    pub views: watch::Receiver<Arc<View>>,
+    /// When control was last asked whether that is current, and said so.
+    pub proved: watch::Receiver<Option<std::time::Instant>>,
+    /// Takes what the gateway finds out of members.
+    pub reach: mpsc::UnboundedSender<MemberReach>,
+    /// Limits of tenants.
+    pub limits: LimitsLink,
+}
+
 fn adopt(listener: std::net::TcpListener) -> Result<TcpListener, GatewayError> {
     listener.set_nonblocking(true).map_err(GatewayError::Listener)?;
     TcpListener::from_std(listener).map_err(GatewayError::Listener)
@@ -88,8 +103,7 @@
 pub struct Gateway;
 
 impl Gateway {
-    /// Serves callers on bound listeners, on this arbiter, by the configuration of `views`. What
-    /// it finds out of members goes to `reach`.
+    /// Serves callers on bound listeners, on this arbiter, by the configuration that control tells.
     ///
     /// # Errors
     /// [`GatewayError::Listener`]; nothing runs then.
@@ -97,21 +111,25 @@
         settings: GatewaySettings,
         wire: W,
         listeners: GatewayListeners,
-        views: watch::Receiver<Arc<View>>,
-        reach: mpsc::UnboundedSender<MemberReach>,
+        links: GatewayLinks,
         registry: &mut Registry,
     ) -> Result<GatewayHandle<W>, GatewayError> {
         let callers = adopt(listeners.callers)?;
         let peers = adopt(listeners.peers)?;
+        let GatewayLinks { views, proved, reach, limits: limits_link } = links;
         let settings = Rc::new(settings);
         let clock = SteadyClock::start();
         let metrics = Metrics::register(registry);
-        let routes = Routes::new(wire.clone(), Rc::clone(&settings), reach, clock, metrics.clone());
+        let limits =
+            Limits::new(settings.name.clone(), settings.incarnation, settings.limits, clock);
+        let routes =
+            Routes::new(wire.clone(), Rc::clone(&settings), reach, proved, clock, metrics.clone());
         let shared = Rc::new(Shared {
             routes,
             wire,
             settings,
             metrics,
+            limits: Rc::new(limits),
             sessions: Cell::new(0),
             stopping: Cell::new(false),
             stop_began: Notify::new(),
@@ -121,6 +139,7 @@
             started: Instant::now(),
             clock,
         });
+        actix_rt::spawn(keep_allowances(Rc::clone(&shared.limits), limits_link));
         actix_rt::spawn(follow_views(Rc::clone(&shared), views));
         actix_rt::spawn(accept(callers, Rc::clone(&shared)));
         actix_rt::spawn(accept_tunnels(peers, Rc::clone(&shared)));
@@ -156,7 +175,9 @@
 async fn follow_views<W: Wire>(shared: Rc<Shared<W>>, mut views: watch::Receiver<Arc<View>>) {
     loop {
         let view = Arc::clone(&views.borrow_and_update());
-        shared.routes.follow(&view);
+        if shared.routes.follow(&view) {
+            shared.routes.with_tenants(|tenants| shared.limits.follow(tenants));
+        }
         if shared.routes.has_document() {
             shared.document_came.notify_waiters();
         }
--- a/crates/gateway/src/routes/mod.rs
+++ b/crates/gateway/src/routes/mod.rs
@@ -20,7 +20,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// How a session's statements are served.
 #[derive(Clone)]
@@ -47,13 +47,24 @@
     /// The route asks for a key, and the caller's stands for nobody.
     #[error("the key stands for nobody")]
     UnknownKey,
+    /// Nothing has proved for too long that the configuration is current.
+    #[error(
+        "not run: nothing proves that the configuration is current; \
+         retry_after_ms={UNPROVED_RETRY_MILLIS}"
+    )]
+    Unproved,
 }
 
+/// When a caller should come back that was refused for lack of a proof: gateways change their control
+/// replica in that time.
+const UNPROVED_RETRY_MILLIS: u64 = 1_000;
+
 impl NotAdmitted {
     pub(crate) const fn code(&self) -> ErrorCode {
         match self {
             Self::UnknownDatabase(_) => ErrorCode::UnknownDatabase,
             Self::UnknownKey => ErrorCode::Unauthenticated,
+            Self::Unproved => ErrorCode::Busy,
         }
     }
 }
@@ -69,6 +80,8 @@
     /// The tenants in force; none where callers are served without a key.
     tenants: RefCell<Option<TenantDirectory>>,
     reach: mpsc::UnboundedSender<MemberReach>,
+    /// When control was last asked whether the configuration is current, and said so.
+    proved: watch::Receiver<Option<std::time::Instant>>,
     tunnels: Rc<Tunnels>,
     clock: SteadyClock,
     metrics: Metrics,
@@ -79,6 +92,7 @@
         wire: W,
         settings: Rc<GatewaySettings>,
         reach: mpsc::UnboundedSender<MemberReach>,
+        proved: watch::Receiver<Option<std::time::Instant>>,
         clock: SteadyClock,
         metrics: Metrics,
     ) -> Self {
@@ -93,6 +107,7 @@
             document: RefCell::default(),
             tenants: RefCell::default(),
             reach,
+            proved,
             tunnels: Rc::new(Tunnels::new(clock)),
             clock,
             metrics,
@@ -110,9 +125,18 @@
         let unknown = || NotAdmitted::UnknownDatabase(database.to_owned());
         let route = routes.get(database).ok_or_else(unknown)?;
         let principal = self.principal(&route.rule, key)?;
+        if !self.is_proved() {
+            return Err(NotAdmitted::Unproved);
+        }
         Ok(Admitted { route: route.clone(), principal })
     }
 
+    /// Whether the configuration is proved to be as current as it has to be.
+    fn is_proved(&self) -> bool {
+        let Some(limit) = self.settings.unproved_limit else { return true };
+        self.proved.borrow().is_some_and(|proved| proved.elapsed() < limit)
+    }
+
     fn principal(&self, rule: &RouteRule, key: &ApiKey) -> Result<Principal, NotAdmitted> {
         let tenants = self.tenants.borrow();
         match tenants.as_ref().filter(|_| !rule.public) {
@@ -124,16 +148,23 @@
         }
     }
 
-    /// Puts a view in force.
-    pub(crate) fn follow(&self, view: &Arc<View>) {
-        let Some(document) = &view.document else { return };
+    /// Puts a view in force; says whether its document is another than before.
+    pub(crate) fn follow(&self, view: &Arc<View>) -> bool {
+        let Some(document) = &view.document else { return false };
         self.follow_groups(view, document);
         let held = self.document.borrow().clone();
-        if held.is_none_or(|held| !Arc::ptr_eq(&held, document)) {
+        let is_other = held.is_none_or(|held| !Arc::ptr_eq(&held, document));
+        if is_other {
             log::info!(version = document.version, revision = view.revision.0; "document in force");
             self.metrics.note_document(document.version);
             self.follow_document(document);
         }
+        is_other
+    }
+
+    /// Looks at the tenants in force; none where callers are served without a key.
+    pub(crate) fn with_tenants(&self, look: impl FnOnce(Option<&TenantDirectory>)) {
+        look(self.tenants.borrow().as_ref());
     }
 
     fn follow_groups(&self, view: &Arc<View>, document: &Arc<Document>) {
--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -6,6 +6,7 @@
 use crate::answer::Answer;
 use crate::error::{AcquireError, LinkError};
 use crate::group::{Located, Place, Target, Wish};
+use crate::limits::Pass;
 use crate::routes::{Admitted, Route};
 use crate::run::{LoneStatement, PassedStatement, Unanswered};
 use crate::wire::Wire;
@@ -83,6 +84,7 @@
 pub(super) struct Lone<'s, W: Wire> {
     route: &'s Route<W>,
     principal: &'s Principal,
+    pass: &'s Pass,
     request: &'s Request,
     shape: Option<&'s PreparedShape>,
     bounds: Bounds,
@@ -100,13 +102,26 @@
         let rule = &route.rule;
         let group = route.group.name.as_str();
         self.decision.borrow_mut().routed(&rule.name, rule.consistency, group);
-        let lone = Lone { route, principal, request, shape, bounds };
+        let pass = match self.shared.limits.begin(principal, bounds.give_up).await {
+            Ok(pass) => pass,
+            Err(over) => return Response::over_limit(&over, TransactionState::Idle),
+        };
+        let lone = Lone { route, principal, pass: &pass, request, shape, bounds };
+        let response = self.run_counted(&lone).await;
+        if response.did_not_run() {
+            pass.take_back();
+        }
+        response
+    }
+
+    async fn run_counted(&mut self, lone: &Lone<'_, W>) -> Response {
+        let Lone { route, request, shape, .. } = *lone;
         if access_of(request, shape) == Access::Write {
-            return self.write(&lone).await;
+            return self.write(lone).await;
         }
         match self.read_bound(route) {
-            Some(bound) => self.read_anywhere(&lone, bound).await,
-            None => self.read_at_primary(&lone).await,
+            Some(bound) => self.read_anywhere(lone, bound).await,
+            None => self.read_at_primary(lone).await,
         }
     }
 
@@ -187,8 +202,11 @@
         Instant::now() >= self.bounds.give_up
     }
 
-    /// Whether a read that was sent so often without an answer is given up.
+    /// Whether a read that was sent so often without an answer is given up. Where it is not, it counts
+    /// once more against its tenant's limit.
     pub(super) fn is_over(&self, sent: u32) -> bool {
-        sent >= self.route.rule.attempts || Instant::now() >= self.bounds.deadline
+        sent >= self.route.rule.attempts
+            || Instant::now() >= self.bounds.deadline
+            || !self.pass.count_again()
     }
 }
--- a/crates/gateway/src/session/response.rs
+++ b/crates/gateway/src/session/response.rs
@@ -4,6 +4,7 @@
 use crate::error::AcquireError;
 use crate::wire::Wire;
 use bytes::BytesMut;
+use corktack_core::limits::OverLimit;
 use corktack_core::position::Position;
 use corktack_core::statement::{ErrorCode, ReadyState, Reply, TransactionState};
 
@@ -46,6 +47,18 @@
         Self::failure(ErrorCode::Busy, &text, state)
     }
 
+    /// A refusal of an operation that its tenant's limit does not allow now.
+    pub(crate) fn over_limit(over: &OverLimit, state: TransactionState) -> Self {
+        let retry_after = over.retry_after.as_millis();
+        let text = format!("not run: {over}; retry_after_ms={retry_after}");
+        Self::failure(ErrorCode::OverLimit, &text, state)
+    }
+
+    /// Whether it promises that the operation did not run.
+    pub(crate) fn did_not_run(&self) -> bool {
+        self.code().is_some_and(ErrorCode::did_not_run)
+    }
+
     /// A failure in a member's words.
     pub(crate) fn member_failure(failure: Failure, state: TransactionState) -> Self {
         let ready = ReadyState { state, position: None };
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -73,8 +73,9 @@
             let text = "not run: no configuration yet; retry_after_ms=500";
             return self.refuse(ErrorCode::Busy, text).await;
         }
-        if let Err(refused) = self.shared.routes.admit(&database, &key) {
-            return self.refuse(refused.code(), &refused.to_string()).await;
+        match self.shared.routes.admit(&database, &key) {
+            Ok(admitted) => self.shared.limits.expect(&admitted.principal),
+            Err(refused) => return self.refuse(refused.code(), &refused.to_string()).await,
         }
         let ready = ReadyState { state: TransactionState::Idle, position: None };
         self.shared.wire.encode_reply(&Reply::Ready(ready), &mut self.output);
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -15,6 +15,7 @@
 use crate::wire::Wire;
 use corktack_core::position::Position;
 use corktack_core::statement::{Access, ErrorCode, PreparedShape, Request, TransactionState};
+use corktack_core::tenancy::Principal;
 use corktack_core::time::Timestamp;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -213,6 +214,24 @@
         let bounds = Bounds::of(&route);
         let group = route.group.name.as_str();
         self.decision.borrow_mut().routed(&route.rule.name, route.rule.consistency, group);
+        let pass = match self.shared.limits.begin(&principal, bounds.give_up).await {
+            Ok(pass) => pass,
+            Err(over) => return Err(Response::over_limit(&over, TransactionState::Failed)),
+        };
+        let opened = self.open_counted(access, (route, &principal), bounds).await;
+        if opened.is_err() {
+            // No statement of the caller's was sent.
+            pass.take_back();
+        }
+        opened
+    }
+
+    async fn open_counted(
+        &self,
+        access: Access,
+        (route, principal): (Route<W>, &Principal),
+        bounds: Bounds,
+    ) -> Result<OpenTransaction<W>, Response> {
         let mut bound = match access {
             Access::Read => self.read_bound(&route),
             Access::Write => None,
@@ -227,7 +246,7 @@
             let wish = Wish {
                 target,
                 session: &self.profile,
-                principal: Some(&principal),
+                principal: Some(principal),
                 priority: route.rule.priority,
                 bound,
                 needs_slot: true,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,14 +1,22 @@
 //! Settings of a gateway.
 
-use corktack_core::identity::{ProxyName, ZoneName};
+use corktack_core::identity::{Incarnation, ProxyName, ZoneName};
+use corktack_core::limits::LimitBounds;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Settings of a gateway.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
     /// Who connections to members say they are from.
     pub name: ProxyName,
+    /// Number of this life of the process, which control knows it by.
+    pub incarnation: Incarnation,
+    /// By what the limits of tenants are kept.
+    pub limits: LimitBounds,
+    /// How old the last proof that the configuration is current may be for operations to begin; none
+    /// where they begin by the last configuration, however old.
+    pub unproved_limit: Option<Duration>,
     /// Where other gateways reach it.
     pub peers: SocketAddr,
     /// Its zone, for the choice of near members.
--- /dev/null
+++ b/crates/gateway/tests/sessions/limits.rs
@@ -0,0 +1,98 @@
+//! Operations of tenants are counted against what the leader allows.
+
+use crate::caller::Caller;
+use crate::member::Member;
+use crate::world::{BOUNDED, HASTY, LINEARIZABLE, World};
+
+const TENANTS: &[(&str, &[&str])] = &[("alfa", &["key-a"]), ("beta", &["key-b"])];
+
+async fn primary() -> Member {
+    Member::start("m1", true, "1.5").await
+}
+
+#[actix_rt::test]
+async fn an_operation_waits_for_what_the_leader_may_allow() {
+    let primary = primary().await;
+    let mut world = World::with_limits(&[&primary], TENANTS);
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "key-a").await;
+    let control = &mut world.controls[0];
+    let (answered, ()) = tokio::join!(caller.query("write x"), control.allow("alfa", 1));
+    assert!(answered.is_success(), "{answered:?}");
+}
+
+#[actix_rt::test]
+async fn beyond_the_limit_nothing_runs_and_the_caller_is_told_when_to_come_back() {
+    let primary = primary().await;
+    let mut world = World::with_limits(&[&primary], TENANTS);
+    let mut caller = Caller::start(world.gateways[0], HASTY, "key-a").await;
+    world.controls[0].allow("alfa", 2).await;
+    for _ in 0..2 {
+        caller.until_served("write x").await;
+    }
+    let refused = caller.query("write y").await;
+    assert_eq!((refused.code(), refused.state.as_str()), ("overlimit", "idle"));
+    assert!(refused.lines[0].contains("retry_after_ms="), "{refused:?}");
+    assert_eq!(primary.texts(), ["write x", "write x"]);
+}
+
+#[actix_rt::test]
+async fn one_tenant_at_its_limit_costs_another_nothing() {
+    let primary = primary().await;
+    let mut world = World::with_limits(&[&primary], TENANTS);
+    let mut first = Caller::start(world.gateways[0], HASTY, "key-a").await;
+    world.controls[0].allow("alfa", 1).await;
+    first.until_served("write x").await;
+    assert_eq!(first.query("write y").await.code(), "overlimit");
+    let mut second = Caller::start(world.gateways[0], HASTY, "key-b").await;
+    world.controls[0].allow("beta", 1).await;
+    second.until_served("write z").await;
+}
+
+#[actix_rt::test]
+async fn a_transaction_counts_once() {
+    let primary = primary().await;
+    let mut world = World::with_limits(&[&primary], TENANTS);
+    let mut caller = Caller::start(world.gateways[0], HASTY, "key-a").await;
+    world.controls[0].allow("alfa", 1).await;
+    caller.until_served("begin").await;
+    for statement in ["write x", "read x", "write y", "commit"] {
+        let answered = caller.query(statement).await;
+        assert!(answered.is_success(), "{statement}: {answered:?}");
+    }
+    assert!(caller.query("begin").await.is_success(), "no member is asked for anything yet");
+    let refused = caller.query("write z").await;
+    assert_eq!((refused.code(), refused.state.as_str()), ("overlimit", "failed"));
+}
+
+#[actix_rt::test]
+async fn what_did_not_run_is_not_counted() {
+    let primary = primary().await;
+    let mut world = World::with_limits(&[&primary], TENANTS);
+    let mut caller = Caller::start(world.gateways[0], HASTY, "key-a").await;
+    world.controls[0].allow("alfa", 1).await;
+    primary.asked().await;
+    primary.state.borrow_mut().gone = true;
+    assert_eq!(caller.query("write x").await.code(), "busy");
+    primary.state.borrow_mut().gone = false;
+    caller.until_served("write x").await;
+    assert_eq!(caller.query("write y").await.code(), "overlimit");
+}
+
+#[actix_rt::test]
+async fn a_read_that_may_have_run_counts_once_more_where_it_is_tried_again() {
+    let primary = primary().await;
+    let replica = Member::start("m2", false, "1.5").await;
+    for (allowed, served) in [(1, false), (2, true)] {
+        let mut world = World::with_limits(&[&primary, &replica], TENANTS);
+        let mut caller = Caller::start(world.gateways[0], BOUNDED, "key-a").await;
+        world.controls[0].allow("alfa", allowed).await;
+        primary.state.borrow_mut().answers_to_lose = 1;
+        replica.state.borrow_mut().answers_to_lose = 1;
+        let answered = caller.query("read x").await;
+        let lost = [&primary, &replica].map(|it| 1 - it.state.borrow().answers_to_lose);
+        assert_eq!(lost.iter().sum::<usize>() > 1, served, "{answered:?}");
+        for member in [&primary, &replica] {
+            member.state.borrow_mut().answers_to_lose = 0;
+        }
+    }
+}
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -4,6 +4,7 @@
 mod doubt;
 mod draining;
 mod holders;
+mod limits;
 mod member;
 mod restarts;
 mod routing;
--- a/crates/gateway/tests/sessions/tenants.rs
+++ b/crates/gateway/tests/sessions/tenants.rs
@@ -3,6 +3,7 @@
 use crate::caller::Caller;
 use crate::member::Member;
 use crate::world::{BOUNDED, LINEARIZABLE, ONE_SHARE, World};
+use std::time::{Duration, Instant};
 
 /// Two tenants; the first has two keys.
 const TENANTS: &[(&str, &[&str])] = &[("alfa", &["key-a", "key-b"]), ("beta", &["key-c"])];
@@ -144,3 +145,32 @@
         caller.until_served("write x").await;
     }
 }
+
+#[actix_rt::test]
+async fn without_a_young_proof_nothing_begins_where_that_is_asked_for() {
+    let primary = primary().await;
+    let limit = Duration::from_millis(300);
+    let world = World::with_proofs(&[&primary], TENANTS, limit);
+    let refused = Caller::refused(world.gateways[0], LINEARIZABLE, "key-a").await;
+    assert!(refused[0].starts_with("error|busy|not run"), "{refused:?}");
+    world.proof.send_replace(Some(Instant::now()));
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "key-a").await;
+    assert!(caller.query("begin").await.is_success());
+    assert!(caller.query("write x").await.is_success());
+    tokio::time::sleep(limit).await;
+    // What is under way ends as it began.
+    assert!(caller.query("commit").await.is_success());
+    assert_eq!(caller.query("write y").await.code(), "busy");
+    world.proof.send_replace(Some(Instant::now()));
+    assert!(caller.query("write z").await.is_success());
+    assert_eq!(primary.texts(), ["write x", "commit", "write z"]);
+}
+
+#[actix_rt::test]
+async fn out_of_touch_with_control_the_last_configuration_serves_on() {
+    let primary = primary().await;
+    let world = World::with_tenants(&[&primary], 1, 36, TENANTS);
+    assert_eq!(*world.proof.borrow(), None);
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "key-a").await;
+    assert!(caller.query("write x").await.is_success());
+}
--- a/crates/lab/src/scale/node.rs
+++ b/crates/lab/src/scale/node.rs
@@ -202,6 +202,8 @@
 
     async fn perform(&mut self, action: Action) -> Option<Event> {
         match action {
+            // Hollow nodes have no tenants.
+            Action::Led(_) | Action::Granted(_) => None,
             Action::Connect(addresses) => {
                 let first = addresses.first()?;
                 self.connection = connect(*first, &self.counters).await;
--- a/crates/protocol/src/cell.rs
+++ b/crates/protocol/src/cell.rs
@@ -1,6 +1,7 @@
 //! Between control replicas.
 
 use corktack_core::identity::{Incarnation, ProxyName, ReplicaId, ZoneName};
+use corktack_core::limits::{AllowanceGrant, AllowanceReport};
 use corktack_core::view::Revision;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -63,6 +64,10 @@
         /// The proxies heard of since the last summary.
         reports: Vec<ProxyReport>,
     },
+    /// What a proxy that is connected to a follower holds of tenants' limits, for the leader.
+    AllowanceReport(AllowanceReport),
+    /// The leader's answer, for the proxy.
+    AllowanceGrant(AllowanceGrant),
     /// A replica without a cell asks to be added; passed on to the leader.
     Join {
         /// The replica that asks.
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -2,6 +2,7 @@
 
 use corktack_core::consensus::{CellConfig, CellMember};
 use corktack_core::identity::{GroupName, Incarnation, MemberName, ProxyName, ZoneName};
+use corktack_core::limits::{AllowanceGrant, AllowanceReport};
 use corktack_core::position::Term;
 use corktack_core::view::{Delta, Revision, View};
 use serde::{Deserialize, Serialize};
@@ -65,6 +66,8 @@
         /// What changed in its view of back ends since the last heartbeat.
         observations: Vec<Observation>,
     },
+    /// What the proxy holds of tenants' limits, for the leader.
+    Allowances(AllowanceReport),
 }
 
 /// From a control replica to a proxy.
@@ -85,4 +88,11 @@
         /// A proxy that gets no such proof for a while changes replica.
         current: bool,
     },
+    /// A leader of this term has been elected; sent at first and on change.
+    Led {
+        /// Its term.
+        term: Term,
+    },
+    /// What the leader gives of tenants' limits.
+    Allowances(AllowanceGrant),
 }
--- a/crates/server/src/deployment.rs
+++ b/crates/server/src/deployment.rs
@@ -5,18 +5,19 @@
 
 use crate::listeners::{ListenError, bind};
 use crate::watch_client::state::WatchSettings;
-use crate::watch_client::{self, NotKept, WatchError, WatchHandle};
+use crate::watch_client::{self, NotKept, WatchError, WatchHandle, WatchInputs};
 use corktack_control::{
     ControlError, ControlHandle, ControlListeners, ControlReplica, ControlSettings, MemberCall,
     RegistryCalls, find_identity,
 };
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::identity::{Incarnation, NameError, ProxyName, ZoneName};
+use corktack_core::limits::LimitBounds;
 use corktack_core::position::Term;
 use corktack_core::registry::{CellRepairSettings, MemberAnswer, PromotionAnswer};
 use corktack_gateway::{
-    Gateway, GatewayError, GatewayHandle, GatewayListeners, GatewaySettings, MemberReach, Wire,
-    ask_status, release,
+    Gateway, GatewayError, GatewayHandle, GatewayLinks, GatewayListeners, GatewaySettings,
+    LimitsLink, MemberReach, Wire, ask_status, release,
 };
 use corktack_protocol::cell::CellName;
 use corktack_protocol::control::{MemberHealth, Observation};
@@ -88,7 +89,7 @@
 }
 
 /// Bounds that the deployment must keep.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DeploymentBounds {
     /// Time at a planned stop until the process is killed.
     pub stop_grace: Duration,
@@ -100,6 +101,11 @@
     pub catch_up: Duration,
     /// Time in which an acknowledged configuration is in force everywhere, where there is a bound.
     pub config_apply: Option<Duration>,
+    /// By what the limits of tenants are kept.
+    pub limits: LimitBounds,
+    /// How old the last proof that the configuration is current may be for operations to begin; none
+    /// where they begin by the last configuration, however old.
+    pub unproved_limit: Option<Duration>,
 }
 
 impl DeploymentBounds {
@@ -202,6 +208,7 @@
         let calls = authority.map(|authority| self.calls(wire, authority));
         settings.registry_calls = calls.transpose()?;
         settings.workers = 1;
+        settings.limits = self.bounds.limits;
         settings.cell_address = Some(own);
         settings.join_through = self.at_seeds(self.proxies_port());
         settings.formation_grace = self.bounds.catch_up;
@@ -237,12 +244,17 @@
         let (observations, observed) = mpsc::unbounded_channel();
         let (reach, found) = mpsc::unbounded_channel();
         actix_rt::spawn(observe(found, observations));
+        let (reports, allowances) = mpsc::unbounded_channel();
+        let (said, news) = mpsc::unbounded_channel();
+        let inputs = WatchInputs { observations: observed, allowances, limits: said };
         let settings = self.watch_settings()?;
+        let incarnation = settings.incarnation;
         let store = Box::new(NotKept);
-        let watch = watch_client::start(settings, CONNECT_LIMIT, store, observed, &mut registry)?;
-        let settings = self.gateway_settings()?;
-        let gateway =
-            Gateway::start(settings, wire, listeners, watch.views(), reach, &mut registry)?;
+        let watch = watch_client::start(settings, CONNECT_LIMIT, store, inputs, &mut registry)?;
+        let settings = GatewaySettings { incarnation, ..self.gateway_settings()? };
+        let limits = LimitsLink { reports, news };
+        let links = GatewayLinks { views: watch.views(), proved: watch.proved(), reach, limits };
+        let gateway = Gateway::start(settings, wire, listeners, links, &mut registry)?;
         log::info!(machine = self.name.as_str(), callers:% = callers; "gateway starts");
         Ok((RunningGateway { watch, gateway }, registry))
     }
@@ -274,6 +286,10 @@
     fn gateway_settings(&self) -> Result<GatewaySettings, DeploymentError> {
         Ok(GatewaySettings {
             name: ProxyName::new(self.name.as_str())?,
+            // The watch's, where a gateway is started.
+            incarnation: Incarnation(0),
+            limits: self.bounds.limits,
+            unproved_limit: self.bounds.unproved_limit,
             peers: self.peers(),
             zone: self.zone.clone(),
             connect_timeout: MEMBER_CONNECT_LIMIT,
@@ -358,10 +374,10 @@
 impl<W: Wire> RunningGateway<W> {
     /// Waits until the configuration in force is proved to be current and callers can be served.
     pub async fn until_ready(&self) {
-        let mut current = self.watch.current();
+        let mut proved = self.watch.proved();
         let mut views = self.watch.views();
         // Both end only with the process.
-        drop(current.wait_for(|current| *current).await);
+        drop(proved.wait_for(Option::is_some).await);
         drop(views.wait_for(|view| view.document.is_some()).await);
     }
 
--- a/crates/server/src/proxy/mod.rs
+++ b/crates/server/src/proxy/mod.rs
@@ -9,7 +9,7 @@
 use crate::signals::{StopSignals, write_events_on_signal};
 use crate::telemetry::http::{Readiness, SharedRegistry, serve, with_registry};
 use crate::telemetry::{TelemetryError, install};
-use crate::watch_client::{self, ViewFile, WatchError, WatchHandle};
+use crate::watch_client::{self, ViewFile, WatchError, WatchHandle, WatchInputs};
 use actix_web::dev::ServerHandle;
 use corktack_core::identity::{Incarnation, ProxyName};
 use corktack_core::view::{ProxyState, Revision, View};
@@ -103,7 +103,8 @@
     let connect_limit = millis(settings.control.connect_timeout_ms);
     let store = Box::new(ViewFile::open(&folder)?);
     let watch = with_registry(&registry, |registry| {
-        watch_client::start(watch_settings, connect_limit, store, observed, registry)
+        let inputs = WatchInputs::without_limits(observed);
+        watch_client::start(watch_settings, connect_limit, store, inputs, registry)
     })?;
     let owner_settings = wiring::owner_settings(&settings, incarnation);
     let owner = with_registry(&registry, |registry| {
@@ -163,8 +164,8 @@
 /// Waits until a replica proved that the configuration is current. A stored configuration is
 /// good enough after the limit: serving beats waiting for control, and terms keep it safe.
 async fn wait_until_current(watch: &WatchHandle, limit: Duration) {
-    let mut current = watch.current();
-    if timeout(limit, current.wait_for(|current| *current)).await.is_ok() {
+    let mut proved = watch.proved();
+    if timeout(limit, proved.wait_for(Option::is_some)).await.is_ok() {
         return;
     }
     log::warn!("control did not prove in time that the configuration is current");
--- a/crates/server/src/watch_client/mod.rs
+++ b/crates/server/src/watch_client/mod.rs
@@ -16,12 +16,14 @@
 pub use store::{NotKept, ViewStore};
 pub use view_file::ViewFile;
 
+use corktack_core::limits::AllowanceReport;
 use corktack_core::view::View;
+use corktack_gateway::LimitNews;
 use corktack_protocol::control::Observation;
 use corktack_storage::StorageError;
 use prometheus_client::registry::Registry;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use task::WatchTask;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -50,11 +52,31 @@
     Stop,
 }
 
+/// What the proxy tells the watch, and where the watch tells it what is no configuration.
+#[derive(Debug)]
+pub struct WatchInputs {
+    /// What the proxy sees of back ends.
+    pub observations: mpsc::UnboundedReceiver<Observation>,
+    /// What the proxy says of tenants' limits; closed where it has none.
+    pub allowances: mpsc::UnboundedReceiver<AllowanceReport>,
+    /// Takes what control says of limits.
+    pub limits: mpsc::UnboundedSender<LimitNews>,
+}
+
+impl WatchInputs {
+    /// Of a proxy that knows no tenants.
+    #[must_use]
+    pub fn without_limits(observations: mpsc::UnboundedReceiver<Observation>) -> Self {
+        let (allowances, limits) = (mpsc::unbounded_channel().1, mpsc::unbounded_channel().0);
+        Self { observations, allowances, limits }
+    }
+}
+
 /// A running watch. It ends when the handle is dropped.
 #[derive(Debug)]
 pub struct WatchHandle {
     views: watch::Receiver<Arc<View>>,
-    current: watch::Receiver<bool>,
+    proved: watch::Receiver<Option<Instant>>,
     requests: mpsc::UnboundedSender<Request>,
     arbiter: actix_rt::Arbiter,
     /// Closed once the store is let go of.
@@ -68,10 +90,11 @@
         self.views.clone()
     }
 
-    /// Whether a replica proved since the start that the configuration in force is current.
+    /// When a replica was last asked whether the configuration in force is current, and proved it; none
+    /// before the first proof since the start.
     #[must_use]
-    pub fn current(&self) -> watch::Receiver<bool> {
-        self.current.clone()
+    pub fn proved(&self) -> watch::Receiver<Option<Instant>> {
+        self.proved.clone()
     }
 
     /// Reports from now on that the proxy is stopping.
@@ -107,14 +130,14 @@
     settings: WatchSettings,
     connect_timeout: Duration,
     store: Box<dyn ViewStore>,
-    observations: mpsc::UnboundedReceiver<Observation>,
+    inputs: WatchInputs,
     registry: &mut Registry,
 ) -> Result<WatchHandle, WatchError> {
     let metrics = WatchMetrics::register(registry);
     let stored = store.load()?.unwrap_or_default();
     metrics.revision.set(i64::try_from(stored.revision.0).unwrap_or(i64::MAX));
     let (publish, views) = watch::channel(Arc::new(stored.clone()));
-    let (proved, current) = watch::channel(false);
+    let (proof, proved) = watch::channel(None);
     let (requests, asked) = mpsc::unbounded_channel();
     let (running, ended) = mpsc::channel(1);
     let syncer = store::Syncer::start(store, metrics.clone(), running);
@@ -124,13 +147,13 @@
         stored,
         connect_timeout,
         syncer,
-        observations,
+        inputs,
         requests: asked,
         publish,
-        proved,
+        proved: proof,
         metrics,
     };
     let arbiter = actix_rt::Arbiter::new();
     arbiter.spawn(task.run());
-    Ok(WatchHandle { views, current, requests, arbiter, ended })
+    Ok(WatchHandle { views, proved, requests, arbiter, ended })
 }
--- a/crates/server/src/watch_client/state.rs
+++ b/crates/server/src/watch_client/state.rs
@@ -6,6 +6,8 @@
 
 use corktack_core::consensus::CellConfig;
 use corktack_core::identity::{GroupName, Incarnation, MemberName, ProxyName, ZoneName};
+use corktack_core::limits::{AllowanceGrant, AllowanceReport};
+use corktack_core::position::Term;
 use corktack_core::time::Timestamp;
 use corktack_core::view::{Delta, Revision, View, ViewError};
 use corktack_protocol::control::{ControlMessage, MemberHealth, Observation, ProxyMessage};
@@ -137,6 +139,8 @@
     Message(ControlMessage),
     /// The owner saw changes at back ends.
     Observed(Vec<Observation>),
+    /// The proxy has something to say of tenants' limits.
+    Allowances(AllowanceReport),
     /// The proxy is stopping.
     Draining,
     /// The configuration of this revision is on disk.
@@ -156,6 +160,10 @@
     Publish,
     /// The replica proved that it is current, so the configuration in force is too.
     Current,
+    /// Tell the proxy in which term a leader has been elected.
+    Led(Term),
+    /// Tell the proxy what the leader gives of tenants' limits.
+    Granted(AllowanceGrant),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -182,6 +190,10 @@
     first_sequence: u64,
     last_heartbeat: Timestamp,
     last_proof: Timestamp,
+    /// When the heartbeats that are not acknowledged yet were sent, by sequence.
+    unacknowledged: BTreeMap<u64, Timestamp>,
+    /// When the newest heartbeat that proved something was sent.
+    proved_at: Option<Timestamp>,
     draining: bool,
     observed: BTreeMap<(GroupName, MemberName), Seen>,
     unsent: bool,
@@ -212,6 +224,8 @@
             first_sequence: 0,
             last_heartbeat: now,
             last_proof: now,
+            unacknowledged: BTreeMap::new(),
+            proved_at: None,
             draining: false,
             observed: BTreeMap::new(),
             unsent: false,
@@ -225,6 +239,12 @@
         &self.in_force
     }
 
+    /// When the newest heartbeat was sent by whose answer the configuration was current.
+    #[must_use]
+    pub const fn proved_at(&self) -> Option<Timestamp> {
+        self.proved_at
+    }
+
     /// When the next [`Event::Tick`] is due.
     #[must_use]
     pub fn deadline(&self) -> Timestamp {
@@ -247,6 +267,11 @@
             Event::Disconnected => return self.lost(now),
             Event::Message(message) => return self.receive(now, message),
             Event::Observed(observations) => self.observe(observations),
+            // What is lost with a connection is said anew on the next one.
+            Event::Allowances(report) if self.phase == Phase::Connected => {
+                return vec![Action::Send(ProxyMessage::Allowances(report))];
+            }
+            Event::Allowances(_) => return Vec::new(),
             Event::Draining => return self.drain(now),
             Event::Synced(revision) => self.synced = self.synced.max(revision),
         }
@@ -298,6 +323,7 @@
         self.phase = Phase::Connected;
         self.last_proof = now;
         self.first_sequence = self.sequence + 1;
+        self.unacknowledged.clear();
         self.observed.values_mut().for_each(|seen| seen.sent = false);
         let hello = Action::Send(self.hello());
         vec![hello, self.heartbeat(now)]
@@ -316,6 +342,7 @@
     fn heartbeat(&mut self, now: Timestamp) -> Action {
         self.last_heartbeat = now;
         self.sequence += 1;
+        self.unacknowledged.insert(self.sequence, now);
         let message = ProxyMessage::Heartbeat {
             sequence: self.sequence,
             revision: self.synced.min(self.in_force.revision()),
@@ -373,6 +400,8 @@
             ControlMessage::HeartbeatAck { sequence, current } => {
                 self.acknowledged(now, sequence, current)
             }
+            ControlMessage::Led { term } => vec![Action::Led(term)],
+            ControlMessage::Allowances(grant) => vec![Action::Granted(grant)],
         }
     }
 
@@ -416,6 +445,9 @@
         }
         self.failures = 0;
         self.last_proof = now;
+        let sent = self.unacknowledged.remove(&sequence);
+        self.unacknowledged.retain(|other, _| *other > sequence);
+        self.proved_at = self.proved_at.max(sent);
         vec![Action::Current]
     }
 
--- a/crates/server/src/watch_client/task.rs
+++ b/crates/server/src/watch_client/task.rs
@@ -1,12 +1,14 @@
 //! The task that performs what the watch's state machine decides.
 
-use super::Request;
 use super::connection::{Arrival, Connection};
 use super::metrics::WatchMetrics;
 use super::state::{Action, Event, WatchSettings, WatchState};
 use super::store::Syncer;
+use super::{Request, WatchInputs};
+use corktack_core::limits::AllowanceReport;
 use corktack_core::time::Timestamp;
 use corktack_core::view::View;
+use corktack_gateway::LimitNews;
 use corktack_protocol::control::Observation;
 use futures_util::FutureExt;
 use std::net::SocketAddr;
@@ -23,10 +25,10 @@
     pub(super) stored: View,
     pub(super) connect_timeout: Duration,
     pub(super) syncer: Syncer,
-    pub(super) observations: mpsc::UnboundedReceiver<Observation>,
+    pub(super) inputs: WatchInputs,
     pub(super) requests: mpsc::UnboundedReceiver<Request>,
     pub(super) publish: watch::Sender<Arc<View>>,
-    pub(super) proved: watch::Sender<bool>,
+    pub(super) proved: watch::Sender<Option<Instant>>,
     pub(super) metrics: WatchMetrics,
 }
 
@@ -36,7 +38,9 @@
         let origin = Instant::now();
         let send_limit = self.settings.silence_timeout;
         let state = WatchState::new(self.settings, self.stored, Timestamp::ZERO);
+        let WatchInputs { observations, allowances, limits } = self.inputs;
         let shell = Shell {
+            limits,
             origin,
             state,
             connection: Connection::Closed,
@@ -49,7 +53,7 @@
             metrics: self.metrics,
             unpublished: false,
         };
-        shell.run(self.observations, self.requests).await;
+        shell.run(observations, allowances, self.requests).await;
     }
 }
 
@@ -64,8 +68,10 @@
     send_limit: Duration,
     syncer: Syncer,
     publish: watch::Sender<Arc<View>>,
-    proved: watch::Sender<bool>,
+    proved: watch::Sender<Option<Instant>>,
     metrics: WatchMetrics,
+    /// Takes what control says of limits.
+    limits: mpsc::UnboundedSender<LimitNews>,
     unpublished: bool,
 }
 
@@ -73,6 +79,7 @@
     async fn run(
         mut self,
         mut observations: mpsc::UnboundedReceiver<Observation>,
+        mut allowances: mpsc::UnboundedReceiver<AllowanceReport>,
         mut requests: mpsc::UnboundedReceiver<Request>,
     ) {
         loop {
@@ -89,6 +96,9 @@
                     }
                     self.handle(Event::Observed(seen)).await;
                 }
+                Some(report) = allowances.recv() => {
+                    self.handle(Event::Allowances(report)).await;
+                }
                 Some(revision) = self.syncer.synced() => {
                     self.handle(Event::Synced(revision)).await;
                 }
@@ -171,16 +181,23 @@
                 }
             }
             Action::Publish => self.unpublished = true,
+            Action::Led(term) => self.tell(LimitNews::Led(term)),
+            Action::Granted(grant) => self.tell(LimitNews::Granted(grant)),
             Action::Current => {
                 self.publish();
-                let news = self.proved.send_if_modified(|it| !std::mem::replace(it, true));
-                if news {
+                let proved_at = self.state.proved_at().map(|at| self.instant(at));
+                if self.proved.send_replace(proved_at).is_none() {
                     log::info!(replica:? = self.replica; "configuration is proved to be current");
                 }
             }
         }
     }
 
+    fn tell(&self, news: LimitNews) {
+        // A proxy without tenants does not listen.
+        let _ = self.limits.send(news);
+    }
+
     fn close(&mut self) {
         self.connection = Connection::Closed;
         self.metrics.connected.set(0);
