Liveness: connections that go silent for good end, between replicas, gateways and members

Looked at each long-lived connection: watch of control: heartbeats both ways, 0.8 to 1.5 s and 3 s (noticed before); members: what is unacknowledged for 2 s, not one that rests; links between replicas: nothing (a send that fills the buffers, 5 s); tunnels: the asking side by signs of work, the holder's side nothing (its connection to the member stayed lent for good); callers: nothing; calls for promotion and status: limits of 0.6 and 1 s (noticed before). Change: one place that sets what the kernel watches (unacknowledged data, probes while at rest), used by all of them; links between replicas are answered by what reads them, and reconnected after 2 s without an answer, also where the far kernel acknowledges for a process that takes nothing; a connection lent to a gateway that says nothing for longer than a transaction may rest is taken back.

--- a/crates/control/src/cell/inbound.rs
+++ b/crates/control/src/cell/inbound.rs
@@ -8,10 +8,12 @@
 use corktack_core::identity::{Incarnation, ReplicaId};
 use corktack_protocol::cell::CellName;
 use corktack_protocol::frame::FrameCodec;
+use corktack_protocol::liveness::Liveness;
 use futures_util::StreamExt;
 use std::time::Duration;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tokio_util::codec::FramedRead;
 
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
@@ -82,12 +84,35 @@
     }
 }
 
-type Connection = FramedRead<TcpStream, FrameCodec<PeerMessage, PeerMessage>>;
+type Connection = FramedRead<OwnedReadHalf, FrameCodec<PeerMessage, PeerMessage>>;
+
+/// Shortest time between two answers to what was read: the sender waits four times as long.
+const ANSWER_INTERVAL: Duration = Duration::from_millis(500);
+/// What is answered.
+const ANSWER: &[u8] = &[1];
+
+/// Answers what was read, from time to time.
+struct Answers {
+    write_half: OwnedWriteHalf,
+    due: Instant,
+}
+
+impl Answers {
+    fn note_read(&mut self) {
+        if Instant::now() >= self.due {
+            // Where nothing can be written now, the next answer says the same.
+            let _ = self.write_half.try_write(ANSWER);
+            self.due = Instant::now() + ANSWER_INTERVAL;
+        }
+    }
+}
 
 async fn serve_replica(stream: TcpStream, settings: InboundSettings, node: NodeHandle) {
-    // The option only saves latency: a connection without it still works.
-    drop(stream.set_nodelay(true));
-    let mut connection = FramedRead::new(stream, FrameCodec::default());
+    // The options only save time: a connection without them still works.
+    drop(Liveness::WITHIN_DEPLOYMENT.apply(&stream));
+    let (read_half, write_half) = stream.into_split();
+    let mut connection = FramedRead::new(read_half, FrameCodec::default());
+    let mut answers = Answers { write_half, due: Instant::now() };
     let Some(from) = receive_hello(&mut connection, &settings).await else { return };
     if node.send(NodeInput::Connected(from)).is_err() {
         return;
@@ -95,6 +120,7 @@
     loop {
         match connection.next().await {
             Some(Ok(message)) => {
+                answers.note_read();
                 if node.send(NodeInput::Cell { from, message }).is_err() {
                     return;
                 }
--- a/crates/control/src/cell/outbound.rs
+++ b/crates/control/src/cell/outbound.rs
@@ -8,14 +8,17 @@
 use corktack_core::identity::{Incarnation, ReplicaId};
 use corktack_protocol::cell::CellName;
 use corktack_protocol::frame::{FrameCodec, FrameError};
+use corktack_protocol::liveness::Liveness;
 use futures_util::SinkExt;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{Notify, mpsc};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::codec::FramedWrite;
 
 /// Messages that wait for one replica before further ones are dropped. The
@@ -25,6 +28,8 @@
 /// Longest wait for a connection: a machine without power answers nothing, and its first packet
 /// after it came back would be sent again only after seconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Bytes of answers taken at once.
+const ANSWER_BUFFER: usize = 64;
 const SEND_TIMEOUT: Duration = Duration::from_secs(5);
 const BACKOFF_FIRST: Duration = Duration::from_millis(20);
 const BACKOFF_LAST: Duration = Duration::from_secs(1);
@@ -134,8 +139,11 @@
         };
         if let Some(connection) = connected {
             backoff.reset();
-            if send_all(connection, &mut messages).await.is_ok() {
-                return;
+            match send_all(connection, &mut messages).await {
+                Ok(()) => return,
+                Err(error) => {
+                    log::info!(address:% = address, error:% = error; "link to a replica lost");
+                }
             }
         }
         let delay = backoff.next();
@@ -150,35 +158,77 @@
     }
 }
 
-type Connection = FramedWrite<TcpStream, FrameCodec<PeerMessage, PeerMessage>>;
+/// How long what was sent may stay unanswered: the far end answers what it reads within
+/// a quarter of that, also where its kernel would acknowledge for a process that takes nothing.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Why a connection is given up.
+#[derive(Debug, thiserror::Error)]
+enum LinkError {
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    #[error("the other replica closed the connection")]
+    Closed,
+    #[error("the other replica does not answer what it is sent")]
+    Silent,
+}
+
+/// A connection: messages go one way, and single bytes come back for what was read.
+struct Connection {
+    messages: FramedWrite<OwnedWriteHalf, FrameCodec<PeerMessage, PeerMessage>>,
+    answers: OwnedReadHalf,
+}
 
 async fn connect(address: SocketAddr, hello: &PeerMessage) -> Option<Connection> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
-    stream.set_nodelay(true).ok()?;
-    let mut connection = FramedWrite::new(stream, FrameCodec::default());
-    timeout(SEND_TIMEOUT, connection.send(hello.clone())).await.ok()?.ok()?;
-    Some(connection)
+    Liveness::WITHIN_DEPLOYMENT.apply(&stream).ok()?;
+    let (answers, write_half) = stream.into_split();
+    let mut messages = FramedWrite::new(write_half, FrameCodec::default());
+    timeout(SEND_TIMEOUT, messages.send(hello.clone())).await.ok()?.ok()?;
+    Some(Connection { messages, answers })
 }
 
 /// Sends until the queue is closed (`Ok`) or the connection fails.
 async fn send_all(
     mut connection: Connection,
-    messages: &mut mpsc::Receiver<PeerMessage>,
-) -> Result<(), FrameError> {
-    while let Some(message) = messages.recv().await {
-        connection.feed(message).await?;
-        while let Ok(message) = messages.try_recv() {
-            connection.feed(message).await?;
+    queue: &mut mpsc::Receiver<PeerMessage>,
+) -> Result<(), LinkError> {
+    let mut unanswered_since: Option<Instant> = None;
+    let mut answers = [0; ANSWER_BUFFER];
+    loop {
+        tokio::select! {
+            message = queue.recv() => {
+                let Some(message) = message else { return Ok(()) };
+                connection.messages.feed(message).await?;
+                while let Ok(message) = queue.try_recv() {
+                    connection.messages.feed(message).await?;
+                }
+                connection.flush().await?;
+                unanswered_since.get_or_insert_with(Instant::now);
+            }
+            read = connection.answers.read(&mut answers) => match read {
+                Ok(1..) => unanswered_since = None,
+                _ => return Err(LinkError::Closed),
+            },
+            () = silence(unanswered_since) => return Err(LinkError::Silent),
         }
-        flush(&mut connection).await?;
     }
-    Ok(())
 }
 
-async fn flush(connection: &mut Connection) -> Result<(), FrameError> {
-    match timeout(SEND_TIMEOUT, connection.flush()).await {
-        Ok(result) => result,
-        Err(_) => Err(FrameError::Io(std::io::ErrorKind::TimedOut.into())),
+/// Ends once something has been unanswered for too long.
+async fn silence(unanswered_since: Option<Instant>) {
+    match unanswered_since {
+        Some(since) => sleep_until(since + SILENCE_LIMIT).await,
+        None => std::future::pending().await,
+    }
+}
+
+impl Connection {
+    async fn flush(&mut self) -> Result<(), FrameError> {
+        match timeout(SEND_TIMEOUT, self.messages.flush()).await {
+            Ok(result) => result,
+            Err(_) => Err(FrameError::Io(std::io::ErrorKind::TimedOut.into())),
+        }
     }
 }
 
--- a/crates/control/src/proxies/connection.rs
+++ b/crates/control/src/proxies/connection.rs
@@ -14,6 +14,7 @@
 use corktack_core::watch::WatchCursor;
 use corktack_protocol::control::{ControlMessage, ProxyMessage};
 use corktack_protocol::frame::{FrameCodec, FrameError};
+use corktack_protocol::liveness::Liveness;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
 use std::time::Duration;
@@ -64,8 +65,8 @@
 
 /// Serves a proxy until it goes, fails or the replica stops.
 pub(crate) async fn serve_proxy(stream: TcpStream, id: ConnectionId, server: ProxyServer) {
-    // The option only saves latency: a connection without it still works.
-    drop(stream.set_nodelay(true));
+    // The options only save time: a connection without them still works.
+    drop(Liveness::WITHIN_DEPLOYMENT.apply(&stream));
     let (read_half, write_half) = stream.into_split();
     let mut reader = FramedRead::new(read_half, FrameCodec::default());
     let (identity, revision) = match receive_hello(&mut reader).await {
--- a/crates/control/tests/support/links.rs
+++ b/crates/control/tests/support/links.rs
@@ -17,15 +17,26 @@
 
 type PeerMessage = CellMessage<Message>;
 
-/// The replicas that are cut off from all others.
+/// The replicas that are cut off from all others, and connections that pass nothing on.
 #[derive(Clone)]
 pub struct Links {
     cut: watch::Sender<BTreeSet<ReplicaId>>,
+    /// Counts up with each silence, which holds for the connections that there are then.
+    silenced: watch::Sender<Silence>,
+}
+
+/// From whom to whom connections were silenced last.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Silence {
+    number: u64,
+    between: Option<(ReplicaId, ReplicaId)>,
 }
 
 impl Links {
     pub fn new() -> Self {
-        Self { cut: watch::channel(BTreeSet::new()).0 }
+        let (cut, silenced) =
+            (watch::channel(BTreeSet::new()).0, watch::channel(Silence::default()).0);
+        Self { cut, silenced }
     }
 
     /// Opens the way to a replica; gives the address for the others.
@@ -34,10 +45,10 @@
         let address = listener.local_addr().expect("a bound listener has an address");
         listener.set_nonblocking(true).expect("the listener is ours");
         let listener = TcpListener::from_std(listener).expect("inside the runtime");
-        let cut = self.cut.subscribe();
+        let (cut, silenced) = (self.cut.subscribe(), self.silenced.subscribe());
         actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                actix_rt::spawn(pass_on(stream, to, real, cut.clone()));
+                actix_rt::spawn(pass_on(stream, to, real, cut.clone(), silenced.clone()));
             }
         });
         address
@@ -47,6 +58,14 @@
         self.cut.send_modify(|cut| cut.extend([replica]));
     }
 
+    /// What one replica sends another on the connection that it has now arrives nowhere, without a reset;
+    /// new connections work.
+    pub fn silence(&self, from: ReplicaId, to: ReplicaId) {
+        self.silenced.send_modify(|silence| {
+            *silence = Silence { number: silence.number + 1, between: Some((from, to)) };
+        });
+    }
+
     pub fn heal(&self) {
         self.cut.send_modify(BTreeSet::clear);
     }
@@ -57,8 +76,11 @@
     to: ReplicaId,
     real: SocketAddr,
     mut cut: watch::Receiver<BTreeSet<ReplicaId>>,
+    mut silenced: watch::Receiver<Silence>,
 ) {
     let Some((from, first)) = first_message(&mut near).await else { return };
+    let opened = silenced.borrow().number;
+    let is_silenced = |now: &Silence| now.number > opened && now.between == Some((from, to));
     let passing = async {
         let Ok(mut far) = TcpStream::connect(real).await else { return };
         if far.write_all(&first).await.is_ok() {
@@ -69,9 +91,13 @@
     tokio::select! {
         // The cut is looked at first, so that a cut link passes nothing.
         biased;
-        _ = cut.wait_for(|cut| cut.contains(&from) || cut.contains(&to)) => (),
-        () = passing => (),
+        _ = cut.wait_for(|cut| cut.contains(&from) || cut.contains(&to)) => return,
+        _ = silenced.wait_for(is_silenced) => (),
+        () = passing => return,
     }
+    // What was sent is read, as a kernel would, and goes nowhere.
+    let mut unread = [0; 4_096];
+    while let Ok(1..) = near.read(&mut unread).await {}
 }
 
 /// Who connects, and the bytes read to know it.
--- a/crates/core/tests/registry/heartbeats.rs
+++ b/crates/core/tests/registry/heartbeats.rs
@@ -1,9 +1,10 @@
 //! Heartbeats: what is news, what is late, what is final.
 
-use super::support::{Registry, member, report};
+use super::support::{Registry, group, member, report};
 use corktack_core::registry::BackEndRole::{Primary, Replica};
-use corktack_core::registry::BackEndState::{Draining, Ready};
+use corktack_core::registry::BackEndState::{self, Draining, Ready};
 use corktack_core::registry::RegistryCommand;
+use rstest::rstest;
 
 #[test]
 fn only_what_changes_goes_through_the_log() {
@@ -54,3 +55,63 @@
     let (_, changes) = registry.apply(RegistryCommand::Leave { member: member(9) });
     assert!(changes.back_ends.is_empty());
 }
+
+/// What a later life at the address of an earlier one may have become before a heartbeat of that comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Between {
+    Nothing,
+    EarlierLeft,
+    LaterDrains,
+    LaterIsPromoted,
+}
+
+/// The earlier life is 1 and the later one 2, at the same address: they differ in their identity alone.
+fn at_one_address(number: u16, state: BackEndState, sequence: u64) -> RegistryCommand {
+    let mut report = report(number, state, Primary, sequence);
+    report.back_end.address = ([10, 0, 0, 1], 9_000).into();
+    RegistryCommand::Report { member: member(number), report }
+}
+
+#[rstest]
+fn a_late_heartbeat_of_an_earlier_life_changes_nothing_of_the_later_one(
+    #[values(true, false)] earlier_was_known: bool,
+    #[values(
+        Between::Nothing,
+        Between::EarlierLeft,
+        Between::LaterDrains,
+        Between::LaterIsPromoted
+    )]
+    between: Between,
+    #[values(Ready, Draining)] late: BackEndState,
+    #[values(1, 9)] late_sequence: u64,
+) {
+    let mut registry = Registry::with_group(0);
+    let leave = |number| RegistryCommand::Leave { member: member(number) };
+    (1..=3).for_each(|number| drop(registry.apply(leave(number))));
+    let (earlier, later) = (11, 12);
+    if earlier_was_known {
+        registry.apply(at_one_address(earlier, Ready, 5));
+    }
+    registry.apply(at_one_address(later, Ready, 1));
+    match between {
+        Between::Nothing => (),
+        Between::EarlierLeft => drop(registry.apply(leave(earlier))),
+        Between::LaterDrains => {
+            registry.apply(at_one_address(later, Draining, 2));
+        }
+        Between::LaterIsPromoted => {
+            let promote = RegistryCommand::Promote { group: group(), target: member(later) };
+            registry.apply(promote);
+        }
+    }
+    let known = registry.state.back_end(&member(later)).cloned();
+    let promotion = registry.state.promotion(&group()).cloned();
+    assert!(known.is_some());
+    let (_, changes) = registry.apply(at_one_address(earlier, late, late_sequence));
+    assert_eq!(registry.state.back_end(&member(later)).cloned(), known);
+    assert_eq!(registry.state.promotion(&group()).cloned(), promotion);
+    assert!(!changes.back_ends.contains(&member(later)));
+    if between == Between::EarlierLeft {
+        assert_eq!(registry.state_of(earlier), None, "who left does not come back");
+    }
+}
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -8,6 +8,7 @@
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::statement::{MemberRequest, ReadyState, Reply};
 use corktack_core::tenancy::{Principal, TenantName};
+use corktack_protocol::liveness::Liveness;
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -41,7 +42,7 @@
     Destination { group, member, principal, .. }: Destination<'_>,
     stream: TcpStream,
 ) -> Result<(MemberConnection<W>, ReadyState), DialError> {
-    tune(&stream, settings).map_err(LinkError::Io)?;
+    Liveness::WITHIN_DEPLOYMENT.apply(&stream).map_err(LinkError::Io)?;
     let mut connection =
         MemberConnection::new(wire.clone(), Transport::Direct(stream), principal.clone());
     let start = MemberRequest::Start {
@@ -56,9 +57,3 @@
         _ => Err(LinkError::Closed.into()),
     }
 }
-
-/// A far end that went dark is noticed by the kernel, not only by the next statement.
-fn tune(stream: &TcpStream, settings: &GatewaySettings) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(settings.unacknowledged_limit))
-}
--- a/crates/gateway/src/routes/mod.rs
+++ b/crates/gateway/src/routes/mod.rs
@@ -22,6 +22,10 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
+/// How long a transaction may rest where the document sets no limit, before another gateway's connection
+/// is taken back from it.
+const UNLIMITED_REST: Duration = Duration::from_secs(3_600);
+
 /// How a session's statements are served.
 #[derive(Clone)]
 pub(crate) struct Route<W: Wire> {
@@ -114,6 +118,14 @@
         }
     }
 
+    /// How long a transaction may rest between two statements, by the document in force; for long where
+    /// that is not limited.
+    pub(crate) fn transaction_idle(&self) -> Duration {
+        let document = self.document.borrow();
+        let limit = document.as_ref().map(|document| document.limits.transaction_idle);
+        limit.filter(|limit| !limit.is_zero()).unwrap_or(UNLIMITED_REST)
+    }
+
     /// Whether there is a document to go by.
     pub(crate) fn has_document(&self) -> bool {
         self.document.borrow().is_some()
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 use corktack_core::statement::TransactionState;
 use corktack_core::statement::{CallerMessage, ErrorCode, ReadyState, Reply, Request};
+use corktack_protocol::liveness::Liveness;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -37,8 +38,8 @@
 
 /// Serves a caller until it goes or the gateway stops.
 pub(crate) async fn serve_caller<W: Wire>(stream: TcpStream, shared: Rc<Shared<W>>) {
-    // The option only saves latency: a connection without it still works.
-    drop(stream.set_nodelay(true));
+    // The options only save time: a connection without them still works.
+    drop(Liveness::TO_CALLERS.apply(&stream));
     let mut caller = Caller {
         stream,
         input: BytesMut::with_capacity(BUFFER_BYTES),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,8 +27,6 @@
     pub dial_timeout: Duration,
     /// Longest wait for the begin of a transaction, which takes no slot of a member.
     pub begin_timeout: Duration,
-    /// How long data may stay unacknowledged before a connection counts as lost.
-    pub unacknowledged_limit: Duration,
     /// How long a draining primary that was not replaced yet still gets work.
     pub drain_limit: Duration,
     /// How long sessions go on at a planned stop while new callers are led elsewhere.
--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -11,6 +11,7 @@
 use corktack_core::position::Position;
 use corktack_core::tenancy::Principal;
 use corktack_protocol::frame::FrameCodec;
+use corktack_protocol::liveness::Liveness;
 use corktack_protocol::tunnel::{
     LoneRequest, MemberLoadReport, TunnelRefusal, TunnelReply, TunnelRequest,
 };
@@ -89,7 +90,7 @@
         holder: Holder,
         round_trip: Duration,
     ) -> std::io::Result<Self> {
-        stream.set_nodelay(true)?;
+        Liveness::WITHIN_DEPLOYMENT.apply(&stream)?;
         let frames = Framed::new(stream, FrameCodec::default());
         let silence_limit = round_trip + SIGN_INTERVAL + SIGN_SLACK;
         Ok(Self { frames, holder, silence_limit, silent: false })
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -13,6 +13,7 @@
 use corktack_core::gateway::{ReadPosition, SessionProfile};
 use corktack_core::identity::GroupName;
 use corktack_protocol::frame::FrameCodec;
+use corktack_protocol::liveness::Liveness;
 use corktack_protocol::tunnel::{LoneRequest, TunnelRefusal, TunnelReply, TunnelRequest};
 use futures_util::{SinkExt, StreamExt};
 use std::rc::Rc;
@@ -23,6 +24,9 @@
 
 /// Pause after a failed accept (out of file descriptors, most likely).
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// How much longer than a transaction may rest a connection is lent without a word: the gateway that
+/// uses it ends the transaction before, unless it is gone.
+const REST_SLACK: Duration = Duration::from_secs(1);
 /// First size of the buffer for a member's bytes.
 const BUFFER_BYTES: usize = 4 * 1024;
 
@@ -44,7 +48,8 @@
 }
 
 async fn serve_tunnel<W: Wire>(stream: TcpStream, shared: Rc<Shared<W>>) {
-    drop(stream.set_nodelay(true));
+    // The options only save time: a tunnel without them still works.
+    drop(Liveness::WITHIN_DEPLOYMENT.apply(&stream));
     let mut frames: ServerFrames = Framed::new(stream, FrameCodec::default());
     while let Some(Ok(request)) = frames.next().await {
         if serve_request(&shared, &mut frames, request).await.is_err() {
@@ -177,6 +182,8 @@
     // Until it is given back, something may be under way on it.
     lease.in_transaction = true;
     send_grant(frames, &mut lease, position).await?;
+    let rest_limit = shared.routes.transaction_idle() + REST_SLACK;
+    let mut heard_at = Instant::now();
     let mut asked_at = None;
     let mut sign_due = Instant::now();
     let mut buffer = BytesMut::with_capacity(BUFFER_BYTES);
@@ -185,7 +192,8 @@
             request = frames.next() => match request {
                 Some(Ok(TunnelRequest::Bytes(bytes))) => {
                     lease.set_resting(false);
-                    asked_at = Some(Instant::now());
+                    heard_at = Instant::now();
+                    asked_at = Some(heard_at);
                     sign_due = Instant::now() + FIRST_SIGN;
                     if lease.connection().write_bytes(&bytes).await.is_err() {
                         return close(frames).await;
@@ -206,10 +214,18 @@
                     return close(frames).await;
                 }
                 asked_at = None;
+                heard_at = Instant::now();
                 lease.set_resting(true);
                 let bytes = buffer.split().to_vec();
                 frames.send(TunnelReply::Bytes(bytes)).await.map_err(link_error)?;
             }
+            () = sleep_until(heard_at + rest_limit), if asked_at.is_none() => {
+                log::info!(
+                    target: LOG_TARGET, member:% = lease.member;
+                    "the gateway that uses a connection is silent: its transaction is rolled back"
+                );
+                return Err(LinkError::HolderSilent);
+            }
             () = sleep_until(sign_due), if asked_at.is_some() => {
                 sign_due = Instant::now() + SIGN_INTERVAL;
                 frames.send(TunnelReply::Working).await.map_err(link_error)?;
--- a/crates/gateway/tests/sessions/tunnels.rs
+++ b/crates/gateway/tests/sessions/tunnels.rs
@@ -3,6 +3,14 @@
 use crate::caller::Caller;
 use crate::member::Member;
 use crate::world::{BOUNDED, LINEARIZABLE, ONE_SHARE, OWN_WRITES, World};
+use corktack_core::identity::{GroupName, MemberName};
+use corktack_core::tenancy::Principal;
+use corktack_protocol::frame::FrameCodec;
+use corktack_protocol::tunnel::{TunnelReply, TunnelRequest};
+use futures_util::{SinkExt, StreamExt};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
 
 #[actix_rt::test]
 async fn every_gateway_serves_though_one_holds_the_connections() {
@@ -125,3 +133,26 @@
     assert_eq!(count("corktack_gateway_document_version 1"), 3);
     assert_eq!(count("corktack_gateway_told_positions_total{outcome=\"used\"} 1"), 2);
 }
+
+/// A gateway that borrows a connection and then says nothing: its process is gone without a word.
+#[actix_rt::test]
+async fn a_connection_lent_to_a_gateway_that_is_silent_is_taken_back() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::with_short_rests(&[&primary]);
+    let stream = TcpStream::connect(world.peers[0]).await.expect("the gateway listens");
+    let mut tunnel: Framed<_, FrameCodec<TunnelRequest, TunnelReply>> =
+        Framed::new(stream, FrameCodec::default());
+    let acquire = TunnelRequest::Acquire {
+        group: GroupName::new("calls").expect("a valid name"),
+        member: MemberName::new("m1").expect("a valid name"),
+        principal: Principal::Unnamed,
+        priority: 1,
+        wait: Duration::from_secs(5),
+        bound: None,
+    };
+    tunnel.send(acquire).await.expect("the gateway reads");
+    let granted = tunnel.next().await.expect("an answer").expect("a reply");
+    assert!(matches!(granted, TunnelReply::Granted { .. }), "{granted:?}");
+    let ended = tokio::time::timeout(Duration::from_secs(5), tunnel.next()).await;
+    assert!(ended.expect("in time").is_none(), "the tunnel is closed");
+}
--- a/crates/gateway/tests/sessions/world.rs
+++ b/crates/gateway/tests/sessions/world.rs
@@ -42,6 +42,8 @@
 
 pub struct World {
     pub gateways: Vec<SocketAddr>,
+    /// Where the gateways reach each other.
+    pub peers: Vec<SocketAddr>,
     /// Control proves that the configuration of the gateways is current.
     pub proof: watch::Sender<Option<Instant>>,
     /// Ends the watch of the gateways when dropped.
@@ -180,7 +182,6 @@
         connect_timeout: LONG,
         dial_timeout: LONG,
         begin_timeout: LONG,
-        unacknowledged_limit: LONG,
         drain_limit: LONG,
         notice: Duration::ZERO,
         transaction_grace: LONG,
@@ -374,6 +375,7 @@
         let (reached, reach) = mpsc::unbounded_channel();
         let (proof, proved) = watch::channel(None);
         let gateways = bound.iter().map(|((_, callers), _)| *callers).collect();
+        let peers = bound.iter().map(|(_, (_, peers))| *peers).collect();
         let mut figures = Vec::new();
         let mut controls = Vec::new();
         let handles = bound.into_iter().enumerate().map(|(place, ((callers, _), (peers, at)))| {
@@ -393,6 +395,7 @@
         let handles = handles.collect();
         Self {
             gateways,
+            peers,
             _handles: handles,
             figures,
             controls,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod cell;
 pub mod control;
 pub mod frame;
+pub mod liveness;
 pub mod peer;
 pub mod tunnel;
--- a/crates/server/src/deployment.rs
+++ b/crates/server/src/deployment.rs
@@ -62,8 +62,6 @@
 const BEGIN_LIMIT: Duration = Duration::from_millis(200);
 /// Longest wait after that until it is ready: the start takes a slot, which may be long in coming.
 const DIAL_LIMIT: Duration = Duration::from_millis(600);
-/// How long data to a member may stay unacknowledged.
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(2);
 
 /// Why a process of a deployment could not start.
 #[derive(Debug, thiserror::Error)]
@@ -295,7 +293,6 @@
             connect_timeout: MEMBER_CONNECT_LIMIT,
             dial_timeout: DIAL_LIMIT,
             begin_timeout: BEGIN_LIMIT,
-            unacknowledged_limit: UNACKNOWLEDGED_LIMIT,
             drain_limit: self.bounds.drain / 2,
             notice: self.bounds.stop_grace / 3,
             transaction_grace: self.bounds.stop_grace / 6,
--- a/crates/server/src/watch_client/connection.rs
+++ b/crates/server/src/watch_client/connection.rs
@@ -2,6 +2,7 @@
 
 use corktack_protocol::control::{ControlMessage, ProxyMessage};
 use corktack_protocol::frame::{FrameCodec, FrameError};
+use corktack_protocol::liveness::Liveness;
 use futures_util::future::{BoxFuture, FutureExt, pending};
 use futures_util::stream::FuturesUnordered;
 use futures_util::{SinkExt, StreamExt};
@@ -107,6 +108,6 @@
 async fn connect(replica: SocketAddr, limit: Duration) -> std::io::Result<Frames> {
     let late = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
     let stream = timeout(limit, TcpStream::connect(replica)).await.map_err(late)??;
-    stream.set_nodelay(true)?;
+    Liveness::WITHIN_DEPLOYMENT.apply(&stream)?;
     Ok(Framed::new(stream, FrameCodec::default()))
 }
