--- a/crates/core/src/limits/account.rs
+++ b/crates/core/src/limits/account.rs
@@ -138,7 +138,7 @@
     }
 
     /// Takes operations that are asked for: they begin, wait in turn, or are refused where none of them
-    /// can begin in their time.
+    /// can begin in their time. Where a limit is short, higher classes take the places that become free.
     pub(super) fn ask(&mut self, now: Timestamp, bounds: &LimitBounds, waiting: Waiting) -> Asked {
         self.active_at = Some(now);
         self.asked.add(now, bounds.window, waiting.operations);
@@ -148,7 +148,7 @@
             return Asked::Begun(begun);
         }
         self.lacking += waiting.operations;
-        let before = self.queue.operations();
+        let before = self.queue.operations_before(waiting.priority);
         if self.may_begin_in_time(now, bounds, &waiting, before) {
             self.queue.push(waiting);
             return Asked::Waits(waiting.number);
--- a/crates/core/src/limits/gateway.rs
+++ b/crates/core/src/limits/gateway.rs
@@ -11,6 +11,17 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
+/// Operations of one tenant that are asked for together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// How many.
+    pub operations: u64,
+    /// Their priority class; 0 is served first.
+    pub priority: u32,
+    /// How long they may wait.
+    pub until: Timestamp,
+}
+
 /// Operations that were asked for together, and what became of them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settled {
@@ -99,18 +110,17 @@
         }
     }
 
-    /// Takes operations that are asked for together, and may wait until some time. Those that wait are
-    /// settled by [`GatewayLimits::settle`].
+    /// Takes operations that are asked for together. Those that wait are settled by
+    /// [`GatewayLimits::settle`].
     pub fn ask(
         &mut self,
         now: Timestamp,
         tenant: &TenantName,
-        operations: u64,
-        until: Timestamp,
+        Ask { operations, priority, until }: Ask,
     ) -> Asked {
         let bounds = self.bounds;
         self.asks += 1;
-        let waiting = Waiting { number: AskNumber(self.asks), operations, until };
+        let waiting = Waiting { number: AskNumber(self.asks), priority, operations, until };
         let Some(account) = self.account(tenant) else { return Asked::Unlimited };
         let asked = account.ask(now, &bounds, waiting);
         if let Asked::Waits(_) = asked {
--- a/crates/core/src/limits/queue.rs
+++ b/crates/core/src/limits/queue.rs
@@ -14,13 +14,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Waiting {
     pub(super) number: AskNumber,
+    /// Priority class; 0 is served first.
+    pub(super) priority: u32,
     pub(super) operations: u64,
     /// How long they may wait.
     pub(super) until: Timestamp,
 }
 
-/// Who waits for a tenant's limit, in the order in which they came, and what refused callers were
-/// promised.
+/// Who waits for a tenant's limit, by priority and then in the order in which they came, and what refused
+/// callers were promised.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AskQueue {
     waiting: VecDeque<Waiting>,
@@ -42,7 +44,14 @@
 
     pub(super) fn push(&mut self, waiting: Waiting) {
         self.operations += waiting.operations;
-        self.waiting.push_back(waiting);
+        let place = self.waiting.partition_point(|it| it.priority <= waiting.priority);
+        self.waiting.insert(place, waiting);
+    }
+
+    /// Operations that wait before those of a newcomer of this priority.
+    pub(super) fn operations_before(&self, priority: u32) -> u64 {
+        let before = self.waiting.iter().take_while(|it| it.priority <= priority);
+        before.map(|it| it.operations).sum()
     }
 
     pub(super) fn first(&self) -> Option<Waiting> {
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -2,7 +2,7 @@
 
 use corktack_core::identity::{Incarnation, ProxyName};
 use corktack_core::limits::{
-    AllowanceGrant, AllowanceReport, Asked, Begun, CeilingChange, GatewayLife, GatewayLimits,
+    AllowanceGrant, AllowanceReport, Ask, Asked, Begun, CeilingChange, GatewayLife, GatewayLimits,
     LimitBounds, LimitLedger, LimitTerms, OverLimit, Settled, TrailingCount, default_ceiling,
 };
 use corktack_core::position::Term;
@@ -72,9 +72,13 @@
     gateway
 }
 
+fn ask(operations: u64, until: Timestamp) -> Ask {
+    Ask { operations, priority: 1, until }
+}
+
 /// Asks for an operation that does not wait.
 fn try_begin(gateway: &mut GatewayLimits, now: Timestamp) -> Result<Begun, OverLimit> {
-    match gateway.ask(now, &tenant(), 1, now) {
+    match gateway.ask(now, &tenant(), ask(1, now)) {
         Asked::Begun(begun) => Ok(begun),
         Asked::Refused(over) => Err(over),
         Asked::Unlimited | Asked::Waits(_) => panic!("it is limited and does not wait"),
@@ -135,7 +139,7 @@
 fn a_tenant_without_a_rate_is_not_limited() {
     let mut gateway = GatewayLimits::new(at(0), name(0), Incarnation(1), bounds());
     gateway.follow(None);
-    assert_eq!(gateway.ask(at(0), &tenant(), 1, at(0)), Asked::Unlimited);
+    assert_eq!(gateway.ask(at(0), &tenant(), ask(1, at(0))), Asked::Unlimited);
 }
 
 #[test]
@@ -328,11 +332,11 @@
     pair.exchange(0, at(10_000));
     assert_eq!(pair.begin(0, at(11_100), 98), 98);
     let gateway = &mut pair.gateways[0];
-    assert!(matches!(gateway.ask(at(15_000), &tenant(), 2, at(15_900)), Asked::Begun(_)));
-    let Asked::Waits(first) = gateway.ask(at(15_900), &tenant(), 3, at(16_500)) else {
+    assert!(matches!(gateway.ask(at(15_000), &tenant(), ask(2, at(15_900))), Asked::Begun(_)));
+    let Asked::Waits(first) = gateway.ask(at(15_900), &tenant(), ask(3, at(16_500))) else {
         panic!("98 places become free within 0.4 s");
     };
-    let Asked::Waits(second) = gateway.ask(at(15_900), &tenant(), 4, at(16_500)) else {
+    let Asked::Waits(second) = gateway.ask(at(15_900), &tenant(), ask(4, at(16_500))) else {
         panic!("there are places for these as well");
     };
     assert_eq!(gateway.settle(at(15_950)), [], "nothing has become free yet");
@@ -343,6 +347,32 @@
     assert_eq!(begun, [(first, Ok(3)), (second, Ok(4))]);
 }
 
+#[test]
+fn the_places_of_a_limit_that_is_short_go_to_higher_classes_first() {
+    let mut pair = Pair::new(1);
+    pair.ceilings.insert(tenant(), LIMIT);
+    pair.begin(0, at(10_000), 200);
+    pair.exchange(0, at(10_000));
+    for part in 0..10 {
+        assert_eq!(pair.begin(0, at(11_100 + part * 100), 10), 10);
+    }
+    let gateway = &mut pair.gateways[0];
+    let mut wait = |priority, operations| {
+        let ask = Ask { operations, priority, until: at(16_600) };
+        match gateway.ask(at(16_100), &tenant(), ask) {
+            Asked::Waits(number) => number,
+            other => panic!("places become free in time: {other:?}"),
+        }
+    };
+    let (low, high) = (wait(2, 10), wait(0, 10));
+    let due = gateway.settle_due(at(16_100)).expect("a place becomes free");
+    let numbers: Vec<_> = gateway.settle(due).iter().map(|settled| settled.number).collect();
+    assert_eq!(numbers, [high]);
+    let due = gateway.settle_due(due).expect("another place becomes free");
+    let numbers: Vec<_> = gateway.settle(due).iter().map(|settled| settled.number).collect();
+    assert_eq!(numbers, [low]);
+}
+
 #[test]
 fn an_operation_for_which_no_place_becomes_free_in_time_is_refused_at_once() {
     let mut pair = Pair::new(1);
@@ -352,14 +382,14 @@
     assert_eq!(pair.begin(0, at(11_000), LIMIT), LIMIT);
     let gateway = &mut pair.gateways[0];
     // The leader may still allow more: it has not been asked.
-    assert!(matches!(gateway.ask(at(12_000), &tenant(), 1, at(12_200)), Asked::Waits(_)));
+    assert!(matches!(gateway.ask(at(12_000), &tenant(), ask(1, at(12_200))), Asked::Waits(_)));
     let report = gateway.report(at(12_010)).expect("it is told that one waits");
     let grant = pair.answer(at(12_020), &report).expect("an answer");
     let gateway = &mut pair.gateways[0];
     gateway.take(at(12_030), &grant);
     let settled = gateway.settle(at(12_030));
     assert!(matches!(settled[..], [Settled { outcome: Err(_), .. }]), "{settled:?}");
-    assert!(matches!(gateway.ask(at(12_040), &tenant(), 1, at(12_300)), Asked::Refused(_)));
+    assert!(matches!(gateway.ask(at(12_040), &tenant(), ask(1, at(12_300))), Asked::Refused(_)));
 }
 
 #[test]
--- a/crates/core/tests/limits_load.rs
+++ b/crates/core/tests/limits_load.rs
@@ -8,7 +8,7 @@
 
 use corktack_core::identity::{Incarnation, ProxyName};
 use corktack_core::limits::{
-    AllowanceGrant, AllowanceReport, Asked, CeilingChange, GatewayLife, GatewayLimits,
+    AllowanceGrant, AllowanceReport, Ask, Asked, CeilingChange, GatewayLife, GatewayLimits,
     LedgerAnswer, LimitBounds, LimitLedger, LimitTerms, Settled,
 };
 use corktack_core::position::Term;
@@ -198,7 +198,8 @@
         let counter = self.draws.random_range(0..GATEWAYS) % self.counters.len();
         let now = at(self.now);
         let name = &self.tenants[tenant].0;
-        let asked = self.counters[counter].ask(now, name, 1, at(self.now + WAIT));
+        let ask = Ask { operations: 1, priority: 1, until: at(self.now + WAIT) };
+        let asked = self.counters[counter].ask(now, name, ask);
         if let Asked::Waits(number) = asked {
             self.waiting.insert((counter, number), tenant);
         }
--- a/crates/gateway/src/limits/mod.rs
+++ b/crates/gateway/src/limits/mod.rs
@@ -17,7 +17,7 @@
 use crate::settings::GatewaySettings;
 use crate::tunnel::Tunnels;
 use corktack_core::gateway::{Holder, HolderChoice};
-use corktack_core::limits::{AskNumber, Asked, Begun, GatewayLimits, OverLimit, Settled};
+use corktack_core::limits::{Ask, AskNumber, Asked, Begun, GatewayLimits, OverLimit, Settled};
 use corktack_core::tenancy::{Principal, TenantDirectory, TenantName};
 use question::Questions;
 use std::cell::RefCell;
@@ -32,6 +32,16 @@
 /// Gateways of the zone that are asked for a tenant before this one stands in.
 const HOMES_ASKED: usize = 3;
 
+/// Operations that are asked for together.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AskedOperations {
+    pub(crate) operations: u64,
+    /// Their priority class; 0 is served first.
+    pub(crate) priority: u32,
+    /// How long they may wait.
+    pub(crate) until: Instant,
+}
+
 /// The limits of tenants at this gateway.
 #[derive(Debug)]
 pub(crate) struct Limits {
@@ -100,28 +110,31 @@
     pub(crate) async fn begin(
         self: &Rc<Self>,
         principal: &Principal,
+        priority: u32,
         give_up: Instant,
     ) -> Result<Pass, OverLimit> {
         let limited = principal.tenant().filter(|tenant| self.books.borrow().is_limited(tenant));
         let Some(tenant) = limited else { return Ok(Pass::unlimited()) };
         let now = Instant::now();
         let until = now + give_up.saturating_duration_since(now).mul_f64(LIMIT_WAIT_PART);
-        self.begin_by(tenant, until).await
+        self.begin_by(tenant, priority, until).await
     }
 
     async fn begin_by(
         self: &Rc<Self>,
         tenant: &TenantName,
+        priority: u32,
         until: Instant,
     ) -> Result<Pass, OverLimit> {
         let (home, begun) = if self.homes(tenant).is_empty() {
-            (None, self.count_here(tenant, 1, until).await?)
+            let asked = AskedOperations { operations: 1, priority, until };
+            (None, self.count_here(tenant, asked).await?)
         } else {
-            let counted = self.ask_home(tenant, until).await?;
+            let counted = self.ask_home(tenant, priority, until).await?;
             (counted.home, Some(counted.begun))
         };
         let Some(begun) = begun else { return Ok(Pass::unlimited()) };
-        Ok(Pass::counted(Rc::clone(self), tenant.clone(), home, begun))
+        Ok(Pass::counted(Rc::clone(self), tenant.clone(), priority, home, begun))
     }
 
     /// The gateways to ask for a tenant's operations now, its home first; none where this one counts.
@@ -134,21 +147,19 @@
     pub(crate) async fn count_for_another(
         &self,
         tenant: &TenantName,
-        operations: u64,
-        until: Instant,
+        asked: AskedOperations,
     ) -> Option<Result<Begun, OverLimit>> {
-        self.count_here(tenant, operations, until).await.transpose()
+        self.count_here(tenant, asked).await.transpose()
     }
 
     /// Counts operations here, as many as may begin; none where nothing limits them.
     async fn count_here(
         &self,
         tenant: &TenantName,
-        operations: u64,
-        until: Instant,
+        AskedOperations { operations, priority, until }: AskedOperations,
     ) -> Result<Option<Begun>, OverLimit> {
-        let (now, until) = (self.clock.now(), self.clock.at(until));
-        let asked = self.books.borrow_mut().ask(now, tenant, operations, until);
+        let ask = Ask { operations, priority, until: self.clock.at(until) };
+        let asked = self.books.borrow_mut().ask(self.clock.now(), tenant, ask);
         let number = match asked {
             Asked::Unlimited => return Ok(None),
             Asked::Begun(begun) => return Ok(Some(begun)),
--- a/crates/gateway/src/limits/pass.rs
+++ b/crates/gateway/src/limits/pass.rs
@@ -12,6 +12,7 @@
 struct Counted {
     limits: Rc<Limits>,
     tenant: TenantName,
+    priority: u32,
     /// The gateway that counted it; none for this one.
     home: Option<Holder>,
     begun: Begun,
@@ -32,15 +33,16 @@
     pub(super) fn counted(
         limits: Rc<Limits>,
         tenant: TenantName,
+        priority: u32,
         home: Option<Holder>,
         begun: Begun,
     ) -> Self {
-        Self { counted: Some(Counted { limits, tenant, home, begun }) }
+        Self { counted: Some(Counted { limits, tenant, priority, home, begun }) }
     }
 
     /// The operation did not run, at any member.
     pub(crate) fn take_back(self) {
-        if let Some(Counted { limits, tenant, home, begun }) = self.counted {
+        if let Some(Counted { limits, tenant, home, begun, .. }) = self.counted {
             limits.give_back(&tenant, home, begun);
         }
     }
@@ -50,6 +52,7 @@
     pub(crate) async fn count_again(&self) -> bool {
         let Some(counted) = &self.counted else { return true };
         // It stays counted, whatever becomes of it.
-        counted.limits.begin_by(&counted.tenant, Instant::now()).await.is_ok()
+        let Counted { limits, tenant, priority, .. } = counted;
+        limits.begin_by(tenant, *priority, Instant::now()).await.is_ok()
     }
 }
--- a/crates/gateway/src/limits/question.rs
+++ b/crates/gateway/src/limits/question.rs
@@ -1,11 +1,11 @@
 //! Asks the home of a tenant for operations that begin at this gateway.
 //!
 //! Operations that are asked for together go out in one question: the first at once, those that come
-//! within [`QUESTION_SPACING`] after it together. So a tenant costs a gateway at most one question in that
-//! time, however many operations it begins.
+//! within [`QUESTION_SPACING`] after it together. So a class of a tenant costs a gateway at most one
+//! question in that time, however many operations it begins.
 
-use super::Limits;
-use crate::tunnel::TunnelError;
+use super::{AskedOperations, Limits};
+use crate::tunnel::{OperationsWish, TunnelError};
 use corktack_core::gateway::Holder;
 use corktack_core::limits::{Begun, OverLimit};
 use corktack_core::tenancy::TenantName;
@@ -40,7 +40,10 @@
     answered: oneshot::Sender<Outcome>,
 }
 
-/// The operations of one tenant that no question was asked for yet.
+/// Operations that one question asks for: of a tenant and a priority class.
+type Subject = (TenantName, u32);
+
+/// The operations of one subject that no question was asked for yet.
 #[derive(Debug, Default)]
 struct Unasked {
     askers: Vec<Asker>,
@@ -49,23 +52,20 @@
     asked_at: Option<Instant>,
 }
 
-/// Operations that homes are to be asked for, by tenant.
+/// Operations that homes are to be asked for, by subject.
 #[derive(Debug, Default)]
 pub(super) struct Questions {
-    unasked: HashMap<TenantName, Unasked>,
+    unasked: HashMap<Subject, Unasked>,
 }
 
 impl Questions {
     /// Adds operations; gives when a question for them is to be asked, unless one is due already.
     fn add(
         &mut self,
-        tenant: &TenantName,
+        subject: &Subject,
         askers: impl IntoIterator<Item = Asker>,
     ) -> Option<Instant> {
-        if !self.unasked.contains_key(tenant) {
-            self.unasked.insert(tenant.clone(), Unasked::default());
-        }
-        let unasked = self.unasked.get_mut(tenant)?;
+        let unasked = self.unasked.entry(subject.clone()).or_default();
         unasked.askers.extend(askers);
         if unasked.askers.is_empty() || std::mem::replace(&mut unasked.is_due, true) {
             return None;
@@ -75,8 +75,8 @@
     }
 
     /// Takes what a question is asked for now.
-    fn take(&mut self, tenant: &TenantName) -> Vec<Asker> {
-        let Some(unasked) = self.unasked.get_mut(tenant) else { return Vec::new() };
+    fn take(&mut self, subject: &Subject) -> Vec<Asker> {
+        let Some(unasked) = self.unasked.get_mut(subject) else { return Vec::new() };
         unasked.is_due = false;
         unasked.asked_at = Some(Instant::now());
         std::mem::take(&mut unasked.askers)
@@ -85,9 +85,14 @@
 
 impl Limits {
     /// Has the tenant's home count an operation.
-    pub(super) async fn ask_home(self: &Rc<Self>, tenant: &TenantName, until: Instant) -> Outcome {
+    pub(super) async fn ask_home(
+        self: &Rc<Self>,
+        tenant: &TenantName,
+        priority: u32,
+        until: Instant,
+    ) -> Outcome {
         let (answered, answer) = oneshot::channel();
-        self.add_askers(tenant, [Asker { until, answered }]);
+        self.add_askers(&(tenant.clone(), priority), [Asker { until, answered }]);
         match timeout_at(until + ANSWER_SLACK, answer).await {
             Ok(Ok(outcome)) => outcome,
             // The task that asks ends only with the process.
@@ -95,31 +100,34 @@
         }
     }
 
-    fn add_askers(self: &Rc<Self>, tenant: &TenantName, askers: impl IntoIterator<Item = Asker>) {
-        let due = self.questions.borrow_mut().add(tenant, askers);
+    fn add_askers(self: &Rc<Self>, subject: &Subject, askers: impl IntoIterator<Item = Asker>) {
+        let due = self.questions.borrow_mut().add(subject, askers);
         let Some(due) = due else { return };
-        let (limits, tenant) = (Rc::clone(self), tenant.clone());
+        let (limits, subject) = (Rc::clone(self), subject.clone());
         actix_rt::spawn(async move {
             sleep_until(due).await;
-            let askers = limits.questions.borrow_mut().take(&tenant);
-            limits.ask_for(&tenant, askers).await;
+            let askers = limits.questions.borrow_mut().take(&subject);
+            limits.ask_for(&subject, askers).await;
         });
     }
 
     /// Asks one question for operations, and hands out what it brings.
-    async fn ask_for(self: &Rc<Self>, tenant: &TenantName, mut askers: Vec<Asker>) {
+    async fn ask_for(self: &Rc<Self>, subject: &Subject, mut askers: Vec<Asker>) {
         askers.retain(|asker| !asker.answered.is_closed());
         let Some(until) = askers.iter().map(|asker| asker.until).max() else { return };
-        let (home, outcome) = self.question(tenant, askers.len() as u64, until).await;
+        let (tenant, priority) = subject;
+        let operations = askers.len() as u64;
+        let asked = AskedOperations { operations, priority: *priority, until };
+        let (home, outcome) = self.question(tenant, asked).await;
         match outcome {
-            Ok(begun) => self.hand_out(tenant, home, begun, askers),
+            Ok(begun) => self.hand_out(subject, home, begun, askers),
             Err(over) => self.refuse(over, askers),
         }
     }
 
     fn hand_out(
         self: &Rc<Self>,
-        tenant: &TenantName,
+        subject: &Subject,
         home: Option<Holder>,
         begun: Begun,
         askers: Vec<Asker>,
@@ -135,10 +143,10 @@
             }
         }
         if left > 0 {
-            self.give_back(tenant, home, Begun { operations: left, ..begun });
+            self.give_back(&subject.0, home, Begun { operations: left, ..begun });
         }
         if !unserved.is_empty() {
-            self.add_askers(tenant, unserved);
+            self.add_askers(subject, unserved);
         }
     }
 
@@ -157,16 +165,17 @@
     async fn question(
         &self,
         tenant: &TenantName,
-        operations: u64,
-        until: Instant,
+        asked: AskedOperations,
     ) -> (Option<Holder>, Result<Begun, OverLimit>) {
+        let AskedOperations { operations, priority, until } = asked;
         let mut left = self.homes(tenant);
         while !left.is_empty() {
             let Ok(tunnel) = self.tunnels.reach(&left).await else { break };
             let home = tunnel.holder();
             left.retain(|it| it.address != home.address);
             let wait = until.saturating_duration_since(Instant::now());
-            match self.tunnels.begin_operations(tunnel, tenant, operations, wait).await {
+            let wish = OperationsWish { operations, priority, wait };
+            match self.tunnels.begin_operations(tunnel, tenant, wish).await {
                 Ok(outcome) => return (Some(home), outcome),
                 Err(TunnelError::Refused(refusal)) => log::debug!(
                     tenant:% = tenant, home:% = home.address, refusal:? = refusal;
@@ -179,7 +188,7 @@
                 ),
             }
         }
-        match self.count_here(tenant, operations, until).await {
+        match self.count_here(tenant, asked).await {
             Ok(Some(begun)) => (None, Ok(begun)),
             // The limit was lifted meanwhile.
             Ok(None) => (None, Ok(Begun { operations, marked: self.clock.now() })),
--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -41,6 +41,15 @@
     pub(crate) bound: Option<ReadBound>,
 }
 
+/// Operations of a tenant that are to be counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct OperationsWish {
+    pub(crate) operations: u64,
+    pub(crate) priority: u32,
+    /// How long they may wait.
+    pub(crate) wait: Duration,
+}
+
 /// A connection that a holder gives.
 #[derive(Debug)]
 pub(crate) struct Granted {
@@ -175,11 +184,10 @@
     pub(super) async fn begin_operations(
         &mut self,
         tenant: &TenantName,
-        operations: u64,
-        wait: Duration,
+        OperationsWish { operations, priority, wait }: OperationsWish,
     ) -> Result<Result<Begun, OverLimit>, TunnelError> {
         let tenant = tenant.clone();
-        self.send(TunnelRequest::BeginOperations { tenant, operations, wait }).await?;
+        self.send(TunnelRequest::BeginOperations { tenant, operations, priority, wait }).await?;
         match self.reply(Instant::now() + wait + self.silence_limit, true).await? {
             TunnelReply::Begun(outcome) => Ok(outcome),
             other => Err(unexpected(other)),
--- a/crates/gateway/src/tunnel/mod.rs
+++ b/crates/gateway/src/tunnel/mod.rs
@@ -6,7 +6,9 @@
 mod pool;
 mod serve;
 
-pub(crate) use client::{Granted, RanElsewhere, TunnelClient, TunnelError, TunnelWish};
+pub(crate) use client::{
+    Granted, OperationsWish, RanElsewhere, TunnelClient, TunnelError, TunnelWish,
+};
 pub(crate) use pool::Tunnels;
 pub(crate) use serve::accept_tunnels;
 
--- a/crates/gateway/src/tunnel/pool.rs
+++ b/crates/gateway/src/tunnel/pool.rs
@@ -1,6 +1,6 @@
 //! The tunnels of a gateway, and what it knows of the gateways at their other ends.
 
-use super::client::{Granted, RanElsewhere, TunnelClient, TunnelError, TunnelWish};
+use super::client::{Granted, OperationsWish, RanElsewhere, TunnelClient, TunnelError, TunnelWish};
 use crate::clock::SteadyClock;
 use crate::error::LinkError;
 use corktack_core::gateway::{ConnectionProfile, Holder, HolderChoice, PeerTable};
@@ -156,10 +156,9 @@
         &self,
         mut tunnel: TunnelClient,
         tenant: &TenantName,
-        operations: u64,
-        wait: Duration,
+        wish: OperationsWish,
     ) -> Result<Result<Begun, OverLimit>, TunnelError> {
-        let begun = tunnel.begin_operations(tenant, operations, wait).await;
+        let begun = tunnel.begin_operations(tenant, wish).await;
         self.ended(tunnel, &begun);
         begun
     }
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -2,11 +2,12 @@
 //! other gateways and tells them positions.
 
 use super::outcome::outcome_of;
-use super::{FIRST_SIGN, LOG_TARGET, SIGN_INTERVAL, TunnelWish, link_error};
+use super::{FIRST_SIGN, LOG_TARGET, OperationsWish, SIGN_INTERVAL, TunnelWish, link_error};
 use crate::error::{AcquireError, LinkError};
 use crate::group::{Group, Located, Target, Wish};
 use crate::handle::Shared;
 use crate::lease::Lease;
+use crate::limits::AskedOperations;
 use crate::run::LoneStatement;
 use crate::wire::Wire;
 use bytes::BytesMut;
@@ -78,8 +79,9 @@
             let running = run(shared, &wish, &statement, limit);
             with_signs(frames, running).await?.unwrap_or_else(TunnelReply::Refused)
         }
-        TunnelRequest::BeginOperations { tenant, operations, wait } => {
-            return begin_operations(shared, frames, &tenant, operations, wait).await;
+        TunnelRequest::BeginOperations { tenant, operations, priority, wait } => {
+            let wish = OperationsWish { operations, priority, wait };
+            return begin_operations(shared, frames, &tenant, wish).await;
         }
         TunnelRequest::ReturnOperations { tenant, begun } => {
             shared.limits.take_back(&tenant, begun);
@@ -105,13 +107,13 @@
     shared: &Shared<W>,
     frames: &mut ServerFrames,
     tenant: &TenantName,
-    operations: u64,
-    wait: Duration,
+    OperationsWish { operations, priority, wait }: OperationsWish,
 ) -> Result<(), LinkError> {
     let until = Instant::now() + wait;
     let counting = async {
         shared.document_by(until).await;
-        shared.limits.count_for_another(tenant, operations, until).await
+        let asked = AskedOperations { operations, priority, until };
+        shared.limits.count_for_another(tenant, asked).await
     };
     let counted = with_signs(frames, counting).await?;
     let begun = counted.as_ref().and_then(|it| it.as_ref().ok()).copied();
--- a/crates/protocol/src/tunnel.rs
+++ b/crates/protocol/src/tunnel.rs
@@ -79,6 +79,8 @@
         tenant: TenantName,
         /// How many.
         operations: u64,
+        /// Their priority class.
+        priority: u32,
         /// How long they may wait.
         wait: Duration,
     },
--- a/crates/sim/src/limits/gateway.rs
+++ b/crates/sim/src/limits/gateway.rs
@@ -2,7 +2,9 @@
 
 use super::variant::LimitsVariant;
 use corktack_core::identity::{Incarnation, ProxyName};
-use corktack_core::limits::{AllowanceGrant, AllowanceReport, Asked, GatewayLimits, LimitBounds};
+use corktack_core::limits::{
+    AllowanceGrant, AllowanceReport, Ask, Asked, GatewayLimits, LimitBounds,
+};
 use corktack_core::position::Term;
 use corktack_core::tenancy::{ApiKey, TenantDirectory, TenantName, TenantRate, TenantRule};
 use corktack_core::time::Timestamp;
@@ -85,7 +87,8 @@
     /// Tries an operation; says whether it begins.
     pub(super) fn try_begin(&mut self, now: u64) -> bool {
         let now = self.clock.at(now);
-        matches!(self.limits.ask(now, &tenant(), 1, now), Asked::Begun(_))
+        let ask = Ask { operations: 1, priority: 1, until: now };
+        matches!(self.limits.ask(now, &tenant(), ask), Asked::Begun(_))
     }
 
     pub(super) fn hear_of_leader(&mut self, now: u64, term: Term) {
