Scheduling: one queue by class, tenant and deadline before the members of a group, refusals when a statement comes

Cause: who waits was ordered by class and arrival, waited for a fixed part of its objective whether it had a chance or not, and was told 200 ms in any case; statements of other gateways for a replica were served by slots of the primary and woken by those only. Change: core::scheduling::SlotQueue in place of WaitQueue; fair by slot time between tenants, deadlines inside one, refusal on arrival by mean times, waiting work and what higher classes and other tenants ask for, with a time of its own to come back; a slot kept for a waiter that has gone goes on to the next.

--- a/crates/core/src/gateway/flight_limit.rs
+++ b/crates/core/src/gateway/flight_limit.rs
@@ -44,6 +44,12 @@
         under_way < self.limit as usize
     }
 
+    /// How many statements may be under way now.
+    #[must_use]
+    pub fn current(&self) -> usize {
+        self.limit as usize
+    }
+
     /// The member had no room for a statement.
     pub fn refused(&mut self, now: Timestamp) {
         let recently = |at: Timestamp| now.saturating_since(at) < LOWERED_AT_MOST_EVERY;
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -1,6 +1,5 @@
 //! Decisions of a gateway: how fresh a member must be, how a pooled connection is brought to a
-//! session's state, which member a read is offered to, which gateways hold connections to it, and who
-//! waits before whom.
+//! session's state, which member a read is offered to, and which gateways hold connections to it.
 
 mod detour;
 mod flight_limit;
@@ -11,7 +10,6 @@
 mod profile;
 mod round_trip;
 mod silence;
-mod wait_queue;
 
 pub use detour::{Detour, DetourStep};
 pub use flight_limit::FlightLimit;
@@ -28,4 +26,3 @@
 pub use profile::{ConnectionProfile, SessionProfile, UnknownName};
 pub use round_trip::RoundTrip;
 pub use silence::Silence;
-pub use wait_queue::{Ticket, WaitQueue, WaitingFor};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod resources;
 pub mod retry;
 pub mod routing;
+pub mod scheduling;
 pub mod session;
 pub mod state;
 pub mod statement;
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -2,8 +2,7 @@
 
 use corktack_core::distance::Distance;
 use corktack_core::gateway::{
-    ConnectionProfile, Detour, DetourStep, MemberLoad, SessionProfile, Silence, WaitQueue,
-    WaitingFor, choose_reader,
+    ConnectionProfile, Detour, DetourStep, MemberLoad, SessionProfile, Silence, choose_reader,
 };
 use corktack_core::identity::ZoneName;
 use corktack_core::statement::{Access, OwnStatement, PreparedShape};
@@ -161,43 +160,6 @@
     assert_eq!(choose_reader(loads), place);
 }
 
-#[test]
-fn the_highest_class_is_served_first_and_arrivals_in_order() {
-    let mut queue = WaitQueue::default();
-    for (name, priority) in [("low", 2), ("first", 1), ("second", 1)] {
-        let ticket = queue.ticket(priority);
-        queue.wait(ticket, WaitingFor::AnyMember, name);
-    }
-    let order: Vec<_> = std::iter::from_fn(|| queue.next(false)).collect();
-    assert_eq!(order, ["first", "second", "low"]);
-}
-
-#[test]
-fn a_replica_is_no_use_to_who_needs_the_primary() {
-    let mut queue = WaitQueue::default();
-    let writer = queue.ticket(0);
-    queue.wait(writer, WaitingFor::Primary, "writer");
-    let reader = queue.ticket(1);
-    queue.wait(reader, WaitingFor::AnyMember, "reader");
-    assert_eq!(queue.next(false), Some("reader"));
-    assert_eq!(queue.next(false), None);
-    assert_eq!(queue.next(true), Some("writer"));
-}
-
-#[test]
-fn who_waits_again_keeps_the_place() {
-    let mut queue = WaitQueue::default();
-    let first = queue.ticket(1);
-    queue.wait(first, WaitingFor::AnyMember, "first");
-    let second = queue.ticket(1);
-    queue.wait(second, WaitingFor::AnyMember, "second");
-    assert_eq!(queue.next(false), Some("first"));
-    queue.wait(first, WaitingFor::AnyMember, "first");
-    assert_eq!(queue.next(false), Some("first"));
-    queue.leave(second);
-    assert_eq!(queue.next(false), None);
-}
-
 fn at(millis: u64) -> Timestamp {
     Timestamp::ZERO + Duration::from_millis(millis)
 }
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -2,6 +2,7 @@
 
 use corktack_core::identity::MemberName;
 use corktack_core::statement::ErrorCode;
+use std::time::Duration;
 
 /// Why a gateway could not start.
 #[derive(Debug, thiserror::Error)]
@@ -87,9 +88,12 @@
 /// Why no connection was to be had.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum AcquireError {
-    /// None became free in the time allowed.
-    #[error("no connection became free in time")]
-    NoneFree,
+    /// None became free in the time allowed, or none is likely to.
+    #[error("no connection is free in time")]
+    NoneFree {
+        /// When one is likely to be.
+        retry_after: Duration,
+    },
     /// No member that could serve can be reached now.
     #[error("no member can be reached")]
     NoMember,
@@ -107,7 +111,23 @@
     NoPosition,
 }
 
+/// When a caller should come back where a member is out of reach or there is none: half of the time in which
+/// a primary of the users' deployments is replaced (0.3 to 1 s and what it takes to be sure).
+const PASSING_RETRY: Duration = Duration::from_millis(250);
+
 impl AcquireError {
+    /// When a caller should come back.
+    pub(crate) const fn retry_after(&self) -> Duration {
+        match self {
+            Self::NoneFree { retry_after } => *retry_after,
+            Self::NoMember
+            | Self::Unreachable(_)
+            | Self::Full(_)
+            | Self::NoHolder(_)
+            | Self::NoPosition => PASSING_RETRY,
+        }
+    }
+
     /// Whether it concerns one member and may be over in a moment.
     pub(crate) const fn may_pass(&self) -> bool {
         matches!(self, Self::Unreachable(_) | Self::Full(_) | Self::NoHolder(_))
--- a/crates/gateway/src/group/acquire.rs
+++ b/crates/gateway/src/group/acquire.rs
@@ -7,9 +7,9 @@
 use crate::error::{AcquireError, DialError, LinkError};
 use crate::lease::Lease;
 use crate::wire::Wire;
-use corktack_core::gateway::{Ticket, WaitingFor};
 use corktack_core::identity::MemberName;
 use corktack_core::registry::RegisteredBackEnd;
+use corktack_core::scheduling::{Capacity, NoSlotInTime, SlotRequest, SlotTicket, SlotWish};
 use corktack_core::statement::ErrorCode;
 use corktack_core::tenancy::Principal;
 use std::rc::Rc;
@@ -51,7 +51,7 @@
     async fn find_place(self: &Rc<Self>, wish: &Wish<'_>) -> Result<Place<W>, AcquireError> {
         let position = self.position_for(wish).await?;
         let here = |lease| Place::Here(Box::new(Located { lease, position }));
-        let ticket = self.ticket(wish.priority);
+        let mut has_waited = false;
         loop {
             match self.next_step(wish) {
                 Step::Use(member, connection) => return Ok(here(self.leased(member, connection))),
@@ -64,7 +64,8 @@
                     return Ok(Place::Elsewhere(member, holders));
                 }
                 Step::Wait => {
-                    let Some(member) = self.wait(wish, ticket).await? else { continue };
+                    let woken = self.wait(wish, std::mem::replace(&mut has_waited, true)).await?;
+                    let Some(member) = woken else { continue };
                     let step = self.state.borrow_mut().take_reserved(&member, wish, &self.settings);
                     match step {
                         Step::Use(member, connection) => {
@@ -113,28 +114,51 @@
     async fn wait(
         &self,
         wish: &Wish<'_>,
-        ticket: Ticket,
+        has_waited: bool,
     ) -> Result<Option<MemberName>, AcquireError> {
         let (waker, woken) = oneshot::channel();
-        let what = match wish.target {
-            Target::Primary => WaitingFor::Primary,
-            Target::Reader { .. } => WaitingFor::AnyMember,
-            Target::Held(_) => WaitingFor::Primary,
+        let (request, capacity) = self.slot_request(wish);
+        let ticket = {
+            let waiting = &mut self.state.borrow_mut().waiting;
+            if has_waited {
+                waiting.wait_on(request.clone(), waker)
+            } else {
+                let enqueued = waiting.enqueue(self.now(), request.clone(), capacity, waker);
+                enqueued.map_err(none_free)?
+            }
         };
-        self.state.borrow_mut().waiting.wait(ticket, what, waker);
+        let mut place = QueuePlace { group: self, ticket, woken };
         let look = (Instant::now() + WAIT_LOOK).min(wish.give_up);
-        let woken = timeout_at(look, woken).await;
-        self.state.borrow_mut().waiting.leave(ticket);
-        match woken {
+        match timeout_at(look, &mut place.woken).await {
             Ok(member) => Ok(member.ok()),
             Err(_) if Instant::now() < wish.give_up => Ok(None),
             Err(_) => {
                 self.explain_wait(wish);
-                Err(AcquireError::NoneFree)
+                let over =
+                    self.state.borrow_mut().waiting.time_over(self.now(), &request, capacity);
+                Err(none_free(over))
             }
         }
     }
 
+    /// What the queue is told of a wish, and what serves it.
+    fn slot_request(&self, wish: &Wish<'_>) -> (SlotRequest, Capacity) {
+        let state = self.state.borrow();
+        let request = SlotRequest {
+            wish: match &wish.target {
+                Target::Primary => SlotWish::Primary,
+                Target::Reader { refused } => SlotWish::AnyBut(refused.clone()),
+                Target::Held(member) => SlotWish::At(member.clone()),
+            },
+            priority: wish.kind.priority,
+            tenant: wish.principal.and_then(Principal::tenant).cloned(),
+            cost: state.service_times.estimate(wish.kind),
+            give_up: self.clock.at(wish.give_up),
+        };
+        let capacity = state.capacity(&request.wish);
+        (request, capacity)
+    }
+
     /// Says what kept a wish from being served in its time.
     fn explain_wait(&self, wish: &Wish<'_>) {
         let state = self.state.borrow();
@@ -198,6 +222,30 @@
     }
 }
 
+fn none_free(NoSlotInTime { retry_after }: NoSlotInTime) -> AcquireError {
+    AcquireError::NoneFree { retry_after }
+}
+
+/// A place among those who wait; left where who waits goes, or looks around.
+struct QueuePlace<'g, W: Wire> {
+    group: &'g Group<W>,
+    ticket: SlotTicket,
+    woken: oneshot::Receiver<MemberName>,
+}
+
+impl<W: Wire> Drop for QueuePlace<'_, W> {
+    fn drop(&mut self) {
+        let mut state = self.group.state.borrow_mut();
+        if state.waiting.leave(self.group.now(), self.ticket) {
+            return;
+        }
+        // Woken, and not there any more to take what was kept: the next one may.
+        if let Ok(member) = self.woken.try_recv() {
+            state.release_reserved(self.group.now(), &member);
+        }
+    }
+}
+
 /// A connection being opened counts as open; the place is given back if it never is.
 struct OpenPlace<W: Wire> {
     group: Rc<Group<W>>,
--- a/crates/gateway/src/group/choice.rs
+++ b/crates/gateway/src/group/choice.rs
@@ -7,10 +7,12 @@
 use crate::settings::GatewaySettings;
 use crate::tunnel::Tunnels;
 use crate::wire::Wire;
-use corktack_core::gateway::{DetourStep, Holder, WaitQueue, choose_reader};
+use corktack_core::gateway::{DetourStep, Holder, choose_reader};
 use corktack_core::identity::MemberName;
 use corktack_core::registry::{BackEndRole, Promotion, RegisteredBackEnd};
+use corktack_core::scheduling::{Capacity, ServiceTimes, SlotQueue, SlotWish};
 use corktack_core::tenancy::Principal;
+use corktack_core::time::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -28,7 +30,9 @@
     /// The member that last acted as primary.
     pub(super) proven_primary: Option<MemberName>,
     pub(super) not_primary_until: BTreeMap<MemberName, Instant>,
-    pub(super) waiting: WaitQueue<oneshot::Sender<MemberName>>,
+    /// Statements that wait for a slot here.
+    pub(super) waiting: SlotQueue<oneshot::Sender<MemberName>>,
+    pub(super) service_times: ServiceTimes,
 }
 
 /// The next step towards a connection.
@@ -162,6 +166,14 @@
         Self::take(name.clone(), member, wish)
     }
 
+    /// A place that was kept for a waiter is not taken.
+    pub(super) fn release_reserved(&mut self, now: Timestamp, name: &MemberName) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.reserved = member.reserved.saturating_sub(1);
+        }
+        self.wake_next(now, name);
+    }
+
     fn take(name: MemberName, member: &mut Member<W>, wish: &Wish<'_>) -> Step<W> {
         if let Some(connection) = member.take_idle(wish.session, wish.principal) {
             return Step::Use(name, connection);
@@ -224,15 +236,26 @@
         choose(free.collect()).or_else(|| choose(good.collect())).or_else(|| choose(able))
     }
 
+    /// What serves a statement that waits here.
+    pub(super) fn capacity(&self, wish: &SlotWish) -> Capacity {
+        let serves = |name: &MemberName| match wish {
+            SlotWish::At(wished) => wished == name,
+            SlotWish::Primary => self.proven_primary.as_ref().is_none_or(|lead| lead == name),
+            SlotWish::AnyBut(refused) => !refused.contains(name),
+        };
+        let members = self.members.iter().filter(|(name, _)| serves(name));
+        Capacity { slots: members.map(|(_, member)| member.slots()).sum() }
+    }
+
     /// Wakes the first who could use a connection to this member.
-    pub(super) fn wake_next(&mut self, name: &MemberName) {
+    pub(super) fn wake_next(&mut self, now: Timestamp, name: &MemberName) {
         let may_lead = self.proven_primary.as_ref().is_none_or(|primary| primary == name);
         let Some(member) = self.members.get_mut(name) else { return };
         // A member that is leaving gets no new work through those who wait.
         if !member.takes_reads(Instant::now()) {
             return;
         }
-        while let Some(waker) = self.waiting.next(may_lead) {
+        while let Some(waker) = self.waiting.next(now, name, may_lead) {
             member.reserved += 1;
             if waker.send(name.clone()).is_ok() {
                 return;
--- a/crates/gateway/src/group/elsewhere.rs
+++ b/crates/gateway/src/group/elsewhere.rs
@@ -20,12 +20,16 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// When a caller should come back where no gateway has said when it may have room: a few times as long as
+/// the users' statements last.
+const UNTOLD_RETRY: Duration = Duration::from_millis(100);
+
 /// What came of asking one gateway.
 enum Asked<T> {
     /// It said this.
     Answer(T),
-    /// The next one may serve.
-    Next,
+    /// The next one may serve. This one said when it may have room, if it has none now.
+    Next(Option<Duration>),
     /// Nobody else is asked.
     Over(AcquireError),
 }
@@ -46,6 +50,7 @@
         wish: &Wish<'_>,
     ) -> Result<Located<W>, AcquireError> {
         let mut left = holders.to_vec();
+        let mut room = None;
         while let Some((tunnel, wait)) = self.next_tunnel(&mut left, wish).await {
             let holder = tunnel.holder();
             let tunnel_wish = self.tunnel_wish(&member, wish, wait);
@@ -62,11 +67,11 @@
                     self.note_newest(holder, asked_at, granted.newest);
                     return Ok(self.granted(member, granted, tunnel_wish.principal));
                 }
-                Asked::Next => (),
+                Asked::Next(said) => room = room.into_iter().chain(said).min(),
                 Asked::Over(error) => return Err(error),
             }
         }
-        Err(self.none_elsewhere(member, wish))
+        Err(self.none_elsewhere(member, wish, room))
     }
 
     /// Has another gateway run a statement on one of its connections. A statement that may have
@@ -81,6 +86,7 @@
     ) -> Result<(Result<Answer, Unanswered>, Option<ReadPosition>), AcquireError> {
         let _place = ForwardedPlace::new(self, member);
         let mut left = holders.to_vec();
+        let mut room = None;
         while let Some((tunnel, wait)) = self.next_tunnel(&mut left, wish).await {
             let holder = tunnel.holder();
             let tunnel_wish = self.tunnel_wish(member, wish, wait);
@@ -103,11 +109,11 @@
                     self.note_ran_elsewhere(member, statement.kind, &ran, begun);
                     return Ok((ran.result, ran.position));
                 }
-                Asked::Next => (),
+                Asked::Next(said) => room = room.into_iter().chain(said).min(),
                 Asked::Over(error) => return Err(error),
             }
         }
-        Err(self.none_elsewhere(member.clone(), wish))
+        Err(self.none_elsewhere(member.clone(), wish, room))
     }
 
     /// A tunnel to one of the holders that are left to ask, which is taken off, and how long the wish
@@ -143,7 +149,7 @@
             group: self.name.clone(),
             member: member.clone(),
             principal: wish.principal.cloned().unwrap_or_default(),
-            priority: wish.priority,
+            priority: wish.kind.priority,
             wait,
             bound: wish.bound,
         }
@@ -161,10 +167,10 @@
     /// A gateway said that it does not serve.
     fn refused<T>(&self, member: &MemberName, holder: Holder, refusal: TunnelRefusal) -> Asked<T> {
         match refusal {
-            TunnelRefusal::NoneFree => {
+            TunnelRefusal::NoneFree { retry_after } => {
                 self.metrics.note_elsewhere(ElsewhereOutcome::NoneFree);
                 self.with_member(member, |it| it.detour.reached());
-                Asked::Next
+                Asked::Next(Some(retry_after))
             }
             TunnelRefusal::NoPosition => {
                 self.metrics.note_elsewhere(ElsewhereOutcome::NoPosition);
@@ -174,7 +180,7 @@
                 self.metrics.note_elsewhere(ElsewhereOutcome::NotReached);
                 let now = self.now();
                 self.with_member(member, |it| it.holders.refused(holder.address, now));
-                Asked::Next
+                Asked::Next(None)
             }
         }
     }
@@ -182,11 +188,17 @@
     /// A gateway did not hear what was asked.
     fn unheard<T>(&self) -> Asked<T> {
         self.metrics.note_elsewhere(ElsewhereOutcome::NotReached);
-        Asked::Next
+        Asked::Next(None)
     }
 
-    /// No gateway that was asked serves the wish.
-    fn none_elsewhere(&self, member: MemberName, wish: &Wish<'_>) -> AcquireError {
+    /// No gateway that was asked serves the wish; `room` is when the first may have room.
+    fn none_elsewhere(
+        &self,
+        member: MemberName,
+        wish: &Wish<'_>,
+        room: Option<Duration>,
+    ) -> AcquireError {
+        let none_free = AcquireError::NoneFree { retry_after: room.unwrap_or(UNTOLD_RETRY) };
         let now = Instant::now();
         let steady = self.now();
         let (mut reached, mut holds) = (false, false);
@@ -198,14 +210,14 @@
             }
         });
         if now >= wish.give_up {
-            return AcquireError::NoneFree;
+            return none_free;
         }
         if !holds && self.all_are_silent(&member) {
             self.stand_in(&member);
             return AcquireError::NoHolder(member);
         }
         if reached {
-            return AcquireError::NoneFree;
+            return none_free;
         }
         self.with_member(&member, |it| it.note_busy(now));
         AcquireError::Unreachable(member)
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -18,11 +18,10 @@
 use crate::wire::Wire;
 use choice::GroupState;
 use corktack_core::distance::Distance;
-use corktack_core::gateway::{
-    Detour, Freshness, Holder, ReadBound, ReadPosition, SessionProfile, Ticket, WaitQueue,
-};
+use corktack_core::gateway::{Detour, Freshness, Holder, ReadBound, ReadPosition, SessionProfile};
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::registry::{Promotion, RegisteredBackEnd};
+use corktack_core::scheduling::{ServiceTimes, SlotQueue, StatementKind};
 use corktack_core::tenancy::Principal;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -80,7 +79,8 @@
     pub(crate) session: &'s SessionProfile,
     /// On whose behalf; none for questions of the product's own, which any connection will do for.
     pub(crate) principal: Option<&'s Principal>,
-    pub(crate) priority: u32,
+    /// What tells how long it is likely to keep a slot.
+    pub(crate) kind: StatementKind,
     /// What a read that any member may serve must see.
     pub(crate) bound: Option<ReadBound>,
     /// Whether it takes one of the slots of the member.
@@ -163,7 +163,8 @@
             promotion: None,
             proven_primary: None,
             not_primary_until: BTreeMap::new(),
-            waiting: WaitQueue::default(),
+            waiting: SlotQueue::default(),
+            service_times: ServiceTimes::default(),
         };
         let freshness = RefCell::default();
         let state = RefCell::new(state);
@@ -221,11 +222,6 @@
         held
     }
 
-    /// A place in the order of waiters.
-    pub(crate) fn ticket(&self, priority: u32) -> Ticket {
-        self.state.borrow_mut().waiting.ticket(priority)
-    }
-
     /// Runs `change` on a member that is still there.
     pub(crate) fn with_member(&self, name: &MemberName, change: impl FnOnce(&mut Member<W>)) {
         if let Some(member) = self.state.borrow_mut().members.get_mut(name) {
@@ -247,7 +243,7 @@
         } else {
             member.idle.push(IdleConnection { connection, since: now });
         }
-        state.wake_next(name);
+        state.wake_next(self.now(), name);
     }
 
     /// Closes connections that have not been used for long: what one gateway does not need others
@@ -276,7 +272,7 @@
         let Some(member) = state.members.get_mut(name) else { return };
         if rests {
             member.resting += 1;
-            state.wake_next(name);
+            state.wake_next(self.now(), name);
         } else {
             member.resting = member.resting.saturating_sub(1);
         }
@@ -288,7 +284,7 @@
         if let Some(member) = state.members.get_mut(name) {
             member.open = member.open.saturating_sub(1);
         }
-        state.wake_next(name);
+        state.wake_next(self.now(), name);
     }
 
     /// A member acted as only the primary can.
--- a/crates/gateway/src/group/notes.rs
+++ b/crates/gateway/src/group/notes.rs
@@ -7,6 +7,7 @@
 use crate::wire::Wire;
 use corktack_core::identity::MemberName;
 use corktack_core::position::Position;
+use corktack_core::scheduling::StatementKind;
 use corktack_core::statement::ErrorCode;
 use corktack_core::time::Timestamp;
 use corktack_protocol::tunnel::MemberLoadReport;
@@ -42,7 +43,8 @@
     /// How busy a member is, for the gateway whose statement has just taken this long.
     pub(crate) fn load_report(&self, name: &MemberName, spent: Duration) -> MemberLoadReport {
         let state = self.state.borrow();
-        let waiting = state.waiting.len();
+        let may_lead = state.proven_primary.as_ref().is_none_or(|lead| lead == name);
+        let waiting = state.waiting.len_at(name, may_lead);
         let member = state.members.get(name);
         member.map_or_else(MemberLoadReport::default, |it| it.load_report(spent, waiting))
     }
@@ -51,12 +53,17 @@
     pub(crate) fn note_result(
         self: &Rc<Self>,
         name: &MemberName,
+        kind: StatementKind,
         result: &Result<Answer, Unanswered>,
         begun: Instant,
     ) {
         match result {
             Ok(answer) => match &answer.outcome {
-                Ok(_) => self.with_member(name, |it| it.note_served(begun.elapsed())),
+                Ok(_) => {
+                    let taken = begun.elapsed();
+                    self.with_member(name, |it| it.note_served(taken));
+                    self.state.borrow_mut().service_times.note(kind, taken);
+                }
                 Err(failure) if failure.code == ErrorCode::Busy => self.note_no_room(name),
                 Err(failure) if failure.code.did_not_run() => {
                     self.note_refusal(name, failure.code);
--- a/crates/gateway/src/group/positions.rs
+++ b/crates/gateway/src/group/positions.rs
@@ -12,6 +12,7 @@
 use corktack_core::gateway::{Holder, ReadBound, ReadPosition, SessionProfile};
 use corktack_core::identity::MemberName;
 use corktack_core::position::Position;
+use corktack_core::scheduling::StatementKind;
 use corktack_core::statement::{Access, OwnStatement};
 use std::rc::Rc;
 use std::time::Duration;
@@ -120,7 +121,7 @@
             target,
             session: &session,
             principal: None,
-            priority: REFRESH_PRIORITY,
+            kind: StatementKind { priority: REFRESH_PRIORITY, writes: false },
             bound: None,
             // The begin and the rollback of a transaction take none.
             needs_slot: false,
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -221,6 +221,11 @@
         self.idle.len() + self.openable(now) > self.reserved
     }
 
+    /// Statements that this gateway may have under way there.
+    pub(crate) fn slots(&self) -> usize {
+        self.limit.min(self.flight_limit.current())
+    }
+
     /// Connections that may be opened beside those that there are.
     fn openable(&self, now: Instant) -> usize {
         let full = is_pending(self.full_until, now);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,6 +7,7 @@
 use crate::wire::Wire;
 use corktack_core::gateway::{ReadPosition, SessionProfile};
 use corktack_core::position::Position;
+use corktack_core::scheduling::StatementKind;
 use corktack_core::statement::{
     Access, MemberRequest, OwnStatement, PreparedShape, Request, Statement,
 };
@@ -130,6 +131,7 @@
     pub(crate) passed: PassedStatement<'s>,
     pub(crate) shape: Option<&'s PreparedShape>,
     pub(crate) session: &'s SessionProfile,
+    pub(crate) priority: u32,
     pub(crate) kind: LoneKind,
 }
 
@@ -144,7 +146,8 @@
         let asked_at = lease.group().now();
         let begun = Instant::now();
         let result = self.run_on(&mut lease, position, deadline).await;
-        lease.group().note_result(&lease.member, &result, begun);
+        let kind = StatementKind { priority: self.priority, writes: !self.kind.is_read() };
+        lease.group().note_result(&lease.member, kind, &result, begun);
         if let (Ok(answer), LoneKind::Write) = (&result, self.kind)
             && answer.outcome.is_ok()
         {
@@ -192,7 +195,7 @@
     }
 
     /// The statement that another gateway sent.
-    pub(crate) fn of_request(request: &LoneRequest) -> LoneStatement<'_> {
+    pub(crate) fn of_request(request: &LoneRequest, priority: u32) -> LoneStatement<'_> {
         LoneStatement {
             passed: PassedStatement {
                 id: &request.id,
@@ -201,6 +204,7 @@
             },
             shape: request.shape.as_ref(),
             session: &request.session,
+            priority,
             kind: request.kind,
         }
     }
--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -11,6 +11,7 @@
 use crate::run::{LoneStatement, PassedStatement, Unanswered};
 use crate::wire::Wire;
 use corktack_core::identity::MemberName;
+use corktack_core::scheduling::StatementKind;
 use corktack_core::statement::{Access, ErrorCode, PreparedShape, Request, TransactionState};
 use corktack_core::tenancy::Principal;
 use corktack_protocol::tunnel::LoneKind;
@@ -136,7 +137,7 @@
             target,
             session: &self.profile,
             principal: Some(lone.principal),
-            priority: lone.route.rule.priority,
+            kind: StatementKind { priority: lone.route.rule.priority, writes: !kind.is_read() },
             bound: kind.bound(),
             needs_slot: true,
             give_up: lone.bounds.give_up,
@@ -145,6 +146,7 @@
             passed: PassedStatement::from(lone.request),
             shape: lone.shape,
             session: &self.profile,
+            priority: lone.route.rule.priority,
             kind,
         };
         let deadline = lone.bounds.deadline;
--- a/crates/gateway/src/session/response.rs
+++ b/crates/gateway/src/session/response.rs
@@ -8,9 +8,6 @@
 use corktack_core::position::Position;
 use corktack_core::statement::{ErrorCode, ReadyState, Reply, TransactionState};
 
-/// When a caller that was refused for lack of room should come back.
-const RETRY_AFTER_MILLIS: u64 = 200;
-
 /// The whole answer to one statement of a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Response {
@@ -43,7 +40,8 @@
     /// member said to it, empty where none was asked.
     pub(crate) fn refused(error: &AcquireError, refusal: &str, state: TransactionState) -> Self {
         let said = if refusal.is_empty() { String::new() } else { format!(" ({refusal})") };
-        let text = format!("not run: {error}{said}; retry_after_ms={RETRY_AFTER_MILLIS}");
+        let retry_after = error.retry_after().as_millis();
+        let text = format!("not run: {error}{said}; retry_after_ms={retry_after}");
         Self::failure(ErrorCode::Busy, &text, state)
     }
 
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -14,6 +14,7 @@
 };
 use crate::wire::Wire;
 use corktack_core::position::Position;
+use corktack_core::scheduling::StatementKind;
 use corktack_core::statement::{Access, ErrorCode, PreparedShape, Request, TransactionState};
 use corktack_core::tenancy::Principal;
 use corktack_core::time::Timestamp;
@@ -248,7 +249,7 @@
                 target,
                 session: &self.profile,
                 principal: Some(principal),
-                priority: route.rule.priority,
+                kind: StatementKind { priority: route.rule.priority, writes: bound.is_none() },
                 bound,
                 needs_slot: true,
                 give_up: bounds.give_up,
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -13,6 +13,7 @@
 use bytes::BytesMut;
 use corktack_core::gateway::{ReadPosition, SessionProfile};
 use corktack_core::identity::GroupName;
+use corktack_core::scheduling::StatementKind;
 use corktack_core::tenancy::TenantName;
 use corktack_protocol::frame::FrameCodec;
 use corktack_protocol::liveness::Liveness;
@@ -68,7 +69,8 @@
     let reply = match request {
         TunnelRequest::Acquire { group, member, principal, priority, wait, bound } => {
             let wish = TunnelWish { group, member, principal, priority, wait, bound };
-            match with_signs(frames, grant(shared, &wish)).await? {
+            let writes = bound.is_none();
+            match with_signs(frames, grant(shared, &wish, writes)).await? {
                 Ok(located) => return serve_lease(shared, frames, located).await,
                 Err(refusal) => TunnelReply::Refused(refusal),
             }
@@ -157,9 +159,10 @@
 ) -> Result<TunnelReply, TunnelRefusal> {
     let begun = Instant::now();
     let deadline = begun + limit;
-    let Located { lease, position } = grant(shared, wish).await?;
+    let Located { lease, position } = grant(shared, wish, !statement.kind.is_read()).await?;
     let group = Rc::clone(lease.group());
-    let result = LoneStatement::of_request(statement).run(lease, position, deadline).await;
+    let result =
+        LoneStatement::of_request(statement, wish.priority).run(lease, position, deadline).await;
     let newest = group.freshness.borrow().newest(group.now());
     let load = group.load_report(&wish.member, begun.elapsed());
     Ok(TunnelReply::Ran { outcome: outcome_of(result), position, newest, load })
@@ -168,6 +171,7 @@
 async fn grant<W: Wire>(
     shared: &Shared<W>,
     wish: &TunnelWish,
+    writes: bool,
 ) -> Result<Located<W>, TunnelRefusal> {
     let begun = Instant::now();
     let give_up = begun + wish.wait;
@@ -179,7 +183,7 @@
         target: Target::Held(wish.member.clone()),
         session: &session,
         principal: Some(&wish.principal),
-        priority: wish.priority,
+        kind: StatementKind { priority: wish.priority, writes },
         bound: wish.bound,
         needs_slot: true,
         give_up,
@@ -198,7 +202,9 @@
 fn refusal_of(error: &AcquireError) -> TunnelRefusal {
     match error {
         // The member is reached all the same: nobody needs another way to it.
-        AcquireError::NoneFree | AcquireError::Full(_) => TunnelRefusal::NoneFree,
+        AcquireError::NoneFree { .. } | AcquireError::Full(_) => {
+            TunnelRefusal::NoneFree { retry_after: error.retry_after() }
+        }
         AcquireError::NoPosition => TunnelRefusal::NoPosition,
         AcquireError::Unreachable(_) => TunnelRefusal::Unreachable,
         AcquireError::NoMember | AcquireError::NoHolder(_) => TunnelRefusal::NotHeld,
--- a/crates/protocol/src/tunnel.rs
+++ b/crates/protocol/src/tunnel.rs
@@ -182,8 +182,11 @@
 /// Why no connection is given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TunnelRefusal {
-    /// None became free in time.
-    NoneFree,
+    /// None became free in time, or none is likely to.
+    NoneFree {
+        /// When one is likely to be.
+        retry_after: Duration,
+    },
     /// The member cannot be reached from there.
     Unreachable,
     /// The gateway does not serve the group, or holds no connection to the member.
