Transactions: begin and first statement are one question to the gateway that holds the connection

Change: TunnelRequest::Open leases, begins and runs; session/opening.rs begins transactions (out of transaction.rs); holders are asked in turn by one function. Ruled out: begin without waiting for it, the whole transaction at commit (docs/design/order.md). Tests: openings (5), peers (1).

--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -17,6 +17,9 @@
 /// Part of the longest wait for a connection after which another gateway is tried beside: with it a
 /// gateway at work has nearly always accepted.
 const STAGGER_PART: f64 = 0.5;
+/// How long a gateway that answered counts as one that does. A gateway's own statements reach each holder
+/// every few seconds; one that stands still since is found out by a statement that is given up.
+const ANSWERS_FOR: Duration = Duration::from_secs(10);
 /// Gateways of which something is remembered. The aim is 1,100 gateways in all.
 const REMEMBERED: usize = 4_096;
 
@@ -30,6 +33,7 @@
 #[derive(Debug, Default)]
 pub struct PeerTable {
     unanswered: HashMap<SocketAddr, Unanswered>,
+    answered: HashMap<SocketAddr, Timestamp>,
     round_trips: HashMap<Distance, RoundTrip>,
 }
 
@@ -42,6 +46,7 @@
 
     /// A gateway did not answer in time, or cannot be connected to.
     pub fn note_unanswered(&mut self, address: SocketAddr, now: Timestamp) {
+        self.answered.remove(&address);
         if self.unanswered.len() >= REMEMBERED {
             self.unanswered.retain(|_, peer| now < peer.until);
         }
@@ -55,8 +60,19 @@
     }
 
     /// A gateway answered.
-    pub fn note_answered(&mut self, address: SocketAddr) {
+    pub fn note_answered(&mut self, address: SocketAddr, now: Timestamp) {
         self.unanswered.remove(&address);
+        if self.answered.len() >= REMEMBERED {
+            self.answered.retain(|_, at| now.saturating_since(*at) < ANSWERS_FOR);
+        }
+        self.answered.insert(address, now);
+    }
+
+    /// Whether a gateway has answered lately, and nothing since has shown that it does not any more.
+    #[must_use]
+    pub fn answers(&self, address: SocketAddr, now: Timestamp) -> bool {
+        let lately = |at: &Timestamp| now.saturating_since(*at) < ANSWERS_FOR;
+        self.answered.get(&address).is_some_and(lately)
     }
 
     /// A connection to a gateway at this distance was accepted after so long.
--- a/crates/core/tests/peers.rs
+++ b/crates/core/tests/peers.rs
@@ -69,11 +69,26 @@
         now += pause as u64;
     }
     assert_eq!(pauses, [250, 500, 1_000, 2_000, 2_000]);
-    peers.note_answered(address);
+    peers.note_answered(address, at(now));
     peers.note_unanswered(address, at(now));
     assert!(!peers.is_avoided(address, at(now + 250)), "an answer makes it as good as new");
 }
 
+#[test]
+fn a_gateway_counts_as_one_that_answers_until_it_is_silent_or_long_unheard() {
+    let mut peers = PeerTable::default();
+    let address = holder(1).address;
+    assert!(!peers.answers(address, at(0)), "nothing is known of it");
+    peers.note_answered(address, at(0));
+    assert!(peers.answers(address, at(9_999)));
+    assert!(!peers.answers(address, at(10_000)), "it may have been lost since");
+    peers.note_answered(address, at(10_000));
+    peers.note_unanswered(address, at(10_001));
+    assert!(!peers.answers(address, at(10_002)));
+    peers.note_answered(address, at(10_003));
+    assert!(peers.answers(address, at(10_004)));
+}
+
 #[test]
 fn gateways_that_are_silent_or_refused_are_passed_over() {
     let mut peers = PeerTable::default();
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -23,6 +23,7 @@
 use corktack_core::registry::{Promotion, RegisteredBackEnd};
 use corktack_core::scheduling::{ServiceTimes, SlotQueue, StatementKind};
 use corktack_core::tenancy::Principal;
+pub(crate) use elsewhere::OpenedThere;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -97,6 +97,16 @@
     Ok(answer)
 }
 
+/// Begins a transaction that only reads, at a member that holds a position.
+pub(crate) async fn begin_reading<W: Wire>(
+    lease: &mut Lease<W>,
+    needed: Position,
+    deadline: Instant,
+) -> Result<(), Unanswered> {
+    let answer = begin_at(lease, Access::Read, Some(needed), deadline).await?;
+    answer.outcome.map(drop).map_err(Unanswered::Refused)
+}
+
 /// Begins a writable transaction, which only the primary does, and learns its position.
 pub(crate) async fn begin_as_primary<W: Wire>(
     lease: &mut Lease<W>,
@@ -159,6 +169,23 @@
         result
     }
 
+    /// Begins a transaction and runs the statement in it. An error says why it could not be begun; the
+    /// statement was not sent then.
+    pub(crate) async fn open_on<W: Wire>(
+        &self,
+        lease: &mut Lease<W>,
+        position: Option<ReadPosition>,
+        deadline: Instant,
+    ) -> Result<Result<Answer, Unanswered>, Unanswered> {
+        // What is prepared before the begin stays, whatever becomes of the transaction.
+        let prepared = align(lease, self.session, self.shape, deadline).await?;
+        match position {
+            Some(position) => begin_reading(lease, position.needed, deadline).await?,
+            None => begin_as_primary(lease, deadline).await?,
+        }
+        Ok(pass_on(lease, self.passed, prepared.as_deref(), None, deadline).await)
+    }
+
     async fn run_on<W: Wire>(
         &self,
         lease: &mut Lease<W>,
--- a/crates/gateway/src/session/mod.rs
+++ b/crates/gateway/src/session/mod.rs
@@ -2,6 +2,7 @@
 
 mod alone;
 mod decision;
+mod opening;
 mod read;
 mod response;
 mod serve;
--- /dev/null
+++ b/crates/gateway/src/session/opening.rs
@@ -0,0 +1,249 @@
+//! How a transaction is begun at a member, with its first statement where another gateway holds the
+//! connection: beginning and statement are one round trip to it, which may be one between regions.
+
+use super::Session;
+use super::alone::Bounds;
+use super::response::Response;
+use super::transaction::OpenTransaction;
+use crate::answer::{Answer, Failure};
+use crate::error::{AcquireError, LinkError};
+use crate::group::{Located, OpenedThere, Place, Target, Wish};
+use crate::routes::{Admitted, Route};
+use crate::run::{
+    LoneStatement, PassedStatement, Unanswered, align, begin_as_primary, begin_reading,
+};
+use crate::wire::Wire;
+use corktack_core::gateway::{Holder, ReadBound};
+use corktack_core::identity::MemberName;
+use corktack_core::scheduling::StatementKind;
+use corktack_core::statement::{Access, ErrorCode, PreparedShape, Request, TransactionState};
+use corktack_core::tenancy::Principal;
+use corktack_protocol::tunnel::LoneKind;
+use std::collections::BTreeSet;
+use tokio::time::Instant;
+
+/// The first statement of a transaction.
+#[derive(Clone, Copy)]
+pub(super) struct First<'s> {
+    pub(super) request: &'s Request,
+    pub(super) shape: Option<&'s PreparedShape>,
+}
+
+/// What came of beginning a transaction.
+pub(super) enum Opened<W: Wire> {
+    /// It is open; its first statement is still to be run.
+    Begun(OpenTransaction<W>),
+    /// Its first statement was run with the begin.
+    Ran(OpenTransaction<W>, Result<Answer, Unanswered>),
+    /// A gateway was asked for both and gave no answer; nothing of it is kept.
+    Lost(Response),
+}
+
+/// One try at one member.
+enum Tried<W: Wire> {
+    Opened(Opened<W>),
+    /// The member did not begin it.
+    NotBegun(MemberName, Unanswered),
+}
+
+/// Where a transaction is tried next, and what was said so far.
+struct Tries {
+    /// What a transaction that only reads must see; none where only the primary may serve it.
+    bound: Option<ReadBound>,
+    refused: BTreeSet<MemberName>,
+    /// What the last member said that did not begin it.
+    why: String,
+}
+
+impl Tries {
+    fn target(&self) -> Target {
+        match self.bound {
+            Some(_) => Target::Reader { refused: self.refused.clone() },
+            None => Target::Primary,
+        }
+    }
+
+    /// Whether there is another way after an error, before waiting ends.
+    fn go_on(&mut self, error: &AcquireError, give_up: Instant) -> bool {
+        if let AcquireError::NoPosition = error {
+            self.bound = None;
+            return true;
+        }
+        if Instant::now() >= give_up {
+            return false;
+        }
+        match error {
+            AcquireError::Unreachable(member) | AcquireError::Full(member) => {
+                self.refused.insert(member.clone());
+                true
+            }
+            AcquireError::NoHolder(_) => true,
+            AcquireError::NoMember if !self.refused.is_empty() => {
+                self.refused.clear();
+                true
+            }
+            AcquireError::NoMember | AcquireError::NoPosition | AcquireError::NoneFree { .. } => {
+                false
+            }
+        }
+    }
+}
+
+impl<W: Wire> Session<W> {
+    /// Begins the transaction at a member that may serve it. How fresh it must be counts from now: the
+    /// caller may have rested since its begin.
+    pub(super) async fn open_transaction(
+        &self,
+        access: Access,
+        Admitted { route, principal }: Admitted<W>,
+        first: Option<First<'_>>,
+    ) -> Result<Opened<W>, Response> {
+        let bounds = Bounds::of(&route);
+        let group = route.group.name.as_str();
+        let rule = &route.rule;
+        self.decision.borrow_mut().routed(&rule.name, &principal, rule.consistency, group);
+        let pass = match self.shared.limits.begin(&principal, rule.priority, bounds.give_up).await {
+            Ok(pass) => pass,
+            Err(over) => return Err(Response::over_limit(&over, TransactionState::Failed)),
+        };
+        let opened = self.open_counted(access, (&route, &principal), bounds, first).await;
+        if opened.is_err() {
+            // No statement of the caller's was sent.
+            pass.take_back();
+        }
+        opened
+    }
+
+    async fn open_counted(
+        &self,
+        access: Access,
+        (route, principal): (&Route<W>, &Principal),
+        bounds: Bounds,
+        first: Option<First<'_>>,
+    ) -> Result<Opened<W>, Response> {
+        let bound = match access {
+            Access::Read => self.read_bound(route),
+            Access::Write => None,
+        };
+        let mut tries = Tries { bound, refused: BTreeSet::new(), why: String::new() };
+        loop {
+            let wish = Wish {
+                target: tries.target(),
+                session: &self.profile,
+                principal: Some(principal),
+                kind: StatementKind {
+                    priority: route.rule.priority,
+                    writes: tries.bound.is_none(),
+                },
+                bound: tries.bound,
+                needs_slot: true,
+                give_up: bounds.give_up,
+            };
+            let error = match self.try_open(route, &wish, bounds, first).await {
+                Ok(Tried::Opened(opened)) => return Ok(opened),
+                Ok(Tried::NotBegun(member, why)) => {
+                    tries.why = Self::note_unanswered(route, &member, &why);
+                    self.attempted(&tries.why);
+                    tries.refused.insert(member);
+                    if Instant::now() < bounds.give_up {
+                        continue;
+                    }
+                    AcquireError::NoMember
+                }
+                Err(error) if tries.go_on(&error, bounds.give_up) => continue,
+                Err(error) => error,
+            };
+            return Err(Response::refused(&error, &tries.why, TransactionState::Failed));
+        }
+    }
+
+    async fn try_open(
+        &self,
+        route: &Route<W>,
+        wish: &Wish<'_>,
+        bounds: Bounds,
+        first: Option<First<'_>>,
+    ) -> Result<Tried<W>, AcquireError> {
+        let located = match (route.group.place(wish).await?, first) {
+            (Place::Here(located), _) => *located,
+            (Place::Elsewhere(member, holders), None) => {
+                route.group.forward(member, &holders, wish).await?
+            }
+            (Place::Elsewhere(member, holders), Some(first)) => {
+                return self.open_there(route, wish, (member, holders), bounds, first).await;
+            }
+        };
+        Ok(self.begin_on(route, located, bounds.deadline).await)
+    }
+
+    /// Begins it on a connection that is there.
+    async fn begin_on(
+        &self,
+        route: &Route<W>,
+        Located { mut lease, position }: Located<W>,
+        deadline: Instant,
+    ) -> Tried<W> {
+        self.decision.borrow_mut().needs(position);
+        let begun = async {
+            align(&mut lease, &self.profile, None, deadline).await?;
+            match position {
+                Some(position) => begin_reading(&mut lease, position.needed, deadline).await,
+                None => begin_as_primary(&mut lease, deadline).await,
+            }
+        };
+        match begun.await {
+            Ok(()) => Tried::Opened(Opened::Begun(OpenTransaction::new(route.clone(), lease))),
+            Err(why) => Tried::NotBegun(lease.member.clone(), why),
+        }
+    }
+
+    /// Has another gateway begin it and run its first statement.
+    async fn open_there(
+        &self,
+        route: &Route<W>,
+        wish: &Wish<'_>,
+        (member, holders): (MemberName, Vec<Holder>),
+        bounds: Bounds,
+        First { request, shape }: First<'_>,
+    ) -> Result<Tried<W>, AcquireError> {
+        let first = LoneStatement {
+            passed: PassedStatement::from(request),
+            shape,
+            session: &self.profile,
+            priority: route.rule.priority,
+            kind: wish.bound.map_or(LoneKind::Write, |bound| LoneKind::Read { bound }),
+        };
+        let group = &route.group;
+        let opened = group.open_elsewhere(&member, &holders, wish, first, bounds.deadline).await?;
+        Ok(match opened {
+            OpenedThere::Lent(located) => self.begin_on(route, located, bounds.deadline).await,
+            OpenedThere::Open(Located { lease, position }, result) => {
+                self.decision.borrow_mut().needs(position);
+                let open = OpenTransaction::new(route.clone(), lease);
+                Tried::Opened(Opened::Ran(open, result))
+            }
+            OpenedThere::NotBegun(why) => Tried::NotBegun(member, why),
+            OpenedThere::Lost(error) => Tried::Opened(Opened::Lost(lost(&member, &error))),
+        })
+    }
+
+    /// Remembers why a transaction could not begin at a member.
+    fn note_unanswered(route: &Route<W>, member: &MemberName, why: &Unanswered) -> String {
+        match why {
+            Unanswered::NotSent(error) | Unanswered::Sent(error) => {
+                route.group.note_lost(member, error);
+                format!("{error} at {member}")
+            }
+            Unanswered::Refused(Failure { code, .. }) => {
+                route.group.note_refusal(member, *code);
+                format!("{code:?} at {member}")
+            }
+        }
+    }
+}
+
+/// Without its tunnel the gateway that holds the connection rolls back.
+fn lost(member: &MemberName, error: &LinkError) -> Response {
+    let text = format!("rolled back: {error} at {member}");
+    Response::failure(ErrorCode::Aborted, &text, TransactionState::Failed)
+}
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -1,24 +1,17 @@
 //! Transactions: begun at a member with their first statement, ended there.
 
 use super::Session;
-use super::alone::Bounds;
+use super::opening::{First, Opened};
 use super::response::Response;
 use super::statement::access_of;
-use crate::answer::Failure;
-use crate::error::AcquireError;
-use crate::group::{Located, Target, Wish};
+use crate::answer::Answer;
 use crate::lease::Lease;
 use crate::routes::{Admitted, Route};
-use crate::run::{
-    ROLLBACK_LIMIT, Unanswered, align, begin_as_primary, begin_at, pass_on, roll_back_later,
-};
+use crate::run::{ROLLBACK_LIMIT, Unanswered, align, pass_on, roll_back_later};
 use crate::wire::Wire;
 use corktack_core::position::Position;
-use corktack_core::scheduling::StatementKind;
 use corktack_core::statement::{Access, ErrorCode, PreparedShape, Request, TransactionState};
-use corktack_core::tenancy::Principal;
 use corktack_core::time::Timestamp;
-use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -46,6 +39,11 @@
 }
 
 impl<W: Wire> OpenTransaction<W> {
+    /// One in which nothing was written yet.
+    pub(super) fn new(route: Route<W>, lease: Lease<W>) -> Self {
+        Self { route, lease, wrote: false, aligned_inside: false }
+    }
+
     /// Rolls back behind the caller's back.
     fn abandon(mut self) {
         if self.aligned_inside {
@@ -142,22 +140,25 @@
         request: &Request,
         shape: Option<&PreparedShape>,
     ) -> Response {
-        let mut open = match std::mem::replace(&mut self.transaction, Transaction::Failed) {
-            Transaction::Open(open) => open,
+        let (mut open, ran) = match std::mem::replace(&mut self.transaction, Transaction::Failed) {
+            Transaction::Open(open) => (open, None),
             Transaction::Begun { access, admitted } => {
-                match self.open_transaction(access, admitted).await {
-                    Ok(open) => Box::new(open),
-                    Err(response) => return response,
+                let first = First { request, shape };
+                match self.open_transaction(access, admitted, Some(first)).await {
+                    Ok(Opened::Begun(open)) => (Box::new(open), None),
+                    Ok(Opened::Ran(open, answer)) => (Box::new(open), Some(answer)),
+                    Ok(Opened::Lost(response)) | Err(response) => return response,
                 }
             }
             Transaction::None | Transaction::Failed | Transaction::RolledBack => {
                 return self.own_failure(ErrorCode::Malformed, "no transaction is open");
             }
         };
-        open.lease.set_resting(false);
+        let answer = match ran {
+            Some(answer) => answer,
+            None => self.run_open(&mut open, request, shape).await,
+        };
         let wrote = access_of(request, shape) == Access::Write;
-        let deadline = Instant::now() + open.route.rule.statement_timeout;
-        let answer = self.run_open(&mut open, request, shape, deadline).await;
         match answer {
             Ok(answer) if answer.outcome.is_ok() => {
                 open.wrote |= wrote;
@@ -181,8 +182,9 @@
         open: &mut OpenTransaction<W>,
         request: &Request,
         shape: Option<&PreparedShape>,
-        deadline: Instant,
-    ) -> Result<crate::answer::Answer, Unanswered> {
+    ) -> Result<Answer, Unanswered> {
+        open.lease.set_resting(false);
+        let deadline = Instant::now() + open.route.rule.statement_timeout;
         let before = open.lease.connection().profile.clone();
         let prepared = align(&mut open.lease, &self.profile, shape, deadline).await?;
         open.aligned_inside |= open.lease.connection().profile != before;
@@ -205,152 +207,14 @@
         }
     }
 
-    /// Begins the transaction at a member that may serve it. How fresh it must be counts from now: the
-    /// caller may have rested since its begin.
-    async fn open_transaction(
-        &self,
-        access: Access,
-        Admitted { route, principal }: Admitted<W>,
-    ) -> Result<OpenTransaction<W>, Response> {
-        let bounds = Bounds::of(&route);
-        let group = route.group.name.as_str();
-        let rule = &route.rule;
-        self.decision.borrow_mut().routed(&rule.name, &principal, rule.consistency, group);
-        let pass = match self.shared.limits.begin(&principal, rule.priority, bounds.give_up).await {
-            Ok(pass) => pass,
-            Err(over) => return Err(Response::over_limit(&over, TransactionState::Failed)),
-        };
-        let opened = self.open_counted(access, (route, &principal), bounds).await;
-        if opened.is_err() {
-            // No statement of the caller's was sent.
-            pass.take_back();
-        }
-        opened
-    }
-
-    async fn open_counted(
-        &self,
-        access: Access,
-        (route, principal): (Route<W>, &Principal),
-        bounds: Bounds,
-    ) -> Result<OpenTransaction<W>, Response> {
-        let mut bound = match access {
-            Access::Read => self.read_bound(&route),
-            Access::Write => None,
-        };
-        let mut refused = BTreeSet::new();
-        let mut why = String::new();
-        loop {
-            let target = match bound {
-                Some(_) => Target::Reader { refused: refused.clone() },
-                None => Target::Primary,
-            };
-            let wish = Wish {
-                target,
-                session: &self.profile,
-                principal: Some(principal),
-                kind: StatementKind { priority: route.rule.priority, writes: bound.is_none() },
-                bound,
-                needs_slot: true,
-                give_up: bounds.give_up,
-            };
-            let acquired = route.group.acquire(&wish).await;
-            let Located { mut lease, position } = match acquired {
-                Ok(located) => located,
-                Err(AcquireError::Unreachable(member) | AcquireError::Full(member))
-                    if Instant::now() < bounds.give_up =>
-                {
-                    refused.insert(member);
-                    continue;
-                }
-                Err(AcquireError::NoHolder(_)) if Instant::now() < bounds.give_up => continue,
-                Err(AcquireError::NoPosition) => {
-                    bound = None;
-                    continue;
-                }
-                Err(AcquireError::NoMember)
-                    if !refused.is_empty() && Instant::now() < bounds.give_up =>
-                {
-                    refused.clear();
-                    continue;
-                }
-                Err(error) => {
-                    return Err(Response::refused(&error, &why, TransactionState::Failed));
-                }
-            };
-            self.decision.borrow_mut().needs(position);
-            let begun = match position {
-                Some(position) => {
-                    self.begin_reading(&mut lease, position.needed, bounds.deadline).await
-                }
-                None => self.begin_writing(&mut lease, bounds.deadline).await,
-            };
-            let unanswered = match begun {
-                Ok(()) => {
-                    return Ok(OpenTransaction {
-                        route,
-                        lease,
-                        wrote: false,
-                        aligned_inside: false,
-                    });
-                }
-                Err(unanswered) => unanswered,
-            };
-            refused.insert(lease.member.clone());
-            why = Self::note_unanswered(&lease, &unanswered);
-            self.attempted(&why);
-            if Instant::now() >= bounds.give_up {
-                return Err(Response::refused(
-                    &AcquireError::NoMember,
-                    &why,
-                    TransactionState::Failed,
-                ));
-            }
-        }
-    }
-
-    /// Remembers why a transaction could not begin at a member.
-    fn note_unanswered(lease: &Lease<W>, unanswered: &Unanswered) -> String {
-        match unanswered {
-            Unanswered::NotSent(error) | Unanswered::Sent(error) => {
-                lease.group().note_lost(&lease.member, error);
-                format!("{error} at {}", lease.member)
-            }
-            Unanswered::Refused(Failure { code, .. }) => {
-                lease.group().note_refusal(&lease.member, *code);
-                format!("{code:?} at {}", lease.member)
-            }
-        }
-    }
-
-    async fn begin_writing(
-        &self,
-        lease: &mut Lease<W>,
-        deadline: Instant,
-    ) -> Result<(), Unanswered> {
-        align(lease, &self.profile, None, deadline).await?;
-        begin_as_primary(lease, deadline).await
-    }
-
-    async fn begin_reading(
-        &self,
-        lease: &mut Lease<W>,
-        needed: Position,
-        deadline: Instant,
-    ) -> Result<(), Unanswered> {
-        align(lease, &self.profile, None, deadline).await?;
-        let answer = begin_at(lease, Access::Read, Some(needed), deadline).await?;
-        answer.outcome.map(drop).map_err(Unanswered::Refused)
-    }
-
     /// Passes the commit on. Without an answer nobody knows what became of it.
     pub(super) async fn commit(&mut self, request: &Request) -> Response {
         let mut open = match std::mem::replace(&mut self.transaction, Transaction::None) {
             Transaction::Open(open) => open,
             Transaction::Begun { access, admitted } => {
-                match self.open_transaction(access, admitted).await {
-                    Ok(open) => Box::new(open),
-                    Err(response) => {
+                match self.open_transaction(access, admitted, None).await {
+                    Ok(Opened::Begun(open) | Opened::Ran(open, _)) => Box::new(open),
+                    Ok(Opened::Lost(response)) | Err(response) => {
                         self.transaction = Transaction::Failed;
                         return response;
                     }
--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -62,6 +62,15 @@
     pub(crate) newest: Option<(Duration, Position)>,
 }
 
+/// What a holder made of the beginning of a transaction.
+#[derive(Debug)]
+pub(crate) enum OpenedElsewhere {
+    /// It is open, and its first statement was run.
+    Open(Granted, Result<Answer, Unanswered>),
+    /// It could not be begun, and nothing else was sent. The tunnel is free again.
+    Not(Box<TunnelClient>, Unanswered, Option<(Duration, Position)>),
+}
+
 /// What a holder made of a statement.
 #[derive(Debug)]
 pub(crate) struct RanElsewhere {
@@ -137,6 +146,38 @@
         }
     }
 
+    /// Has a transaction begun and its first statement run. A holder that is silent is left: without the
+    /// tunnel it rolls back.
+    pub(super) async fn open(
+        mut self,
+        wish: &TunnelWish,
+        statement: LoneRequest,
+        limit: Duration,
+    ) -> Result<OpenedElsewhere, TunnelError> {
+        let request = TunnelRequest::Open {
+            group: wish.group.clone(),
+            member: wish.member.clone(),
+            principal: wish.principal.clone(),
+            priority: wish.priority,
+            wait: wish.wait,
+            limit,
+            statement: Box::new(statement),
+        };
+        self.send(request).await?;
+        let until = Instant::now() + wish.wait + limit + self.silence_limit;
+        match self.reply(until, true).await? {
+            TunnelReply::Opened { profile, position, newest, outcome } => {
+                let granted = Granted { tunnel: Box::new(self), profile, position, newest };
+                Ok(OpenedElsewhere::Open(granted, result_of(outcome)))
+            }
+            TunnelReply::NotOpened { outcome, newest } => match result_of(outcome) {
+                Err(why) => Ok(OpenedElsewhere::Not(Box::new(self), why, newest)),
+                Ok(_) => Err(TunnelError::Sent(LinkError::Closed)),
+            },
+            other => Err(unexpected(other)),
+        }
+    }
+
     /// Has a statement run. A frame that was not sent whole is no statement. A write whose holder is
     /// silent is waited for to its end: nobody else may run it.
     pub(super) async fn run(
--- a/crates/gateway/src/tunnel/mod.rs
+++ b/crates/gateway/src/tunnel/mod.rs
@@ -7,7 +7,7 @@
 mod serve;
 
 pub(crate) use client::{
-    Granted, OperationsWish, RanElsewhere, TunnelClient, TunnelError, TunnelWish,
+    Granted, OpenedElsewhere, OperationsWish, RanElsewhere, TunnelClient, TunnelError, TunnelWish,
 };
 pub(crate) use pool::Tunnels;
 pub(crate) use serve::accept_tunnels;
--- a/crates/gateway/src/tunnel/pool.rs
+++ b/crates/gateway/src/tunnel/pool.rs
@@ -1,6 +1,8 @@
 //! The tunnels of a gateway, and what it knows of the gateways at their other ends.
 
-use super::client::{Granted, OperationsWish, RanElsewhere, TunnelClient, TunnelError, TunnelWish};
+use super::client::{
+    Granted, OpenedElsewhere, OperationsWish, RanElsewhere, TunnelClient, TunnelError, TunnelWish,
+};
 use crate::clock::SteadyClock;
 use crate::error::LinkError;
 use corktack_core::gateway::{ConnectionProfile, Holder, HolderChoice, PeerTable};
@@ -126,6 +128,30 @@
         granted
     }
 
+    /// Has a holder begin a transaction and run its first statement.
+    pub(crate) async fn begin(
+        &self,
+        tunnel: TunnelClient,
+        wish: &TunnelWish,
+        statement: LoneRequest,
+        limit: Duration,
+    ) -> Result<OpenedElsewhere, TunnelError> {
+        let holder = tunnel.holder();
+        let opened = tunnel.open(wish, statement, limit).await;
+        self.note(holder, &opened);
+        opened
+    }
+
+    /// Whether a holder has answered lately.
+    pub(crate) fn answers(&self, holder: Holder) -> bool {
+        self.peers.borrow().answers(holder.address, self.clock.now())
+    }
+
+    /// Takes a tunnel back on which nothing is outstanding.
+    pub(crate) fn take_back(&self, tunnel: TunnelClient) {
+        self.keep(tunnel);
+    }
+
     /// Has a holder run a statement.
     pub(crate) async fn run(
         &self,
@@ -233,7 +259,7 @@
     fn note<T>(&self, holder: Holder, result: &Result<T, TunnelError>) {
         match result {
             Ok(_) | Err(TunnelError::Refused(_)) => {
-                self.peers.borrow_mut().note_answered(holder.address);
+                self.peers.borrow_mut().note_answered(holder.address, self.clock.now());
             }
             Err(TunnelError::Sent(LinkError::HolderSilent | LinkError::TimedOut)) => {
                 self.note_silent(holder);
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -71,7 +71,22 @@
             let wish = TunnelWish { group, member, principal, priority, wait, bound };
             let writes = bound.is_none();
             match with_signs(frames, grant(shared, &wish, writes)).await? {
-                Ok(located) => return serve_lease(shared, frames, located).await,
+                Ok(Located { mut lease, position }) => {
+                    let granted = granted(&mut lease, position);
+                    return serve_lease(shared, frames, lease, granted).await;
+                }
+                Err(refusal) => TunnelReply::Refused(refusal),
+            }
+        }
+        TunnelRequest::Open { group, member, principal, priority, wait, limit, statement } => {
+            let bound = statement.kind.bound();
+            let wish = TunnelWish { group, member, principal, priority, wait, bound };
+            let opening = open(shared, &wish, &statement, limit);
+            match with_signs(frames, opening).await? {
+                Ok((Some(lease), opened)) => {
+                    return serve_lease(shared, frames, lease, opened).await;
+                }
+                Ok((None, not_opened)) => not_opened,
                 Err(refusal) => TunnelReply::Refused(refusal),
             }
         }
@@ -168,6 +183,31 @@
     Ok(TunnelReply::Ran { outcome: outcome_of(result), position, newest, load })
 }
 
+/// Begins a transaction for another gateway and runs its first statement; gives the connection while the
+/// transaction is open.
+async fn open<W: Wire>(
+    shared: &Shared<W>,
+    wish: &TunnelWish,
+    statement: &LoneRequest,
+    limit: Duration,
+) -> Result<(Option<Lease<W>>, TunnelReply), TunnelRefusal> {
+    let deadline = Instant::now() + limit;
+    let Located { mut lease, position } = grant(shared, wish, !statement.kind.is_read()).await?;
+    let group = Rc::clone(lease.group());
+    let first = LoneStatement::of_request(statement, wish.priority);
+    let opened = first.open_on(&mut lease, position, deadline).await;
+    let newest = group.freshness.borrow().newest(group.now());
+    match opened {
+        Ok(result) => {
+            let profile = lease.connection().profile.clone();
+            let outcome = outcome_of(result);
+            lease.set_resting(true);
+            Ok((Some(lease), TunnelReply::Opened { profile, position, newest, outcome }))
+        }
+        Err(why) => Ok((None, TunnelReply::NotOpened { outcome: outcome_of(Err(why)), newest })),
+    }
+}
+
 async fn grant<W: Wire>(
     shared: &Shared<W>,
     wish: &TunnelWish,
@@ -216,11 +256,12 @@
 async fn serve_lease<W: Wire>(
     shared: &Shared<W>,
     frames: &mut ServerFrames,
-    Located { mut lease, position }: Located<W>,
+    mut lease: Lease<W>,
+    leased: TunnelReply,
 ) -> Result<(), LinkError> {
     // Until it is given back, something may be under way on it.
     lease.in_transaction = true;
-    send_grant(frames, &mut lease, position).await?;
+    frames.send(leased).await.map_err(link_error)?;
     let rest_limit = shared.routes.transaction_idle() + REST_SLACK;
     let mut heard_at = Instant::now();
     let mut asked_at = None;
@@ -273,16 +314,11 @@
     }
 }
 
-async fn send_grant<W: Wire>(
-    frames: &mut ServerFrames,
-    lease: &mut Lease<W>,
-    position: Option<ReadPosition>,
-) -> Result<(), LinkError> {
+fn granted<W: Wire>(lease: &mut Lease<W>, position: Option<ReadPosition>) -> TunnelReply {
     let group = Rc::clone(lease.group());
     let newest = group.freshness.borrow().newest(group.now());
     let profile = lease.connection().profile.clone();
-    let granted = TunnelReply::Granted { profile, position, newest };
-    frames.send(granted).await.map_err(link_error)
+    TunnelReply::Granted { profile, position, newest }
 }
 
 async fn close(frames: &mut ServerFrames) -> Result<(), LinkError> {
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -6,6 +6,7 @@
 mod holders;
 mod limits;
 mod member;
+mod openings;
 mod restarts;
 mod routing;
 mod state;
--- /dev/null
+++ b/crates/gateway/tests/sessions/openings.rs
@@ -0,0 +1,166 @@
+//! Transactions begun through another gateway together with their first statement.
+
+use crate::caller::Caller;
+use crate::member::Member;
+use crate::world::{LINEARIZABLE, ONE_SHARE, World};
+use corktack_core::gateway::ConnectionProfile;
+use corktack_core::statement::{ReadyState, TransactionState};
+use corktack_protocol::frame::FrameCodec;
+use corktack_protocol::tunnel::{MemberLoadReport, RunOutcome, TunnelReply, TunnelRequest};
+use futures_util::{SinkExt, StreamExt};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::Framed;
+
+/// Other gateways, all of which hold connections to the member.
+const OTHERS: usize = 5;
+
+/// What the other gateways were asked for, in order.
+type Asked = Rc<RefCell<Vec<&'static str>>>;
+
+/// Whether a gateway answers that it has begun a transaction, or is lost with its answer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Opening {
+    Answered,
+    Lost,
+}
+
+fn answered(state: TransactionState) -> RunOutcome {
+    let ready = ReadyState { state, position: "1.6".parse().ok() };
+    RunOutcome::Answered { rows: Vec::new(), outcome: Ok(None), ready }
+}
+
+/// Serves as a gateway that holds connections, without a member behind it.
+async fn serve_tunnel(stream: TcpStream, asked: Asked, opening: Opening) {
+    let mut tunnel: Framed<_, FrameCodec<TunnelReply, TunnelRequest>> =
+        Framed::new(stream, FrameCodec::default());
+    while let Some(Ok(request)) = tunnel.next().await {
+        let (what, reply) = match request {
+            TunnelRequest::Run { .. } => {
+                let outcome = answered(TransactionState::Idle);
+                let load = MemberLoadReport::default();
+                ("run", TunnelReply::Ran { outcome, position: None, newest: None, load })
+            }
+            TunnelRequest::Open { .. } => {
+                let outcome = answered(TransactionState::Open);
+                let profile = ConnectionProfile::default();
+                ("open", TunnelReply::Opened { profile, position: None, newest: None, outcome })
+            }
+            TunnelRequest::Position { .. } => ("position", TunnelReply::Position(None)),
+            _ => ("other", TunnelReply::Closed),
+        };
+        asked.borrow_mut().push(what);
+        if what == "open" && opening == Opening::Lost {
+            return;
+        }
+        tunnel.send(reply).await.expect("the asking gateway reads");
+    }
+}
+
+async fn other_gateway(asked: Asked, opening: Opening) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            actix_rt::spawn(serve_tunnel(stream, Rc::clone(&asked), opening));
+        }
+    });
+    address
+}
+
+/// A primary whose connections other gateways hold, all of which have answered this one.
+async fn caller_of_others(opening: Opening) -> (World, Caller, Asked) {
+    let asked = Asked::default();
+    let mut others = Vec::new();
+    for _ in 0..OTHERS {
+        others.push(other_gateway(Rc::clone(&asked), opening).await);
+    }
+    for number in 1..50 {
+        let primary = Member::start(&format!("m{number}"), true, "1.5").await;
+        let world = World::among(&[&primary], &others, ONE_SHARE);
+        if world.holder_of(&primary) == 0 {
+            continue;
+        }
+        let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+        assert!(caller.query("write w").await.is_success());
+        asked.borrow_mut().clear();
+        return (world, caller, asked);
+    }
+    panic!("one of six gateways holds the connections to fifty members");
+}
+
+#[actix_rt::test]
+async fn begin_and_first_statement_are_one_question_to_another_gateway() {
+    let (_world, mut caller, asked) = caller_of_others(Opening::Answered).await;
+    assert!(caller.query("begin").await.is_success());
+    assert_eq!(*asked.borrow(), [""; 0], "the begin waits for the first statement");
+    let first = caller.query("write x").await;
+    assert!(first.is_success(), "{first:?}");
+    assert_eq!(first.state, "open");
+    assert_eq!(*asked.borrow(), ["open"]);
+}
+
+/// The first statement may have run, and the member may not have rolled it back yet: the same statement
+/// at another connection could wait for its locks.
+#[actix_rt::test]
+async fn a_first_statement_whose_gateway_is_lost_is_rolled_back_and_not_sent_again() {
+    let (_world, mut caller, asked) = caller_of_others(Opening::Lost).await;
+    assert!(caller.query("begin").await.is_success());
+    let first = caller.query("write x").await;
+    assert_eq!((first.code(), first.state.as_str()), ("aborted", "failed"));
+    assert_eq!(*asked.borrow(), ["open"]);
+    assert_eq!(caller.query("commit").await.code(), "aborted", "nothing of it is kept");
+}
+
+#[actix_rt::test]
+async fn a_transaction_opened_through_another_gateway_runs_each_statement_once() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::start(&[&primary], 3, ONE_SHARE);
+    for (gateway, name) in world.gateways.iter().zip(["a", "b", "c"]) {
+        let mut caller = Caller::start(*gateway, LINEARIZABLE, name).await;
+        assert!(caller.query("write w").await.is_success());
+        primary.state.borrow_mut().ran.clear();
+        for text in ["begin", "write x", "write y", "commit"] {
+            assert!(caller.query(text).await.is_success(), "{text}");
+        }
+        assert_eq!(primary.texts(), ["write x", "write y", "commit"]);
+    }
+}
+
+/// A transaction that could not be begun has run nothing: it is begun again, elsewhere or there.
+#[actix_rt::test]
+async fn a_begin_that_was_lost_behind_another_gateway_is_sent_again() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::start(&[&primary], 3, ONE_SHARE);
+    for (gateway, name) in world.gateways.iter().zip(["a", "b", "c"]) {
+        let mut caller = Caller::start(*gateway, LINEARIZABLE, name).await;
+        assert!(caller.query("write w").await.is_success());
+        primary.state.borrow_mut().ran.clear();
+        primary.state.borrow_mut().begins_to_lose = 1;
+        for text in ["begin", "write x", "commit"] {
+            assert!(caller.query(text).await.is_success(), "{text}");
+        }
+        assert_eq!(primary.state.borrow().begins_to_lose, 0, "it was lost");
+        assert_eq!(primary.texts(), ["write x", "commit"]);
+    }
+}
+
+/// A first statement that the member refuses leaves the transaction to be rolled back by its caller, as
+/// every later one does.
+#[actix_rt::test]
+async fn a_first_statement_that_fails_leaves_the_transaction_failed() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let world = World::start(&[&primary], 3, ONE_SHARE);
+    for (gateway, name) in world.gateways.iter().zip(["a", "b", "c"]) {
+        let mut caller = Caller::start(*gateway, LINEARIZABLE, name).await;
+        assert!(caller.query("write w").await.is_success());
+        assert!(caller.query("begin").await.is_success());
+        primary.state.borrow_mut().reads_to_fail = 1;
+        let first = caller.query("read x").await;
+        assert_eq!((first.code(), first.state.as_str()), ("failed", "failed"));
+        assert_eq!(caller.query("rollback").await.state, "idle");
+        assert!(caller.query("write z").await.is_success(), "the connection is as good as new");
+    }
+}
--- a/crates/protocol/src/tunnel.rs
+++ b/crates/protocol/src/tunnel.rs
@@ -84,6 +84,24 @@
         /// How long they may wait.
         wait: Duration,
     },
+    /// Wants a connection, a transaction begun on it and its first statement run: one round trip in place of
+    /// three. The transaction is one that only reads where the statement's kind is a read.
+    Open {
+        /// The group.
+        group: GroupName,
+        /// The member.
+        member: MemberName,
+        /// On whose behalf.
+        principal: Principal,
+        /// Priority of the statement.
+        priority: u32,
+        /// How long it may wait for a connection.
+        wait: Duration,
+        /// How long the statement may take in all.
+        limit: Duration,
+        /// The first statement.
+        statement: Box<LoneRequest>,
+    },
     /// Operations that were counted did not run.
     ReturnOperations {
         /// The tenant.
@@ -229,6 +247,24 @@
     Working,
     /// Age and position of the holder's newest answer of the group's primary.
     Position(Option<(Duration, Position)>),
+    /// A transaction is open on a connection, which is leased.
+    Opened {
+        /// What the connection knows of session values.
+        profile: ConnectionProfile,
+        /// The position that a transaction that only reads must see.
+        position: Option<ReadPosition>,
+        /// Age and position of the holder's newest answer of the group's primary.
+        newest: Option<(Duration, Position)>,
+        /// What came of the first statement.
+        outcome: RunOutcome,
+    },
+    /// The transaction could not be begun; the first statement was not sent.
+    NotOpened {
+        /// Why.
+        outcome: RunOutcome,
+        /// Age and position of the holder's newest answer of the group's primary.
+        newest: Option<(Duration, Position)>,
+    },
     /// How many operations begin, or why none does.
     Begun(Result<Begun, OverLimit>),
     /// What came back is taken.
