--- a/crates/cli/src/commands/error.rs
+++ b/crates/cli/src/commands/error.rs
@@ -49,6 +49,9 @@
     /// No line tells of the request.
     #[error(transparent)]
     UnknownRequest(#[from] corktack_server::explain::UnknownRequest),
+    /// Neither a request nor a summary is asked for, or both are.
+    #[error("name either the id of a request or --summary")]
+    IdOrSummary,
     /// No file was named.
     #[error("name at least one file or folder with -f")]
     NoFiles,
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -1,4 +1,5 @@
-//! `corktack explain`: from the id of a request to its cause, by log files alone.
+//! `corktack explain`: from the id of a request to its cause, or how many failed and why, by log files
+//! alone.
 
 use super::CommandError;
 use crate::exit::Exit;
@@ -12,8 +13,16 @@
     }
     let texts = command.log.iter().map(|path| read(path)).collect::<Result<Vec<_>, _>>()?;
     let lines = texts.iter().flat_map(|text| text.lines());
-    for line in corktack_server::explain::explain(&command.id, lines)? {
-        output.line(&line.to_string())?;
+    match (&command.id, command.summary) {
+        (None, true) => {
+            output.line(corktack_server::explain::summarize(lines).to_string().trim_end())?
+        }
+        (Some(id), false) => {
+            for line in corktack_server::explain::explain(id, lines)? {
+                output.line(&line.to_string())?;
+            }
+        }
+        _ => return Err(CommandError::IdOrSummary),
     }
     Ok(Exit::Done)
 }
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -96,10 +96,13 @@
             /// Longest wait, in milliseconds; 60000 by default.
             optional --timeout-ms milliseconds: u64
         }
-        /// Shows what led to the end of a request, from the log lines of processes.
+        /// Shows what led to the end of a request, or how many failed and why, from the log lines of
+        /// processes.
         cmd explain {
             /// The id of the request.
-            required id: String
+            optional id: String
+            /// Counts the requests that failed: by second, reason, class, tenant and group.
+            optional --summary
             /// Log file of a process; several may be named.
             repeated -l, --log path: PathBuf
         }
--- a/crates/core/src/limits/account.rs
+++ b/crates/core/src/limits/account.rs
@@ -138,6 +138,11 @@
         self.allowance(now).max(self.begun.count(now, bounds.window))
     }
 
+    /// Operations that may begin in a window, and those that began in the last one.
+    pub(super) fn in_window(&mut self, now: Timestamp, bounds: &LimitBounds) -> (u64, u64) {
+        (self.allowance(now), self.begun.count(now, bounds.window))
+    }
+
     /// Notes that operations are likely to be asked for: somebody who may ask has come.
     pub(super) fn expect(&mut self, now: Timestamp) {
         self.active_at = Some(now);
--- a/crates/core/src/limits/gateway.rs
+++ b/crates/core/src/limits/gateway.rs
@@ -31,6 +31,15 @@
     pub outcome: Result<Begun, OverLimit>,
 }
 
+/// Operations of all tenants that are limited.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LimitTotals {
+    /// That may begin in a window.
+    pub allowed: u64,
+    /// That were counted in the last one.
+    pub counted: u64,
+}
+
 /// What one gateway may begin, tenant by tenant, and what it tells the leader of that.
 #[derive(Debug)]
 pub struct GatewayLimits {
@@ -97,6 +106,16 @@
         }
     }
 
+    /// What all tenants together may begin here, and have begun.
+    pub fn totals(&mut self, now: Timestamp) -> LimitTotals {
+        let bounds = self.bounds;
+        let accounts = self.accounts.values_mut();
+        accounts.fold(LimitTotals::default(), |sum, account| {
+            let (allowed, counted) = account.in_window(now, &bounds);
+            LimitTotals { allowed: sum.allowed + allowed, counted: sum.counted + counted }
+        })
+    }
+
     /// Whether a tenant's operations are counted.
     #[must_use]
     pub fn is_limited(&self, tenant: &TenantName) -> bool {
--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -42,7 +42,7 @@
 
 pub use account::{Asked, Begun, OverLimit};
 pub use bounds::LimitBounds;
-pub use gateway::{Ask, GatewayLimits, Settled};
+pub use gateway::{Ask, GatewayLimits, LimitTotals, Settled};
 pub use ledger::{
     CeilingChange, GatewayLife, LedgerAnswer, LimitLedger, LimitTerms, TenantUse, default_ceiling,
 };
--- a/crates/core/src/scheduling/queue.rs
+++ b/crates/core/src/scheduling/queue.rs
@@ -350,6 +350,11 @@
         })
     }
 
+    /// How many wait in each class that was asked for.
+    pub fn lengths(&self) -> impl Iterator<Item = (u32, usize)> {
+        self.classes.iter().map(|(priority, class)| (*priority, class.length))
+    }
+
     /// How many wait.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -111,6 +111,40 @@
     NoPosition,
 }
 
+/// Why something was refused that did not run, as metrics and log lines name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RefusalReason {
+    /// The limit of its tenant.
+    OverLimit,
+    /// No slot of a member in its time.
+    NoSlot,
+    /// No member that could serve is known to be reachable.
+    NoMember,
+    /// The member cannot be connected to.
+    MemberUnreachable,
+    /// The member takes no more connections.
+    MemberFull,
+    /// No gateway that holds connections to the member answers.
+    NoHolder,
+    /// No position is known by which a read is fresh enough.
+    NoPosition,
+}
+
+impl RefusalReason {
+    /// Its name in metrics and log lines.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::OverLimit => "over_limit",
+            Self::NoSlot => "no_slot",
+            Self::NoMember => "no_member",
+            Self::MemberUnreachable => "member_unreachable",
+            Self::MemberFull => "member_full",
+            Self::NoHolder => "no_holder",
+            Self::NoPosition => "no_position",
+        }
+    }
+}
+
 /// When a caller should come back where a member is out of reach or there is none: half of the time in which
 /// a primary of the users' deployments is replaced (0.3 to 1 s and what it takes to be sure).
 const PASSING_RETRY: Duration = Duration::from_millis(250);
@@ -128,6 +162,17 @@
         }
     }
 
+    pub(crate) const fn reason(&self) -> RefusalReason {
+        match self {
+            Self::NoneFree { .. } => RefusalReason::NoSlot,
+            Self::NoMember => RefusalReason::NoMember,
+            Self::Unreachable(_) => RefusalReason::MemberUnreachable,
+            Self::Full(_) => RefusalReason::MemberFull,
+            Self::NoHolder(_) => RefusalReason::NoHolder,
+            Self::NoPosition => RefusalReason::NoPosition,
+        }
+    }
+
     /// Whether it concerns one member and may be over in a moment.
     pub(crate) const fn may_pass(&self) -> bool {
         matches!(self, Self::Unreachable(_) | Self::Full(_) | Self::NoHolder(_))
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -261,12 +261,15 @@
 
     /// Adds what is held here and who waits.
     pub(crate) fn add_holdings(&self, holdings: &mut Holdings) {
-        let state = self.state.borrow();
-        holdings.waiting += state.waiting.len();
+        let (state, now) = (self.state.borrow(), self.now());
+        for (priority, waiting) in state.waiting.lengths() {
+            *holdings.waiting.entry(priority).or_default() += waiting;
+        }
         for member in state.members.values() {
             holdings.idle += member.idle.len();
             holdings.in_use += member.open.saturating_sub(member.idle.len());
             holdings.unreached += usize::from(member.is_unreached());
+            holdings.unserving += usize::from(member.is_unserving(now));
         }
     }
 
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -213,6 +213,7 @@
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         shared.routes.close_unused();
-        shared.metrics.note_holdings(shared.routes.holdings(), shared.sessions.get());
+        shared.metrics.note_holdings(&shared.routes.holdings(), shared.sessions.get());
+        shared.metrics.note_limits(shared.limits.totals());
     }
 }
--- a/crates/gateway/src/limits/mod.rs
+++ b/crates/gateway/src/limits/mod.rs
@@ -17,7 +17,9 @@
 use crate::settings::GatewaySettings;
 use crate::tunnel::Tunnels;
 use corktack_core::gateway::{Holder, HolderChoice};
-use corktack_core::limits::{Ask, AskNumber, Asked, Begun, GatewayLimits, OverLimit, Settled};
+use corktack_core::limits::{
+    Ask, AskNumber, Asked, Begun, GatewayLimits, LimitTotals, OverLimit, Settled,
+};
 use corktack_core::tenancy::{Principal, TenantDirectory, TenantName};
 use question::Questions;
 use std::cell::RefCell;
@@ -86,6 +88,11 @@
         self.settle();
     }
 
+    /// What may begin here in a window, and what did in the last one.
+    pub(crate) fn totals(&self) -> LimitTotals {
+        self.books.borrow_mut().totals(self.clock.now())
+    }
+
     /// Takes the other gateways of the zone.
     pub(crate) fn follow_peers(&self, peers: &[Holder]) {
         let mut known = self.peers.borrow_mut();
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -16,6 +16,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Part of what was sent to a member lately below which operators are told that it does not serve.
+const UNSERVING: f64 = 0.5;
 /// Connections that a gateway opens to a member whose holders are all out of reach, and for how long:
 /// the view names others by then, or those are back.
 const STAND_IN_CONNECTIONS: usize = 2;
@@ -236,6 +238,11 @@
         self.estimate.load(self.under_way() + self.forwarded, capacity_share, now)
     }
 
+    /// Whether it served less than half of what was sent to it lately.
+    pub(crate) fn is_unserving(&self, now: Timestamp) -> bool {
+        self.load(now).served < UNSERVING
+    }
+
     /// How busy it is, as another gateway hears it.
     pub(crate) fn load_report(&self, spent: Duration, waiting: usize) -> MemberLoadReport {
         let percent = waiting * 100 / self.back_end.capacity.max(1) as usize;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and times of a gateway.
 
+use crate::error::RefusalReason;
+use corktack_core::limits::LimitTotals;
 use corktack_core::statement::ErrorCode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -8,6 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +26,19 @@
     outcome: String,
 }
 
+/// What the product refused, by reason and priority class.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Refusal {
+    reason: &'static str,
+    priority: u32,
+}
+
+/// A priority class; 0 is served first.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Class {
+    priority: u32,
+}
+
 /// A state of connections.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ConnectionState {
@@ -45,16 +61,18 @@
 }
 
 /// What a gateway holds now, over all members.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Holdings {
     /// Connections in use or being opened.
     pub(crate) in_use: usize,
     /// Connections that nobody uses.
     pub(crate) idle: usize,
-    /// Statements that wait for a connection.
-    pub(crate) waiting: usize,
+    /// Statements that wait for a connection, by priority class.
+    pub(crate) waiting: BTreeMap<u32, usize>,
     /// Members that could not be reached when last tried.
     pub(crate) unreached: usize,
+    /// Members that served less than half of what was sent to them lately.
+    pub(crate) unserving: usize,
 }
 
 /// Counters and times of a gateway.
@@ -64,8 +82,12 @@
     statement_seconds: Histogram,
     wait_seconds: Histogram,
     connections: Family<ConnectionState, Gauge>,
-    waiting: Gauge,
+    waiting: Family<Class, Gauge>,
+    refusals: Family<Refusal, Counter>,
     unreached: Gauge,
+    unserving: Gauge,
+    allowances: Gauge,
+    counted: Gauge,
     elsewhere: Family<Outcome, Counter>,
     told_positions: Family<Outcome, Counter>,
     sessions: Gauge,
@@ -89,8 +111,12 @@
             statement_seconds,
             wait_seconds: Histogram::new(TIME_BUCKETS),
             connections: Family::default(),
-            waiting: Gauge::default(),
+            waiting: Family::default(),
+            refusals: Family::default(),
             unreached: Gauge::default(),
+            unserving: Gauge::default(),
+            allowances: Gauge::default(),
+            counted: Gauge::default(),
             elsewhere: Family::default(),
             told_positions: Family::default(),
             sessions: Gauge::default(),
@@ -98,6 +124,7 @@
             answered: Rc::default(),
         };
         metrics.register_holdings(registry);
+        metrics.register_decisions(registry);
         metrics
     }
 
@@ -106,8 +133,6 @@
         registry.register("corktack_gateway_wait_seconds", help, self.wait_seconds.clone());
         let help = "Connections to members, by state: in_use or idle";
         registry.register("corktack_gateway_connections", help, self.connections.clone());
-        let help = "Statements that wait for a connection";
-        registry.register("corktack_gateway_waiting", help, self.waiting.clone());
         let help = "Members that could not be reached when last tried";
         registry.register("corktack_gateway_unreached_members", help, self.unreached.clone());
         let help = "Questions to gateways that hold connections, by outcome";
@@ -120,6 +145,32 @@
         registry.register("corktack_gateway_document_version", help, self.document_version.clone());
     }
 
+    /// What tells how load is queued, refused, placed and limited.
+    fn register_decisions(&self, registry: &mut Registry) {
+        let help = "Statements that wait for a connection, by priority class";
+        registry.register("corktack_gateway_waiting", help, self.waiting.clone());
+        let help = "Statements refused that did not run, by reason and priority class";
+        registry.register("corktack_gateway_refusals", help, self.refusals.clone());
+        let help = "Members that served less than half of what was sent to them lately";
+        registry.register("corktack_gateway_unserving_members", help, self.unserving.clone());
+        let help = "Operations of limited tenants that may begin here in a window";
+        registry.register("corktack_gateway_allowed_operations", help, self.allowances.clone());
+        let help = "Operations of limited tenants that were counted here in the last window";
+        registry.register("corktack_gateway_counted_operations", help, self.counted.clone());
+    }
+
+    /// The product refused a statement that did not run.
+    pub(crate) fn note_refusal(&self, reason: RefusalReason, priority: u32) {
+        let refusal = Refusal { reason: reason.name(), priority };
+        self.refusals.get_or_create(&refusal).inc();
+    }
+
+    /// What limited tenants may begin here in a window, and what they did in the last one.
+    pub(crate) fn note_limits(&self, totals: LimitTotals) {
+        set(&self.allowances, totals.allowed);
+        set(&self.counted, totals.counted);
+    }
+
     pub(crate) fn note_wait(&self, waited: Duration) {
         self.wait_seconds.observe(waited.as_secs_f64());
     }
@@ -141,20 +192,21 @@
         self.told_positions.get_or_create(&Outcome { outcome: outcome.to_owned() }).inc();
     }
 
-    pub(crate) fn note_holdings(&self, holdings: Holdings, sessions: usize) {
-        let set = |gauge: &Gauge, count: usize| {
-            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
-        };
+    pub(crate) fn note_holdings(&self, holdings: &Holdings, sessions: usize) {
         let state = |state| self.connections.get_or_create(&ConnectionState { state }).clone();
-        set(&state("in_use"), holdings.in_use);
-        set(&state("idle"), holdings.idle);
-        set(&self.waiting, holdings.waiting);
-        set(&self.unreached, holdings.unreached);
-        set(&self.sessions, sessions);
+        set(&state("in_use"), holdings.in_use as u64);
+        set(&state("idle"), holdings.idle as u64);
+        for (priority, waiting) in &holdings.waiting {
+            let waits = self.waiting.get_or_create(&Class { priority: *priority }).clone();
+            set(&waits, *waiting as u64);
+        }
+        set(&self.unreached, holdings.unreached as u64);
+        set(&self.unserving, holdings.unserving as u64);
+        set(&self.sessions, sessions as u64);
     }
 
     pub(crate) fn note_document(&self, version: u64) {
-        self.document_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        set(&self.document_version, version);
     }
 
     /// Whether the statement just answered is one of those that are told though they succeeded.
@@ -169,3 +221,7 @@
         self.statement_seconds.observe(taken.as_secs_f64());
     }
 }
+
+fn set(gauge: &Gauge, count: u64) {
+    gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+}
--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -102,7 +102,7 @@
         let bounds = Bounds::of(route);
         let rule = &route.rule;
         let group = route.group.name.as_str();
-        self.decision.borrow_mut().routed(&rule.name, principal, rule.consistency, group);
+        self.decision.borrow_mut().routed(rule, principal, group);
         let pass = match self.shared.limits.begin(principal, rule.priority, bounds.give_up).await {
             Ok(pass) => pass,
             Err(over) => return Response::over_limit(&over, TransactionState::Idle),
--- a/crates/gateway/src/session/decision.rs
+++ b/crates/gateway/src/session/decision.rs
@@ -1,7 +1,8 @@
 //! What was decided for one statement, for the line that explains its outcome.
 
+use crate::error::RefusalReason;
 use corktack_core::gateway::{PositionSource, ReadPosition};
-use corktack_core::registry::Consistency;
+use corktack_core::registry::{Consistency, RouteRule};
 use corktack_core::tenancy::Principal;
 use std::time::Duration;
 
@@ -12,6 +13,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Decision {
     route: String,
+    /// Priority class of the route; 0 is served first.
+    priority: u32,
     /// On whose behalf it is run.
     principal: Principal,
     consistency: &'static str,
@@ -24,17 +27,12 @@
 
 impl Decision {
     /// The route in force for the statement.
-    pub(super) fn routed(
-        &mut self,
-        route: &str,
-        principal: &Principal,
-        consistency: Consistency,
-        group: &str,
-    ) {
-        route.clone_into(&mut self.route);
+    pub(super) fn routed(&mut self, rule: &RouteRule, principal: &Principal, group: &str) {
+        rule.name.as_str().clone_into(&mut self.route);
+        self.priority = rule.priority;
         self.principal.clone_from(principal);
         group.clone_into(&mut self.group);
-        self.consistency = match consistency {
+        self.consistency = match rule.consistency {
             Consistency::Linearizable => "linearizable",
             Consistency::BoundedStaleness(_) => "bounded",
             Consistency::ReadYourWrites(_) => "read_your_writes",
@@ -46,6 +44,11 @@
         self.position = position;
     }
 
+    /// Priority class of the route; 0 is served first.
+    pub(super) const fn priority(&self) -> u32 {
+        self.priority
+    }
+
     /// A member was asked in vain.
     pub(super) fn attempted(&mut self, outcome: &str) {
         if self.attempts.len() < ATTEMPT_LIMIT {
@@ -60,6 +63,7 @@
         database: &str,
         outcome: &str,
         why: &str,
+        refusal: Option<RefusalReason>,
         taken: Duration,
     ) {
         let position = self.position;
@@ -70,6 +74,7 @@
         let floor_from = position.map_or("none", |it| source_name(it.basis.source));
         log::info!(
             id, database, outcome, why, after_ms = taken.as_millis() as u64,
+            refusal = refusal.map_or("", RefusalReason::name), priority = self.priority,
             route = self.route.as_str(), tenant:% = self.principal, consistency = self.consistency,
             group = self.group.as_str(), needed = needed.as_str(), position_age_ms = age,
             floor_age_ms = floor_age, floor_from, attempts = self.attempts.join("; ").as_str();
--- a/crates/gateway/src/session/opening.rs
+++ b/crates/gateway/src/session/opening.rs
@@ -101,7 +101,7 @@
         let bounds = Bounds::of(&route);
         let group = route.group.name.as_str();
         let rule = &route.rule;
-        self.decision.borrow_mut().routed(&rule.name, &principal, rule.consistency, group);
+        self.decision.borrow_mut().routed(rule, &principal, group);
         let pass = match self.shared.limits.begin(&principal, rule.priority, bounds.give_up).await {
             Ok(pass) => pass,
             Err(over) => return Err(Response::over_limit(&over, TransactionState::Failed)),
--- a/crates/gateway/src/session/response.rs
+++ b/crates/gateway/src/session/response.rs
@@ -1,7 +1,7 @@
 //! What a caller is answered.
 
 use crate::answer::{Answer, Failure};
-use crate::error::AcquireError;
+use crate::error::{AcquireError, RefusalReason};
 use crate::wire::Wire;
 use bytes::BytesMut;
 use corktack_core::limits::OverLimit;
@@ -14,26 +14,26 @@
     rows: Vec<String>,
     outcome: Result<Option<String>, Failure>,
     ready: ReadyState,
+    /// Why the product refused it, where it did.
+    refusal: Option<RefusalReason>,
 }
 
 impl Response {
     /// A member's answer, in the session's state.
     pub(crate) fn of(answer: Answer, state: TransactionState) -> Self {
         let ready = ReadyState { state, position: answer.ready.position };
-        Self { rows: answer.rows, outcome: answer.outcome, ready }
+        Self { rows: answer.rows, outcome: answer.outcome, ready, refusal: None }
     }
 
     /// A success that no member was asked for.
     pub(crate) fn own_success(state: TransactionState) -> Self {
         let ready = ReadyState { state, position: None };
-        Self { rows: Vec::new(), outcome: Ok(None), ready }
+        Self { rows: Vec::new(), outcome: Ok(None), ready, refusal: None }
     }
 
     /// A failure in the product's own words.
     pub(crate) fn failure(code: ErrorCode, text: &str, state: TransactionState) -> Self {
-        let failure = Failure { code, text: text.to_owned() };
-        let ready = ReadyState { state, position: None };
-        Self { rows: Vec::new(), outcome: Err(failure), ready }
+        Self::member_failure(Failure { code, text: text.to_owned() }, state)
     }
 
     /// A refusal of something that did not run, with when to come back. `refusal` is what the last
@@ -42,14 +42,15 @@
         let said = if refusal.is_empty() { String::new() } else { format!(" ({refusal})") };
         let retry_after = error.retry_after().as_millis();
         let text = format!("not run: {error}{said}; retry_after_ms={retry_after}");
-        Self::failure(ErrorCode::Busy, &text, state)
+        Self { refusal: Some(error.reason()), ..Self::failure(ErrorCode::Busy, &text, state) }
     }
 
     /// A refusal of an operation that its tenant's limit does not allow now.
     pub(crate) fn over_limit(over: &OverLimit, state: TransactionState) -> Self {
         let retry_after = over.retry_after.as_millis();
         let text = format!("not run: {over}; retry_after_ms={retry_after}");
-        Self::failure(ErrorCode::OverLimit, &text, state)
+        let refusal = Some(RefusalReason::OverLimit);
+        Self { refusal, ..Self::failure(ErrorCode::OverLimit, &text, state) }
     }
 
     /// Whether it promises that the operation did not run.
@@ -60,7 +61,12 @@
     /// A failure in a member's words.
     pub(crate) fn member_failure(failure: Failure, state: TransactionState) -> Self {
         let ready = ReadyState { state, position: None };
-        Self { rows: Vec::new(), outcome: Err(failure), ready }
+        Self { rows: Vec::new(), outcome: Err(failure), ready, refusal: None }
+    }
+
+    /// Why the product refused it, where it did.
+    pub(crate) const fn refusal(&self) -> Option<RefusalReason> {
+        self.refusal
     }
 
     /// The code of a failure.
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -104,6 +104,9 @@
         let taken = begun.elapsed();
         let is_known = response.code() != Some(ErrorCode::Unauthenticated);
         self.shared.metrics.note_statement(response.code(), taken);
+        if let Some(reason) = response.refusal() {
+            self.shared.metrics.note_refusal(reason, session.decision.borrow().priority());
+        }
         self.explain(session, &id, &response, taken);
         response.encode(&self.shared.wire, &mut self.output);
         self.send().await?;
@@ -115,9 +118,11 @@
         let decision = session.decision.borrow();
         let database = session.database.as_str();
         if let Some(code) = response.code() {
-            decision.explain(id, database, &format!("{code:?}"), response.text(), taken);
+            let outcome = format!("{code:?}");
+            let refusal = response.refusal();
+            decision.explain(id, database, &outcome, response.text(), refusal, taken);
         } else if self.shared.metrics.is_sample() {
-            decision.explain(id, database, "Done", "sampled", taken);
+            decision.explain(id, database, "Done", "sampled", None, taken);
         }
     }
 
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -154,6 +154,7 @@
                 return self.own_failure(ErrorCode::Malformed, "no transaction is open");
             }
         };
+        self.note_route(&mut open);
         let answer = match ran {
             Some(answer) => answer,
             None => self.run_open(&mut open, request, shape).await,
@@ -177,6 +178,13 @@
         }
     }
 
+    /// Has the line that explains a statement name the route and the tenant of its transaction.
+    fn note_route(&self, open: &mut OpenTransaction<W>) {
+        let principal = open.lease.connection().principal().clone();
+        let Route { rule, group, .. } = &open.route;
+        self.decision.borrow_mut().routed(rule, &principal, group.name.as_str());
+    }
+
     async fn run_open(
         &self,
         open: &mut OpenTransaction<W>,
@@ -224,6 +232,7 @@
                 return self.own_failure(ErrorCode::Malformed, "no transaction is open");
             }
         };
+        self.note_route(&mut open);
         open.lease.set_resting(false);
         let asked_at = self.shared.now();
         let deadline = Instant::now() + open.route.rule.statement_timeout;
--- a/crates/server/src/explain/mod.rs
+++ b/crates/server/src/explain/mod.rs
@@ -4,6 +4,10 @@
 //! number of processes, with or without something before the JSON. Gives the lines of the request
 //! and those that tell what happened around it to its group, in order of time.
 
+mod summary;
+
+pub use summary::{Ends, LimitedTenant, Summary, summarize};
+
 use serde_json::{Map, Value};
 
 /// How long before a request's end a line may be part of its cause, in milliseconds.
@@ -45,6 +49,10 @@
         Some(Self { source: source.trim().to_owned(), time_ms, message, fields })
     }
 
+    pub(crate) fn number(&self, key: &str) -> Option<u64> {
+        self.fields.get(key)?.as_u64()
+    }
+
     fn text(&self, key: &str) -> Option<&str> {
         self.fields.get(key)?.as_str()
     }
--- a/crates/server/src/telemetry/lines.rs
+++ b/crates/server/src/telemetry/lines.rs
@@ -178,7 +178,9 @@
 }
 
 fn dropped_line(lines: u64) -> String {
+    let time = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let line = serde_json::json!({
+        "time_ms": millis(time),
         "level": "WARN", "target": "corktack_server::telemetry", "message": "log lines dropped",
         "lines": lines,
     });
--- a/crates/server/tests/explain.rs
+++ b/crates/server/tests/explain.rs
@@ -3,7 +3,7 @@
 //! The sample was written by real processes on a day on which replicas lagged and a primary went
 //! dark; see "From a request to its cause" in docs/OPERATIONS.md.
 
-use corktack_server::explain::{LogLine, UnknownRequest, explain};
+use corktack_server::explain::{Ends, LimitedTenant, LogLine, UnknownRequest, explain, summarize};
 use rstest::rstest;
 
 const SAMPLE: &str = include_str!("../../../docs/samples/failed-requests.log");
@@ -74,3 +74,51 @@
 fn what_is_no_line_is_passed_over(#[case] text: &str) {
     assert_eq!(LogLine::parse(text), None);
 }
+
+/// Lines of the seconds before and after a loss of everything, a few of each kind, and one that tells of
+/// dropped lines.
+const AFTER_A_LOSS: &str = include_str!("../../../docs/samples/after-a-loss.log");
+
+fn ends(counts: &[(&str, u64)]) -> Ends {
+    counts.iter().map(|(end, count)| ((*end).to_owned(), *count)).collect()
+}
+
+#[test]
+fn a_summary_counts_failures_by_second_class_and_tenant() {
+    let summary = summarize(AFTER_A_LOSS.lines());
+    let before = ends(&[("Aborted", 3), ("InDoubt", 3), ("TimedOut", 3)]);
+    let after = ends(&[("Busy/no_slot", 2), ("OverLimit/over_limit", 14)]);
+    let seconds: Vec<_> = summary.seconds.values().collect();
+    assert_eq!(seconds, [&before, &after]);
+    let highest =
+        ends(&[("Aborted", 2), ("InDoubt", 2), ("OverLimit/over_limit", 6), ("TimedOut", 2)]);
+    assert_eq!(summary.classes[&0], highest);
+    assert_eq!(
+        summary.tenants["xale221"],
+        ends(&[("Busy/no_slot", 1), ("OverLimit/over_limit", 4)])
+    );
+    assert_eq!(summary.groups.len(), 8);
+}
+
+#[test]
+fn a_summary_names_tenants_near_their_limits_and_lines_that_are_missing() {
+    let summary = summarize(AFTER_A_LOSS.lines());
+    let limited = LimitedTenant { told: 4, limit: 3_029, most_given: 3_029, most_needed: 3_253 };
+    assert_eq!(summary.limited["cuti170"], limited);
+    assert_eq!(summary.dropped, 7);
+    let text = summary.to_string();
+    assert!(text.starts_with("7 log lines were dropped: not all is counted"), "{text}");
+    assert!(text.contains("cuti170                  limit 3029"), "{text}");
+}
+
+#[test]
+fn what_succeeded_is_no_failure() {
+    // An earlier sample, whose lines have no classes: successes are in it.
+    let summary = summarize(SAMPLE.lines());
+    let failures: u64 = summary.seconds.values().flat_map(Ends::values).sum();
+    let lines = SAMPLE.lines().filter_map(LogLine::parse);
+    let ended = lines.filter(|line| line.message == "statement ended");
+    let failed = ended.filter(|line| line.fields["outcome"] != "Done").count();
+    assert_eq!(failures, failed as u64);
+    assert!(summary.classes.is_empty());
+}
--- a/crates/server/tests/log_lines.rs
+++ b/crates/server/tests/log_lines.rs
@@ -112,5 +112,6 @@
     let lines = kept.lines();
     assert!(log.dropped() > 0);
     assert!(lines.iter().any(|line| line["message"] == "still heard"));
-    assert!(lines.iter().any(|line| line["message"] == "log lines dropped"));
+    let told = lines.iter().find(|line| line["message"] == "log lines dropped");
+    assert!(told.is_some_and(|line| line["time_ms"].is_u64()), "{told:?}");
 }
