Balancing: a write that fails inside a transaction says nothing against its member

Cause: run_inside took any failure of a member for a statement that it did not run: the member was passed over for 50 ms and, since outcomes count, taken for one that does not serve. A caller whose writes fail by its own doing moved everybody's reads of a gateway to another member. Ruled out: statements outside transactions (they told the cases apart already, at two places that are one now). Test: 30 failing writes in transactions at a fast primary, then a read that any member may serve: went to the replica before, goes to the primary now.

--- a/crates/gateway/src/group/elsewhere.rs
+++ b/crates/gateway/src/group/elsewhere.rs
@@ -397,8 +397,7 @@
                     LoneKind::Read { .. } => (),
                 }
             }
-            Err(failure) if failure.code.did_not_run() => self.note_refusal(member, failure.code),
-            Err(failure) => self.note_failure(member, !kind.is_read(), failure.code),
+            Err(failure) => self.note_unsuccessful(member, !kind.is_read(), failure.code),
         }
     }
 
--- a/crates/gateway/src/group/notes.rs
+++ b/crates/gateway/src/group/notes.rs
@@ -66,10 +66,7 @@
                     self.state.borrow_mut().service_times.note(kind, taken);
                 }
                 Err(failure) if failure.code == ErrorCode::Busy => self.note_no_room(name),
-                Err(failure) if failure.code.did_not_run() => {
-                    self.note_refusal(name, failure.code);
-                }
-                Err(failure) => self.note_failure(name, kind.writes, failure.code),
+                Err(failure) => self.note_unsuccessful(name, kind.writes, failure.code),
             },
             Err(Unanswered::Refused(failure)) => self.note_refusal(name, failure.code),
             Err(Unanswered::NotSent(error) | Unanswered::Sent(error)) => {
@@ -84,10 +81,12 @@
         self.with_member(name, |it| it.note_refused(steady, now));
     }
 
-    /// A member ran a statement and failed it. What becomes of a write is often the caller's doing; a read
-    /// that fails is offered to another member as well.
-    pub(crate) fn note_failure(&self, name: &MemberName, writes: bool, code: ErrorCode) {
-        if code == ErrorCode::Failed && !writes {
+    /// A member answered a statement with a failure: it did not run it, or ran it in vain. What becomes of
+    /// a write is often the caller's doing; a read that fails is offered to another member as well.
+    pub(crate) fn note_unsuccessful(&self, name: &MemberName, writes: bool, code: ErrorCode) {
+        if code.did_not_run() {
+            self.note_refusal(name, code);
+        } else if code == ErrorCode::Failed && !writes {
             let now = self.now();
             self.with_member(name, |it| it.note_failed(now));
         }
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -169,7 +169,8 @@
             }
             Ok(answer) => {
                 if let Err(failure) = &answer.outcome {
-                    open.lease.group().note_refusal(&open.lease.member, failure.code);
+                    let group = open.lease.group();
+                    group.note_unsuccessful(&open.lease.member, wrote, failure.code);
                 }
                 open.abandon();
                 Response::of(answer, TransactionState::Failed)
--- a/crates/gateway/tests/sessions/member.rs
+++ b/crates/gateway/tests/sessions/member.rs
@@ -31,6 +31,8 @@
     pub goes_with_an_answer: bool,
     /// Reads of callers that run and fail.
     pub reads_to_fail: usize,
+    /// Writes of callers that run and fail.
+    pub writes_to_fail: usize,
     /// Begins of the product's own whose connection is closed in place of the answer.
     pub begins_to_lose: usize,
     /// Whether writes and commits are answered without a position.
@@ -70,6 +72,7 @@
             answers_to_lose: 0,
             goes_with_an_answer: false,
             reads_to_fail: 0,
+            writes_to_fail: 0,
             begins_to_lose: 0,
             hides_commits: false,
             gone: false,
@@ -198,8 +201,7 @@
             state.begins_to_lose -= 1;
             return None;
         }
-        if text.starts_with("read") && state.reads_to_fail > 0 {
-            state.reads_to_fail -= 1;
+        if state.takes_failure(text) {
             let now = if *in_transaction { "failed" } else { "idle" };
             return Some(format!("error|failed|{}\nready|{now}|\n", self.name));
         }
@@ -228,6 +230,18 @@
 }
 
 impl MemberState {
+    /// Whether a statement is one of those that are to fail.
+    fn takes_failure(&mut self, text: &str) -> bool {
+        let left = match text {
+            _ if text.starts_with("read") => &mut self.reads_to_fail,
+            _ if text.starts_with("write") => &mut self.writes_to_fail,
+            _ => return false,
+        };
+        let fails = *left > 0;
+        *left -= usize::from(fails);
+        fails
+    }
+
     fn refusal(&self, after: Option<Position>, text: &str) -> Option<&'static str> {
         let writes = text == "begin" || text.starts_with("write");
         if writes && !self.primary {
--- a/crates/gateway/tests/sessions/routing.rs
+++ b/crates/gateway/tests/sessions/routing.rs
@@ -81,6 +81,23 @@
     primary.state.borrow_mut().work = Duration::ZERO;
 }
 
+#[actix_rt::test]
+async fn a_write_that_fails_in_a_transaction_says_nothing_against_its_member() {
+    let primary = Member::start("m1", true, "1.5").await;
+    let replica = Member::start("m2", false, "1.5").await;
+    let world = World::with_one_gateway(&[&primary, &replica]);
+    let mut writer = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    primary.state.borrow_mut().writes_to_fail = usize::MAX;
+    // So many that the primary, known to be fast, is the first choice of reads.
+    for _ in 0..30 {
+        assert!(writer.query("begin").await.is_success());
+        assert_eq!(writer.query("write x").await.code(), "failed");
+        assert!(writer.query("rollback").await.is_success());
+    }
+    let mut reader = Caller::start(world.gateways[0], BOUNDED, "b").await;
+    assert_eq!(reader.query("read x").await.lines, ["row|of m1", "complete|by-m1"]);
+}
+
 #[actix_rt::test]
 async fn a_replica_behind_the_bound_serves_no_bounded_read() {
     let primary = Member::start("m1", true, "1.5").await;
