--- a/crates/gateway/src/group/elsewhere.rs
+++ b/crates/gateway/src/group/elsewhere.rs
@@ -1,5 +1,7 @@
 //! Members that other gateways hold connections to.
 
+mod told;
+
 use super::{Group, Located, Wish};
 use crate::answer::Answer;
 use crate::connection::MemberConnection;
@@ -8,24 +10,16 @@
 use crate::metrics::ElsewhereOutcome;
 use crate::run::{LoneStatement, Unanswered};
 use crate::transport::Transport;
-use crate::tunnel::{
-    Granted, OpenedElsewhere, RanElsewhere, TunnelClient, TunnelError, TunnelWish,
-};
+use crate::tunnel::{Granted, OpenedElsewhere, TunnelClient, TunnelError, TunnelWish};
 use crate::wire::Wire;
 use corktack_core::gateway::{Holder, ReadPosition};
 use corktack_core::identity::MemberName;
-use corktack_core::position::Position;
 use corktack_core::tenancy::Principal;
 use corktack_core::time::Timestamp;
-use corktack_protocol::tunnel::{LoneKind, TunnelRefusal};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// When a caller should come back where no gateway has said when it may have room: a few times as long as
-/// the users' statements last.
-const UNTOLD_RETRY: Duration = Duration::from_millis(100);
-
 /// What came of asking one gateway.
 enum Asked<T> {
     /// It said this.
@@ -263,144 +257,6 @@
         }
     }
 
-    /// A gateway served.
-    fn heard(&self, member: &MemberName, holder: Holder) {
-        self.metrics.note_elsewhere(ElsewhereOutcome::Served);
-        self.with_member(member, |it| {
-            it.detour.reached();
-            it.holders.served(holder.address);
-        });
-    }
-
-    /// A gateway said that it does not serve.
-    fn refused<T>(&self, member: &MemberName, holder: Holder, refusal: TunnelRefusal) -> Asked<T> {
-        match refusal {
-            TunnelRefusal::NoneFree { retry_after } => {
-                self.metrics.note_elsewhere(ElsewhereOutcome::NoneFree);
-                self.with_member(member, |it| it.detour.reached());
-                Asked::Next(Some(retry_after))
-            }
-            TunnelRefusal::NoPosition => {
-                self.metrics.note_elsewhere(ElsewhereOutcome::NoPosition);
-                Asked::Over(AcquireError::NoPosition)
-            }
-            TunnelRefusal::Unreachable | TunnelRefusal::NotHeld => {
-                self.metrics.note_elsewhere(ElsewhereOutcome::NotReached);
-                let now = self.now();
-                self.with_member(member, |it| it.holders.refused(holder.address, now));
-                Asked::Next(None)
-            }
-        }
-    }
-
-    /// A gateway did not hear what was asked.
-    fn unheard<T>(&self) -> Asked<T> {
-        self.metrics.note_elsewhere(ElsewhereOutcome::NotReached);
-        Asked::Next(None)
-    }
-
-    /// No gateway that was asked serves the wish; `room` is when the first may have room.
-    fn none_elsewhere(
-        &self,
-        member: MemberName,
-        wish: &Wish<'_>,
-        room: Option<Duration>,
-    ) -> AcquireError {
-        let none_free = AcquireError::NoneFree { retry_after: room.unwrap_or(UNTOLD_RETRY) };
-        let now = Instant::now();
-        let steady = self.now();
-        let (mut reached, mut holds) = (false, false);
-        self.with_member(&member, |it| {
-            reached = it.detour.is_open();
-            holds = it.limit > 0;
-            if !reached {
-                it.detour.failed(steady);
-            }
-        });
-        if now >= wish.give_up {
-            return none_free;
-        }
-        if !holds && self.all_are_silent(&member) {
-            self.stand_in(&member);
-            return AcquireError::NoHolder(member);
-        }
-        if reached {
-            return none_free;
-        }
-        self.with_member(&member, |it| it.note_busy(now));
-        AcquireError::Unreachable(member)
-    }
-
-    /// Whether there is no holder of a member left to ask.
-    fn all_are_silent(&self, member: &MemberName) -> bool {
-        let mut none_left = false;
-        self.with_member(member, |it| none_left = self.tunnels.to_ask(&it.holders, 1).is_empty());
-        none_left
-    }
-
-    /// Opens connections of its own to a member for some time.
-    pub(super) fn stand_in(&self, member: &MemberName) {
-        log::info!(
-            group:% = self.name, member:% = member;
-            "no gateway that holds connections answers: this one opens its own"
-        );
-        let now = Instant::now();
-        self.with_member(member, |it| it.stand_in(now));
-    }
-
-    /// Takes over the newest position that a holder knows, which was asked at `asked_at`.
-    pub(super) fn note_newest(
-        &self,
-        holder: Holder,
-        asked_at: Timestamp,
-        newest: Option<(Duration, Position)>,
-    ) {
-        let Some((age, position)) = newest else { return };
-        let noted = self.freshness.borrow_mut().note_told(asked_at, age, position);
-        self.metrics.note_told_position(noted.is_ok());
-        if let Err(error) = noted {
-            log::debug!(
-                group:% = self.name, holder:% = holder.address, position:% = position,
-                error:% = error;
-                "position of another gateway not used"
-            );
-        }
-    }
-
-    /// Remembers what a statement that another gateway ran says of the member. What it says of the
-    /// connection is the holder's to remember.
-    fn note_ran_elsewhere(
-        &self,
-        member: &MemberName,
-        kind: LoneKind,
-        ran: &RanElsewhere,
-        begun: Begun,
-    ) {
-        let taken = begun.instant.elapsed();
-        let (steady, now) = (self.now(), Instant::now());
-        self.with_member(member, |it| it.note_told_load(&ran.load, taken, steady));
-        let answer = match &ran.result {
-            Ok(answer) => answer,
-            Err(Unanswered::Refused(failure)) => return self.note_refusal(member, failure.code),
-            Err(Unanswered::NotSent(_) | Unanswered::Sent(_)) => {
-                return self.with_member(member, |it| it.note_unserved(steady, now));
-            }
-        };
-        match &answer.outcome {
-            Ok(_) => {
-                self.with_member(member, |it| it.note_served_elsewhere(steady));
-                match kind {
-                    LoneKind::Write => {
-                        self.note_lead(member, begun.asked_at, answer.ready.position);
-                    }
-                    LoneKind::ReadAtPrimary => self.note_primary(member),
-                    LoneKind::Read { .. } => (),
-                }
-            }
-            Err(failure) => self.note_unsuccessful(member, !kind.is_read(), failure.code),
-        }
-    }
-
     fn granted(
         self: &Rc<Self>,
         member: MemberName,
--- a/crates/server/src/watch_client/mod.rs
+++ b/crates/server/src/watch_client/mod.rs
@@ -5,6 +5,7 @@
 //! A configuration is published at once and reported as in force once it is on disk.
 
 mod connection;
+mod in_force;
 mod metrics;
 pub mod state;
 pub mod store;
