Limits: promises of refused callers are kept in the order of their times

Cause: who waits for the leader's answer is told 0.1 s, behind others that were told seconds; promises were forgotten from the front only, so that later callers counted as standing behind callers that had come back long before. Ruled out: that promises let anything begin (they only say when to come back). Test: 40 callers told 0.1 s, then one that stands second: told 17.3 s before, under 16 s now (25 places become free by then).

--- a/crates/core/src/limits/queue.rs
+++ b/crates/core/src/limits/queue.rs
@@ -28,7 +28,7 @@
     waiting: VecDeque<Waiting>,
     /// Operations of all that wait.
     operations: u64,
-    /// When refused callers were told to come back.
+    /// When refused callers were told to come back, the earliest first.
     promised: VecDeque<Timestamp>,
 }
 
@@ -106,6 +106,8 @@
     pub(super) fn promise(&mut self, at: Timestamp, operations: u64) {
         let room = PROMISES_REMEMBERED.saturating_sub(self.promised.len());
         let count = usize::try_from(operations).unwrap_or(usize::MAX).min(room);
-        self.promised.extend(std::iter::repeat_n(at, count));
+        // Who waits for the leader's answer is told an earlier time than those before.
+        let place = self.promised.partition_point(|promised| *promised <= at);
+        (0..count).for_each(|_| self.promised.insert(place, at));
     }
 }
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -3,7 +3,8 @@
 use corktack_core::identity::{Incarnation, ProxyName};
 use corktack_core::limits::{
     AllowanceGrant, AllowanceReport, Ask, Asked, Begun, CeilingChange, GatewayLife, GatewayLimits,
-    LimitBounds, LimitLedger, LimitTerms, OverLimit, Settled, TrailingCount, default_ceiling,
+    LimitBounds, LimitLedger, LimitTerms, OverLimit, Settled, TenantAllowance, TrailingCount,
+    default_ceiling,
 };
 use corktack_core::position::Term;
 use corktack_core::tenancy::{ApiKey, TenantDirectory, TenantName, TenantRate, TenantRule};
@@ -324,6 +325,50 @@
     assert!(refused.iter().all(|back| at(16_000) <= *back && *back <= at(18_500)));
 }
 
+#[test]
+fn who_was_told_to_come_back_soon_stands_before_nobody_later() {
+    let mut gateway = gateway(0, 1, at(0), Term(3));
+    let allow_half = |gateway: &mut GatewayLimits, now, number| {
+        let report = gateway.report(now).expect("something to ask for");
+        let allowance = TenantAllowance {
+            tenant: tenant(),
+            operations: LIMIT / 2,
+            window_limit: LIMIT,
+            more_follows: false,
+            more_after: None,
+        };
+        let grant = AllowanceGrant {
+            gateway: report.gateway,
+            incarnation: report.incarnation,
+            term: report.term,
+            number,
+            answers: report.sequence,
+            wants_whole: false,
+            allowances: vec![allowance],
+            recalls: Vec::new(),
+        };
+        gateway.take(now, &grant);
+    };
+    let refuse = |gateway: &mut GatewayLimits, now| {
+        now + try_begin(gateway, now).expect_err("the allowance is used").retry_after
+    };
+    refuse(&mut gateway, at(10_000));
+    allow_half(&mut gateway, at(10_000), 1);
+    gateway.ask(at(10_100), &tenant(), ask(25, at(10_100)));
+    gateway.ask(at(12_100), &tenant(), ask(25, at(12_100)));
+    refuse(&mut gateway, at(12_200));
+    // The leader says that there is no more: the next place is known.
+    allow_half(&mut gateway, at(12_250), 2);
+    assert!(refuse(&mut gateway, at(12_300)) > at(15_000));
+    // A second later it might know better, and is asked.
+    for _ in 0..40 {
+        assert_eq!(refuse(&mut gateway, at(13_300)), at(13_400));
+    }
+    allow_half(&mut gateway, at(13_500), 3);
+    let back = refuse(&mut gateway, at(13_600));
+    assert!(back < at(16_000), "25 places become free by then, one was promised: {back:?}");
+}
+
 #[test]
 fn operations_wait_in_turn_for_places_that_become_free_in_their_time() {
     let mut pair = Pair::new(1);
