--- a/crates/owner/tests/streams.rs
+++ b/crates/owner/tests/streams.rs
@@ -3,14 +3,18 @@
 
 mod support;
 
-use corktack_core::identity::ClassName;
+use corktack_core::identity::{ClassName, GroupName};
+use corktack_core::view::View;
 use corktack_protocol::peer::{
     Access, EdgeMessage, Failure, INITIAL_WINDOW_BYTES, NotRunReason, OwnerMessage, ServedBy,
     TransactionStatus,
 };
 use rstest::rstest;
-use support::Fleet;
+use std::sync::Arc;
+use std::time::Duration;
 use support::edge::{execute, query, request};
+use support::{Fleet, GROUP};
+use tokio::time::timeout;
 
 #[rstest]
 #[actix_rt::test]
@@ -202,6 +206,34 @@
     assert_eq!(fleet.members[0].script().written, ["gold"]);
 }
 
+#[actix_rt::test]
+async fn nobody_waits_longer_than_the_group_declares() {
+    let fleet = Fleet::start(1, 10).await;
+    let mut edge = fleet.edge().await;
+    let first = edge.write("hold").await;
+    fleet.members[0].wait_for_statement("hold", 1).await;
+    fleet.views.send_modify(|view| {
+        let mut next = View::clone(view);
+        next.revision.0 += 1;
+        let group = next.groups.get_mut(&GroupName::new(GROUP).unwrap()).unwrap();
+        Arc::make_mut(group).spec.queue_timeout_ms = 5;
+        *view = Arc::new(next);
+    });
+    fleet.wait_for_view(&mut edge).await;
+    let mut late = request(Access::Write, query("write late"));
+    late.timeout_ms = 60_000;
+    let late = edge.open(late).await;
+    let refused = timeout(Duration::from_secs(20), edge.answer(late)).await;
+    let refused = refused.expect("refused long before the caller's own time is up");
+    let reason = NotRunReason::QueueTimeout;
+    assert!(
+        matches!(refused.failure, Some(Failure::NotRun { reason: told, .. }) if told == reason)
+    );
+    fleet.members[0].open_gate();
+    edge.answer(first).await;
+    assert!(fleet.members[0].script().written.is_empty());
+}
+
 #[rstest]
 #[actix_rt::test]
 async fn a_request_whose_time_is_up_is_refused_and_did_not_run() {
