Consensus: a leader that a higher term deposed stands again soon, and its followers vote for it

Cause: after a loss of everything the replicas start within half a second of each other, with a first election timeout of 100 ms. A voter whose vote was still on its way stood a few milliseconds before the new leader's first heartbeat, got its pre-votes and raised the term; its answer deposed the leader. The others went on to count on that leader for their usual timeout (400 to 800 ms) and voted for nobody.

Change: a vote or pre-vote that the known leader itself asks for is not held up by its own leadership, and a leader that a higher term deposed stands after the first timeout in place of the usual one. A leader elected at that term is heard of before; a vote still needs a log as new as the voter's, and one vote a term holds as before. No message has another form.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -61,7 +61,7 @@
             return false;
         }
         if term > self.hard_state.term {
-            if !transfer && self.has_recent_leader(now) {
+            if !transfer && self.has_other_recent_leader(now, from) {
                 return false;
             }
             self.become_follower(now, term, None);
@@ -91,12 +91,24 @@
     fn admit_response(&mut self, now: Timestamp, from: ReplicaId, term: Term) -> bool {
         let member = self.is_member(from);
         if member && term > self.hard_state.term {
+            let led = self.is_leader();
             self.become_follower(now, term, None);
+            if led {
+                self.stand_again_soon(now);
+            }
             return false;
         }
         member && term == self.hard_state.term
     }
 
+    /// Has a leader that a higher term deposed ask for votes before long. The replica of that term may get
+    /// none: those that still count on this leader vote for nobody else until their timeout is over. Where
+    /// it is elected, its first heartbeat comes before that.
+    fn stand_again_soon(&mut self, now: Timestamp) {
+        let shortest = self.settings.first_election_timeout.min(self.settings.election_timeout);
+        self.set_election_deadline(now, shortest);
+    }
+
     /// Whether a leader of the current term is known to be alive.
     fn has_recent_leader(&self, now: Timestamp) -> bool {
         let recent =
@@ -105,6 +117,12 @@
         self.is_leader() || (self.leader.is_some() && self.leader_contact.is_some_and(recent))
     }
 
+    /// Whether a leader of the current term other than this candidate is known to be alive: a leader that
+    /// asks for votes has lost its term, and nobody else leads it.
+    fn has_other_recent_leader(&self, now: Timestamp, candidate: ReplicaId) -> bool {
+        self.leader != Some(candidate) && self.has_recent_leader(now)
+    }
+
     pub(super) fn handle_election_timeout(&mut self, now: Timestamp) {
         self.timeouts = self.timeouts.saturating_add(1);
         if self.may_stand() {
@@ -212,7 +230,7 @@
         term: Term,
         log_end: LogEnd,
     ) {
-        if term > self.hard_state.term && self.has_recent_leader(now) {
+        if term > self.hard_state.term && self.has_other_recent_leader(now, from) {
             return;
         }
         if term > self.hard_state.term && self.log.is_covered_by(log_end) {
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -267,7 +267,11 @@
     }
 
     pub(super) fn reset_election_deadline(&mut self, now: Timestamp) {
-        let shortest = self.shortest_election_timeout();
+        self.set_election_deadline(now, self.shortest_election_timeout());
+    }
+
+    /// The deadline is between this time and twice as much away.
+    pub(super) fn set_election_deadline(&mut self, now: Timestamp, shortest: Duration) {
         let micros = u64::try_from(shortest.as_micros()).unwrap_or(u64::MAX);
         let jitter = Duration::from_micros(self.random.random_range(0..micros.max(1)));
         self.election_deadline = now + shortest + jitter;
--- a/crates/core/tests/consensus/elections.rs
+++ b/crates/core/tests/consensus/elections.rs
@@ -1,10 +1,12 @@
 //! Elections, commits and reads of a cell on a quiet network.
 
 use super::network::{Answer, ELECTION_TIMEOUT, HEARTBEAT_INTERVAL, Network, SETTLE, cell_of};
+use corktack_core::consensus::message::MessageBody;
 use corktack_core::consensus::{
-    ConsensusError, ConsensusSettings, Event, PersistedState, Rejection, Replica, Role,
+    ConsensusError, ConsensusSettings, Event, Message, PersistedState, Rejection, Replica, Role,
 };
 use corktack_core::identity::ReplicaId;
+use corktack_core::position::Term;
 use corktack_core::time::Timestamp;
 use rstest::rstest;
 use std::time::Duration;
@@ -222,6 +224,24 @@
     assert!(network.leader().is_some());
 }
 
+/// A replica that raised its term beside the election that made the leader deposes it with its answer. The
+/// others still count on that leader and vote for nobody else: it stands again itself.
+#[rstest]
+fn a_leader_that_a_higher_term_deposed_is_followed_by_another_soon(
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+) {
+    let mut network = Network::with_first_election_timeout(5, seed, ELECTION_TIMEOUT / 8);
+    let leader = network.expect_leader();
+    network.run_for(SETTLE);
+    let other = ReplicaId(leader % 5 + 1);
+    let term = Term(network.replica(leader).term().0 + 1);
+    let message = Message { term, body: MessageBody::StaleTerm };
+    network.handle(leader, Event::Message { from: other, message });
+    assert_ne!(network.replica(leader).role(), Role::Leader);
+    network.run_for(ELECTION_TIMEOUT / 2);
+    assert!(network.leader().is_some());
+}
+
 #[test]
 fn a_first_election_timeout_of_zero_is_refused() {
     let settings = ConsensusSettings {
--- a/crates/core/tests/consensus/main.rs
+++ b/crates/core/tests/consensus/main.rs
@@ -7,3 +7,4 @@
 mod network;
 mod oracle;
 mod snapshots;
+mod start;
