Server, CLI: the summary of logs says where requests are lost

Change: below the summary stand three tables by windows of 2 s (failed and refused by reason beside gateways started, primaries found and promoted, leaders elected; offers in vain by why, with the times of refused requests that were offered and that were not; times callers were told to come back, and connections not opened), then one by gateway and one by member. New modules explain/losses, report, table; a log whose lines name no process is named by its file. Safe: lines, flags and the former output stay.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -1,4 +1,4 @@
-//! `corktack explain`: from the id of a request to its cause, or how many failed and why, by log files
+//! `corktack explain`: from the id of a request to its cause, or how many failed, why and where, by log files
 //! alone.
 
 use super::CommandError;
@@ -12,12 +12,14 @@
         return Err(CommandError::NoLogs);
     }
     let texts = command.log.iter().map(|path| read(path)).collect::<Result<Vec<_>, _>>()?;
-    let lines = texts.iter().flat_map(|text| text.lines());
     match (&command.id, command.summary) {
         (None, true) => {
-            output.line(corktack_server::explain::summarize(lines).to_string().trim_end())?
+            let logs = command.log.iter().zip(&texts);
+            let lines = logs.flat_map(|(path, text)| text.lines().map(|line| (name(path), line)));
+            output.line(corktack_server::explain::report(lines).to_string().trim_end())?;
         }
         (Some(id), false) => {
+            let lines = texts.iter().flat_map(|text| text.lines());
             for line in corktack_server::explain::explain(id, lines)? {
                 output.line(&line.to_string())?;
             }
@@ -32,3 +34,8 @@
     let bytes = bytes.map_err(|source| CommandError::Log { path: path.to_owned(), source })?;
     Ok(String::from_utf8_lossy(&bytes).into_owned())
 }
+
+/// What a log file is named by, without its folder and kind.
+fn name(path: &Path) -> &str {
+    path.file_stem().and_then(|name| name.to_str()).unwrap_or_default()
+}
--- a/crates/server/src/explain/mod.rs
+++ b/crates/server/src/explain/mod.rs
@@ -5,9 +5,13 @@
 //! and those that tell what happened around it to its group, in order of time.
 
 mod line;
+pub mod losses;
+mod report;
 mod summary;
+mod table;
 
 pub use line::LogLine;
+pub use report::{Report, report};
 pub use summary::{Ends, LimitedTenant, Summary, summarize};
 
 /// Why a request cannot be explained.
--- a/crates/server/src/explain/summary.rs
+++ b/crates/server/src/explain/summary.rs
@@ -9,7 +9,7 @@
 use std::fmt;
 
 /// Message of the line that tells how a request ended.
-const ENDED: &str = "statement ended";
+pub(super) const ENDED: &str = "statement ended";
 /// Outcome of a request that succeeded.
 const DONE: &str = "Done";
 /// Message of the line that tells of a tenant whose limit is nearly used.
@@ -17,7 +17,7 @@
 /// Message of the line that tells of lines that were dropped.
 const DROPPED: &str = "log lines dropped";
 /// Rows of a table that are shown; the rest is summed in one. Chosen, not measured; a table should fit a screen.
-const ROWS_SHOWN: usize = 12;
+pub(super) const ROWS_SHOWN: usize = 12;
 /// Of the lines' times.
 const MILLIS_PER_SECOND: u64 = 1_000;
 
@@ -58,22 +58,30 @@
 #[must_use]
 pub fn summarize<'t>(lines: impl Iterator<Item = &'t str>) -> Summary {
     let mut summary = Summary::default();
-    for line in lines.filter_map(LogLine::parse) {
+    lines.filter_map(LogLine::parse).for_each(|line| summary.add(&line));
+    summary
+}
+
+/// How a request ended that failed; none where it succeeded.
+pub(super) fn end_of(line: &LogLine) -> Option<String> {
+    let outcome = line.text("outcome").filter(|outcome| *outcome != DONE)?;
+    let refusal = line.text("refusal").filter(|refusal| !refusal.is_empty());
+    Some(refusal.map_or_else(|| outcome.to_owned(), |why| format!("{outcome}/{why}")))
+}
+
+impl Summary {
+    /// Counts a line.
+    pub(super) fn add(&mut self, line: &LogLine) {
         match line.message.as_str() {
-            ENDED => summary.add_end(&line),
-            NEAR_LIMIT => summary.add_limited(&line),
-            DROPPED => summary.dropped += line.number("lines").unwrap_or(0),
+            ENDED => self.add_end(line),
+            NEAR_LIMIT => self.add_limited(line),
+            DROPPED => self.dropped += line.number("lines").unwrap_or(0),
             _ => (),
         }
     }
-    summary
-}
 
-impl Summary {
     fn add_end(&mut self, line: &LogLine) {
-        let Some(outcome) = line.text("outcome").filter(|outcome| *outcome != DONE) else { return };
-        let refusal = line.text("refusal").filter(|refusal| !refusal.is_empty());
-        let end = refusal.map_or_else(|| outcome.to_owned(), |why| format!("{outcome}/{why}"));
+        let Some(end) = end_of(line) else { return };
         let count = |ends: &mut Ends| *ends.entry(end.clone()).or_default() += 1;
         count(self.seconds.entry(line.time_ms / MILLIS_PER_SECOND).or_default());
         if let Some(priority) = line.fields.get("priority").and_then(Value::as_u64) {
@@ -99,10 +107,15 @@
     ends.values().sum()
 }
 
+/// How requests ended, each way with how many.
+pub(super) fn ends_text(ends: &Ends) -> String {
+    let parts: Vec<String> = ends.iter().map(|(end, count)| format!("{end} {count}")).collect();
+    parts.join(", ")
+}
+
 /// One line: a name, how many, and how they ended.
 fn write_row(formatter: &mut fmt::Formatter<'_>, name: &str, ends: &Ends) -> fmt::Result {
-    let parts: Vec<String> = ends.iter().map(|(end, count)| format!("{end} {count}")).collect();
-    writeln!(formatter, "  {name:<24} {:>7}  {}", total(ends), parts.join(", "))
+    writeln!(formatter, "  {name:<24} {:>7}  {}", total(ends), ends_text(ends))
 }
 
 /// The rows with most, the most first.
