Gateway: a gateway without connections of its own to a member takes back that it doesn't reach it

Cause: a gateway whose fallback dial fails, or whose share is taken while the member is out of its reach, tells control that it misses the member. Only a connection of its own ever told the opposite, and without fallback or share it opens none: the word stood for ever, and the failures stayed counted. A word on a member that leaves the registry is taken back at once: under its name it would come back as an object without failures, and be reached without a word. The report is the one that there was; wire and control are unchanged. Why safe: holders keep their word, also one that is cut off. While fallbacks follow each other within the 4 s (longer than the longest pause of 2 s and the questions to holders) nothing is taken back, so that control's wait with a primary that is really gone isn't begun anew; after a gap the next failed dial says it again, being the first failure. Pauses during an outage are as before. Old processes know the report. In declared groups it reads as a replica of term 0, which is no evidence for or against a primary. Tests: sessions::witnesses, seen without the mend: 3 of 5 failed, each "control is told in time: Elapsed(())" at witnesses.rs:21 (a_gateway_that_stood_in_takes_back_what_it_said, a_gateway_that_lost_its_share_takes_back_what_it_said, a_word_on_a_member_that_left_is_taken_back); the other two guard against taking back too much and pass with and without it. gateway_pauses: three for the core's rule.

--- a/crates/core/src/gateway/member_pauses.rs
+++ b/crates/core/src/gateway/member_pauses.rs
@@ -108,10 +108,15 @@
 
     /// It was reached; says whether that is news.
     pub fn note_reached(&mut self) -> bool {
-        let news = self.failures > 0;
+        self.forget_failures()
+    }
+
+    /// Attempts that failed count no longer; says whether there were any.
+    pub fn forget_failures(&mut self) -> bool {
+        let had_failed = self.failures > 0;
         self.failures = 0;
         self.unreachable_until = None;
-        news
+        had_failed
     }
 
     /// It could not be reached; says whether that is news.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -33,7 +33,7 @@
 mod silence;
 
 pub use detour::{Detour, DetourStep};
-pub use fallback::{FALLBACK_CONNECTIONS, FallbackPeriod};
+pub use fallback::{FALLBACK_CONNECTIONS, FallbackPeriod, WitnessPeriod};
 pub use flight_limit::FlightLimit;
 pub use freshness::{
     FloorBasis, Freshness, KnownPosition, OwnPosition, POSITION_RETENTION, PositionSource,
--- a/crates/core/tests/gateway_pauses.rs
+++ b/crates/core/tests/gateway_pauses.rs
@@ -1,6 +1,6 @@
 //! When a gateway uses a member again after trouble, on made-up time.
 
-use corktack_core::gateway::{FALLBACK_CONNECTIONS, FallbackPeriod, MemberPauses};
+use corktack_core::gateway::{FALLBACK_CONNECTIONS, FallbackPeriod, MemberPauses, WitnessPeriod};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -146,3 +146,37 @@
     period.cancel();
     assert!(!period.end_if_over(at(10_000)));
 }
+
+#[test]
+fn what_was_found_counts_for_four_seconds_without_connections() {
+    let mut period = WitnessPeriod::default();
+    assert!(!period.is_over(at(0), true));
+    assert!(!period.is_over(at(10_000), true), "it has connections");
+    assert!(!period.is_over(at(10_500), false));
+    assert!(!period.is_over(at(14_499), false));
+    assert!(period.is_over(at(14_500), false));
+    assert!(period.is_over(at(15_000), false), "what was found later counts no more either");
+}
+
+#[test]
+fn connections_in_between_begin_the_time_anew() {
+    let mut period = WitnessPeriod::default();
+    assert!(!period.is_over(at(0), false));
+    assert!(!period.is_over(at(3_900), true));
+    assert!(!period.is_over(at(4_000), false));
+    assert!(!period.is_over(at(7_999), false));
+    assert!(period.is_over(at(8_000), false));
+}
+
+#[test]
+fn forgotten_failures_are_news_again_and_pause_as_the_first() {
+    let mut pauses = pauses();
+    assert!(!pauses.forget_failures());
+    assert!(pauses.note_unreachable(at(0)));
+    assert!(!pauses.note_unreachable(at(100)));
+    assert!(pauses.forget_failures());
+    assert!(!pauses.is_unreachable(at(100)) && !pauses.is_unreached());
+    assert!(!pauses.forget_failures(), "it is taken back once");
+    assert!(pauses.note_unreachable(at(200)), "and said again");
+    assert!(!pauses.is_unreachable(at(300)));
+}
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -54,7 +54,8 @@
 /// Target of the log lines of `connect`, `wait` and `reach`, by which operators may filter.
 const LOG_TARGET: &str = module_path!();
 
-/// Whether a member could be reached when it was used as primary; reported once on change.
+/// Whether a member could be reached when it was used as primary; reported once on change. A gateway that
+/// no longer connects to it says that it is reached: control is not to suspect it on that gateway's word.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberReach {
     /// Its group.
@@ -128,7 +129,14 @@
         let now = Instant::now();
         let mut held = Vec::new();
         let mut state = self.state.borrow_mut();
-        state.members.retain(|name, _| facts.members.contains_key(name));
+        state.members.retain(|name, member| {
+            let stays = facts.members.contains_key(name);
+            if !stays && member.pauses.is_unreached() {
+                // If it came back under its name, it would be reached without a word to control.
+                self.take_back(name);
+            }
+            stays
+        });
         for (name, MemberFacts { back_end, share }) in &facts.members {
             let distance = Distance::between(&self.settings.zone, &back_end.zone);
             let new = || Member::new(Arc::clone(back_end), distance);
@@ -161,11 +169,14 @@
     }
 
     /// Closes connections that have not been used for long: what one gateway does not need others
-    /// may have.
+    /// may have. Takes back what was reported of members that this gateway no longer connects to.
     pub(crate) fn close_unused(&self) {
         let now = Instant::now();
-        for member in self.state.borrow_mut().members.values_mut() {
+        for (name, member) in &mut self.state.borrow_mut().members {
             member.close_unused(now);
+            if member.forget_old_failures(now) {
+                self.take_back(name);
+            }
         }
     }
 
--- a/crates/gateway/src/group/reach.rs
+++ b/crates/gateway/src/group/reach.rs
@@ -1,7 +1,8 @@
 //! Notes which members answer and which do not, and reports changes to control.
 //!
 //! It is for the outcome of attempts to connect and of statements. It owns the change from reached to
-//! unreached and back. It relies on [`connect`](super::connect) to find out whether a silent member is gone.
+//! unreached and back, also where this gateway cannot know any longer. It relies on
+//! [`connect`](super::connect) to find out whether a silent member is gone.
 
 use super::{Group, LOG_TARGET, MemberReach};
 use crate::wire::Wire;
@@ -61,6 +62,16 @@
         }
     }
 
+    /// This gateway can no longer find out whether a member is back: control is not to count on its word.
+    /// There is one message for that and for a member that was reached.
+    pub(super) fn take_back(&self, name: &MemberName) {
+        log::info!(
+            target: LOG_TARGET, group:% = self.name, member:% = name;
+            "member is no longer connected to: that it was not reached is taken back"
+        );
+        self.report(name, true);
+    }
+
     fn report(&self, member: &MemberName, reached: bool) {
         let (group, member) = (self.name.clone(), member.clone());
         // Nobody listens at the end of the process only.
--- a/crates/gateway/src/member/mod.rs
+++ b/crates/gateway/src/member/mod.rs
@@ -15,7 +15,7 @@
 use corktack_core::distance::Distance;
 use corktack_core::gateway::{
     Detour, FALLBACK_CONNECTIONS, FallbackPeriod, FlightLimit, Holder, HolderChoice,
-    MemberEstimate, MemberPauses, Silence,
+    MemberEstimate, MemberPauses, Silence, WitnessPeriod,
 };
 use corktack_core::registry::{BackEndState, RegisteredBackEnd};
 use load::ObservedLoad;
@@ -53,6 +53,8 @@
     /// Questions that it did not answer.
     pub(crate) silence: Silence,
     fallback: FallbackPeriod<Instant>,
+    /// Whether failures to connect to it still count.
+    witness: WitnessPeriod<Instant>,
     /// What the registry says of the gateways that hold connections to it.
     share: MemberShare,
     observed: ObservedLoad,
@@ -73,6 +75,7 @@
             remote_in_use: 0,
             silence: Silence::default(),
             fallback: FallbackPeriod::default(),
+            witness: WitnessPeriod::default(),
             share: MemberShare::default(),
             observed,
         }
@@ -190,6 +193,12 @@
         self.pool.close_unused(self.share.idle_limit, now);
     }
 
+    /// Forgets failures to connect once this gateway, without connections, cannot find out that it is back;
+    /// says whether there were any.
+    pub(crate) fn forget_old_failures(&mut self, now: Instant) -> bool {
+        self.witness.is_over(now, self.holds_connections()) && self.pauses.forget_failures()
+    }
+
     /// It could not be reached; says whether that is news.
     pub(crate) fn note_unreachable(&mut self, now: Instant) -> bool {
         let news = self.pauses.note_unreachable(now);
--- a/crates/gateway/tests/sessions/holders.rs
+++ b/crates/gateway/tests/sessions/holders.rs
@@ -14,7 +14,7 @@
 const OTHERS: usize = 5;
 
 /// Where nobody listens.
-fn dead() -> SocketAddr {
+pub fn dead() -> SocketAddr {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
     listener.local_addr().expect("a bound listener has an address")
 }
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -15,4 +15,5 @@
 mod tenants;
 mod tunnels;
 mod wire;
+mod witnesses;
 mod world;
