--- a/crates/server/src/watch_client/connection.rs
+++ b/crates/server/src/watch_client/connection.rs
@@ -55,8 +55,9 @@
             Self::Closed => pending().await,
             Self::Opening(opening) => match opening.await {
                 Ok(frames) => {
+                    let replica = frames.get_ref().peer_addr().ok();
                     *self = Self::Open(Box::new(frames));
-                    Arrival::Opened(self.replica())
+                    Arrival::Opened(replica)
                 }
                 Err(error) => self.lost(error.into()),
             },
@@ -81,38 +82,12 @@
         timeout(limit, frames.send(message)).await.map_err(late)?
     }
 
-    /// The replica at the far end of an open connection.
-    pub(super) fn replica(&self) -> Option<SocketAddr> {
-        match self {
-            Self::Open(frames) => frames.get_ref().peer_addr().ok(),
-            Self::Closed | Self::Opening(_) => None,
-        }
-    }
-
     fn lost(&mut self, error: FrameError) -> Arrival {
         *self = Self::Closed;
         Arrival::Lost(error)
     }
 }
 
-/// Connects to the nearest of `replicas`, if it accepts sooner than the one that is followed: all are tried at
-/// once, and the time of a connection is the way to a replica and back.
-pub(super) async fn connect_nearer(
-    replicas: Vec<SocketAddr>,
-    followed: SocketAddr,
-    limit: Duration,
-) -> Option<Connection> {
-    let all = replicas.into_iter().filter(|it| *it != followed).chain([followed]);
-    let mut tries: FuturesUnordered<_> =
-        all.map(|replica| async move { (replica, connect(replica, limit).await) }).collect();
-    while let Some((replica, connected)) = tries.next().await {
-        if let Ok(frames) = connected {
-            return (replica != followed).then(|| Connection::Open(Box::new(frames)));
-        }
-    }
-    None
-}
-
 /// Connects to the first replica that accepts. Each is tried a little after the one before, whether
 /// that has failed or is still silent: a machine that is dark costs little time.
 async fn connect_first(replicas: Vec<SocketAddr>, limit: Duration) -> std::io::Result<Frames> {
--- a/crates/server/src/watch_client/state/messages.rs
+++ b/crates/server/src/watch_client/state/messages.rs
@@ -43,8 +43,6 @@
     Tick,
     /// The connection requested is open.
     Connected,
-    /// The connection is to a nearer replica now, which was asked for by [`Action::CompareWith`].
-    Moved,
     /// The connection could not be opened, or was lost.
     Disconnected,
     /// A message came in on the open connection.
@@ -64,8 +62,6 @@
 pub enum Action {
     /// Open a connection to the first of these that accepts one; the one before is closed.
     Connect(Vec<SocketAddr>),
-    /// Find out whether one of these is nearer than the replica of the open connection, which stays until then.
-    CompareWith(Vec<SocketAddr>),
     /// Close the connection.
     Disconnect,
     /// Send on the open connection.
--- a/crates/server/src/watch_client/state/mod.rs
+++ b/crates/server/src/watch_client/state/mod.rs
@@ -4,8 +4,7 @@
 //!
 //! Owns the phase of the connection, the configuration, and what is unacknowledged and unsent. Which replica
 //! is tried next is decided in `replicas`; that one is left in [`WatchState::handle`], when nothing has proved
-//! for the silence timeout that it is current, and when a change doesn't fit the configuration in force. It is
-//! also left for a voter that is new to the watch and that accepts a connection sooner.
+//! for the silence timeout that it is current, and when a change doesn't fit the configuration in force.
 
 mod messages;
 mod observations;
@@ -20,7 +19,6 @@
 use observations::Observations;
 use replicas::Replicas;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Shortest time between two heartbeats that observations cause. Chosen, not measured; a lower value sends more
@@ -114,7 +112,6 @@
         match event {
             Event::Tick => {}
             Event::Connected => return self.connected(now),
-            Event::Moved => return self.moved(now),
             Event::Disconnected => return self.lost(now),
             Event::Message(message) => return self.receive(now, message),
             Event::Observed(observations) => self.observations.take(observations),
@@ -169,19 +166,6 @@
         }
         self.phase = Phase::Connected;
         self.last_proof = now;
-        self.begin_connection(now)
-    }
-
-    /// A nearer replica takes the place of the one followed. The silence counts on: a replica that proves nothing
-    /// is left as soon as the former one would have been.
-    fn moved(&mut self, now: Timestamp) -> Vec<Action> {
-        match self.phase {
-            Phase::Connected => self.begin_connection(now),
-            Phase::Waiting(_) | Phase::Connecting => Vec::new(),
-        }
-    }
-
-    fn begin_connection(&mut self, now: Timestamp) -> Vec<Action> {
         self.first_sequence = self.sequence + 1;
         self.unacknowledged.clear();
         self.observations.resend_all();
@@ -235,7 +219,10 @@
                 let taken = self.in_force.apply(delta);
                 self.take(now, taken)
             }
-            ControlMessage::Cell(cell) => Self::compare_with(self.replicas.follow_cell(&cell)),
+            ControlMessage::Cell(cell) => {
+                self.replicas.follow_cell(&cell);
+                Vec::new()
+            }
             ControlMessage::HeartbeatAck { sequence, current } => {
                 self.acknowledged(now, sequence, current)
             }
@@ -275,14 +262,6 @@
         vec![Action::Current]
     }
 
-    /// A replica in the own region costs no bytes between regions and answers sooner. Only voters that are new are
-    /// compared, once: they have just caught up, so that none is taken for near that is there and answers nothing.
-    /// With 71 gateways in three regions, of whom most followed the replicas that started first, an eighth of the
-    /// bytes between regions were their watches.
-    fn compare_with(newcomers: Vec<SocketAddr>) -> Vec<Action> {
-        if newcomers.is_empty() { Vec::new() } else { vec![Action::CompareWith(newcomers)] }
-    }
-
     fn change_replica(&mut self, now: Timestamp) -> Vec<Action> {
         self.wait(now);
         vec![Action::Disconnect]
--- a/crates/server/src/watch_client/state/replicas.rs
+++ b/crates/server/src/watch_client/state/replicas.rs
@@ -28,8 +28,6 @@
 #[derive(Debug)]
 pub(super) struct Replicas {
     known: Vec<SocketAddr>,
-    /// Those that vote, as the newest message of a replica says.
-    voters: Vec<SocketAddr>,
     next: usize,
     failures: u32,
     follows_cell: bool,
@@ -46,7 +44,6 @@
         known.shuffle(&mut rng);
         Self {
             known,
-            voters: Vec::new(),
             next: 0,
             failures: 0,
             follows_cell: settings.follows_cell,
@@ -89,22 +86,14 @@
         pause
     }
 
-    /// Later connections go to the replicas that there are now, at the port of those configured. Gives the
-    /// voters that were none before.
-    pub(super) fn follow_cell(&mut self, cell: &CellConfig) -> Vec<SocketAddr> {
-        let Some(port) = self.known.first().map(SocketAddr::port) else { return Vec::new() };
+    /// Later connections go to the replicas that there are now, at the port of those configured.
+    pub(super) fn follow_cell(&mut self, cell: &CellConfig) {
+        let Some(port) = self.known.first().map(SocketAddr::port) else { return };
         let addresses = cell.voters.iter().map(|voter| SocketAddr::new(voter.address.ip(), port));
-        let replicas: Vec<SocketAddr> = addresses.collect();
+        let mut replicas: Vec<SocketAddr> = addresses.collect();
         if !self.follows_cell || replicas.is_empty() {
-            return Vec::new();
+            return;
         }
-        let newcomers = replicas.iter().copied().filter(|it| !self.voters.contains(it)).collect();
-        self.voters.clone_from(&replicas);
-        self.take_known(cell, replicas);
-        newcomers
-    }
-
-    fn take_known(&mut self, cell: &CellConfig, mut replicas: Vec<SocketAddr>) {
         // While the cell stays the same so does the order: what was tried in vain is not tried
         // again before the others.
         let known = &self.known[..replicas.len().min(self.known.len())];
--- a/crates/server/src/watch_client/task.rs
+++ b/crates/server/src/watch_client/task.rs
@@ -3,7 +3,7 @@
 //! Owns the connection, what is published and the inputs. Relies on the state machine for every decision, and
 //! on the syncer for what is on disk.
 
-use super::connection::{Arrival, Connection, connect_nearer};
+use super::connection::{Arrival, Connection};
 use super::inputs::{Request, WatchInputs};
 use super::metrics::WatchMetrics;
 use super::state::{Action, Event, WatchSettings, WatchState};
@@ -14,7 +14,6 @@
 use corktack_gateway::LimitNews;
 use corktack_protocol::control::Observation;
 use futures_util::FutureExt;
-use futures_util::future::{BoxFuture, pending};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -49,7 +48,6 @@
             origin,
             state,
             connection: Connection::Closed,
-            nearer: None,
             replica: None,
             connect_timeout: self.connect_timeout,
             send_limit,
@@ -68,8 +66,6 @@
     origin: Instant,
     state: WatchState,
     connection: Connection,
-    /// A search for a nearer replica than that of the connection.
-    nearer: Option<BoxFuture<'static, Option<Connection>>>,
     /// The replica of the connection, or of the last one.
     replica: Option<SocketAddr>,
     connect_timeout: Duration,
@@ -110,31 +106,12 @@
                 Some(revision) = self.syncer.synced() => {
                     self.handle(Event::Synced(revision)).await;
                 }
-                found = found(&mut self.nearer) => self.move_to(found).await,
                 arrival = self.connection.next() => self.arrived(arrival).await,
                 () = tokio::time::sleep_until(wake) => self.handle(Event::Tick).await,
             }
         }
     }
 
-    /// Takes a nearer replica in place of the one followed, where one was found.
-    async fn move_to(&mut self, found: Option<Connection>) {
-        self.nearer = None;
-        let (Some(connection), Connection::Open(_)) = (found, &self.connection) else { return };
-        self.replica = connection.replica();
-        self.connection = connection;
-        self.metrics.connections.inc();
-        log::debug!(replica:? = self.replica; "a nearer control replica is followed");
-        self.handle(Event::Moved).await;
-    }
-
-    /// Looks for a nearer replica beside the open connection, for no longer than a connection may take.
-    fn compare_with(&mut self, replicas: Vec<SocketAddr>) {
-        let Some(followed) = self.replica else { return };
-        let limit = self.state.connect_limit(self.connect_timeout);
-        self.nearer = Some(connect_nearer(replicas, followed, limit).boxed());
-    }
-
     fn now(&self) -> Timestamp {
         Timestamp::ZERO + self.origin.elapsed()
     }
@@ -189,7 +166,6 @@
                 let limit = self.state.connect_limit(self.connect_timeout);
                 self.connection = Connection::open(replicas, limit);
             }
-            Action::CompareWith(replicas) => self.compare_with(replicas),
             Action::Disconnect => {
                 log::warn!(
                     replica:? = self.replica;
@@ -228,7 +204,6 @@
 
     fn close(&mut self) {
         self.connection = Connection::Closed;
-        self.nearer = None;
         self.metrics.connected.set(0);
     }
 
@@ -243,11 +218,3 @@
         self.publish.send_replace(view);
     }
 }
-
-/// Waits for the end of a search, where there is one. May be dropped and called again.
-async fn found(search: &mut Option<BoxFuture<'static, Option<Connection>>>) -> Option<Connection> {
-    match search {
-        Some(search) => search.await,
-        None => pending().await,
-    }
-}
--- a/crates/server/tests/watch_client.rs
+++ b/crates/server/tests/watch_client.rs
@@ -1,7 +1,6 @@
 //! The watch over sockets, against control replicas played by the test.
 
-use corktack_core::consensus::{CellConfig, CellMember};
-use corktack_core::identity::{Incarnation, ReplicaId};
+use corktack_core::identity::Incarnation;
 use corktack_core::resources::PriorityClassSpec;
 use corktack_core::view::{Delta, Revision, View, ViewChange};
 use corktack_protocol::control::{ControlMessage, ProxyMessage};
@@ -124,52 +123,6 @@
     assert_eq!(accepted.expect("long before a dark one is given up").1, Revision(0));
 }
 
-/// A replica at another address of this machine and the same port, as the replicas of a deployment have it.
-async fn listen_beside(other: SocketAddr) -> (TcpListener, SocketAddr) {
-    let address = SocketAddr::from(([127, 0, 0, 2], other.port()));
-    (TcpListener::bind(address).await.expect("a free address"), address)
-}
-
-fn cell_of(replicas: &[SocketAddr]) -> ControlMessage {
-    let voter =
-        |(id, address): (u64, &SocketAddr)| CellMember { id: ReplicaId(id), address: *address };
-    let voters = (1..).zip(replicas).map(voter).collect();
-    ControlMessage::Cell(CellConfig { voters, learners: Vec::new() })
-}
-
-/// The replica followed takes no new connection: the other one accepts sooner.
-#[actix_rt::test]
-async fn a_nearer_replica_is_followed_once_it_votes() {
-    let (listener, followed) = listen().await;
-    let (nearer, address) = listen_beside(followed).await;
-    let settings =
-        WatchSettings { follows_cell: true, silence_timeout: LIMIT, ..settings(vec![followed]) };
-    let _watch = start_settings(Box::new(NotKept), settings);
-    let (mut proxy, _) = accept(&listener).await;
-    drop(listener);
-    proxy.send(cell_of(&[followed, address])).await.expect("sent");
-    accept(&nearer).await;
-    let ended = async { while proxy.next().await.is_some_and(|message| message.is_ok()) {} };
-    timeout(LIMIT, ended).await.expect("the former connection ends");
-}
-
-/// Neither the connection nor what is under way on it is given up for a replica that cannot be reached.
-#[actix_rt::test]
-async fn the_followed_replica_is_kept_where_no_other_is_reached() {
-    let (listener, followed) = listen().await;
-    let (nearer, address) = listen_beside(followed).await;
-    drop(nearer);
-    let settings =
-        WatchSettings { follows_cell: true, silence_timeout: LIMIT, ..settings(vec![followed]) };
-    let _watch = start_settings(Box::new(NotKept), settings);
-    let (mut proxy, _) = accept(&listener).await;
-    proxy.send(cell_of(&[followed, address])).await.expect("sent");
-    for _ in 0..20 {
-        let message = timeout(LIMIT, proxy.next()).await.expect("a heartbeat in time");
-        assert!(matches!(message, Some(Ok(ProxyMessage::Heartbeat { .. }))), "{message:?}");
-    }
-}
-
 /// Answers heartbeats until one reports the revision.
 async fn acknowledge_until(proxy: &mut Proxy, expected: Revision) {
     let answer = async {
