Gateway: a holder that is kept out says that it has no room, not that it holds nothing

Change: such a holder refuses for want of room; a gateway that is kept out itself leaves a holder without room aside for a moment, so that the next ones are asked.

Safe: the refusal is one that every gateway knows.

--- a/crates/gateway/src/group/acquire.rs
+++ b/crates/gateway/src/group/acquire.rs
@@ -56,6 +56,7 @@
             match self.next_step(request) {
                 Step::Take(taken) => return self.use_taken(taken, request, position).await,
                 Step::Remote(member) => return Ok(Location::Remote(member)),
+                Step::Full(member) => return Err(AcquireError::Full(member)),
                 Step::RemoteAndCheck(member, back_end) => {
                     self.check(&member.name, back_end);
                     return Ok(Location::Remote(member));
--- a/crates/gateway/src/group/choice.rs
+++ b/crates/gateway/src/group/choice.rs
@@ -47,6 +47,8 @@
     RemoteAndCheck(RemoteMember, Arc<RegisteredBackEnd>),
     /// None of those gateways answers.
     NoHolder(MemberName),
+    /// The member takes no connection of this gateway, and others may have one.
+    Full(MemberName),
     /// Wait for room.
     Wait,
     /// No member that could serve is there.
@@ -231,7 +233,7 @@
     tunnels: &Tunnels,
 ) -> Option<Step<W>> {
     match request.target {
-        Target::Held(_) => Some(Step::NoMember),
+        Target::Held(_) => Some(Step::Full(name.clone())),
         Target::Primary => {
             let holders = tunnels.to_ask(&member.holders, HOLDERS_ASKED);
             let remote = RemoteMember { name: name.clone(), holders };
--- a/crates/gateway/src/group/remote/outcome.rs
+++ b/crates/gateway/src/group/remote/outcome.rs
@@ -43,7 +43,14 @@
         match refusal {
             TunnelRefusal::NoneFree { retry_after } => {
                 self.metrics.note_remote(RemoteOutcome::NoneFree);
-                self.with_member(member, |it| it.detour.reached());
+                let (steady, now) = (self.now(), Instant::now());
+                self.with_member(member, |it| {
+                    it.detour.reached();
+                    if it.is_kept_out(now) {
+                        // It may be kept out as well: the others are asked before it for a while.
+                        it.holders.refused(holder.address, steady);
+                    }
+                });
                 HolderReply::AskNext(Some(retry_after))
             }
             TunnelRefusal::NoPosition => {
