--- a/crates/gateway/src/group/acquire.rs
+++ b/crates/gateway/src/group/acquire.rs
@@ -10,6 +10,7 @@
 use crate::error::AcquireError;
 use crate::wire::Wire;
 use corktack_core::gateway::ReadPosition;
+use corktack_core::position::Position;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -51,9 +52,10 @@
         request: &ConnectionRequest<'_>,
     ) -> Result<Location<W>, AcquireError> {
         let position = self.position_for(request).await?;
+        let needed = self.needed_position(request, position);
         let mut has_waited = false;
         loop {
-            match self.next_step(request) {
+            match self.next_step(request, needed) {
                 Step::Take(taken) => return self.use_taken(taken, request, position).await,
                 Step::Remote(member) => return Ok(Location::Remote(member)),
                 Step::Full(member) => return Err(AcquireError::Full(member)),
@@ -63,7 +65,7 @@
                 }
                 Step::Wait => {
                     let waited = std::mem::replace(&mut has_waited, true);
-                    if let Some(taken) = self.wait_for_room(request, waited).await? {
+                    if let Some(taken) = self.wait_for_room(request, needed, waited).await? {
                         return self.use_taken(taken, request, position).await;
                     }
                 }
@@ -87,9 +89,9 @@
         }
     }
 
-    fn next_step(&self, request: &ConnectionRequest<'_>) -> Step<W> {
+    fn next_step(&self, request: &ConnectionRequest<'_>, needed: Option<Position>) -> Step<W> {
         let mut state = self.state.borrow_mut();
-        state.step(request, &self.settings, self.clock, &self.tunnels)
+        state.step(request, needed, &self.settings, self.clock, &self.tunnels)
     }
 
     async fn use_taken(
