--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 //!   `reader_choice` and `member_choice` (which of them is taken), `preference` (who is taken among equals).
 //! - Writes: `primary_choice` (which member is tried as primary).
 //! - Load: `flight_limit` (statements under way at a member).
-//! - Failures: `member_pauses` (a member after trouble), `log_progress` (a replica that lags), `silence` (a member that answers nothing), `detour` (a
+//! - Failures: `member_pauses` (a member after trouble), `silence` (a member that answers nothing), `detour` (a
 //!   primary that is not reached), `peers` and `round_trip` (gateways that don't answer), `fallback` and
 //!   `remote_attempt` (what is done where no holder serves).
 //! - Connections: `holders` (which gateways have them), `profile` (a session's values on them).
@@ -20,7 +20,6 @@
 mod flight_limit;
 mod freshness;
 mod holders;
-mod log_progress;
 mod member_choice;
 mod member_estimate;
 mod member_pauses;
@@ -44,7 +43,6 @@
     CONNECTIONS_PER_SHARE, GatewayPlace, Holder, HolderChoice, HolderTable, MemberNeeds,
     asking_order, holder_count, home_weight, zone_quotas,
 };
-pub use log_progress::LogProgress;
 pub use member_choice::{MemberLoad, choose_reader};
 pub use member_estimate::{MemberEstimate, ReportedLoad};
 pub use member_pauses::{ClockInstant, MemberPauses};
--- a/crates/core/src/gateway/reader_choice.rs
+++ b/crates/core/src/gateway/reader_choice.rs
@@ -1,7 +1,7 @@
 //! Which member a read is offered to, among those that take reads.
 //!
 //! It is for reads that any member may serve. It owns the order in which members are considered: those with
-//! room, those that served lately, those that are likely to hold the position, all. It relies on [`choose_reader`] for the choice by load.
+//! room, those that served lately, all. It relies on [`choose_reader`] for the choice by load.
 
 use super::member_choice::{MemberLoad, choose_reader};
 
@@ -10,10 +10,8 @@
 pub struct ReaderCandidate {
     /// What is known of its load.
     pub load: MemberLoad,
-    /// Whether it was silent or had no room a moment ago.
+    /// Whether it lagged, was silent or had no room a moment ago.
     pub is_passed_over: bool,
-    /// Whether it is likely to lack the position that the read must see.
-    pub lacks_position: bool,
     /// Whether a statement could be sent there now.
     pub has_room: bool,
 }
@@ -27,8 +25,7 @@
         let loads: Vec<_> = places.iter().map(|place| candidates[*place].load).collect();
         choose_reader(&loads).map(|chosen| places[chosen])
     };
-    choose(|it| !it.lacks_position && !it.is_passed_over && it.has_room)
-        .or_else(|| choose(|it| !it.lacks_position && !it.is_passed_over))
-        .or_else(|| choose(|it| !it.lacks_position))
+    choose(|candidate| !candidate.is_passed_over && candidate.has_room)
+        .or_else(|| choose(|candidate| !candidate.is_passed_over))
         .or_else(|| choose(|_| true))
 }
--- a/crates/gateway/src/group/acquire.rs
+++ b/crates/gateway/src/group/acquire.rs
@@ -10,7 +10,6 @@
 use crate::error::AcquireError;
 use crate::wire::Wire;
 use corktack_core::gateway::ReadPosition;
-use corktack_core::position::Position;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -52,10 +51,9 @@
         request: &ConnectionRequest<'_>,
     ) -> Result<Location<W>, AcquireError> {
         let position = self.position_for(request).await?;
-        let needed = self.needed_position(request, position);
         let mut has_waited = false;
         loop {
-            match self.next_step(request, needed) {
+            match self.next_step(request) {
                 Step::Take(taken) => return self.use_taken(taken, request, position).await,
                 Step::Remote(member) => return Ok(Location::Remote(member)),
                 Step::Full(member) => return Err(AcquireError::Full(member)),
@@ -65,7 +63,7 @@
                 }
                 Step::Wait => {
                     let waited = std::mem::replace(&mut has_waited, true);
-                    if let Some(taken) = self.wait_for_room(request, needed, waited).await? {
+                    if let Some(taken) = self.wait_for_room(request, waited).await? {
                         return self.use_taken(taken, request, position).await;
                     }
                 }
@@ -89,9 +87,9 @@
         }
     }
 
-    fn next_step(&self, request: &ConnectionRequest<'_>, needed: Option<Position>) -> Step<W> {
+    fn next_step(&self, request: &ConnectionRequest<'_>) -> Step<W> {
         let mut state = self.state.borrow_mut();
-        state.step(request, needed, &self.settings, self.clock, &self.tunnels)
+        state.step(request, &self.settings, self.clock, &self.tunnels)
     }
 
     async fn use_taken(
--- a/crates/gateway/src/group/choice.rs
+++ b/crates/gateway/src/group/choice.rs
@@ -18,7 +18,6 @@
     choose_available_reader, choose_primary,
 };
 use corktack_core::identity::MemberName;
-use corktack_core::position::Position;
 use corktack_core::registry::{BackEndRole, RegisteredBackEnd};
 use corktack_core::tenancy::Principal;
 use corktack_core::time::Timestamp;
@@ -57,12 +56,10 @@
 }
 
 impl<W: Wire> GroupState<W> {
-    /// The next step towards a connection for a request. `needed` is the position that a read must see, as
-    /// far as it is known here.
+    /// The next step towards a connection for a request.
     pub(super) fn step(
         &mut self,
         request: &ConnectionRequest<'_>,
-        needed: Option<Position>,
         settings: &GatewaySettings,
         clock: SteadyClock,
         tunnels: &Tunnels,
@@ -70,9 +67,7 @@
         let now = Instant::now();
         let chosen = match &request.target {
             Target::Primary => self.primary(now, settings, clock),
-            Target::Reader { refused } => {
-                self.reader((now, clock.at(now)), request, needed, refused)
-            }
+            Target::Reader { refused } => self.reader(now, clock.at(now), request, refused),
             Target::Held(member) => self.held(member, now, settings),
         };
         let Some(name) = chosen else { return Step::NoMember };
@@ -169,9 +164,9 @@
     /// The member to offer a read to.
     fn reader(
         &mut self,
-        (now, steady): (Instant, Timestamp),
+        now: Instant,
+        steady: Timestamp,
         request: &ConnectionRequest<'_>,
-        needed: Option<Position>,
         refused: &BTreeSet<MemberName>,
     ) -> Option<MemberName> {
         let preferred = self.preferences.next(request.principal.and_then(Principal::tenant));
@@ -184,34 +179,12 @@
             let candidate = ReaderCandidate {
                 load,
                 is_passed_over: member.pauses.is_passed_over(now),
-                lacks_position: member.log.lacks(needed, now),
                 has_room: member.has_room(now, true),
             };
             (name, candidate)
         };
         let (names, candidates): (Vec<_>, Vec<_>) = able.map(candidate).unzip();
-        let chosen = choose_available_reader(&candidates).map(|place| names[place].clone())?;
-        if let Some(member) = self.members.get_mut(&chosen) {
-            member.log.begin_try(now);
-        }
-        Some(chosen)
-    }
-
-    /// Members that a read does not wait for: those that refused it, and those that are likely to lack its
-    /// position, unless no other is left.
-    pub(super) fn not_waited_for(
-        &self,
-        now: Instant,
-        needed: Option<Position>,
-        refused: &BTreeSet<MemberName>,
-    ) -> BTreeSet<MemberName> {
-        let lacking = self.members.iter().filter(|(_, member)| member.log.lacks(needed, now));
-        let all: BTreeSet<_> =
-            lacking.map(|(name, _)| name.clone()).chain(refused.iter().cloned()).collect();
-        let is_left = |(name, member): (&MemberName, &Member<W>)| {
-            member.pauses.takes_reads(now) && !all.contains(name)
-        };
-        if self.members.iter().any(is_left) { all } else { refused.clone() }
+        choose_available_reader(&candidates).map(|place| names[place].clone())
     }
 }
 
--- a/crates/gateway/src/group/notes.rs
+++ b/crates/gateway/src/group/notes.rs
@@ -98,27 +98,6 @@
         }
     }
 
-    /// Remembers how far a member's log reaches: it answered a read that needed this position.
-    pub(crate) fn note_log(
-        &self,
-        name: &MemberName,
-        needed: Option<Position>,
-        result: Result<&Answer, &Unanswered>,
-    ) {
-        let refusal = match result {
-            Ok(answer) => answer.outcome.as_ref().err(),
-            Err(Unanswered::Refused(failure)) => Some(failure),
-            Err(Unanswered::NotSent(_) | Unanswered::Sent(_)) => None,
-        };
-        let lags = refusal.is_some_and(|failure| failure.code == ErrorCode::Lagging);
-        let told = result.ok().and_then(|answer| answer.ready.position);
-        let now = Instant::now();
-        self.with_member(name, |it| match needed {
-            Some(needed) if lags => it.log.note_lacking(needed, now),
-            _ => told.into_iter().for_each(|position| it.log.note_held(position)),
-        });
-    }
-
     /// Remembers of a member why it did not run a statement.
     pub(crate) fn note_refusal(&self, name: &MemberName, code: ErrorCode) {
         let (steady, now) = (self.now(), Instant::now());
@@ -126,6 +105,7 @@
             group:% = self.name, member:% = name, code:? = code; "member did not run a statement"
         );
         match code {
+            ErrorCode::Lagging => self.with_member(name, |it| it.note_lagging(steady, now)),
             ErrorCode::ReadOnly => self.note_not_primary(name),
             ErrorCode::WrongMember => self.note_unreachable(name),
             _ => self.with_member(name, |it| it.note_unserved(steady, now)),
--- a/crates/gateway/src/group/positions.rs
+++ b/crates/gateway/src/group/positions.rs
@@ -62,17 +62,6 @@
         self.read_position(&bound).map(Some).ok_or(AcquireError::NoPosition)
     }
 
-    /// The position that a request must see: the one it is served with here, else what it comes to by the
-    /// answers that are known here. The gateway that serves it has the last word.
-    pub(super) fn needed_position(
-        &self,
-        request: &ConnectionRequest<'_>,
-        position: Option<ReadPosition>,
-    ) -> Option<Position> {
-        let known = || self.freshness.borrow().read_position(self.now(), &request.bound?);
-        position.or_else(known).map(|position| position.needed)
-    }
-
     fn may_serve_here(&self, target: &Target) -> bool {
         match target {
             Target::Held(_) => true,
--- a/crates/gateway/src/group/remote/outcome.rs
+++ b/crates/gateway/src/group/remote/outcome.rs
@@ -156,7 +156,6 @@
         let taken = sent.instant.elapsed();
         let (steady, now) = (self.now(), Instant::now());
         self.with_member(member, |it| it.note_reported_load(&ran.load, taken, steady));
-        self.note_log(member, ran.position.map(|it| it.needed), ran.result.as_ref());
         let answer = match &ran.result {
             Ok(answer) => answer,
             Err(Unanswered::Refused(failure)) => return self.note_refusal(member, failure.code),
--- a/crates/gateway/src/group/wait.rs
+++ b/crates/gateway/src/group/wait.rs
@@ -10,7 +10,6 @@
 use crate::error::AcquireError;
 use crate::wire::Wire;
 use corktack_core::identity::MemberName;
-use corktack_core::position::Position;
 use corktack_core::scheduling::{Capacity, NoSlotInTime, SlotRequest, SlotTarget, SlotTicket};
 use corktack_core::tenancy::Principal;
 use std::time::Duration;
@@ -28,10 +27,9 @@
     pub(super) async fn wait_for_room(
         &self,
         request: &ConnectionRequest<'_>,
-        needed: Option<Position>,
         has_waited: bool,
     ) -> Result<Option<Taken<W>>, AcquireError> {
-        let woken = self.wait(request, needed, has_waited).await?;
+        let woken = self.wait(request, has_waited).await?;
         let Some(member) = woken else { return Ok(None) };
         Ok(self.state.borrow_mut().take_reserved(&member, request, &self.settings))
     }
@@ -40,11 +38,10 @@
     async fn wait(
         &self,
         request: &ConnectionRequest<'_>,
-        needed: Option<Position>,
         has_waited: bool,
     ) -> Result<Option<MemberName>, AcquireError> {
         let (waker, woken) = oneshot::channel();
-        let (slot_request, capacity) = self.slot_request(request, needed);
+        let (slot_request, capacity) = self.slot_request(request);
         let ticket = {
             let waiting = &mut self.state.borrow_mut().waiting;
             if has_waited {
@@ -69,18 +66,12 @@
     }
 
     /// What the queue is told of a request, and what serves it.
-    fn slot_request(
-        &self,
-        request: &ConnectionRequest<'_>,
-        needed: Option<Position>,
-    ) -> (SlotRequest, Capacity) {
+    fn slot_request(&self, request: &ConnectionRequest<'_>) -> (SlotRequest, Capacity) {
         let state = self.state.borrow();
         let slot_request = SlotRequest {
             target: match &request.target {
                 Target::Primary => SlotTarget::Primary,
-                Target::Reader { refused } => {
-                    SlotTarget::AnyBut(state.not_waited_for(Instant::now(), needed, refused))
-                }
+                Target::Reader { refused } => SlotTarget::AnyBut(refused.clone()),
                 Target::Held(member) => SlotTarget::At(member.clone()),
             },
             priority: request.kind.priority,
--- a/crates/gateway/src/member/load.rs
+++ b/crates/gateway/src/member/load.rs
@@ -83,6 +83,12 @@
         self.observed.estimate.note_unserved(now);
     }
 
+    /// It lacked a position that a read had to see.
+    pub(crate) fn note_lagging(&mut self, steady: Timestamp, now: Instant) {
+        self.observed.estimate.note_unserved(steady);
+        self.pauses.note_lagging(now);
+    }
+
     /// It had no room for a statement of this gateway.
     pub(crate) fn note_refused(&mut self, steady: Timestamp, now: Instant) {
         self.observed.flight_limit.refused(steady);
--- a/crates/gateway/src/member/mod.rs
+++ b/crates/gateway/src/member/mod.rs
@@ -14,7 +14,7 @@
 use crate::wire::Wire;
 use corktack_core::distance::Distance;
 use corktack_core::gateway::{
-    Detour, FALLBACK_CONNECTIONS, FallbackPeriod, FlightLimit, Holder, HolderChoice, LogProgress,
+    Detour, FALLBACK_CONNECTIONS, FallbackPeriod, FlightLimit, Holder, HolderChoice,
     MemberEstimate, MemberPauses, Silence, WitnessPeriod,
 };
 use corktack_core::registry::{BackEndState, RegisteredBackEnd};
@@ -44,8 +44,6 @@
     pub(crate) pool: ConnectionPool<W>,
     /// For how long it is left alone after trouble.
     pub(crate) pauses: MemberPauses<Instant>,
-    /// How far its log reaches.
-    pub(crate) log: LogProgress<Instant>,
     /// Other gateways that hold connections to it.
     pub(crate) holders: HolderChoice,
     /// Whether those reach it while this gateway does not.
@@ -72,7 +70,6 @@
             back_end,
             pool: ConnectionPool::new(),
             pauses: MemberPauses::default(),
-            log: LogProgress::default(),
             holders: HolderChoice::default(),
             detour: Detour::default(),
             remote_in_use: 0,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -122,7 +122,6 @@
         let result = self.run_on(&mut lease, position, deadline).await;
         let kind = StatementKind { priority: self.priority, writes: !self.kind.is_read() };
         lease.group().note_result(&lease.member, kind, &result, begun);
-        lease.group().note_log(&lease.member, position.map(|it| it.needed), result.as_ref());
         if let (Ok(answer), LoneKind::Write) = (&result, self.kind)
             && answer.outcome.is_ok()
         {
--- a/crates/gateway/src/session/opening.rs
+++ b/crates/gateway/src/session/opening.rs
@@ -201,11 +201,7 @@
                 let open = Box::new(OpenTransaction::new(route.clone(), lease));
                 Tried::Opened(Opened::Begun(open))
             }
-            Err(why) => {
-                let needed = position.map(|it| it.needed);
-                lease.group().note_log(&lease.member, needed, Err(&why));
-                Tried::NotBegun(lease.member.clone(), why)
-            }
+            Err(why) => Tried::NotBegun(lease.member.clone(), why),
         }
     }
 
