Control: log and count the times in which the consensus thread receives nothing

What callers saw: a change by an operator that is refused with 503 'no leader' on a busy machine (a_replica_caught_up_by_a_snapshot_tells_watchers_to_list_again).

Nothing told the hypotheses apart: a late thread, a slow sync, silent followers, an election that takes long. Now there are

- 'consensus thread received nothing for a time' with the time that it worked (busy_ms), synced (sync_ms) and woke up late (late_ms), and the histogram corktack_control_stall_seconds;
- 'leader steps down' with the silence of each follower and how late the leader itself was;
- 'election timeout' with the role, the known leader, its silence and how late the timer was.

Tests of the control crate print logs with RUST_LOG.

--- a/crates/control/src/consensus/apply.rs
+++ b/crates/control/src/consensus/apply.rs
@@ -28,9 +28,11 @@
         Ok(())
     }
 
-    fn record_sync(&self, started_at: Instant) {
+    fn record_sync(&mut self, started_at: Instant) {
+        let elapsed = started_at.elapsed();
         self.parts.metrics.syncs.inc();
-        self.parts.metrics.sync_seconds.observe(started_at.elapsed().as_secs_f64());
+        self.parts.metrics.sync_seconds.observe(elapsed.as_secs_f64());
+        self.stalls.add_sync(elapsed);
     }
 
     pub(super) fn install_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), ConsensusError> {
--- a/crates/control/src/consensus/mod.rs
+++ b/crates/control/src/consensus/mod.rs
@@ -16,6 +16,7 @@
 mod proxies;
 mod repair;
 mod repair_state;
+mod stalls;
 mod status;
 mod thread;
 
--- a/crates/control/src/consensus/thread.rs
+++ b/crates/control/src/consensus/thread.rs
@@ -6,6 +6,7 @@
 use super::outcomes::Outcomes;
 use super::pending::Pending;
 use super::repair_state::RepairState;
+use super::stalls::{StallMonitor, Wait};
 use super::status::ReplicaStatus;
 use crate::cell::{Links, PeerMessage};
 use crate::clock::Clock;
@@ -41,6 +42,8 @@
     /// Index of the last log entry that `state` holds.
     pub(crate) applied: u64,
     pub(crate) snapshot_entries: u64,
+    /// Shortest time without receiving that counts as a stall.
+    pub(crate) stall_threshold: Duration,
     pub(crate) links: Links,
     pub(crate) feed: Feed,
     pub(crate) duties: LeaderDuties,
@@ -76,6 +79,7 @@
     pub(super) snapshot_index: u64,
     pub(super) repair: RepairState,
     next_housekeeping: Timestamp,
+    pub(super) stalls: StallMonitor,
 }
 
 /// The events and reads that a batch of inputs results in.
@@ -98,6 +102,7 @@
             snapshot_index: parts.applied,
             repair: RepairState::default(),
             next_housekeeping: parts.clock.now(),
+            stalls: StallMonitor::new(parts.stall_threshold, parts.metrics.stall_seconds.clone()),
             parts,
         }
     }
@@ -134,7 +139,9 @@
 
     /// Waits for an input or a deadline, then handles the other inputs that are queued.
     fn collect(&mut self, inputs: &Receiver<ConsensusInput>, batch: &mut Batch) {
-        match inputs.recv_timeout(self.time_to_deadline()) {
+        let waiting_since = self.parts.clock.now();
+        let deadline = self.next_deadline();
+        match inputs.recv_timeout(deadline - waiting_since) {
             Ok(input) => self.handle_input(input, batch),
             Err(RecvTimeoutError::Timeout) => (),
             Err(RecvTimeoutError::Disconnected) => batch.stop = true,
@@ -142,19 +149,19 @@
         for input in inputs.try_iter().take(MAX_BATCH_INPUTS) {
             self.handle_input(input, batch);
         }
-        if self.parts.clock.now() >= self.parts.replica.next_deadline() {
+        let now = self.parts.clock.now();
+        self.stalls.end_wait(Wait { since: waiting_since, deadline, until: now });
+        if now >= self.parts.replica.next_deadline() {
             batch.events.push(Event::Tick);
         }
     }
 
-    fn time_to_deadline(&self) -> Duration {
+    fn next_deadline(&self) -> Timestamp {
         let duties_deadline = self.parts.duties.next_deadline();
         let deadline = self.parts.replica.next_deadline().min(self.next_housekeeping);
         let deadline = duties_deadline.map_or(deadline, |duties| deadline.min(duties));
         let repairs_cell = self.parts.cell_repair.is_some() && self.is_leader();
-        let deadline =
-            if repairs_cell { deadline.min(self.repair.next_deadline()) } else { deadline };
-        deadline - self.parts.clock.now()
+        if repairs_cell { deadline.min(self.repair.next_deadline()) } else { deadline }
     }
 
     fn forget_abandoned_requests(&mut self) {
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -32,6 +32,7 @@
     pub(crate) proposals_rejected: Counter,
     pub(crate) syncs: Counter,
     pub(crate) sync_seconds: Histogram,
+    pub(crate) stall_seconds: Histogram,
     pub(crate) snapshots: Counter,
     pub(crate) cell_messages_dropped: Counter,
     pub(crate) cell_disks_known: Gauge,
@@ -62,6 +63,7 @@
             proposals_rejected: Counter::default(),
             syncs: Counter::default(),
             sync_seconds: seconds_histogram(),
+            stall_seconds: seconds_histogram(),
             snapshots: Counter::default(),
             cell_messages_dropped: Counter::default(),
             cell_disks_known: Gauge::default(),
@@ -100,6 +102,8 @@
         registry.register("proposals_rejected", "Commands rejected here", rejected);
         registry.register("syncs", "Syncs of the log", self.syncs.clone());
         registry.register("sync_seconds", "Time of a write and sync", self.sync_seconds.clone());
+        let stalls = self.stall_seconds.clone();
+        registry.register("stall_seconds", "Time without receiving messages", stalls);
         registry.register("snapshots", "Snapshots made or installed", self.snapshots.clone());
         let dropped = self.cell_messages_dropped.clone();
         registry.register("cell_messages_dropped", "Messages dropped, queue full", dropped);
--- a/crates/control/src/starting.rs
+++ b/crates/control/src/starting.rs
@@ -72,6 +72,7 @@
             state: recovered.state,
             applied: recovered.applied,
             snapshot_entries: self.settings.snapshot_entries.max(1),
+            stall_threshold: self.settings.heartbeat_interval,
             links: self.links(),
             feed: self.feed.clone(),
             duties: self.duties(),
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -96,6 +96,8 @@
     }
 
     fn launch(&mut self, listeners: ControlListeners, adjust: &impl Fn(&mut ControlSettings)) {
+        // Fails if another test of this process has installed the logger already.
+        drop(env_logger::builder().is_test(true).format_timestamp_millis().try_init());
         let folder = self.folder.path().to_path_buf();
         let name = CellName("test".to_owned());
         let mut settings = ControlSettings::new(name, self.id, self.start.clone(), folder);
--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -10,7 +10,7 @@
 use super::{CellConfig, Entry, Payload, voter_ids};
 use crate::identity::ReplicaId;
 use crate::position::Term;
-use crate::time::Timestamp;
+use crate::time::{Timestamp, millis};
 
 /// Highest term accepted in a message. Elections cannot reach it, so a message with a higher term does not
 /// come from a replica of this cell.
@@ -134,6 +134,12 @@
     }
 
     pub(super) fn handle_election_timeout(&mut self, now: Timestamp) {
+        ::log::info!(
+            replica = self.settings.id.0, term = self.hard_state.term.0, role:? = self.role(),
+            leader:? = self.leader, late_ms = millis(now.saturating_since(self.election_deadline)),
+            silent_ms:? = self.leader_contact.map(|contact| millis(now.saturating_since(contact)));
+            "election timeout"
+        );
         self.election_timeouts = self.election_timeouts.saturating_add(1);
         if self.may_start_election() {
             self.begin_pre_vote(now);
--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -6,7 +6,7 @@
 use super::progress::Progress;
 use super::{RequestId, voter_ids};
 use crate::identity::ReplicaId;
-use crate::time::Timestamp;
+use crate::time::{Timestamp, millis};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -96,6 +96,12 @@
             .is_some_and(|responded| now.saturating_since(responded) <= timeout)
     }
 
+    /// Returns the time since each other member's last response, in milliseconds.
+    pub(super) fn silent_times(&self, now: Timestamp) -> BTreeMap<u64, u64> {
+        let silent_ms = |progress: &Progress| millis(now.saturating_since(progress.last_response));
+        self.progress.iter().map(|(id, progress)| (id.0, silent_ms(progress))).collect()
+    }
+
     /// Aborts a leadership transfer whose deadline has passed.
     pub(super) fn expire_transfer(&mut self, now: Timestamp) {
         self.transfer.take_if(|transfer| now >= transfer.deadline);
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -10,7 +10,7 @@
 use super::replica::{Replica, RoleState};
 use super::{Action, ConsensusSettings, Entry, HardState, Payload, Rejection, RequestId};
 use crate::identity::ReplicaId;
-use crate::time::Timestamp;
+use crate::time::{Timestamp, millis};
 
 /// Sends the leader's messages to one follower.
 struct FollowerSender<'a> {
@@ -162,6 +162,12 @@
         let timeout = self.settings.election_timeout;
         let RoleState::Leader(leader) = &mut self.role else { return };
         if !leader.has_recent_quorum(&self.log, self.settings.id, now, timeout) {
+            ::log::warn!(
+                replica = self.settings.id.0, term = self.hard_state.term.0,
+                late_ms = millis(now.saturating_since(leader.next_heartbeat)),
+                silent_ms:? = leader.silent_times(now);
+                "leader steps down: no majority of the voters responded"
+            );
             // The others may follow a leader of a higher term, so this replica must stop serving callers.
             self.become_follower(now, self.hard_state.term, None);
             return;
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -67,3 +67,8 @@
         self.saturating_since(earlier)
     }
 }
+
+/// Returns whole milliseconds, for log lines.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
