Consensus: a replica does not count silence over time in which it could not receive

What callers saw: changes refused with 503 'no leader' or 'no outcome within the time allowed' on a busy machine, in a cell with one replica stopped; known from a_replica_caught_up_by_a_snapshot_tells_watchers_to_list_again.

The thread that syncs also receives.

Change: the driver reports stalls to the core. Followers extend their timeout by them, leaders don't count them as silence; leaders wait for two election timeouts and for as long as their election took; votes that are missing double the candidate's timeout; a replica that was stalled lately waits longer before it replaces a leader.

Why it works: silence now counts only over time in which the observer could hear, and the syncs that an answer needs are within the time that it is given.

--- a/crates/control/src/consensus/thread.rs
+++ b/crates/control/src/consensus/thread.rs
@@ -150,7 +150,10 @@
             self.handle_input(input, batch);
         }
         let now = self.parts.clock.now();
-        self.stalls.end_wait(Wait { since: waiting_since, deadline, until: now });
+        let wait = Wait { since: waiting_since, deadline, until: now };
+        if let Some(duration) = self.stalls.end_wait(wait) {
+            batch.events.insert(0, Event::Stalled { duration });
+        }
         if now >= self.parts.replica.next_deadline() {
             batch.events.push(Event::Tick);
         }
--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -11,11 +11,16 @@
 use crate::identity::ReplicaId;
 use crate::position::Term;
 use crate::time::{Timestamp, millis};
+use std::time::Duration;
 
 /// Highest term accepted in a message. Elections cannot reach it, so a message with a higher term does not
 /// come from a replica of this cell.
 const TERM_LIMIT: Term = Term(1 << 62);
 
+/// Most doublings of a candidate's election timeout. With fewer, voters with slow disks respond too late in
+/// every election; with more, a candidate waits longer for a vote that was lost.
+const MAX_VOTE_TIMEOUT_DOUBLINGS: u32 = 3;
+
 impl Replica {
     /// Compares the message's term with the current one and steps down if the message requires it. Returns
     /// whether to handle the message.
@@ -141,6 +146,9 @@
             "election timeout"
         );
         self.election_timeouts = self.election_timeouts.saturating_add(1);
+        if matches!(self.role, RoleState::Candidate(_)) {
+            self.unanswered_elections = self.unanswered_elections.saturating_add(1);
+        }
         if self.may_start_election() {
             self.begin_pre_vote(now);
         } else {
@@ -172,7 +180,8 @@
     /// Increments the term and requests votes. `transfer` marks an election of a leadership transfer.
     pub(super) fn begin_election(&mut self, now: Timestamp, transfer: bool) {
         self.set_leader(None);
-        self.reset_election_deadline(now);
+        self.set_election_deadline(now, self.vote_timeout(now));
+        self.election_began = now;
         self.hard_state.term.0 += 1;
         self.hard_state.vote = Some(self.settings.id);
         self.role = RoleState::Candidate(self.votes_with_own());
@@ -181,6 +190,13 @@
         self.count_votes(now);
     }
 
+    /// Returns the shortest time for which a candidate waits for votes. A voter syncs its vote before it
+    /// responds, so each election that ends without enough responses doubles the time.
+    fn vote_timeout(&self, now: Timestamp) -> Duration {
+        let doublings = self.unanswered_elections.min(MAX_VOTE_TIMEOUT_DOUBLINGS);
+        self.min_election_timeout(now).saturating_mul(1 << doublings)
+    }
+
     fn votes_with_own(&self) -> Votes {
         let mut votes = Votes::default();
         votes.record(self.settings.id, true);
@@ -226,13 +242,19 @@
             (VoteResult::Pending, _) => {}
             (VoteResult::Won, true) => self.begin_election(now, false),
             (VoteResult::Won, false) => self.become_leader(now),
-            (VoteResult::Lost, _) => self.become_follower(now, self.hard_state.term, None),
+            (VoteResult::Lost, _) => {
+                self.become_follower(now, self.hard_state.term, None);
+                if self.unanswered_elections > 0 {
+                    self.reset_election_deadline(now);
+                }
+            }
         }
     }
 
     fn become_leader(&mut self, now: Timestamp) {
         let first_index = self.log.last_index() + 1;
-        let leader = Leader::new(&self.log, self.settings.id, first_index, now);
+        let election_duration = now.saturating_since(self.election_began);
+        let leader = Leader::new(&self.log, self.settings.id, first_index, now, election_duration);
         self.role = RoleState::Leader(Box::new(leader));
         self.incoming_snapshot = None;
         self.set_leader(Some(self.settings.id));
--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -3,13 +3,18 @@
 
 use super::log::Log;
 use super::pending_reads::LeaderReads;
-use super::progress::Progress;
+use super::progress::{MAX_ALLOWED_SILENCE, Progress};
 use super::{RequestId, voter_ids};
 use crate::identity::ReplicaId;
 use crate::time::{Timestamp, millis};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Election timeouts for which a follower may always stay silent. Followers wait for up to two before an
+/// election, so with fewer the leader gives up while nobody can have replaced it; with more, a leader that is
+/// cut off takes longer to notice.
+const ALLOWED_SILENT_ELECTION_TIMEOUTS: u32 = 2;
+
 /// State of a leader; dropped when the leader steps down.
 #[derive(Debug)]
 pub(super) struct Leader {
@@ -22,6 +27,8 @@
     pub(super) reads: LeaderReads,
     pub(super) next_heartbeat: Timestamp,
     pub(super) transfer: Option<LeadershipTransfer>,
+    /// Time that the election took, with the syncs of the candidate and its voters.
+    election_duration: Duration,
 }
 
 /// A leadership transfer in progress. Proposals are refused meanwhile, so that the target can catch up.
@@ -40,7 +47,13 @@
 
 impl Leader {
     /// Creates the state of a new leader that appends its first entry at `first_index`.
-    pub(super) fn new(log: &Log, own_id: ReplicaId, first_index: u64, now: Timestamp) -> Self {
+    pub(super) fn new(
+        log: &Log,
+        own_id: ReplicaId,
+        first_index: u64,
+        now: Timestamp,
+        election_duration: Duration,
+    ) -> Self {
         let mut leader = Self {
             progress: BTreeMap::new(),
             first_index,
@@ -48,6 +61,7 @@
             reads: LeaderReads::default(),
             next_heartbeat: now,
             transfer: None,
+            election_duration,
         };
         leader.update_tracked_members(log, own_id, now);
         leader
@@ -84,16 +98,28 @@
         values.get(voters.len() / 2).copied()
     }
 
-    /// Reports whether a majority of the voters responded within `timeout`.
-    pub(super) fn has_recent_quorum(
+    /// Reports whether a majority of the voters, this replica included, is not overdue with a response.
+    pub(super) fn has_responding_quorum(
         &self,
         log: &Log,
         own_id: ReplicaId,
         now: Timestamp,
-        timeout: Duration,
+        election_timeout: Duration,
     ) -> bool {
-        self.quorum_value(log, own_id, now, |progress| progress.last_response)
-            .is_some_and(|responded| now.saturating_since(responded) <= timeout)
+        let allowed = self.allowed_silence(election_timeout);
+        let responds = |id: &&ReplicaId| {
+            let progress = self.progress.get(id);
+            **id == own_id || progress.is_some_and(|progress| !progress.is_overdue(now, allowed))
+        };
+        let voters = voter_ids(log.cell());
+        voters.iter().filter(responds).count() > voters.len() / 2
+    }
+
+    /// Returns the time for which a follower may stay silent. A follower responds to nothing while it syncs an
+    /// append, which may take as long as the votes did.
+    fn allowed_silence(&self, election_timeout: Duration) -> Duration {
+        let usual = election_timeout.saturating_mul(ALLOWED_SILENT_ELECTION_TIMEOUTS);
+        usual.saturating_add(self.election_duration).min(MAX_ALLOWED_SILENCE.max(usual))
     }
 
     /// Returns the time since each other member's last response, in milliseconds.
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -24,6 +24,7 @@
 mod recovery;
 mod replica;
 mod replication;
+mod stall;
 mod transfer;
 mod votes;
 
@@ -195,6 +196,12 @@
         /// The message.
         message: M,
     },
+    /// The driver handled no event for a time that has just ended, because it performed actions or did not
+    /// run. Passed before the events of that time.
+    Stalled {
+        /// Length of that time.
+        duration: Duration,
+    },
     /// A replica that was unreachable can be reached now. A pending vote request is sent to it again, because
     /// the first one may be lost.
     Reachable {
--- a/crates/core/src/consensus/progress.rs
+++ b/crates/core/src/consensus/progress.rs
@@ -17,6 +17,10 @@
 /// followers on a low-bandwidth link.
 const MAX_IN_FLIGHT_CHUNKS: u64 = 4;
 
+/// Longest silence of a follower that the leader allows beyond its usual limit. It must stay below the time for
+/// which later leaders withhold the allocations of a replaced one (`limits`).
+pub(super) const MAX_ALLOWED_SILENCE: Duration = Duration::from_secs(5);
+
 /// A snapshot that is being sent to a follower.
 #[derive(Debug)]
 pub(super) struct SnapshotTransfer {
@@ -100,6 +104,8 @@
     pub(super) state: ProgressState,
     /// When the follower last responded in this term.
     pub(super) last_response: Timestamp,
+    /// Time since then in which the leader received nothing.
+    stalled: Duration,
     /// Highest heartbeat round that the follower answered.
     pub(super) heartbeat_round: u64,
     /// Committed index of the last append sent to the follower.
@@ -113,11 +119,31 @@
             next_index,
             state: ProgressState::Probe { paused: false },
             last_response: now,
+            stalled: Duration::ZERO,
             heartbeat_round: 0,
             sent_commit: 0,
         }
     }
 
+    /// Records that the follower responded.
+    pub(super) fn record_response(&mut self, now: Timestamp) {
+        self.last_response = now;
+        self.stalled = Duration::ZERO;
+    }
+
+    /// Records a time in which the leader received nothing, so that the follower may have responded.
+    pub(super) fn record_stall(&mut self, duration: Duration) {
+        self.stalled = self.stalled.saturating_add(duration);
+    }
+
+    /// Reports whether the follower has been silent for longer than `allowed`. Time in which the leader received
+    /// nothing is added, up to [`MAX_ALLOWED_SILENCE`].
+    pub(super) fn is_overdue(&self, now: Timestamp, allowed: Duration) -> bool {
+        let longest = MAX_ALLOWED_SILENCE.max(allowed);
+        let allowed = allowed.saturating_add(self.stalled).min(longest);
+        now.saturating_since(self.last_response) > allowed
+    }
+
     /// Records that the follower holds the leader's log up to `match_index`.
     pub(super) fn record_match(&mut self, match_index: u64) {
         self.match_index = self.match_index.max(match_index);
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -9,6 +9,7 @@
 use super::message::{Message, MessageBody};
 use super::pending_reads::ForwardedReads;
 use super::recovery::{append_bootstrap_cell, check_settings, recovered_hard_state};
+use super::stall::RecentStall;
 use super::votes::Votes;
 use super::{
     Action, CellConfig, ConsensusError, ConsensusSettings, Event, HardState, PersistedState,
@@ -54,6 +55,11 @@
     has_seen_leader: bool,
     /// Number of election timeouts that have expired since the start.
     pub(super) election_timeouts: u32,
+    pub(super) recent_stall: RecentStall,
+    /// When this replica last requested votes.
+    pub(super) election_began: Timestamp,
+    /// Number of elections in a row in which a vote was missing at the election timeout.
+    pub(super) unanswered_elections: u32,
     /// Index of the last entry handed out in [`Action::Apply`].
     pub(super) applied_index: u64,
     pub(super) incoming_snapshot: Option<IncomingSnapshot>,
@@ -109,6 +115,9 @@
             election_deadline: now,
             has_seen_leader: false,
             election_timeouts: 0,
+            recent_stall: RecentStall::default(),
+            election_began: now,
+            unanswered_elections: 0,
             incoming_snapshot: None,
             snapshot_to_install: None,
             forwarded_reads: ForwardedReads::new(first_batch_id),
@@ -145,6 +154,7 @@
         match event {
             Event::Tick => self.handle_tick(now),
             Event::Message { from, message } => self.handle_message(now, from, message),
+            Event::Stalled { duration } => self.handle_stalled(now, duration),
             Event::Reachable { replica } => self.resend_vote_request(replica),
             Event::Propose { request, command } => self.handle_propose(request, command),
             Event::ProposeCell { request, change } => {
@@ -249,6 +259,9 @@
         }
         self.leader = leader;
         self.has_seen_leader |= leader.is_some();
+        if leader.is_some() {
+            self.unanswered_elections = 0;
+        }
         self.leader_contact = None;
         for request in self.forwarded_reads.take_all() {
             self.reject(request, Rejection::LeadershipLost);
@@ -259,17 +272,22 @@
     /// this is `first_election_timeout`, doubled for each timeout that expired, up to `election_timeout`.
     /// Other resets of the deadline do not double it, so the number of short timeouts that can expire is
     /// limited to the number of doublings from the one setting to the other.
-    fn min_election_timeout(&self) -> Duration {
+    ///
+    /// A replica that was stalled adds that time: with a slow disk it would not be a better leader than one
+    /// that is silent because its disk is slow.
+    pub(super) fn min_election_timeout(&self, now: Timestamp) -> Duration {
         let longest = self.settings.election_timeout;
+        let slack = self.recent_stall.duration(now);
         if self.has_seen_leader {
-            return longest;
+            return longest.saturating_add(slack);
         }
         let factor = 1_u32.checked_shl(self.election_timeouts).unwrap_or(u32::MAX);
-        self.settings.first_election_timeout.saturating_mul(factor).min(longest)
+        let timeout = self.settings.first_election_timeout.saturating_mul(factor).min(longest);
+        timeout.saturating_add(slack)
     }
 
     pub(super) fn reset_election_deadline(&mut self, now: Timestamp) {
-        self.set_election_deadline(now, self.min_election_timeout());
+        self.set_election_deadline(now, self.min_election_timeout(now));
     }
 
     /// Sets the election deadline to a random time between `shortest` and twice `shortest` from now.
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -161,7 +161,7 @@
     pub(super) fn handle_leader_tick(&mut self, now: Timestamp) {
         let timeout = self.settings.election_timeout;
         let RoleState::Leader(leader) = &mut self.role else { return };
-        if !leader.has_recent_quorum(&self.log, self.settings.id, now, timeout) {
+        if !leader.has_responding_quorum(&self.log, self.settings.id, now, timeout) {
             ::log::warn!(
                 replica = self.settings.id.0, term = self.hard_state.term.0,
                 late_ms = millis(now.saturating_since(leader.next_heartbeat)),
@@ -220,7 +220,7 @@
     ) -> Option<(&mut Progress, &Log)> {
         let RoleState::Leader(leader) = &mut self.role else { return None };
         let progress = leader.progress.get_mut(&from)?;
-        progress.last_response = now;
+        progress.record_response(now);
         Some((progress, &self.log))
     }
 
--- a/crates/core/tests/consensus/main.rs
+++ b/crates/core/tests/consensus/main.rs
@@ -7,4 +7,5 @@
 mod network;
 mod oracle;
 mod snapshots;
+mod stalls;
 mod start;
--- a/crates/core/tests/consensus/network/actions.rs
+++ b/crates/core/tests/consensus/network/actions.rs
@@ -7,12 +7,28 @@
 use std::time::Duration;
 
 impl Network {
-    /// Feeds one event to a replica and performs the returned actions. With faults, the replica may crash
-    /// before any of them; the remaining actions are then dropped.
+    /// Feeds one event to a replica and performs the returned actions. A replica that is stalled gets the
+    /// event later.
     pub fn handle(&mut self, id: u64, event: Event<Message>) {
+        if let Some(event) = self.defer_while_stalled(id, event) {
+            self.handle_all(id, vec![event]);
+        }
+    }
+
+    /// Feeds events to a replica and performs the returned actions, after the time that their sync takes.
+    pub fn handle_all(&mut self, id: u64, events: Vec<Event<Message>>) {
         let now = self.now;
         let Some(replica) = self.node(id).replica.as_mut() else { return };
-        for action in replica.handle(now, event) {
+        let actions = replica.handle_all(now, events);
+        if let Some(actions) = self.defer_until_synced(id, actions) {
+            self.perform_all(id, actions);
+        }
+    }
+
+    /// Performs actions in order. With faults, the replica may crash before any of them; the remaining
+    /// actions are then dropped.
+    pub fn perform_all(&mut self, id: u64, actions: Vec<Action<Message>>) {
+        for action in actions {
             if self.faults.crash > 0.0 && self.rng.random_bool(self.faults.crash) {
                 self.crash(id);
                 return;
--- a/crates/core/tests/consensus/network/mod.rs
+++ b/crates/core/tests/consensus/network/mod.rs
@@ -2,6 +2,7 @@
 
 mod actions;
 mod disk;
+mod stall;
 
 use crate::oracle::{Oracle, check_log_matching};
 use corktack_core::consensus::message::MessageBody;
@@ -14,6 +15,7 @@
 use disk::{Disk, decode_state, encode_state};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use stall::Stall;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -42,6 +44,9 @@
     pub disk: Disk,
     /// State machine: every applied command with its index.
     pub state: Vec<(u64, Vec<u8>)>,
+    /// Time that each sync of the disk takes.
+    pub sync_time: Duration,
+    stall: Option<Stall>,
     bootstrap: Option<CellConfig>,
     start_count: u64,
 }
@@ -118,6 +123,8 @@
             replica: None,
             disk: Disk::default(),
             state: Vec::new(),
+            sync_time: Duration::ZERO,
+            stall: None,
             bootstrap,
             start_count: 0,
         };
@@ -127,7 +134,9 @@
 
     /// Stops a replica and keeps its disk.
     pub fn crash(&mut self, id: u64) {
-        self.node(id).replica = None;
+        let node = self.node(id);
+        node.replica = None;
+        node.stall = None;
     }
 
     pub fn restart(&mut self, id: u64) {
@@ -269,8 +278,7 @@
     /// false when nothing is left to do until then.
     fn step(&mut self, until: Timestamp) -> bool {
         let message_time = self.in_flight.first_key_value().map(|((time, _), _)| *time);
-        let timer =
-            self.running().into_iter().map(|id| (self.replica(id).next_deadline(), id)).min();
+        let timer = self.running().into_iter().map(|id| (self.next_timer(id), id)).min();
         let timer_time = timer.map(|(time, _)| time);
         let Some(next_time) =
             message_time.into_iter().chain(timer_time).min().filter(|time| *time <= until)
@@ -282,7 +290,7 @@
         if message_time == Some(next_time) {
             self.deliver();
         } else if let Some((_, id)) = timer {
-            self.handle(id, Event::Tick);
+            self.fire_timer(id);
         }
         true
     }
