Control: a stop that has returned has freed the data folder and the ports

Cause: all disks of a folder share its lock. Tasks on the arbiters that serve connections of other replicas hold a clone with the records of disk ids; stop signalled them and returned, and the arbiters were stopped by the drop of the handle and never joined.

Change: stop ends and joins the arbiters together with the consensus thread. No task is left that could hold a clone, so the lock is free by construction and not by timing.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -68,7 +68,8 @@
     Ok(())
 }
 
-/// A running control replica. Dropping the handle stops the replica without a transfer of leadership.
+/// A running control replica. Dropping the handle stops the replica without a transfer of leadership and
+/// without waiting: its threads hold the data folder and the ports for a short time after.
 pub struct ControlHandle {
     registry: RegistryHandle,
     consensus: ConsensusHandle,
@@ -108,6 +109,9 @@
     }
 
     /// Transfers leadership if this replica is the leader, then stops.
+    ///
+    /// When it returns, all threads and tasks of the replica have ended, so that another replica can start on
+    /// its data folder and addresses at once.
     pub async fn stop(mut self) {
         self.transfer_leadership().await;
         self.trigger.stop();
@@ -118,7 +122,8 @@
         let _ = self.consensus.send(ConsensusInput::Stop);
         let mut status = self.status.clone();
         drop(status.wait_for(|status| !status.running).await);
-        self.join();
+        self.join_threads().await;
+        log::info!("control replica stopped");
     }
 
     async fn transfer_leadership(&mut self) {
@@ -140,10 +145,23 @@
         drop(timeout(SUCCESSOR_TIMEOUT, successor_known).await);
     }
 
-    /// Joins the thread, which has already left its loop and ends soon.
-    fn join(&mut self) {
-        if let Some(thread) = self.thread.take() {
-            drop(thread.join());
+    /// Ends the arbiters, whose tasks share the lock of the data folder, and joins them and the consensus
+    /// thread, which has already left its loop.
+    async fn join_threads(&mut self) {
+        let arbiters = std::mem::take(&mut self.arbiters);
+        let thread = self.thread.take();
+        let joined = actix_rt::task::spawn_blocking(move || {
+            for arbiter in &arbiters {
+                arbiter.stop();
+            }
+            let mut all_ended = true;
+            for arbiter in arbiters {
+                all_ended &= arbiter.join().is_ok();
+            }
+            all_ended & thread.is_none_or(|thread| thread.join().is_ok())
+        });
+        if !matches!(joined.await, Ok(true)) {
+            log::error!("a thread of the control replica panicked before its end");
         }
     }
 }
--- a/crates/control/tests/planned_stop.rs
+++ b/crates/control/tests/planned_stop.rs
@@ -5,6 +5,7 @@
 use awc::http::{Method, StatusCode};
 use corktack_control::api::{ResourceList, WriteBody};
 use corktack_core::resources::ResourceVersion;
+use corktack_storage::DataFolder;
 use futures_util::future::join_all;
 use std::cell::Cell as SharedCell;
 use std::collections::BTreeMap;
@@ -12,10 +13,12 @@
 use support::operator::{Operator, class_body};
 use support::{Cell, wait_until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 const WRITERS: usize = 6;
 const STOPS: u64 = 4;
+/// Connections to the replica that send nothing, each with a task of its own.
+const SILENT_CONNECTIONS: usize = 100;
 /// Changes that must be accepted between two steps of the test.
 const CHANGES_PER_STEP: usize = 30;
 
@@ -33,6 +36,27 @@
     }
 }
 
+/// Guards against a replica that cannot start again at once: tasks that serve other replicas' connections share
+/// the lock of the data folder, and may end later than the consensus thread.
+#[actix_rt::test]
+async fn a_stopped_replica_has_freed_its_data_folder_and_ports() {
+    let mut cell = Cell::start(3);
+    let index = cell.follower().await;
+    let replica = &mut cell.replicas[index];
+    for _ in 0..STOPS {
+        let connect = || TcpStream::connect(replica.cell);
+        let connections = join_all((0..SILENT_CONNECTIONS).map(|_| connect())).await;
+        replica.stop().await;
+        let folder = DataFolder::open(replica.folder.path()).expect("the data folder is free");
+        drop(folder);
+        for address in [replica.cell, replica.proxies, replica.operators] {
+            drop(TcpListener::bind(address).await.expect("the port is free"));
+        }
+        drop(connections);
+        replica.restart(&|_| ()).await;
+    }
+}
+
 /// The stop begins while a request is in flight: its handler runs and waits for the body.
 #[actix_rt::test]
 async fn a_request_in_flight_at_a_stop_is_answered() {
--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -39,7 +39,8 @@
             return Err(StorageError::InUse { path });
         }
         sync_path(&path)?;
-        Ok(Self { path, lock: FolderLock::new(file) })
+        let lock = FolderLock::new(path.clone(), file);
+        Ok(Self { path, lock })
     }
 
     /// Returns a disk for the files at the top level of the data folder.
