Owner: a drain that has returned has freed the port

A proxy that starts again in the same process, on the same address, may be refused with AddrInUse.

Cause: drain stopped the arbiters by the drop of the handle and joined none; the task that accepts links holds the listener.

Change: the handle owns the arbiters, and drain ends and joins them.

Test: a_drained_owner_has_freed_its_port, seen failing before (AddrInUse); owner's tests pass.

--- a/crates/owner/src/context.rs
+++ b/crates/owner/src/context.rs
@@ -5,7 +5,7 @@
 use crate::lock::lock;
 use crate::metrics::Metrics;
 use crate::settings::OwnerSettings;
-use actix_rt::{Arbiter, ArbiterHandle};
+use actix_rt::ArbiterHandle;
 use corktack_core::identity::GroupName;
 use corktack_core::time::Timestamp;
 use corktack_core::view::View;
@@ -52,14 +52,14 @@
 }
 
 impl OwnerContext {
-    /// Starts the threads; the new context owns no group.
+    /// Returns a context that owns no group and whose tasks run on `arbiters`, at least one.
     pub fn new(
         settings: OwnerSettings,
+        arbiters: Vec<ArbiterHandle>,
         view: watch::Receiver<Arc<View>>,
         observations: mpsc::UnboundedSender<Observation>,
         registry: &mut Registry,
     ) -> Self {
-        let arbiters = (0..settings.arbiters.max(1)).map(|_| Arbiter::new().handle()).collect();
         Self {
             settings,
             view,
@@ -113,13 +113,6 @@
         wait_for_zero(&self.open_links).await;
     }
 
-    /// Stops the threads and drops every task on them.
-    pub fn stop(&self) {
-        for arbiter in &self.arbiters {
-            arbiter.stop();
-        }
-    }
-
     /// Counts a stream as open until the returned value is dropped.
     pub fn count_stream(&self) -> OpenCount {
         OpenCount::new(&self.open_streams)
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -50,6 +50,7 @@
 mod wire;
 
 use crate::context::OwnerContext;
+use actix_rt::Arbiter;
 use corktack_core::view::View;
 use corktack_protocol::control::Observation;
 use prometheus_client::registry::Registry;
@@ -91,18 +92,22 @@
     ) -> Result<OwnerHandle, OwnerError> {
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let context = Arc::new(OwnerContext::new(settings, view, observations, registry));
+        let arbiters: Vec<Arbiter> =
+            (0..settings.arbiters.max(1)).map(|_| Arbiter::new()).collect();
+        let handles = arbiters.iter().map(Arbiter::handle).collect();
+        let context = Arc::new(OwnerContext::new(settings, handles, view, observations, registry));
         context.spawn(groups::apply_views(Arc::clone(&context)));
         context.spawn(link::accept(Arc::clone(&context), listener));
-        Ok(OwnerHandle { context, address })
+        Ok(OwnerHandle { context, arbiters, address })
     }
 }
 
-/// A running owner. Dropping the handle stops the owner at once and cuts off open streams;
-/// [`OwnerHandle::drain`] lets them finish.
+/// A running owner. Dropping the handle stops the owner at once, cuts off open streams, and does not wait for
+/// its threads; [`OwnerHandle::drain`] lets the streams finish.
 #[derive(Debug)]
 pub struct OwnerHandle {
     context: Arc<OwnerContext>,
+    arbiters: Vec<Arbiter>,
     address: SocketAddr,
 }
 
@@ -113,17 +118,33 @@
         self.address
     }
 
-    /// Refuses new streams, waits until the open ones have finished, then stops the owner.
-    pub async fn drain(self) {
+    /// Refuses new streams, waits until the open ones have finished, then stops the owner. When it returns, all
+    /// threads and tasks of the owner have ended and its port is free.
+    pub async fn drain(mut self) {
         self.context.begin_drain();
         tokio::time::sleep(DRAIN_LINGER).await;
         self.context.wait_for_streams().await;
         self.context.close_links().await;
+        let arbiters = std::mem::take(&mut self.arbiters);
+        let joined = actix_rt::task::spawn_blocking(move || {
+            stop(&arbiters);
+            arbiters.into_iter().map(Arbiter::join).filter(Result::is_err).count()
+        });
+        if !matches!(joined.await, Ok(0)) {
+            log::error!("a thread of the owner panicked before its end");
+        }
     }
 }
 
 impl Drop for OwnerHandle {
     fn drop(&mut self) {
-        self.context.stop();
+        stop(&self.arbiters);
+    }
+}
+
+/// Ends the arbiters, which drop every task on them.
+fn stop(arbiters: &[Arbiter]) {
+    for arbiter in arbiters {
+        arbiter.stop();
     }
 }
--- a/crates/owner/tests/failover.rs
+++ b/crates/owner/tests/failover.rs
@@ -10,9 +10,13 @@
     EdgeMessage, Failure, NotRunReason, OwnerMessage, ServedBy, StreamId, TransactionStatus,
 };
 use rstest::rstest;
+use std::net::TcpListener;
 use support::Fleet;
 use support::edge::{query, request};
 
+/// Number of owners that are started and drained, as one drain may happen to end in time.
+const DRAINS: usize = 20;
+
 #[rstest]
 #[actix_rt::test]
 async fn writes_refused_by_a_fenced_primary_wait_for_the_new_one() {
@@ -143,6 +147,18 @@
     assert_eq!(edge.receive().await, None);
 }
 
+/// Guards against a proxy that cannot start again at once: the task that accepts links may end later than the
+/// drain.
+#[actix_rt::test]
+async fn a_drained_owner_has_freed_its_port() {
+    for _ in 0..DRAINS {
+        let fleet = Fleet::start(2, 20).await;
+        let address = fleet.owner.address();
+        fleet.owner.drain().await;
+        drop(TcpListener::bind(address).expect("the port is free"));
+    }
+}
+
 #[rstest]
 #[actix_rt::test]
 async fn a_corrupted_frame_closes_the_link_and_rolls_back() {
