--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -244,6 +244,7 @@
             (VoteResult::Won, false) => self.become_leader(now),
             (VoteResult::Lost, _) => {
                 self.become_follower(now, self.hard_state.term, None);
+                // A lost election need not wait for the votes that its extended deadline allowed for.
                 if self.unanswered_elections > 0 {
                     self.reset_election_deadline(now);
                 }
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -55,6 +55,7 @@
     has_seen_leader: bool,
     /// Number of election timeouts that have expired since the start.
     pub(super) election_timeouts: u32,
+    /// The longest stall of this replica lately, which its election timeout is extended by.
     pub(super) recent_stall: RecentStall,
     /// When this replica last requested votes.
     pub(super) election_began: Timestamp,
