--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,7 +5,9 @@
 //! scenario could not run. With `TROUBLE=0` in the environment there is no disruption.
 
 mod fleet;
+mod member;
 mod removed;
+mod sigterm;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -19,6 +21,7 @@
     let (root, record) = (PathBuf::from(root), PathBuf::from(record));
     let trouble = std::env::var("TROUBLE").unwrap_or_default();
     let outcome = match scenario.as_str() {
+        "sigterm" => sigterm::play(&root, &record, trouble != "0"),
         "removed" => removed::play(&root, &record, &trouble),
         _ => Err("no such scenario".into()),
     };
