--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 //! plays the scenario, writes RECORD and exits with 1 if the rule was broken, 0 if it held, and 2 if the
 //! scenario could not run. With `TROUBLE=0` in the environment there is no disruption.
 
+mod fence;
 mod fleet;
 mod member;
 mod removed;
@@ -22,6 +23,7 @@
     let trouble = std::env::var("TROUBLE").unwrap_or_default();
     let outcome = match scenario.as_str() {
         "sigterm" => sigterm::play(&root, &record, trouble != "0"),
+        "fence" => fence::play(&root, &record, &trouble),
         "removed" => removed::play(&root, &record, &trouble),
         _ => Err("no such scenario".into()),
     };
