Control: log what a new leader has applied, and the commit of a decision to promote

The log showed the calls and their tokens, but not whether the second node had inherited the decision or made one of its own at the same index. These two were the hypotheses to tell apart:

- the new leader acts on the former leader's decision, because it did not know that decision when it began;
- the former leader called before its decision was durable, and the new leader's own decision got the same index.

"role changed" gains `applied` and `last_index` (on a new leader the index of its first own entry). "decision to promote is committed" gives the fence and the time since the proposal. A fence below the new leader's first own entry is inherited, one above it is its own.

--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -363,7 +363,8 @@
         self.reported_role = current;
         let (role, term, leader) = current;
         ::log::info!(
-            replica = self.settings.id.0, term = term.0, role:? = role, leader:? = leader;
+            replica = self.settings.id.0, term = term.0, role:? = role, leader:? = leader,
+            applied = self.applied_index, last_index = self.log.last_index();
             "role changed"
         );
         Some(Action::RoleChanged { role, term, leader })
--- a/crates/core/src/registry/promotion/mod.rs
+++ b/crates/core/src/registry/promotion/mod.rs
@@ -265,6 +265,11 @@
             promotion.fence.0 > group_state.last_fence && promotion.target == *target
         });
         if let Some(promotion) = decided {
+            log::info!(
+                target: LOG_TARGET, group:% = group, member:% = target, fence = promotion.fence.0,
+                after_ms = (now - *since).as_millis() as u64;
+                "decision to promote is committed"
+            );
             group_state.last_fence = promotion.fence.0;
             group_state.phase = Phase::Calling {
                 since: now,
