Control: a leader begins its duties once it has applied an entry of its own term

A platform that refuses only lower tokens carries out both calls, the late one of the former leader too, so that a decision that was replaced can still take effect.

Cause: the promotion duty acts on decisions above the highest fence in the state with which its leadership begins, so that it never acts on a decision of an earlier leader. The duties began in the same step as the leadership. A replica that was restarted has then applied its log only as far as the commit hint on its disk, which doesn't cover the former leader's last decision. That decision is committed and applied with the new leader's first entry, and looked like one of its own from then on. The same held for every duty: all of them evaluated a state without the last commits.

Change: `Replica::has_applied_own_term` says whether the state contains everything that earlier leaders committed (Raft, section 8). The driver begins the duties only then, all of them at one place, and the cell's repair too. Reports that arrive before are stored, as what they observe is not repeated before the next full summary. Answers to calls of an earlier leadership are dropped. A leadership is told apart by its term, also if the replica leads again within one batch. "duties of the leader begin" and `corktack_control_duties_wait_seconds` show the wait.

--- a/crates/control/src/consensus/repair.rs
+++ b/crates/control/src/consensus/repair.rs
@@ -41,10 +41,12 @@
         }
     }
 
-    /// Returns the leader's proposal for the change of the cell that is due, if any.
+    /// Returns the leader's proposal for the change of the cell that is due, if any. A new leader keeps the
+    /// join requests until it has applied an entry of its own term, as the core refuses changes before.
     pub(super) fn repair_cell(&mut self, now: Timestamp) -> Option<Event<Message>> {
         let repair = self.parts.cell_repair?;
-        if now < self.repair.next_evaluation {
+        let is_new_leader = self.is_leader() && !self.parts.replica.has_applied_own_term();
+        if is_new_leader || now < self.repair.next_evaluation {
             return None;
         }
         self.repair.next_evaluation = now + REPAIR_INTERVAL;
--- a/crates/control/src/consensus/thread.rs
+++ b/crates/control/src/consensus/thread.rs
@@ -163,7 +163,8 @@
         let duties_deadline = self.parts.duties.next_deadline();
         let deadline = self.parts.replica.next_deadline().min(self.next_housekeeping);
         let deadline = duties_deadline.map_or(deadline, |duties| deadline.min(duties));
-        let repairs_cell = self.parts.cell_repair.is_some() && self.is_leader();
+        let repairs_cell =
+            self.parts.cell_repair.is_some() && self.parts.replica.has_applied_own_term();
         if repairs_cell { deadline.min(self.repair.next_deadline()) } else { deadline }
     }
 
@@ -194,9 +195,13 @@
         actions.into_iter().try_for_each(|action| self.perform(action))
     }
 
-    /// Passes the newest state to the leader's duties, and performs their proposals and grants.
+    /// Passes the newest state to the leader's duties, and performs their proposals and grants. Begins the
+    /// duties of a new leader once the state contains what earlier leaders committed.
     fn perform_duties(&mut self) -> Result<(), ConsensusError> {
         let now = self.parts.clock.now();
+        if self.parts.replica.has_applied_own_term() {
+            self.parts.duties.begin(now, self.parts.applied, &self.parts.state);
+        }
         let proposals = self.parts.duties.advance(now, &self.parts.state);
         let events = proposals.into_iter().filter_map(|proposal| self.duty_event(proposal));
         let mut events: Vec<_> = events.collect();
--- a/crates/control/src/leader/duties.rs
+++ b/crates/control/src/leader/duties.rs
@@ -85,28 +85,51 @@
         }
     }
 
-    /// Starts the duties when this replica becomes the leader of a term, and ends them when it steps down.
+    /// Starts a leadership when this replica becomes the leader of a term, and ends it when the replica steps
+    /// down.
     pub(crate) fn apply_role(&mut self, now: Timestamp, leader_term: Option<Term>) {
         let Some(term) = leader_term else {
             self.current = None;
             return;
         };
-        if self.current.is_none() {
+        if self.current.as_ref().is_none_or(|leadership| leadership.term != term) {
             self.leaderships += 1;
             let limits = LeaderLimits::new(term, self.limits);
-            self.current = Some(Leadership::new(now, &self.membership, &self.failover, limits));
+            let leadership = Leadership::new(now, term, &self.membership, &self.failover, limits);
+            self.current = Some(leadership);
         }
     }
 
+    /// Begins the duties of the current leadership, unless they have begun. The state must contain every
+    /// entry that earlier leaders committed; `applied` is the index of its last entry.
+    pub(crate) fn begin(&mut self, now: Timestamp, applied: u64, state: &ControlState) {
+        let Some(leadership) = self.current.as_mut().filter(|elected| !elected.has_begun()) else {
+            return;
+        };
+        let waited = now.saturating_since(leadership.elected_at);
+        self.metrics.duties_wait_seconds.observe(waited.as_secs_f64());
+        log::info!(
+            term = leadership.term.0, applied, waited_ms = waited.as_millis() as u64;
+            "duties of the leader begin"
+        );
+        leadership.begin(now, state);
+    }
+
+    /// Returns the current leadership if its duties have begun.
+    fn begun(&mut self) -> Option<&mut Leadership> {
+        self.current.as_mut().filter(|leadership| leadership.has_begun())
+    }
+
     /// Returns when [`LeaderDuties::advance`] is due if no input arrives before.
     pub(crate) fn next_deadline(&self) -> Option<Timestamp> {
-        let leadership = self.current.as_ref()?;
+        let leadership = self.current.as_ref().filter(|leadership| leadership.has_begun())?;
         Some(leadership.membership_due.min(leadership.failover_due))
     }
 
     /// Evaluates all duties on the state, starts the calls that they request and returns their proposals.
     pub(crate) fn advance(&mut self, now: Timestamp, state: &ControlState) -> Vec<DutyProposal> {
-        let Some(leadership) = &mut self.current else { return Vec::new() };
+        let current = self.current.as_mut().filter(|leadership| leadership.has_begun());
+        let Some(leadership) = current else { return Vec::new() };
         leadership.apply_state(now, state);
         let mut commands: Vec<(Duty, Command)> = Vec::new();
         for command in leadership.membership_commands(now, state) {
@@ -169,21 +192,24 @@
         for report in reports {
             leadership.membership.on_heartbeat(now, heartbeat(&report));
             leadership.contacts.record_report(now, &report.proxy);
-            leadership.record_observations(now, report, state);
+            leadership.record_or_store_observations(now, report, state);
         }
     }
 
     /// Records a gateway's report of its allowances. Returns the grants to it, and to other gateways from
-    /// the allowances that it freed.
+    /// the allowances that it freed; none before the duties begin.
     pub(crate) fn answer_allowances(
         &mut self,
         now: Timestamp,
         report: AllowanceReport,
         state: &ControlState,
     ) -> Vec<AllowanceGrant> {
-        let leadership = self.current.as_mut();
-        leadership
-            .map_or_else(Vec::new, |leadership| leadership.limits.answer_report(now, report, state))
+        let Some(leadership) = &mut self.current else { return Vec::new() };
+        if !leadership.has_begun() {
+            leadership.limits.store_report(report);
+            return Vec::new();
+        }
+        leadership.limits.answer_report(now, report, state)
     }
 
     /// Returns the grants that are due without a new report, see [`LeaderLimits::grants_due`].
@@ -192,14 +218,13 @@
         now: Timestamp,
         state: &ControlState,
     ) -> Vec<AllowanceGrant> {
-        let leadership = self.current.as_mut();
-        leadership.map_or_else(Vec::new, |leadership| leadership.limits.grants_due(now, state))
+        self.begun().map_or_else(Vec::new, |leadership| leadership.limits.grants_due(now, state))
     }
 
     /// Records the result of a back-end call. The failover manager ignores results that name the
     /// term of an earlier leadership.
     pub(crate) fn record_back_end_result(&mut self, now: Timestamp, result: BackEndResult) {
-        if let Some(leadership) = &mut self.current {
+        if let Some(leadership) = self.begun() {
             leadership.failover.handle(now, failover_event(result));
             leadership.failover_due = now;
         }
@@ -207,7 +232,7 @@
 
     /// Records the result of a call about registered back ends.
     pub(crate) fn record_registry_answer(&mut self, now: Timestamp, answer: RegistryAnswer) {
-        let Some(leadership) = &mut self.current else { return };
+        let Some(leadership) = self.begun() else { return };
         match answer {
             RegistryAnswer::Status(call, status) => {
                 leadership.promotion.record_member_answer(&call.group, &call.member, status);
--- a/crates/control/src/leader/leadership.rs
+++ b/crates/control/src/leader/leadership.rs
@@ -1,10 +1,12 @@
 //! The state of one leadership, dropped when it ends.
 //!
 //! Owns the core's duties of a leader, the time at which each is due, and the newest observations of the
-//! proxies. The caller passes the time and the applied state.
+//! proxies. The caller passes the time and the applied state, and calls nothing that takes the state before
+//! [`Leadership::begin`], except to record reports.
 
 use super::contacts::GatewayContacts;
 use super::convert::{observation_event, reach_report};
+use super::early_reports::EarlyReports;
 use super::limits::LeaderLimits;
 use crate::back_end::Operation;
 use corktack_core::failover::{
@@ -12,6 +14,7 @@
 };
 use corktack_core::identity::{GroupName, MemberName, ProxyName};
 use corktack_core::membership::{Membership, MembershipSettings};
+use corktack_core::position::Term;
 use corktack_core::registry::{PromotionAction, PromotionManager, PromotionSettings};
 use corktack_core::state::ControlState;
 use corktack_core::state::command::{Command, FailoverStep, Outcome};
@@ -34,6 +37,10 @@
 
 /// The state of one leadership.
 pub(super) struct Leadership {
+    pub(super) term: Term,
+    pub(super) elected_at: Timestamp,
+    /// Reports that wait for the begin of the duties; `None` once they have begun.
+    early_reports: Option<EarlyReports>,
     pub(super) membership: Membership,
     pub(super) membership_due: Timestamp,
     /// The number of membership commands whose outcome is unknown.
@@ -54,11 +61,15 @@
 impl Leadership {
     pub(super) fn new(
         now: Timestamp,
+        term: Term,
         membership: &MembershipSettings,
         failover: &FailoverSettings,
         limits: LeaderLimits,
     ) -> Self {
         Self {
+            term,
+            elected_at: now,
+            early_reports: Some(EarlyReports::default()),
             membership: Membership::new(membership.clone(), now),
             membership_due: now,
             membership_in_flight: 0,
@@ -73,6 +84,19 @@
         }
     }
 
+    /// Reports whether the duties have begun.
+    pub(super) fn has_begun(&self) -> bool {
+        self.early_reports.is_none()
+    }
+
+    /// Begins the duties, and records the observations that arrived since the election.
+    pub(super) fn begin(&mut self, now: Timestamp, state: &ControlState) {
+        let Some(early_reports) = self.early_reports.take() else { return };
+        for report in early_reports.into_reports() {
+            self.record_observations(now, report, state);
+        }
+    }
+
     /// Makes the failover evaluation due at once if the state has changed.
     pub(super) fn apply_state(&mut self, now: Timestamp, state: &ControlState) {
         let revision = Some(state.view_revision());
@@ -171,17 +195,25 @@
         self.failover_due = now;
     }
 
-    /// Passes the observations of a report to the failover manager, or to the promotion duty for registered
-    /// back ends.
-    ///
-    /// Reports repeat old observations so that a new leader gets them too. The failover manager must see
-    /// observations age, so a repeated one is passed on only if it comes from the group's owner.
-    pub(super) fn record_observations(
+    /// Records the observations of a report, or stores them until the duties begin.
+    pub(super) fn record_or_store_observations(
         &mut self,
         now: Timestamp,
         report: ProxyReport,
         state: &ControlState,
     ) {
+        match &mut self.early_reports {
+            Some(early_reports) => early_reports.store(report),
+            None => self.record_observations(now, report, state),
+        }
+    }
+
+    /// Passes the observations of a report to the failover manager, or to the promotion duty for registered
+    /// back ends.
+    ///
+    /// Reports repeat old observations so that a new leader gets them too. The failover manager must see
+    /// observations age, so a repeated one is passed on only if it comes from the group's owner.
+    fn record_observations(&mut self, now: Timestamp, report: ProxyReport, state: &ControlState) {
         for observation in report.observations {
             let Observation { group, member, health } = &observation;
             if state.registry().back_end(member).is_some() {
--- a/crates/control/src/leader/limits.rs
+++ b/crates/control/src/leader/limits.rs
@@ -186,6 +186,11 @@
         }
     }
 
+    /// Stores a gateway's report until it can be answered.
+    pub(super) fn store_report(&mut self, report: AllowanceReport) {
+        self.unanswered.insert(report.gateway.clone(), report);
+    }
+
     /// Answers a gateway's report, and requests allowances back from other gateways if this one lacks them.
     /// The report is stored for later if the ledger isn't open yet or the state doesn't contain the
     /// gateway's incarnation yet.
@@ -200,11 +205,11 @@
         let stored = state.proxy(&report.gateway);
         let is_stored = stored.is_some_and(|stored| stored.incarnation == report.incarnation);
         let LedgerState::Open(ledger) = &mut self.ledger else {
-            self.unanswered.insert(report.gateway.clone(), report);
+            self.store_report(report);
             return Vec::new();
         };
         if !is_stored {
-            self.unanswered.insert(report.gateway.clone(), report);
+            self.store_report(report);
             return Vec::new();
         }
         let ceilings = state.registry().ceilings();
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -33,6 +33,7 @@
     pub(crate) syncs: Counter,
     pub(crate) sync_seconds: Histogram,
     pub(crate) stall_seconds: Histogram,
+    pub(crate) duties_wait_seconds: Histogram,
     pub(crate) snapshots: Counter,
     pub(crate) cell_messages_dropped: Counter,
     pub(crate) cell_disks_known: Gauge,
@@ -64,6 +65,7 @@
             syncs: Counter::default(),
             sync_seconds: seconds_histogram(),
             stall_seconds: seconds_histogram(),
+            duties_wait_seconds: seconds_histogram(),
             snapshots: Counter::default(),
             cell_messages_dropped: Counter::default(),
             cell_disks_known: Gauge::default(),
@@ -104,6 +106,8 @@
         registry.register("sync_seconds", "Time of a write and sync", self.sync_seconds.clone());
         let stalls = self.stall_seconds.clone();
         registry.register("stall_seconds", "Time without receiving messages", stalls);
+        let duties_wait = self.duties_wait_seconds.clone();
+        registry.register("duties_wait_seconds", "Time from election to duties", duties_wait);
         registry.register("snapshots", "Snapshots made or installed", self.snapshots.clone());
         let dropped = self.cell_messages_dropped.clone();
         registry.register("cell_messages_dropped", "Messages dropped, queue full", dropped);
--- a/crates/core/src/consensus/accessors.rs
+++ b/crates/core/src/consensus/accessors.rs
@@ -92,6 +92,21 @@
         Some((term, self.log.cell_at(index)?.clone()))
     }
 
+    /// Reports whether this replica leads and has handed out an entry of its own term in
+    /// [`super::Action::Apply`].
+    ///
+    /// The state then contains every entry that earlier leaders committed. Before, it may lack the last
+    /// of them: a restarted replica applies its log only as far as its commit hint reaches, and learns of
+    /// the later commits with the commit of its first entry. A leader must not base decisions on the
+    /// state before.
+    #[must_use]
+    pub fn has_applied_own_term(&self) -> bool {
+        match &self.role {
+            RoleState::Leader(leader) => self.applied_index >= leader.first_index,
+            _ => false,
+        }
+    }
+
     /// Returns when the replica next needs an [`super::Event::Tick`].
     #[must_use]
     pub fn next_deadline(&self) -> Timestamp {
--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -20,7 +20,8 @@
 pub(super) struct Leader {
     /// Progress of every other member of the cell in force, voters and learners.
     pub(super) progress: BTreeMap<ReplicaId, Progress>,
-    /// Index of the first entry of this term. Reads wait for its commit; cell changes are refused until then.
+    /// Index of the first entry of this term. Reads and the driver's duties wait for its commit; cell
+    /// changes are refused until then.
     pub(super) first_index: u64,
     /// Pending proposals by the index of their entry.
     pub(super) proposals: BTreeMap<u64, RequestId>,
--- a/crates/core/src/registry/promotion/mod.rs
+++ b/crates/core/src/registry/promotion/mod.rs
@@ -3,7 +3,9 @@
 //! Only the leader of the cell replaces primaries. The log holds a decision before the leader calls the
 //! authority, and the index of the decision is the fence of the call: a later decision has a higher
 //! fence, so that the authority refuses a delayed call once it has seen the newer one, and no two
-//! leaders use the same fence.
+//! leaders use the same fence. The latter rests on the state that a new leader begins with: it must
+//! contain every decision that earlier leaders committed, which the leader then never acts on
+//! ([`Replica::has_applied_own_term`](crate::consensus::Replica::has_applied_own_term)).
 //!
 //! The candidate is the most advanced member, asked after the primary became unreachable. Where
 //! commits are acknowledged only once replicas hold them, the replicas first stop receiving from the
@@ -69,7 +71,7 @@
     /// Members that are not chosen before the given time.
     refused: BTreeMap<MemberName, Timestamp>,
     /// Highest fence handled so far; only decisions above it are acted on, which excludes decisions
-    /// of earlier leaders.
+    /// of earlier leaders, as the state contained these when the leadership began.
     last_fence: u64,
 }
 
@@ -170,7 +172,8 @@
         Phase::Asking { since: Timestamp::ZERO, suspect, answers: BTreeMap::new() }
     }
 
-    /// Advances every group and returns the actions that the leader must perform.
+    /// Advances every group and returns the actions that the leader must perform. `state` must contain
+    /// every entry that earlier leaders committed.
     pub fn advance(
         &mut self,
         now: Timestamp,
--- a/crates/core/tests/consensus/main.rs
+++ b/crates/core/tests/consensus/main.rs
@@ -3,6 +3,7 @@
 mod elections;
 mod faults;
 mod hostile;
+mod leadership;
 mod membership;
 mod network;
 mod oracle;
--- a/crates/protocol/src/cell.rs
+++ b/crates/protocol/src/cell.rs
@@ -38,6 +38,23 @@
     pub observations: Vec<Observation>,
 }
 
+impl ProxyReport {
+    /// Replaces this report by a newer one of the same proxy. Observations of members that the newer report
+    /// does not name are kept, unless the proxy has restarted.
+    pub fn replace_with(&mut self, newer: Self) {
+        let older = std::mem::replace(self, newer);
+        if older.incarnation != self.incarnation {
+            return;
+        }
+        for older in older.observations {
+            let mut newer = self.observations.iter();
+            if !newer.any(|newer| newer.group == older.group && newer.member == older.member) {
+                self.observations.push(older);
+            }
+        }
+    }
+}
+
 /// Revision in force on a proxy, as the proxy reported it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProxyRevision {
