Limits: the ledger opens with the duties, without an entry of its own

The ledger of tenants' limits waited by itself until an entry of the leader's own term was applied, by a proposal without a change. All duties now begin only then, so that this second way of waiting is not needed: the ledger opens as soon as a tenant has a limit. It relies on the same state as before, everything that earlier leaders committed, and opens a round trip earlier. A leadership writes one entry less.

Nobody saw a fault here; the change removes the second copy of a rule that the other duties lacked.

--- a/crates/control/src/leader/limits.rs
+++ b/crates/control/src/leader/limits.rs
@@ -1,7 +1,8 @@
 //! The limits of tenants in one leadership: opens the ledger, passes reports to it and proposes its ceilings.
 //!
-//! The ledger opens once an entry of the leader's own term is applied: the state then holds everything that
-//! earlier leaders committed, including the ceilings of the allowances that they granted.
+//! The ledger opens as soon as a tenant has a limit. It relies on the state, which holds everything that
+//! earlier leaders committed once the duties have begun, including the ceilings of the allowances that they
+//! granted. Before, the caller only stores reports here.
 //!
 //! Owns the ledger, the rates of the newest applied document, and the reports that can't be answered yet.
 //! The core's ledger decides the grants, and the state holds the ceilings in force.
@@ -33,25 +34,13 @@
 /// counts expired allowances for longer.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The steps until the ledger is open.
-#[derive(Debug)]
-enum LedgerState {
-    /// No tenant of the document has a limit, or no entry is proposed yet.
-    Closed,
-    /// An entry of the leader's own term is proposed.
-    Proposed,
-    /// That entry is applied, and the ledger opens at the next evaluation of the state.
-    Applied,
-    /// The ledger is open and answers reports.
-    Open(Box<LimitLedger>),
-}
-
 /// The limits of tenants in one leadership.
 #[derive(Debug)]
 pub(super) struct LeaderLimits {
     term: Term,
     bounds: LimitBounds,
-    ledger: LedgerState,
+    /// `None` while no tenant has a limit.
+    ledger: Option<Box<LimitLedger>>,
     /// The tenants' rates in `document`.
     rates: HashMap<TenantName, TenantRate>,
     /// The newest applied document.
@@ -74,7 +63,7 @@
         Self {
             term,
             bounds,
-            ledger: LedgerState::Closed,
+            ledger: None,
             rates: HashMap::new(),
             document: None,
             applied_revision: None,
@@ -101,7 +90,7 @@
 
     /// Removes expired allowances, and logs the tenants that are nearest their limits.
     fn expire(&mut self, now: Timestamp, state: &ControlState) {
-        if let LedgerState::Open(ledger) = &mut self.ledger
+        if let Some(ledger) = &mut self.ledger
             && now >= self.next_expiry
         {
             self.next_expiry = now + EXPIRY_INTERVAL;
@@ -111,27 +100,16 @@
         }
     }
 
-    /// Returns the changes of ceilings to propose. To open the ledger, the list is empty: only the entry
-    /// matters.
+    /// Returns the changes of ceilings to propose.
     fn changes_due(&mut self, now: Timestamp, state: &ControlState) -> Option<Vec<CeilingChange>> {
-        match &mut self.ledger {
-            LedgerState::Closed if !self.rates.is_empty() => {
-                self.ledger = LedgerState::Proposed;
-                Some(Vec::new())
-            }
-            LedgerState::Closed | LedgerState::Applied => None,
-            // The previous proposal was lost.
-            LedgerState::Proposed => Some(Vec::new()),
-            LedgerState::Open(ledger) => {
-                let raises = std::mem::take(&mut self.pending_raises);
-                let raises = raises.into_iter().map(|(name, to)| CeilingChange::Raise(name, to));
-                let ceilings = state.registry().ceilings();
-                let limits = LimitsInForce { rates: &self.rates, ceilings };
-                let lowered = ledger.lower_ceilings(now, ceilings, &limits);
-                let changes: Vec<_> = raises.chain(lowered).collect();
-                (!changes.is_empty()).then_some(changes)
-            }
-        }
+        let ledger = self.ledger.as_mut()?;
+        let raises = std::mem::take(&mut self.pending_raises);
+        let raises = raises.into_iter().map(|(name, to)| CeilingChange::Raise(name, to));
+        let ceilings = state.registry().ceilings();
+        let limits = LimitsInForce { rates: &self.rates, ceilings };
+        let lowered = ledger.lower_ceilings(now, ceilings, &limits);
+        let changes: Vec<_> = raises.chain(lowered).collect();
+        (!changes.is_empty()).then_some(changes)
     }
 
     fn apply_state(&mut self, now: Timestamp, state: &ControlState) {
@@ -140,23 +118,26 @@
             self.applied_revision = revision;
             self.has_changed = true;
             self.apply_document(state);
-            if let LedgerState::Open(ledger) = &mut self.ledger {
+            if let Some(ledger) = &mut self.ledger {
                 ledger.follow_gateways(now, &incarnations(state));
             }
         }
-        if matches!(self.ledger, LedgerState::Applied) {
-            let ceilings = state.registry().ceilings().clone();
-            log::info!(
-                term = self.term.0, gateways = state.proxies().count(), ceilings = ceilings.len();
-                "the ledger of tenants' limits is open"
-            );
-            let ledger =
-                LimitLedger::new(now, self.term, self.bounds, incarnations(state), ceilings);
-            self.ledger = LedgerState::Open(Box::new(ledger));
-            self.has_changed = true;
+        if self.ledger.is_none() && !self.rates.is_empty() {
+            self.open_ledger(now, state);
         }
     }
 
+    fn open_ledger(&mut self, now: Timestamp, state: &ControlState) {
+        let ceilings = state.registry().ceilings().clone();
+        log::info!(
+            term = self.term.0, gateways = state.proxies().count(), ceilings = ceilings.len();
+            "the ledger of tenants' limits is open"
+        );
+        let ledger = LimitLedger::new(now, self.term, self.bounds, incarnations(state), ceilings);
+        self.ledger = Some(Box::new(ledger));
+        self.has_changed = true;
+    }
+
     fn apply_document(&mut self, state: &ControlState) {
         let document = state.registry().document().map(|stored| &stored.document);
         let is_same = match (document, &self.document) {
@@ -176,13 +157,9 @@
     /// Records whether the last proposal was applied. If that is unknown, the proposal is made again.
     pub(super) fn record_outcome(&mut self, applied: bool) {
         self.proposal_in_flight = false;
-        match &mut self.ledger {
-            LedgerState::Proposed if applied => self.ledger = LedgerState::Applied,
-            LedgerState::Open(ledger) if applied => {
-                ledger.confirm_lowered_ceilings();
-                self.has_changed = true;
-            }
-            _ => (),
+        if let Some(ledger) = self.ledger.as_mut().filter(|_| applied) {
+            ledger.confirm_lowered_ceilings();
+            self.has_changed = true;
         }
     }
 
@@ -204,14 +181,10 @@
         // Only incarnations in the state get grants, as a new leader waits for the reports of just these.
         let stored = state.proxy(&report.gateway);
         let is_stored = stored.is_some_and(|stored| stored.incarnation == report.incarnation);
-        let LedgerState::Open(ledger) = &mut self.ledger else {
+        let Some(ledger) = self.ledger.as_mut().filter(|_| is_stored) else {
             self.store_report(report);
             return Vec::new();
         };
-        if !is_stored {
-            self.store_report(report);
-            return Vec::new();
-        }
         let ceilings = state.registry().ceilings();
         let answer =
             ledger.process_report(now, &report, &LimitsInForce { rates: &self.rates, ceilings });
@@ -226,9 +199,7 @@
         state: &ControlState,
     ) -> Vec<AllowanceGrant> {
         self.apply_state(now, state);
-        if !matches!(self.ledger, LedgerState::Open(_))
-            || now < self.next_offer && !self.has_changed
-        {
+        if self.ledger.is_none() || now < self.next_offer && !self.has_changed {
             return Vec::new();
         }
         self.has_changed = false;
@@ -238,7 +209,7 @@
             .into_values()
             .flat_map(|report| self.answer_report(now, report, state))
             .collect();
-        if let LedgerState::Open(ledger) = &mut self.ledger {
+        if let Some(ledger) = &mut self.ledger {
             let ceilings = state.registry().ceilings();
             let answer = ledger.offer_again(now, &LimitsInForce { rates: &self.rates, ceilings });
             grants.extend(self.record_raises(answer));
