--- a/crates/core/tests/consensus/leadership.rs
+++ b/crates/core/tests/consensus/leadership.rs
@@ -6,8 +6,8 @@
 use corktack_core::position::{Position, Term};
 use corktack_core::registry::{
     BackEndReport, BackEndRole, BackEndState, Document, DocumentLimits, GatewayContact,
-    MemberAnswer, PromotionAction, PromotionManager, PromotionSettings, ReachReport,
-    RegisteredBackEnd, RegistryChanges, RegistryCommand, RegistryState, ServiceRule,
+    MemberAnswer, PromotionAction, PromotionAnswer, PromotionManager, PromotionSettings,
+    ReachReport, RegisteredBackEnd, RegistryChanges, RegistryCommand, RegistryState, ServiceRule,
     StoredDocument,
 };
 use corktack_core::statement::MemberStatus;
@@ -25,6 +25,9 @@
 /// Time for which a group's promotions are played after each restart.
 const ROUND: Duration = Duration::from_millis(1_500);
 const ROUNDS: usize = 4;
+/// Time for which a leader stands still, long enough for an election and a decision.
+const PAUSE: Duration = Duration::from_millis(800);
+const SEEDS_OF_PAUSES: u64 = 16;
 const GATEWAYS: GatewayContact = GatewayContact { reporting: 2, silent: 0 };
 
 fn group() -> GroupName {
@@ -141,10 +144,19 @@
         let (until, calls) = (self.network.now + duration, self.calls.len());
         while self.network.now < until && self.calls.len() == calls {
             self.network.run_for(EVALUATION_INTERVAL);
-            self.network.running().into_iter().for_each(|id| self.advance(id));
+            let mut running = self.network.running();
+            running.retain(|id| !self.network.is_stalled(*id));
+            running.into_iter().for_each(|id| self.advance(id));
         }
     }
 
+    /// Records that the authority has not answered a call in time, so that it is repeated.
+    fn expire_call(&mut self, call: Call) {
+        let now = self.network.now;
+        let (_, duty) = self.duties.get_mut(&call.holder).expect("the duty that called");
+        duty.record_authority_answer(now, &group(), call.fence, PromotionAnswer::Unknown);
+    }
+
     /// Crashes every replica, and starts those that `is_started` accepts again.
     fn restart(&mut self, is_started: impl Fn(u64) -> bool) {
         restart(&mut self.network, is_started);
@@ -246,3 +258,27 @@
     let fences: Vec<_> = world.calls.iter().map(|call| call.fence).collect();
     assert!(fences.is_sorted(), "a later decision has a higher fence: {:?}", world.calls);
 }
+
+/// Guards against a leader that stood still and calls under a fence that is not its own: it learns of its
+/// successor only after it has evaluated its duties once more.
+#[test]
+fn a_paused_leader_repeats_its_call_only_under_its_own_lower_fence() {
+    let mut repeated = 0;
+    for seed in 0..SEEDS_OF_PAUSES {
+        let mut world = World::start(seed);
+        world.run_until_call(ROUND);
+        let first = *world.calls.last().expect("a call");
+        world.expire_call(first);
+        world.network.pause(first.holder, PAUSE);
+        world.run_until_call(PAUSE);
+        let second = *world.calls.last().expect("a call of the successor");
+        assert_ne!(second.holder, first.holder);
+        assert!(second.fence > first.fence, "{:?}", world.calls);
+        world.run_until_call(PAUSE);
+        for call in world.calls.iter().filter(|call| call.holder == first.holder) {
+            assert_eq!(*call, first, "{:?}", world.calls);
+        }
+        repeated += world.calls.iter().filter(|call| **call == first).count() - 1;
+    }
+    assert!(repeated > 0, "no seed has a call that is repeated after the pause");
+}
--- a/crates/core/tests/consensus/network/stall.rs
+++ b/crates/core/tests/consensus/network/stall.rs
@@ -26,6 +26,11 @@
         self.begin_stall(id, duration, true, Vec::new());
     }
 
+    /// Reports whether a replica is stalled.
+    pub fn is_stalled(&self, id: u64) -> bool {
+        self.nodes[&id].stall.is_some()
+    }
+
     fn begin_stall(
         &mut self,
         id: u64,
