Tests: nobody connects to the ports of a killed member

The gates to a killed member are cut before its ports become free, and stay cut. For the group nothing changes: a connection through such a gate was accepted and closed before as well, as its target refused it. No check, bound or wait of a test is changed.

`nobody_connects_to_the_ports_of_a_killed_member` binds the ports of a killed member and lets the group fail over. Without the change: "a request for the killed member arrived".

--- a/crates/control/tests/primary_faults.rs
+++ b/crates/control/tests/primary_faults.rs
@@ -200,6 +200,27 @@
     join_all(callers).await;
 }
 
+/// Guards against tests that disturb each other: a member of another group that is bound to the port of a
+/// killed one must not get the requests of the killed one's group.
+#[actix_rt::test]
+async fn nobody_connects_to_the_ports_of_a_killed_member() {
+    let mut group = GatedGroup::start("records");
+    let mut fleet = Fleet::start(|_| ()).await;
+    let (old_primary, term) = fleet.declare_group(&group).await;
+    let old = group.index_of(&old_primary);
+    group.kill(old);
+    let listeners = group.bind_ports_of(old);
+    let unreachable = vec![observation(&group, &old_primary, MemberHealth::Unreachable)];
+    fleet.proxy.heartbeat(false, unreachable).await;
+    let (new_primary, _) = fleet.wait_for_primary_above(&group, term).await;
+    let client = connect_caller(group.postgres_address(group.index_of(&new_primary))).await;
+    client.simple_query(CREATE).await.expect("the new primary accepts a write");
+    for listener in listeners {
+        listener.set_nonblocking(true).expect("the listener is ours");
+        assert!(listener.accept().is_err(), "a request for the killed member arrived");
+    }
+}
+
 /// Guards against a failover while each report of an unreachable primary is followed by one of a healthy
 /// primary.
 #[actix_rt::test]
--- a/crates/control/tests/support/group.rs
+++ b/crates/control/tests/support/group.rs
@@ -16,6 +16,7 @@
     pub members: Vec<Option<MemberHandle>>,
     names: Vec<MemberName>,
     postgres_addresses: Vec<SocketAddr>,
+    replication_addresses: Vec<SocketAddr>,
     /// Gate in front of each member, for the control replicas.
     control_gates: Vec<Gate>,
     /// Gates between members, each with the indexes of the connecting member and of its target.
@@ -47,6 +48,7 @@
             replication_gates: pairs()
                 .map(|(from, to)| (from, to, Gate::start(targets[to])))
                 .collect(),
+            replication_addresses: targets,
             _folder: folder,
         };
         for (index, ((postgres, _), (replication, _))) in bound.into_iter().enumerate() {
@@ -96,18 +98,36 @@
         self.postgres_addresses[index]
     }
 
-    /// Sets the state of all gates to and from a member; direct connections of callers are not affected.
+    /// Binds the ports of a killed member, as a member of another group may.
+    pub fn bind_ports_of(&self, index: usize) -> [TcpListener; 2] {
+        assert!(self.members[index].is_none(), "the member is killed");
+        [self.postgres_addresses[index], self.replication_addresses[index]]
+            .map(|address| TcpListener::bind(address).expect("a killed member has freed its ports"))
+    }
+
+    /// Sets the state of all gates to and from a member, except those to a killed member; direct connections
+    /// of callers are not affected.
     pub fn set_gates(&self, index: usize, state: GateState) {
-        self.control_gates[index].set(state);
+        let is_running = |to: usize| self.members[to].is_some();
+        if is_running(index) {
+            self.control_gates[index].set(state);
+        }
         for (from, to, gate) in &self.replication_gates {
-            if *from == index || *to == index {
+            if (*from == index || *to == index) && is_running(*to) {
                 gate.set(state);
             }
         }
     }
 
-    /// Stops a member at once.
+    /// Stops a member at once. Its ports become free, and a member of another test may be bound to them; the
+    /// gates to this member are therefore cut before, for good, so that no request for it goes there.
     pub fn kill(&mut self, index: usize) {
+        self.control_gates[index].set(GateState::Cut);
+        for (_, to, gate) in &self.replication_gates {
+            if *to == index {
+                gate.set(GateState::Cut);
+            }
+        }
         drop(self.members[index].take());
     }
 }
