Cell repair: of several silent voters, the one that was silent longest is replaced first

The repair removed the machine that was only cut off, because it came first in the list of voters; the one that was gone stayed a voter.

Cause: CellRepair::next_change took the first silent voter of the list.

What this changes and what it cannot: the longest silence decides now, and a voter that answers again is not silent any more and stays.

Test: core registry, the_voter_that_was_silent_longest_is_replaced_first; on the old code its case the_last_of_the_list fails (1 of 2; the other guards the order that held before).

--- a/crates/core/src/registry/cell_repair.rs
+++ b/crates/core/src/registry/cell_repair.rs
@@ -9,6 +9,7 @@
 
 use crate::consensus::{CellChange, CellConfig, CellMember, CellMemberHealth};
 use crate::identity::ReplicaId;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -65,23 +66,38 @@
         cell: &CellConfig,
         health: &BTreeMap<ReplicaId, CellMemberHealth>,
     ) -> Option<CellChange> {
-        let is_silent = |id: &ReplicaId| {
-            health
-                .get(id)
-                .is_some_and(|health| health.time_since_response >= self.settings.replace_after)
-        };
         let ready = cell.learners.iter().find(|member| {
-            health.get(&member.id).is_some_and(|health| health.caught_up) && !is_silent(&member.id)
+            let is_caught_up = health.get(&member.id).is_some_and(|health| health.caught_up);
+            is_caught_up && !self.is_silent(health, member)
         });
-        if let Some(ready) = ready {
-            if !self.is_complete(cell) {
-                return Some(CellChange::Promote(ready.id));
-            }
-            let silent_voter = cell.voters.iter().find(|member| is_silent(&member.id));
-            return silent_voter.map(|voter| CellChange::Remove(voter.id));
+        if let Some(ready) = ready.filter(|_| !self.is_complete(cell)) {
+            return Some(CellChange::Promote(ready.id));
         }
         let has_excess = cell.voters.len() > self.settings.voters;
-        let silent_voter = cell.voters.iter().find(|member| has_excess && is_silent(&member.id));
-        silent_voter.map(|voter| CellChange::Remove(voter.id))
+        if ready.is_none() && !has_excess {
+            return None;
+        }
+        self.longest_silent_voter(cell, health).map(|voter| CellChange::Remove(voter.id))
+    }
+
+    fn is_silent(
+        &self,
+        health: &BTreeMap<ReplicaId, CellMemberHealth>,
+        member: &CellMember,
+    ) -> bool {
+        let health = health.get(&member.id);
+        health.is_some_and(|health| health.time_since_response >= self.settings.replace_after)
+    }
+
+    /// Returns the silent voter that answered least recently: of several, it is the least likely to return.
+    fn longest_silent_voter<'a>(
+        &self,
+        cell: &'a CellConfig,
+        health: &BTreeMap<ReplicaId, CellMemberHealth>,
+    ) -> Option<&'a CellMember> {
+        let silent = cell.voters.iter().filter(|member| self.is_silent(health, member));
+        silent.min_by_key(|member| {
+            Reverse(health.get(&member.id).map(|health| health.time_since_response))
+        })
     }
 }
--- a/crates/core/tests/registry/cell_repair.rs
+++ b/crates/core/tests/registry/cell_repair.rs
@@ -3,6 +3,7 @@
 use corktack_core::consensus::{CellChange, CellConfig, CellMember};
 use corktack_core::identity::ReplicaId;
 use corktack_core::registry::{CellMemberHealth, CellRepair, CellRepairSettings};
+use rstest::rstest;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -70,6 +71,19 @@
     assert_eq!(REPAIR.next_change(&cell(&[1, 2, 3], &[4]), &health), None);
 }
 
+/// Guards against the removal of the voter that comes first in the list while another has been silent for
+/// longer.
+#[rstest]
+#[case::the_first_of_the_list(&[(2, 60, true), (3, 5, true), (4, 0, true)], 2)]
+#[case::the_last_of_the_list(&[(2, 5, true), (3, 60, true), (4, 0, true)], 3)]
+fn the_voter_that_was_silent_longest_is_replaced_first(
+    #[case] replicas: &[(u64, u64, bool)],
+    #[case] removed: u64,
+) {
+    let change = REPAIR.next_change(&cell(&[1, 2, 3], &[4]), &health(replicas));
+    assert_eq!(change, Some(CellChange::Remove(ReplicaId(removed))));
+}
+
 #[test]
 fn a_silent_learner_is_not_ready() {
     let health = health(&[(2, 0, true), (3, 60, true)]);
