Control: a replica that knows no leader asks whether it is still a member

The cell stayed one voter short, and a later loss of two disks, which is allowed, left two of five voters: no read and no change of the configuration any more.

Cause: a leader stops replicating to a member when it appends the removal, so the removed replica never gets the entry. By its own log it still votes; it asked for pre-votes for ever, which nobody answers while there is a leader. It asked to join only if its own log did not contain it (JoinTask::is_outside_cell).

Change: when a replica asks to join is a rule of the core now (registry::join_reason). A voter asks after voter_request_after (2 s) without a leader; a replica that hears a leader which its log does not contain asks at once, because it has no address to answer it. A member that asks changes nothing. The answer carries the voters of the present cell, to which the replica connects, and the link to the leader stays open while it catches up through older cells. Votes and log stay on its disk, so the old identity may return; a removed replica needs no message of its own, whatever it missed. The messages are those that old processes know.

The repair's state moves into the core (CellRepairDuty), so that the simulation can run it, with two additions: a late request of an earlier incarnation does not remove a member that answers at the same address, and the leader tells how many voters the cell lacks, which are silent and why (log line "cell is short of voters", metric cell_voters_missing).

--- a/crates/control/src/cell/outbound.rs
+++ b/crates/control/src/cell/outbound.rs
@@ -79,11 +79,13 @@
     }
 
     /// Applies a changed cell: closes the links to replicas that left or changed their address, and
-    /// opens links to new ones.
-    pub(crate) fn apply_cell(&mut self, cell: &CellConfig) {
+    /// opens links to new ones. Keeps the link to the leader: the cells that a replica passes through while
+    /// it catches up may not contain the leader that it must answer.
+    pub(crate) fn apply_cell(&mut self, cell: &CellConfig, leader: Option<ReplicaId>) {
         let members: Vec<CellMember> = cell.voters.iter().chain(&cell.learners).cloned().collect();
-        self.links.retain(|id, link| {
-            members.iter().any(|member| member.id == *id && member.address == link.address)
+        self.links.retain(|id, link| match members.iter().find(|member| member.id == *id) {
+            Some(member) => member.address == link.address,
+            None => Some(*id) == leader,
         });
         self.connect(&members);
     }
--- a/crates/control/src/consensus/mod.rs
+++ b/crates/control/src/consensus/mod.rs
@@ -15,7 +15,6 @@
 mod proposals;
 mod proxies;
 mod repair;
-mod repair_state;
 mod stalls;
 mod status;
 mod thread;
--- a/crates/control/src/consensus/thread.rs
+++ b/crates/control/src/consensus/thread.rs
@@ -5,7 +5,6 @@
 use super::input::{ConsensusInput, ProxyRevisions, ReadTask, StateReader};
 use super::outcomes::Outcomes;
 use super::pending::Pending;
-use super::repair_state::RepairState;
 use super::stalls::{StallMonitor, Wait};
 use super::status::ReplicaStatus;
 use crate::cell::{Links, PeerMessage};
@@ -17,7 +16,7 @@
 use crate::proxies::ProxyTable;
 use corktack_core::consensus::{Action, Event, Message, Replica, Role};
 use corktack_core::identity::{ProxyName, ReplicaId};
-use corktack_core::registry::CellRepair;
+use corktack_core::registry::CellRepairDuty;
 use corktack_core::state::ControlState;
 use corktack_core::time::Timestamp;
 use corktack_storage::ReplicaLog;
@@ -49,7 +48,7 @@
     pub(crate) duties: LeaderDuties,
     /// The proxies that are connected to this replica.
     pub(crate) proxies: ProxyTable,
-    pub(crate) cell_repair: Option<CellRepair>,
+    pub(crate) cell_repair: Option<CellRepairDuty>,
     pub(crate) status: watch::Sender<ReplicaStatus>,
     pub(crate) metrics: Metrics,
 }
@@ -77,7 +76,6 @@
     /// replica.
     pub(super) grant_routes: HashMap<ProxyName, Option<ReplicaId>>,
     pub(super) snapshot_index: u64,
-    pub(super) repair: RepairState,
     next_housekeeping: Timestamp,
     pub(super) stalls: StallMonitor,
 }
@@ -100,7 +98,6 @@
             last_query: 0,
             grant_routes: HashMap::new(),
             snapshot_index: parts.applied,
-            repair: RepairState::default(),
             next_housekeeping: parts.clock.now(),
             stalls: StallMonitor::new(parts.stall_threshold, parts.metrics.stall_seconds.clone()),
             parts,
@@ -163,9 +160,9 @@
         let duties_deadline = self.parts.duties.next_deadline();
         let deadline = self.parts.replica.next_deadline().min(self.next_housekeeping);
         let deadline = duties_deadline.map_or(deadline, |duties| deadline.min(duties));
-        let repairs_cell =
-            self.parts.cell_repair.is_some() && self.parts.replica.has_applied_own_term();
-        if repairs_cell { deadline.min(self.repair.next_deadline()) } else { deadline }
+        let repair = self.parts.cell_repair.as_ref();
+        let repair_deadline = repair.and_then(|repair| repair.next_deadline(&self.parts.replica));
+        repair_deadline.map_or(deadline, |repair| deadline.min(repair))
     }
 
     fn forget_abandoned_requests(&mut self) {
@@ -258,7 +255,7 @@
     fn update_links(&mut self) {
         let cell = self.parts.replica.cell().clone();
         if !cell.voters.is_empty() {
-            self.parts.links.apply_cell(&cell);
+            self.parts.links.apply_cell(&cell, self.parts.replica.leader());
         }
     }
 
--- a/crates/control/src/joining.rs
+++ b/crates/control/src/joining.rs
@@ -1,11 +1,13 @@
-//! Requests other replicas to add this one to their cell, while it belongs to none.
+//! Requests other replicas to add this one to their cell, while it may belong to none.
 //!
-//! The targets are tried in turn. The published status shows whether the replica belongs to a cell by now;
-//! the leader of the other replicas adds it.
+//! The targets are tried in turn. The core decides on the published status whether a request is due; the
+//! leader of the other replicas adds the replica.
 
 use crate::consensus::{ConsensusHandle, ConsensusInput, ReplicaStatus};
+use crate::metrics::Metrics;
 use crate::stop::StopSignal;
 use corktack_core::consensus::{CellConfig, CellMember};
+use corktack_core::registry::{JoinReason, OwnMembership, join_reason};
 use corktack_protocol::control::{ControlMessage, ProxyMessage};
 use corktack_protocol::frame::FrameCodec;
 use futures_util::{SinkExt, StreamExt};
@@ -28,12 +30,15 @@
     pub(crate) member: CellMember,
     /// The configured addresses that take join requests.
     pub(crate) contacts: Vec<SocketAddr>,
+    /// Time without a leader after which a voter sends requests.
+    pub(crate) voter_request_after: Duration,
     pub(crate) status: watch::Receiver<ReplicaStatus>,
     pub(crate) consensus: ConsensusHandle,
+    pub(crate) metrics: Metrics,
 }
 
 impl JoinTask {
-    /// Sends requests until the stop signal, whenever the replica belongs to no cell.
+    /// Sends requests until the stop signal, whenever one is due.
     pub(crate) async fn run(self, stop: StopSignal) {
         tokio::select! {
             () = self.request_repeatedly() => (),
@@ -42,15 +47,30 @@
     }
 
     async fn request_repeatedly(&self) {
+        let mut last_reason = None;
         for turn in 0.. {
             let targets = self.targets();
-            if self.is_outside_cell() && !targets.is_empty() {
+            let reason = self.reason().filter(|_| !targets.is_empty());
+            if reason.is_some() {
+                self.metrics.cell_join_requests.inc();
                 self.send_request(targets[turn % targets.len()]).await;
             }
+            if reason != last_reason {
+                self.log_reason(reason);
+                last_reason = reason;
+            }
             sleep(REQUEST_INTERVAL).await;
         }
     }
 
+    fn log_reason(&self, reason: Option<JoinReason>) {
+        let replica = self.member.id.0;
+        match reason {
+            Some(reason) => log::info!(replica, reason:? = reason; "replica requests to join"),
+            None => log::info!(replica; "replica has a place in its cell"),
+        }
+    }
+
     /// Returns the configured addresses and those of the voters in the log's cell, as either may be
     /// unreachable.
     fn targets(&self) -> Vec<SocketAddr> {
@@ -64,14 +84,15 @@
         targets
     }
 
-    /// Reports whether the replica must still be added to a cell. A voter takes part in elections, and a
-    /// learner that knows a leader is being brought up to date, so neither must be added.
-    fn is_outside_cell(&self) -> bool {
+    fn reason(&self) -> Option<JoinReason> {
         let status = self.status.borrow();
-        let contains_self =
-            |members: &[CellMember]| members.iter().any(|member| member.id == self.member.id);
-        let is_learning = contains_self(&status.cell.learners) && status.leader.is_some();
-        !contains_self(&status.cell.voters) && !is_learning
+        let membership = OwnMembership {
+            replica: self.member.id,
+            cell: &status.cell,
+            leader: status.leader,
+            leaderless_for: status.leaderless_since.map_or(Duration::ZERO, |since| since.elapsed()),
+        };
+        join_reason(&membership, self.voter_request_after)
     }
 
     async fn send_request(&self, target: SocketAddr) {
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::consensus::ReplicaStatus;
 use corktack_core::consensus::Role;
+use corktack_core::registry::VoterShortage;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -36,6 +37,8 @@
     pub(crate) duties_wait_seconds: Histogram,
     pub(crate) snapshots: Counter,
     pub(crate) cell_messages_dropped: Counter,
+    pub(crate) cell_voters_missing: Gauge,
+    pub(crate) cell_join_requests: Counter,
     pub(crate) cell_disks_known: Gauge,
     pub(crate) cell_disks_refused: Counter,
     pub(crate) proxies_connected: Gauge,
@@ -68,6 +71,8 @@
             duties_wait_seconds: seconds_histogram(),
             snapshots: Counter::default(),
             cell_messages_dropped: Counter::default(),
+            cell_voters_missing: Gauge::default(),
+            cell_join_requests: Counter::default(),
             cell_disks_known: Gauge::default(),
             cell_disks_refused: Counter::default(),
             proxies_connected: Gauge::default(),
@@ -94,6 +99,12 @@
         self.applied_index.set(gauge_value(status.applied_index));
     }
 
+    /// Sets the number of voters that the cell lacks; a replica that does not lead knows of none.
+    pub(crate) fn record_shortage(&self, shortage: Option<&VoterShortage>) {
+        let missing = shortage.map_or(0, |shortage| shortage.missing);
+        self.cell_voters_missing.set(i64::try_from(missing).unwrap_or(i64::MAX));
+    }
+
     fn register_consensus(&self, registry: &mut Registry) {
         registry.register("leader", "1 while this replica leads", self.leader.clone());
         registry.register("term", "Term of the control log", self.term.clone());
@@ -111,6 +122,10 @@
         registry.register("snapshots", "Snapshots made or installed", self.snapshots.clone());
         let dropped = self.cell_messages_dropped.clone();
         registry.register("cell_messages_dropped", "Messages dropped, queue full", dropped);
+        let missing = self.cell_voters_missing.clone();
+        registry.register("cell_voters_missing", "Voters that the led cell lacks", missing);
+        let join_requests = self.cell_join_requests.clone();
+        registry.register("cell_join_requests", "Requests to join the cell", join_requests);
         self.register_disks(registry);
     }
 
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -26,6 +26,9 @@
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 const DEFAULT_BACK_END_TIMEOUT: Duration = Duration::from_secs(1);
 const DEFAULT_PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time without a leader after which a voter requests to join, as the others may have removed it. A shorter
+/// time sends requests during elections; a longer one delays the return of a removed replica.
+const DEFAULT_VOTER_REQUEST_AFTER: Duration = Duration::from_secs(2);
 /// More workers serve more operators and proxies in parallel; each worker is a thread.
 const DEFAULT_WORKERS: usize = 2;
 
@@ -104,6 +107,9 @@
     /// Addresses to which a replica without a cell sends its join request: the proxies' listeners of other
     /// replicas.
     pub join_addresses: Vec<SocketAddr>,
+    /// Time without a leader after which a voter sends its join request, because the others may have removed
+    /// it while it was cut off.
+    pub voter_request_after: Duration,
     /// Address at which other replicas reach this replica; needed to join a cell.
     pub cell_address: Option<SocketAddr>,
     /// Seed for the jitter of elections and reconnections.
@@ -138,6 +144,7 @@
             limits: LimitBounds::default(),
             formation_grace: Duration::ZERO,
             join_addresses: Vec::new(),
+            voter_request_after: DEFAULT_VOTER_REQUEST_AFTER,
             cell_address: None,
             workers: DEFAULT_WORKERS,
             seed: replica.0,
--- a/crates/control/src/starting.rs
+++ b/crates/control/src/starting.rs
@@ -22,7 +22,7 @@
 use actix_rt::{Arbiter, ArbiterHandle};
 use actix_web::dev::ServerHandle;
 use corktack_core::consensus::CellMember;
-use corktack_core::registry::CellRepair;
+use corktack_core::registry::{CellRepair, CellRepairDuty};
 use prometheus_client::registry::Registry;
 use std::net::TcpListener;
 use std::sync::{Arc, mpsc};
@@ -77,7 +77,10 @@
             feed: self.feed.clone(),
             duties: self.duties(),
             proxies: self.proxies.clone(),
-            cell_repair: self.settings.cell_repair.map(CellRepair::new),
+            cell_repair: self
+                .settings
+                .cell_repair
+                .map(|repair| CellRepairDuty::new(CellRepair::new(repair))),
             status: publisher,
             metrics: self.metrics.clone(),
         };
@@ -190,8 +193,10 @@
         let join_task = JoinTask {
             member: CellMember { id: self.settings.replica, address },
             contacts: self.settings.join_addresses.clone(),
+            voter_request_after: self.settings.voter_request_after,
             status: self.status.clone(),
             consensus: self.consensus.clone(),
+            metrics: self.metrics.clone(),
         };
         let stop = self.stop.clone();
         self.first_arbiter().spawn(join_task.run(stop));
--- a/crates/control/tests/formation.rs
+++ b/crates/control/tests/formation.rs
@@ -19,11 +19,21 @@
 /// An address that refuses connections and sorts before all others.
 const UNREACHABLE: &str = "127.0.0.1:1";
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Silence after which a voter is replaced, where a test does not wait for one.
+const NEVER: Duration = Duration::from_secs(60);
+const REPLACE_AFTER: Duration = Duration::from_secs(1);
 
 fn repairing(voters: usize, contacts: Vec<SocketAddr>) -> impl Fn(&mut ControlSettings) {
+    repairing_after(NEVER, voters, contacts)
+}
+
+fn repairing_after(
+    replace_after: Duration,
+    voters: usize,
+    contacts: Vec<SocketAddr>,
+) -> impl Fn(&mut ControlSettings) {
     move |settings| {
-        settings.cell_repair =
-            Some(CellRepairSettings { voters, replace_after: Duration::from_secs(60) });
+        settings.cell_repair = Some(CellRepairSettings { voters, replace_after });
         settings.join_addresses.clone_from(&contacts);
     }
 }
@@ -34,7 +44,16 @@
     contacts: Vec<SocketAddr>,
     own: SocketAddr,
 ) -> impl Fn(&mut ControlSettings) {
-    let repairing = repairing(voters, contacts);
+    joining_after(NEVER, voters, contacts, own)
+}
+
+fn joining_after(
+    replace_after: Duration,
+    voters: usize,
+    contacts: Vec<SocketAddr>,
+    own: SocketAddr,
+) -> impl Fn(&mut ControlSettings) {
+    let repairing = repairing_after(replace_after, voters, contacts);
     move |settings| {
         repairing(settings);
         settings.cell_address = Some(own);
@@ -51,7 +70,8 @@
 }
 
 async fn until_voters(cell: &Cell, expected: &[u64]) {
-    let expected: Vec<ReplicaId> = expected.iter().map(|id| ReplicaId(*id)).collect();
+    let mut expected: Vec<ReplicaId> = expected.iter().map(|id| ReplicaId(*id)).collect();
+    expected.sort();
     wait_until("the voters are those expected", async || {
         let agreed = cell.replicas.iter().all(|replica| {
             let mut voters = voters(replica);
@@ -63,6 +83,63 @@
     .await;
 }
 
+/// A cell of three whose follower was away for so long that a fourth replica has taken its place.
+struct ReplacedFollower {
+    /// The running replicas.
+    cell: Cell,
+    /// The follower, which is stopped and has kept its disk.
+    away: TestReplica,
+}
+
+impl ReplacedFollower {
+    async fn start() -> Self {
+        let mut cell = Cell::start_with(3, repairing_after(REPLACE_AFTER, 3, Vec::new()));
+        let mut away = cell.replicas.remove(cell.follower().await);
+        away.stop().await;
+        let mut replaced = Self { cell, away };
+        replaced.start_replacement(4).await;
+        replaced
+    }
+
+    /// Starts a replica that replaces a lost voter, and waits until it votes.
+    async fn start_replacement(&mut self, id: u64) {
+        let contacts = proxy_addresses(&self.cell);
+        self.cell.start_join_requester(id, |own, settings| {
+            joining_after(REPLACE_AFTER, 3, contacts.clone(), own)(settings);
+        });
+        self.until_all_running_vote().await;
+    }
+
+    /// Starts the follower again on its old log, and waits until it learns. Returns its id.
+    async fn return_follower(mut self) -> (Cell, ReplicaId) {
+        let (id, own) = (self.away.id, self.away.cell);
+        let contacts = proxy_addresses(&self.cell);
+        self.away.restart(&joining_after(REPLACE_AFTER, 3, contacts, own)).await;
+        self.cell.replicas.push(self.away);
+        wait_until("the returned replica is a learner by its own log", async || {
+            let cell = self.cell.replicas.last()?.running().status().cell;
+            cell.learners.iter().any(|learner| learner.id == id).then_some(())
+        })
+        .await;
+        (self.cell, id)
+    }
+
+    async fn until_all_running_vote(&self) {
+        let ids: Vec<u64> = self.cell.replicas.iter().map(|replica| replica.id.0).collect();
+        until_voters(&self.cell, &ids).await;
+    }
+}
+
+/// Stops a follower other than `kept` for good, and waits until `kept` votes in its place.
+async fn until_next_lost_voter_is_replaced(mut cell: Cell, kept: ReplicaId) {
+    let leader = cell.leader().await;
+    let is_lost = |index: &usize| *index != leader && cell.replicas[*index].id != kept;
+    let lost = (0..cell.replicas.len()).find(is_lost).expect("another follower");
+    cell.replicas.remove(lost).stop().await;
+    let ids: Vec<u64> = cell.replicas.iter().map(|replica| replica.id.0).collect();
+    until_voters(&cell, &ids).await;
+}
+
 fn document(version: u64) -> StoredDocument {
     let group = GroupName::new("calls").expect("a valid name");
     let route = RouteRule {
@@ -118,6 +195,31 @@
     until_voters(&cell, &expected).await;
 }
 
+/// Guards against a voter that is removed while it is away and never comes back: by its own log it still
+/// votes, and no leader tells it of the removal. The cell then stays one voter short after the next loss.
+#[actix_rt::test]
+async fn a_voter_that_was_removed_while_it_was_away_replaces_the_next_lost_voter() {
+    let replaced = ReplacedFollower::start().await;
+    let leader = replaced.cell.leader().await;
+    let term = replaced.cell.replicas[leader].running().status().term;
+    let (cell, returned) = replaced.return_follower().await;
+    assert_eq!(cell.replicas[leader].running().status().term, term, "the leader keeps its term");
+    until_next_lost_voter_is_replaced(cell, returned).await;
+}
+
+/// Guards against a removed replica that cannot answer its leader, because no member of the cell in its own
+/// log is a member any more.
+#[actix_rt::test]
+async fn a_removed_voter_returns_to_a_cell_of_which_it_knows_no_member() {
+    let mut replaced = ReplacedFollower::start().await;
+    for id in [5, 6] {
+        replaced.cell.replicas.remove(0).stop().await;
+        replaced.start_replacement(id).await;
+    }
+    let (cell, returned) = replaced.return_follower().await;
+    until_next_lost_voter_is_replaced(cell, returned).await;
+}
+
 #[actix_rt::test]
 async fn a_document_is_read_back_from_every_replica() {
     let cell = Cell::start(3);
--- a/crates/core/src/registry/cell_repair.rs
+++ b/crates/core/src/registry/cell_repair.rs
@@ -13,6 +13,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Silence after which a member counts as gone if another replica requests to join from its address. With a
+/// shorter time, a late request of an earlier incarnation removes the running one; a longer one delays the
+/// return of a replica that lost its disk.
+const PREDECESSOR_SILENCE: Duration = Duration::from_millis(500);
+
 /// Settings of the cell repair.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CellRepairSettings {
@@ -24,6 +29,31 @@
     pub replace_after: Duration,
 }
 
+/// Why the leader cannot give the cell all its voters yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ShortageReason {
+    /// No further replica asked to join.
+    #[error("no learner that could become a voter")]
+    NoLearner,
+    /// No learner answers and has caught up.
+    #[error("no learner has caught up")]
+    NoLearnerReady,
+    /// A learner is ready, and the changes of the cell are under way.
+    #[error("a learner is becoming a voter")]
+    ChangeUnderWay,
+}
+
+/// A cell that lacks voters which answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VoterShortage {
+    /// Number of voters that the cell lacks, those that are silent included.
+    pub missing: usize,
+    /// The voters that are silent for so long that they may be replaced.
+    pub silent: Vec<ReplicaId>,
+    /// Why they are not replaced yet.
+    pub reason: ShortageReason,
+}
+
 /// Decides the next membership change of a cell.
 #[derive(Clone, Copy, Debug)]
 pub struct CellRepair {
@@ -45,18 +75,27 @@
 
     /// Returns the change that a replica needs to join: first the removal of an earlier incarnation at
     /// the same address, whose disk is lost, then the addition of the replica as a learner. Returns none
-    /// if the replica is a member.
+    /// if the replica is a member, or if another incarnation answers at its address: the request is then
+    /// a late one of an earlier incarnation.
     #[must_use]
-    pub fn admit(&self, cell: &CellConfig, joiner: &CellMember) -> Option<CellChange> {
+    pub fn admit(
+        &self,
+        cell: &CellConfig,
+        health: &BTreeMap<ReplicaId, CellMemberHealth>,
+        joiner: &CellMember,
+    ) -> Option<CellChange> {
         let mut members = cell.voters.iter().chain(&cell.learners);
         if members.clone().any(|member| member.id == joiner.id) {
             return None;
         }
-        let previous = members.find(|member| member.address == joiner.address);
-        Some(match previous {
-            Some(previous) => CellChange::Remove(previous.id),
-            None => CellChange::AddLearner(joiner.clone()),
-        })
+        let Some(previous) = members.find(|member| member.address == joiner.address) else {
+            return Some(CellChange::AddLearner(joiner.clone()));
+        };
+        // The leader has no health of itself, so it never removes itself here.
+        let silence = health.get(&previous.id).map(|health| health.time_since_response);
+        silence
+            .is_some_and(|silence| silence >= PREDECESSOR_SILENCE)
+            .then_some(CellChange::Remove(previous.id))
     }
 
     /// Returns the next change of the cell, if one is due.
@@ -66,10 +105,7 @@
         cell: &CellConfig,
         health: &BTreeMap<ReplicaId, CellMemberHealth>,
     ) -> Option<CellChange> {
-        let ready = cell.learners.iter().find(|member| {
-            let is_caught_up = health.get(&member.id).is_some_and(|health| health.caught_up);
-            is_caught_up && !self.is_silent(health, member)
-        });
+        let ready = self.ready_learner(cell, health);
         if let Some(ready) = ready.filter(|_| !self.is_complete(cell)) {
             return Some(CellChange::Promote(ready.id));
         }
@@ -80,6 +116,37 @@
         self.longest_silent_voter(cell, health).map(|voter| CellChange::Remove(voter.id))
     }
 
+    /// Returns how many voters the cell lacks and why; none if all its voters answer.
+    #[must_use]
+    pub fn shortage(
+        &self,
+        cell: &CellConfig,
+        health: &BTreeMap<ReplicaId, CellMemberHealth>,
+    ) -> Option<VoterShortage> {
+        let silent = cell.voters.iter().filter(|member| self.is_silent(health, member));
+        let silent: Vec<ReplicaId> = silent.map(|member| member.id).collect();
+        let answering = cell.voters.len() - silent.len();
+        let missing = self.settings.voters.saturating_sub(answering);
+        let reason = match self.ready_learner(cell, health) {
+            Some(_) => ShortageReason::ChangeUnderWay,
+            None if cell.learners.is_empty() => ShortageReason::NoLearner,
+            None => ShortageReason::NoLearnerReady,
+        };
+        (missing > 0).then_some(VoterShortage { missing, silent, reason })
+    }
+
+    /// Returns a learner that answers and has caught up.
+    fn ready_learner<'a>(
+        &self,
+        cell: &'a CellConfig,
+        health: &BTreeMap<ReplicaId, CellMemberHealth>,
+    ) -> Option<&'a CellMember> {
+        cell.learners.iter().find(|member| {
+            let is_caught_up = health.get(&member.id).is_some_and(|health| health.caught_up);
+            is_caught_up && !self.is_silent(health, member)
+        })
+    }
+
     fn is_silent(
         &self,
         health: &BTreeMap<ReplicaId, CellMemberHealth>,
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -9,7 +9,9 @@
 //! primaries (`promotion`) and cell replicas (`cell_repair`) on the basis of this state.
 
 mod back_end;
+mod cell_joining;
 mod cell_repair;
+mod cell_repair_duty;
 mod document;
 mod document_change;
 mod promotion;
@@ -17,7 +19,9 @@
 
 pub use crate::consensus::CellMemberHealth;
 pub use back_end::{BackEndReport, BackEndRole, BackEndState, RegisteredBackEnd};
-pub use cell_repair::{CellRepair, CellRepairSettings};
+pub use cell_joining::{JoinReason, OwnMembership, join_reason};
+pub use cell_repair::{CellRepair, CellRepairSettings, ShortageReason, VoterShortage};
+pub use cell_repair_duty::CellRepairDuty;
 pub use document::{
     Consistency, Document, DocumentError, DocumentLimits, RouteRule, ServiceRule, StoredDocument,
 };
--- a/crates/core/tests/consensus/membership.rs
+++ b/crates/core/tests/consensus/membership.rs
@@ -3,6 +3,7 @@
 use super::network::{Answer, ELECTION_TIMEOUT, Network, SETTLE_TIME, member};
 use corktack_core::consensus::{CellChange, Rejection, Role};
 use corktack_core::identity::ReplicaId;
+use rstest::rstest;
 
 const CHANGE_REFUSED: Answer = Answer::Rejected(Rejection::CellChange);
 
@@ -141,3 +142,48 @@
     network.run_for(SETTLE_TIME * 5);
     assert_eq!(network.replica(leader).term(), term);
 }
+
+/// Guards against a replica whose old votes and log entries disturb the cell that it returns to under its old
+/// id: its log may end before, at or behind its removal, and its removal may be compacted.
+#[rstest]
+#[case::with_the_whole_log(false, 0)]
+#[case::after_a_compaction(true, 0)]
+#[case::with_entries_that_were_never_committed(false, 3)]
+#[case::with_such_entries_after_a_compaction(true, 3)]
+fn a_removed_voter_returns_under_its_id_with_its_old_log(
+    #[case] compacted: bool,
+    #[case] uncommitted_entries: u8,
+    #[values(31, 32, 33)] seed: u64,
+) {
+    let mut network = Network::start(4, seed);
+    network.commit(b"before");
+    let removed = network.expect_leader();
+    network.isolate(&[removed]);
+    for command in 0..uncommitted_entries {
+        network.propose(removed, &[command]);
+    }
+    network.run_for(SETTLE_TIME);
+    network.change_cell(&CellChange::Remove(ReplicaId(removed)));
+    for command in 0..30_u8 {
+        network.commit(&[command]);
+    }
+    if compacted {
+        network.running().into_iter().for_each(|id| network.compact(id));
+    }
+    network.heal();
+    network.run_for(SETTLE_TIME);
+    let leader = network.expect_leader();
+    let term = network.replica(leader).term();
+    assert!(contains_voter(&network, removed), "nobody has told it of its removal");
+    network.change_cell(&CellChange::AddLearner(member(removed)));
+    network.expect_convergence();
+    network.change_cell(&CellChange::Promote(ReplicaId(removed)));
+    network.expect_convergence();
+    assert_eq!(network.replica(removed).role(), Role::Follower);
+    assert_eq!((network.leader(), network.replica(leader).term()), (Some(leader), term));
+}
+
+/// Reports whether a replica is a voter by its own log.
+fn contains_voter(network: &Network, id: u64) -> bool {
+    network.replica(id).cell().voters.iter().any(|voter| voter.id.0 == id)
+}
--- a/crates/core/tests/registry/cell_repair.rs
+++ b/crates/core/tests/registry/cell_repair.rs
@@ -2,7 +2,9 @@
 
 use corktack_core::consensus::{CellChange, CellConfig, CellMember};
 use corktack_core::identity::ReplicaId;
-use corktack_core::registry::{CellMemberHealth, CellRepair, CellRepairSettings};
+use corktack_core::registry::{
+    CellMemberHealth, CellRepair, CellRepairSettings, ShortageReason, VoterShortage,
+};
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -31,20 +33,36 @@
 #[test]
 fn a_joining_replica_becomes_a_learner_once() {
     let cell = cell(&[1, 2], &[]);
-    assert_eq!(REPAIR.admit(&cell, &replica(3)), Some(CellChange::AddLearner(replica(3))));
-    assert_eq!(REPAIR.admit(&cell, &replica(2)), None);
+    let health = health(&[(2, 0, true)]);
+    let change = REPAIR.admit(&cell, &health, &replica(3));
+    assert_eq!(change, Some(CellChange::AddLearner(replica(3))));
+    assert_eq!(REPAIR.admit(&cell, &health, &replica(2)), None);
 }
 
 #[test]
 fn an_earlier_incarnation_at_the_address_is_removed_before_its_successor_joins() {
     let mut successor = replica(9);
     successor.address = replica(2).address;
-    let change = REPAIR.admit(&cell(&[1, 2, 3], &[]), &successor);
+    let health = health(&[(2, 1, true), (3, 0, true)]);
+    let change = REPAIR.admit(&cell(&[1, 2, 3], &[]), &health, &successor);
     assert_eq!(change, Some(CellChange::Remove(ReplicaId(2))));
-    let change = REPAIR.admit(&cell(&[1, 3], &[]), &successor);
+    let change = REPAIR.admit(&cell(&[1, 3], &[]), &health, &successor);
     assert_eq!(change, Some(CellChange::AddLearner(successor)));
 }
 
+/// Guards against a late join request of an earlier incarnation, which removed the running one.
+#[rstest]
+#[case::a_member_that_answers(health(&[(2, 0, true), (3, 0, true)]), 2)]
+#[case::the_leader_itself(health(&[(2, 0, true), (3, 0, true)]), 1)]
+fn a_late_request_of_an_earlier_incarnation_does_not_remove_the_running_one(
+    #[case] health: BTreeMap<ReplicaId, CellMemberHealth>,
+    #[case] running: u64,
+) {
+    let mut earlier = replica(9);
+    earlier.address = replica(running).address;
+    assert_eq!(REPAIR.admit(&cell(&[1, 2, 3], &[]), &health, &earlier), None);
+}
+
 #[test]
 fn a_caught_up_learner_becomes_a_voter_while_voters_are_missing() {
     let cell = cell(&[1, 2], &[3]);
@@ -90,6 +108,28 @@
     assert_eq!(REPAIR.next_change(&cell(&[1, 2], &[3]), &health), None);
 }
 
+#[rstest]
+#[case::all_voters_answer(&[1, 2, 3], &[], &[(2, 0, true), (3, 3, true)], None)]
+#[case::a_voter_is_gone(&[1, 2, 3], &[], &[(2, 0, true), (3, 5, true)],
+    Some((1, &[3_u64][..], ShortageReason::NoLearner)))]
+#[case::a_learner_lags(&[1, 2, 3], &[4], &[(2, 0, true), (3, 5, true), (4, 0, false)],
+    Some((1, &[3][..], ShortageReason::NoLearnerReady)))]
+#[case::a_learner_is_ready(&[1, 2], &[4], &[(2, 0, true), (4, 0, true)],
+    Some((1, &[][..], ShortageReason::ChangeUnderWay)))]
+fn a_lack_of_voters_is_known_with_its_reason(
+    #[case] voters: &[u64],
+    #[case] learners: &[u64],
+    #[case] replicas: &[(u64, u64, bool)],
+    #[case] expected: Option<(usize, &[u64], ShortageReason)>,
+) {
+    let expected = expected.map(|(missing, silent, reason)| VoterShortage {
+        missing,
+        silent: silent.iter().map(|id| ReplicaId(*id)).collect(),
+        reason,
+    });
+    assert_eq!(REPAIR.shortage(&cell(voters, learners), &health(replicas)), expected);
+}
+
 #[test]
 fn completeness_counts_voters_only() {
     assert!(!REPAIR.is_complete(&cell(&[1, 2], &[3])));
--- a/crates/core/tests/registry/main.rs
+++ b/crates/core/tests/registry/main.rs
@@ -1,5 +1,6 @@
 //! Registry of back ends: documents, heartbeats, promotions and cell repair.
 
+mod cell_joining;
 mod cell_repair;
 mod documents;
 mod heartbeats;
--- a/crates/server/src/deployment/settings.rs
+++ b/crates/server/src/deployment/settings.rs
@@ -28,6 +28,10 @@
 /// repeated once a voter can be reached, the short timeout elects a leader 0.7 s sooner after a simulated
 /// loss of all processes. Lower values cause more simultaneous candidates.
 const FIRST_ELECTION_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time without a leader after which a control replica asks the others whether it is still a member: several
+/// elections. A lower value sends requests during elections, a higher one delays the return of a replica that
+/// was removed while it was cut off.
+const VOTER_REQUEST_AFTER: Duration = Duration::from_secs(2);
 /// Time between heartbeats of a gateway's watch. A lower value costs small machines more wake-ups, a higher
 /// one adds to the time until the loss of a gateway is detected.
 const WATCH_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -77,6 +81,7 @@
         settings.limits = self.bounds.limits;
         settings.cell_address = Some(cell_address);
         settings.join_addresses = self.seed_addresses(self.proxies_port());
+        settings.voter_request_after = VOTER_REQUEST_AFTER;
         settings.formation_grace = self.bounds.catch_up;
         settings.cell_repair = Some(CellRepairSettings {
             voters: 2 * self.bounds.tolerated_losses + 1,
