Storage: a log that failed to write opens again, without what was not synced

ReplicaLog refused every write after a failed one, and could only be opened by another process.

ReplicaLog::reopen truncates the current segment to the length that was synced, removes a segment that was not begun completely, and reads the rest as at a start. What was only written counts as not written: after a failed sync the operating system may return bytes that it will never write, and a later sync reports no error. For the same reason a start rewrites the last segment under a temporary name in place of syncing it again: its predecessor may have ended right after a failed sync.

The memory disk of the tests and the simulation models both now: a refused write leaves half of its bytes, and the bytes of a refused sync are read, but never reach the disk.

--- a/crates/storage/src/checked_file.rs
+++ b/crates/storage/src/checked_file.rs
@@ -11,6 +11,7 @@
 /// Size of the checksum, a CRC-32 in little-endian order.
 const CHECKSUM_BYTES: usize = 4;
 const HEADER_BYTES: usize = MAGIC.len() + CHECKSUM_BYTES;
+/// Suffix of the file that is written before it replaces the file of its name.
 const TEMPORARY_SUFFIX: &str = ".tmp";
 
 /// Returns the verified content of the file, or `None` when the file was never written.
@@ -34,14 +35,23 @@
     name: &str,
     content: &[u8],
 ) -> Result<(), StorageError> {
-    let temporary = format!("{name}{TEMPORARY_SUFFIX}");
     let mut bytes = Vec::with_capacity(HEADER_BYTES + content.len());
     bytes.extend_from_slice(&MAGIC);
     bytes.extend_from_slice(&crc32fast::hash(content).to_le_bytes());
     bytes.extend_from_slice(content);
+    replace_bytes(disk, name, &bytes)
+}
+
+/// Replaces a file without a header atomically; the new bytes are durable when the function returns.
+pub(crate) fn replace_bytes(
+    disk: &mut impl Disk,
+    name: &str,
+    bytes: &[u8],
+) -> Result<(), StorageError> {
+    let temporary = format!("{name}{TEMPORARY_SUFFIX}");
     // A crash may have left a temporary file behind.
     disk.remove(&temporary)?;
-    disk.append(&temporary, &bytes)?;
+    disk.append(&temporary, bytes)?;
     // The content is synced before the rename, so that the name never refers to incomplete content.
     disk.sync(&temporary)?;
     disk.rename(&temporary, name)?;
--- a/crates/storage/src/memory.rs
+++ b/crates/storage/src/memory.rs
@@ -1,11 +1,14 @@
 //! A folder in memory that loses unsynced bytes at a crash, for tests and simulations.
 //!
 //! For each file the folder keeps the current content and the content that would remain after a crash.
+//! The folder can refuse changes, as a full disk does: a refused write leaves the first half of its bytes,
+//! and the bytes that a refused sync should have covered are still read, but never reach the disk.
 
 use crate::disk::Disk;
 use crate::error::{Operation, StorageError};
 use crate::replica_log::ReplicaLog;
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -16,6 +19,38 @@
 struct MemoryFile {
     content: Vec<u8>,
     durable: Vec<u8>,
+    /// The bytes of `content` that a failed sync has dropped: later syncs do not write them.
+    dropped: Option<Range<usize>>,
+}
+
+impl MemoryFile {
+    /// Drops the bytes that are not durable yet.
+    fn fail_sync(&mut self) {
+        let kept =
+            self.content.iter().zip(&self.durable).take_while(|(now, old)| now == old).count();
+        let start = self.dropped.as_ref().map_or(kept, |dropped| dropped.start.min(kept));
+        self.dropped = Some(start..self.content.len());
+    }
+
+    fn truncate(&mut self, length: usize) {
+        self.content.truncate(length);
+        self.dropped = self.dropped.take().filter(|dropped| dropped.start < length);
+        if let Some(dropped) = &mut self.dropped {
+            dropped.end = dropped.end.min(length);
+        }
+    }
+
+    fn sync(&mut self) {
+        match (self.content.strip_prefix(&*self.durable), &self.dropped) {
+            (Some(tail), None) => self.durable.extend_from_slice(tail),
+            (_, dropped) => {
+                self.durable = self.content.clone();
+                if let Some(dropped) = dropped {
+                    self.durable[dropped.clone()].fill(0);
+                }
+            }
+        }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -84,14 +119,21 @@
             let kept_length = kept_bytes(tail.len()).min(tail.len());
             file.durable = [&*file.durable, &tail[..kept_length]].concat();
             file.content = file.durable.clone();
+            file.dropped = None;
         }
     }
 
-    /// Lets the next `operations` changes succeed and every later change fail, until the next crash.
+    /// Lets the next `operations` changes succeed and every later change fail, until the next crash or call
+    /// of [`MemoryDisk::accept_changes`].
     pub fn fail_after(&self, operations: u64) {
         self.folder().operations_left = Some(operations);
     }
 
+    /// Lets all changes succeed again.
+    pub fn accept_changes(&self) {
+        self.folder().operations_left = None;
+    }
+
     /// Returns the total size of all files, in bytes.
     #[must_use]
     pub fn bytes(&self) -> usize {
@@ -113,28 +155,29 @@
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
         let mut folder = self.folder();
-        folder.count_operation(Operation::Write, name)?;
-        folder.file(name).content.extend_from_slice(bytes);
-        Ok(())
+        let counted = folder.count_operation(Operation::Write, name);
+        let written = if counted.is_ok() { bytes } else { &bytes[..bytes.len() / 2] };
+        folder.file(name).content.extend_from_slice(written);
+        counted
     }
 
     fn truncate(&mut self, name: &str, length: u64) -> Result<(), StorageError> {
         let mut folder = self.folder();
         folder.count_operation(Operation::Truncate, name)?;
         let length = usize::try_from(length).unwrap_or(usize::MAX);
-        folder.file(name).content.truncate(length);
+        folder.file(name).truncate(length);
         Ok(())
     }
 
     fn sync(&mut self, name: &str) -> Result<(), StorageError> {
         let mut folder = self.folder();
-        folder.count_operation(Operation::Sync, name)?;
+        let counted = folder.count_operation(Operation::Sync, name);
         let file = folder.file(name);
-        match file.content.strip_prefix(&*file.durable) {
-            Some(tail) => file.durable.extend_from_slice(tail),
-            None => file.durable = file.content.clone(),
+        match counted {
+            Ok(()) => file.sync(),
+            Err(_) => file.fail_sync(),
         }
-        Ok(())
+        counted
     }
 
     fn rename(&mut self, from: &str, to: &str) -> Result<(), StorageError> {
--- a/crates/storage/src/recovery.rs
+++ b/crates/storage/src/recovery.rs
@@ -3,6 +3,7 @@
 //! This module defines the order in which segments are replayed, and distinguishes damage from the remains
 //! of a crash. It relies on the checksums of the records.
 
+use crate::checked_file;
 use crate::disk::Disk;
 use crate::error::{Damage, StorageError};
 use crate::record::{LogBase, Record, SegmentStart};
@@ -134,10 +135,7 @@
 
 /// Returns the numbers of the segments in a folder, in order and without a gap.
 fn segment_numbers(disk: &impl Disk) -> Result<Vec<u64>, StorageError> {
-    let names = disk.list()?;
-    let mut numbers: Vec<u64> =
-        names.iter().filter_map(|name| segment::parse_file_name(name)).collect();
-    numbers.sort_unstable();
+    let numbers = segment::numbers(disk)?;
     if let Some(pair) = numbers.windows(2).find(|pair| pair[1] != pair[0] + 1) {
         return Err(missing_before(disk.path(&segment::file_name(pair[1]))));
     }
@@ -148,7 +146,7 @@
     StorageError::Corrupt { path, offset: 0, damage: Damage::MissingFile }
 }
 
-/// Replays the segments and truncates a torn record at the end of the last segment.
+/// Replays the segments, and rewrites the last one without a torn record at its end.
 pub(crate) fn replay_segments(disk: &mut impl Disk) -> Result<RecoveredLog, StorageError> {
     let numbers = segment_numbers(disk)?;
     let mut current = Vec::new();
@@ -177,17 +175,24 @@
     Ok(recovered)
 }
 
-/// Reads a segment, and truncates a torn record at the end of the last segment.
+/// Reads a segment, and rewrites the last segment without a torn record at its end.
 fn read_segment(
     disk: &mut impl Disk,
     number: u64,
     is_last: bool,
 ) -> Result<SegmentContent, StorageError> {
     let name = segment::file_name(number);
-    let bytes = disk.read(&name)?.unwrap_or_default();
+    let mut bytes = disk.read(&name)?.unwrap_or_default();
     let content = segment::parse(&disk.path(&name), number, &bytes, is_last)?;
     if is_last && content.length > 0 {
-        truncate_torn_tail(disk, &name, &content)?;
+        if content.torn {
+            log::warn!(file = name.as_str(), length = content.length; "torn record at the end of the log is truncated");
+        }
+        bytes.truncate(usize::try_from(content.length).unwrap_or(usize::MAX));
+        // The previous process may have ended between a write and its sync, or after a failed sync. What is
+        // read here must not be lost later, and a sync of the same file does not suffice: after a failed
+        // one, the operating system may still return bytes that it will never write.
+        checked_file::replace_bytes(disk, &name, &bytes)?;
     }
     Ok(content)
 }
@@ -221,22 +226,6 @@
     Ok(())
 }
 
-/// Truncates a torn record, and syncs the rest even if nothing was truncated: the
-/// previous process may have ended between a write and its sync, and data that a replica
-/// reads at its start must not be lost later.
-fn truncate_torn_tail(
-    disk: &mut impl Disk,
-    name: &str,
-    content: &SegmentContent,
-) -> Result<(), StorageError> {
-    if content.torn {
-        log::warn!(file = name, length = content.length; "torn record at the end of the log is truncated");
-        disk.truncate(name, content.length)?;
-    }
-    disk.sync(name)?;
-    disk.sync_folder()
-}
-
 /// Relation between the log and the snapshot.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum SnapshotRelation {
--- a/crates/storage/src/replica_log.rs
+++ b/crates/storage/src/replica_log.rs
@@ -37,7 +37,7 @@
 /// Durable store of a replica's log, see `corktack_core::consensus::Action`.
 ///
 /// Each change is durable when the method that wrote it returns. After a failed write the store
-/// refuses all further ones: which bytes reached the disk is known only after the store is opened again.
+/// refuses all further ones until it is opened again: which bytes reached the disk is unknown.
 pub trait LogStore {
     /// Performs `Action::Persist`: cuts the log so that it ends before the first
     /// of `entries`, appends the entries and stores the hard state, if given.
@@ -103,32 +103,71 @@
     /// # Errors
     /// Same as for [`ReplicaLog::open`].
     pub fn open_on(
-        mut disk: D,
+        disk: D,
         settings: ReplicaLogSettings,
     ) -> Result<(Self, PersistedState), StorageError> {
-        let recovered = replay_segments(&mut disk)?;
-        let snapshot = read_snapshot(&disk)?;
-        let relation = compare_with_snapshot(&disk, &recovered, snapshot.as_ref())?;
-        let base = snapshot.as_ref().map_or_else(LogBase::default, snapshot_base);
         let mut log = Self {
             disk,
             settings,
-            segments: recovered.segments.clone(),
-            hard_state: recovered.hard_state,
-            last: recovered.last(),
+            segments: Vec::new(),
+            hard_state: HardState::default(),
+            last: LogBase::default(),
             poisoned: false,
         };
-        let hard_state = log.hard_state;
+        let persisted = log.load()?;
+        Ok((log, persisted))
+    }
+
+    /// Opens the log again after a failed write, and returns what it holds. The log accepts writes then.
+    ///
+    /// Bytes that were not synced are removed first and never count as written, although the operating
+    /// system may still return them: after a failed sync it may have dropped them without writing them.
+    ///
+    /// # Errors
+    /// Same as for [`ReplicaLog::open`]. After [`StorageError::Io`], the call may be repeated.
+    pub fn reopen(&mut self) -> Result<PersistedState, StorageError> {
+        self.poisoned = true;
+        self.remove_unsynced()?;
+        let persisted = self.load()?;
+        self.poisoned = false;
+        Ok(persisted)
+    }
+
+    /// Truncates the current segment to its synced length, and removes a segment that was not begun
+    /// completely.
+    fn remove_unsynced(&mut self) -> Result<(), StorageError> {
+        let Some(current) = self.segments.last().copied() else { return Ok(()) };
+        for number in segment::numbers(&self.disk)? {
+            if number > current.number {
+                self.disk.remove(&segment::file_name(number))?;
+            }
+        }
+        self.disk.sync_folder()?;
+        let name = segment::file_name(current.number);
+        self.disk.truncate(&name, current.length)?;
+        self.disk.sync(&name)
+    }
+
+    /// Reads the segments and the snapshot, and begins a segment if there is none to continue.
+    fn load(&mut self) -> Result<PersistedState, StorageError> {
+        let recovered = replay_segments(&mut self.disk)?;
+        let snapshot = read_snapshot(&self.disk)?;
+        let relation = compare_with_snapshot(&self.disk, &recovered, snapshot.as_ref())?;
+        let base = snapshot.as_ref().map_or_else(LogBase::default, snapshot_base);
+        self.segments.clone_from(&recovered.segments);
+        self.hard_state = recovered.hard_state;
+        self.last = recovered.last();
+        let hard_state = self.hard_state;
         let entries = match relation {
             SnapshotRelation::LogContinues => entries_after(recovered, base.index),
             SnapshotRelation::ReplacesLog => Vec::new(),
         };
         if relation == SnapshotRelation::ReplacesLog {
-            log.restart_at(base)?;
-        } else if log.segments.is_empty() {
-            log.begin_segment(true)?;
+            self.restart_at(base)?;
+        } else if self.segments.is_empty() {
+            self.begin_segment(true)?;
         }
-        Ok((log, PersistedState { hard_state, snapshot, entries }))
+        Ok(PersistedState { hard_state, snapshot, entries })
     }
 
     /// Applies a change, unless an earlier one failed: the state on disk is unknown after a failed change.
--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -2,6 +2,7 @@
 //!
 //! This module defines the format of the file names. Only the last segment may end in a torn record.
 
+use crate::disk::Disk;
 use crate::error::{Damage, StorageError};
 use crate::record::{Record, contains_record_from, decode_record};
 use std::path::Path;
@@ -22,6 +23,14 @@
     if digits.len() == NUMBER_DIGITS { digits.parse().ok() } else { None }
 }
 
+/// Returns the numbers of the segments in a folder, in order.
+pub(crate) fn numbers(disk: &impl Disk) -> Result<Vec<u64>, StorageError> {
+    let mut numbers: Vec<u64> =
+        disk.list()?.iter().filter_map(|name| parse_file_name(name)).collect();
+    numbers.sort_unstable();
+    Ok(numbers)
+}
+
 /// The records of a segment and the end of the last complete one.
 #[derive(Debug)]
 pub(crate) struct SegmentContent {
