Control: a replica whose log cannot be written waits for its disk and returns by itself

Cause: a failed write ended the consensus thread, and nothing started it again; the process stayed. The line did not have the cause of the error; errors are logged with their causes now.

Change: after a failed write the thread drops the replica with its later actions, as the core demands, and tries to open the log again, with a pause that grows from 50 ms to 1 s. Meanwhile it refuses requests at once (503 with Retry-After: another replica can answer), answers local reads, and drops what the others send, so that it is silent as a voter. A leader asks the most up-to-date voter to take over at once (Replica::resign); its followers would follow it for a whole election timeout otherwise. The state stays: it holds committed entries only. The new replica hands out again what is applied, which the thread skips. A log that is damaged when it is opened again ends the thread, and ControlHandle::ended tells.

Weighed: to end the process with an error, and let the platform start it. Recovery in the process knows which bytes were synced, which a new process does not; a full disk makes no loop of starts; and the process goes on answering.

Tests. control disk_outage (6): leader and follower, short and long, hand-over and refusals at once, a log damaged meanwhile.

--- a/crates/control/src/consensus/apply.rs
+++ b/crates/control/src/consensus/apply.rs
@@ -10,6 +10,7 @@
 use crate::error::RequestError;
 use crate::state_codec::{decode_state, encode_state};
 use corktack_core::consensus::{Entry, Event, HardState, Payload, Rejection, RequestId, Snapshot};
+use corktack_core::state::ControlState;
 use corktack_core::state::command::Command;
 use corktack_core::view::Revision;
 use corktack_protocol::frame::decode;
@@ -41,17 +42,24 @@
         self.parts.log.install_snapshot(snapshot)?;
         self.record_sync(started_at);
         self.parts.metrics.snapshots.inc();
+        self.replace_state(snapshot.index, state);
+        Ok(())
+    }
+
+    /// Replaces the state by that of the snapshot at `index`, which is on disk.
+    pub(super) fn replace_state(&mut self, index: u64, state: ControlState) {
         self.parts.state = state;
-        self.parts.applied = snapshot.index;
-        self.snapshot_index = snapshot.index;
+        self.parts.applied = index;
+        self.snapshot_index = index;
         self.outcomes.clear();
         self.parts.feed.reset(self.parts.state.view_revision());
         self.answer_applied();
-        Ok(())
     }
 
     pub(super) fn apply(&mut self, entries: Vec<Entry>) -> Result<(), ConsensusError> {
-        for entry in entries {
+        // A replica that was started anew after an outage of the disk hands out again what is applied.
+        let applied = self.parts.applied;
+        for entry in entries.into_iter().filter(|entry| entry.index > applied) {
             if let Payload::Command(command) = &entry.payload {
                 self.apply_command(entry.index, decode(command)?);
             }
--- a/crates/control/src/consensus/handle.rs
+++ b/crates/control/src/consensus/handle.rs
@@ -181,6 +181,8 @@
         RequestError::Rejected(Rejection::NotLeader { .. } | Rejection::LeadershipLost) => true,
         RequestError::TimedOut | RequestError::OutcomeForgotten => true,
         RequestError::Rejected(Rejection::CellChange) => false,
+        // The log may stay unwritable for long, and the requester can reach another replica at once.
+        RequestError::StorageUnwritable => false,
         RequestError::Overloaded | RequestError::Stopping | RequestError::Encoding => false,
     }
 }
--- a/crates/control/src/consensus/mod.rs
+++ b/crates/control/src/consensus/mod.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod handle;
 mod input;
+mod outage;
 mod outcomes;
 mod pending;
 mod proposals;
--- a/crates/control/src/consensus/pending.rs
+++ b/crates/control/src/consensus/pending.rs
@@ -137,16 +137,25 @@
         }
     }
 
-    /// Refuses all waiting requests, at the end of the thread.
-    pub(crate) fn refuse_all(&mut self) {
+    /// Refuses all waiting requests with `error`, at the end of the thread or of the replica.
+    pub(crate) fn refuse_all(&mut self, error: RequestError) {
         let reads = std::mem::take(&mut self.reads).into_values();
         let unapplied = std::mem::take(&mut self.unapplied_reads).into_values();
         for task in reads.chain(unapplied).flatten() {
-            task(Err(RequestError::Stopping));
+            task(Err(error));
+        }
+        let forwarded = std::mem::take(&mut self.forwarded).into_values();
+        let unapplied = std::mem::take(&mut self.unapplied).into_values().flatten();
+        let waiting = forwarded.chain(unapplied).map(|proposal| proposal.reply);
+        let proposed = std::mem::take(&mut self.proposals).into_values();
+        let local = proposed.filter_map(|origin| match origin {
+            ProposalOrigin::Local(_, reply) => Some(reply),
+            // The other replica repeats its request, and the duties end with the leadership.
+            ProposalOrigin::Peer(..) | ProposalOrigin::Duty(_) => None,
+        });
+        for reply in waiting.chain(local) {
+            // The send fails if the requester has given up, and nobody else needs the answer.
+            drop(reply.send(Err(error)));
         }
-        // The requester of a dropped reply channel gets `RequestError::Stopping`.
-        self.proposals.clear();
-        self.forwarded.clear();
-        self.unapplied.clear();
     }
 }
--- a/crates/control/src/consensus/stalls.rs
+++ b/crates/control/src/consensus/stalls.rs
@@ -36,6 +36,12 @@
         Self { threshold, seconds, last_wait_ended: None, synced: Duration::ZERO }
     }
 
+    /// Forgets the current stall, for a replica that starts anew.
+    pub(super) fn restart(&mut self) {
+        self.last_wait_ended = None;
+        self.synced = Duration::ZERO;
+    }
+
     /// Adds the time of a sync to the current stall.
     pub(super) fn add_sync(&mut self, elapsed: Duration) {
         self.synced += elapsed;
--- a/crates/control/src/consensus/status.rs
+++ b/crates/control/src/consensus/status.rs
@@ -10,6 +10,9 @@
 pub struct ReplicaStatus {
     /// Whether the consensus thread runs.
     pub running: bool,
+    /// The time since which the log cannot be written; `None` while it can. The replica takes no part in its
+    /// cell meanwhile.
+    pub storage_unwritable_since: Option<Instant>,
     /// The replica's role in the current term.
     pub role: Role,
     /// The replica's current term, which never decreases.
@@ -30,6 +33,7 @@
     pub(crate) fn of(replica: &Replica, applied_index: u64) -> Self {
         Self {
             running: true,
+            storage_unwritable_since: None,
             role: replica.role(),
             term: replica.term(),
             leader: replica.leader(),
@@ -40,6 +44,16 @@
         }
     }
 
+    /// Describes a replica that gives up its role because its log cannot be written.
+    pub(crate) fn begin_outage(&mut self, now: Instant) {
+        self.storage_unwritable_since = Some(now);
+        if self.role != Role::Learner {
+            self.role = Role::Follower;
+        }
+        self.leader = None;
+        self.leaderless_since.get_or_insert(now);
+    }
+
     /// Carries over the start of the leaderless time from the status published before.
     pub(crate) fn continued_from(mut self, previous: &Self) -> Self {
         if self.leader.is_none() && previous.leaderless_since.is_some() {
--- a/crates/control/src/consensus/thread.rs
+++ b/crates/control/src/consensus/thread.rs
@@ -3,23 +3,25 @@
 //! Owns the replica, its log, its state and the requests that wait for them.
 
 use super::input::{ConsensusInput, ProxyRevisions, ReadTask, StateReader};
+use super::outage::OutageEnd;
 use super::outcomes::Outcomes;
 use super::pending::Pending;
 use super::stalls::{StallMonitor, Wait};
 use super::status::ReplicaStatus;
 use crate::cell::{Links, PeerMessage};
 use crate::clock::Clock;
-use crate::error::RequestError;
+use crate::error::{Causes, RequestError};
 use crate::feed::Feed;
 use crate::leader::LeaderDuties;
 use crate::metrics::Metrics;
 use crate::proxies::ProxyTable;
+use crate::recovered::ReplicaStart;
 use corktack_core::consensus::{Action, Event, Message, Replica, Role};
 use corktack_core::identity::{ProxyName, ReplicaId};
 use corktack_core::registry::CellRepairDuty;
 use corktack_core::state::ControlState;
 use corktack_core::time::Timestamp;
-use corktack_storage::ReplicaLog;
+use corktack_storage::{ReplicaLog, StorageError};
 use std::collections::HashMap;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
@@ -36,6 +38,8 @@
 pub(crate) struct ConsensusParts {
     pub(crate) clock: Clock,
     pub(crate) replica: Replica,
+    /// What a replica is started with, for the replica after an outage of the disk.
+    pub(crate) start: ReplicaStart,
     pub(crate) log: ReplicaLog,
     pub(crate) state: ControlState,
     /// Index of the last log entry that `state` holds.
@@ -56,9 +60,12 @@
 /// A failure after which the thread must end.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum ConsensusError {
-    /// The disk failed, so this replica can no longer store its votes and entries.
+    /// The log cannot be written or is damaged. After [`StorageError::Io`] the replica waits for the disk.
     #[error("the log cannot be written")]
-    Storage(#[from] corktack_storage::StorageError),
+    Storage(#[from] StorageError),
+    /// The log that was opened again does not allow a replica to start.
+    #[error("the log cannot be continued")]
+    Restart(#[from] corktack_core::consensus::ConsensusError),
     /// A committed entry or snapshot cannot be decoded. Skipping it would let the replicas' states diverge.
     #[error("a committed entry or snapshot cannot be read")]
     Unreadable(#[from] corktack_protocol::frame::FrameError),
@@ -104,21 +111,37 @@
         }
     }
 
-    /// Runs until a stop input, until all handles are dropped, or until the disk fails.
+    /// Runs until a stop input, until all handles are dropped, or until a failure that the thread cannot
+    /// recover from. Dropping the sender of the status tells of the end as well, also after a panic.
     pub(crate) fn run(mut self, inputs: &Receiver<ConsensusInput>) {
         // The cell in the log on disk may differ from the cell in the settings.
         self.update_links();
         self.publish_status();
-        if let Err(error) = self.run_batches(inputs) {
+        if let Err(error) = self.run_until_stopped(inputs) {
             log::error!(
-                replica = self.parts.replica.id().0, error:% = error;
+                replica = self.parts.replica.id().0, error:% = Causes(&error);
                 "consensus thread ends, the replica serves no more requests"
             );
         }
-        self.pending.refuse_all();
+        self.pending.refuse_all(RequestError::Stopping);
         self.parts.status.send_modify(|status| status.running = false);
     }
 
+    fn run_until_stopped(
+        &mut self,
+        inputs: &Receiver<ConsensusInput>,
+    ) -> Result<(), ConsensusError> {
+        loop {
+            let cause = match self.run_batches(inputs) {
+                Err(ConsensusError::Storage(cause @ StorageError::Io { .. })) => cause,
+                ended => return ended,
+            };
+            if self.wait_out_outage(&cause, inputs)? == OutageEnd::Stopped {
+                return Ok(());
+            }
+        }
+    }
+
     fn run_batches(&mut self, inputs: &Receiver<ConsensusInput>) -> Result<(), ConsensusError> {
         loop {
             let mut batch = Batch::default();
--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -1,6 +1,8 @@
 //! Errors of starting a control replica and of its requests.
 
 use corktack_core::consensus::{ConsensusError, Rejection};
+use std::error::Error;
+use std::fmt;
 use std::net::SocketAddr;
 
 /// Why a control replica could not start.
@@ -44,10 +46,29 @@
     /// Too many requests wait already; the replica did not run this request.
     #[error("too many requests wait already")]
     Overloaded,
-    /// The replica is stopping, or its disk failed.
+    /// The replica is stopping.
     #[error("the replica is stopping")]
     Stopping,
+    /// The replica's log cannot be written, for example because its disk is full. A command that was proposed
+    /// before may still take effect.
+    #[error("the log of this replica cannot be written now")]
+    StorageUnwritable,
     /// The command could not be encoded.
     #[error("the command cannot be encoded")]
     Encoding,
 }
+
+/// Shows an error with its causes, separated by colons.
+pub(crate) struct Causes<'a>(pub(crate) &'a dyn Error);
+
+impl fmt::Display for Causes<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)?;
+        let mut cause = self.0.source();
+        while let Some(source) = cause {
+            write!(formatter, ": {source}")?;
+            cause = source.source();
+        }
+        Ok(())
+    }
+}
--- a/crates/control/src/http/answer.rs
+++ b/crates/control/src/http/answer.rs
@@ -47,6 +47,7 @@
             RequestError::Rejected(Rejection::NotLeader { .. } | Rejection::LeadershipLost)
             | RequestError::TimedOut
             | RequestError::OutcomeForgotten
+            | RequestError::StorageUnwritable
             | RequestError::Stopping => ErrorCode::Unavailable,
         };
         Self::new(code, error.to_string())
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -36,6 +36,8 @@
     pub(crate) stall_seconds: Histogram,
     pub(crate) duties_wait_seconds: Histogram,
     pub(crate) snapshots: Counter,
+    pub(crate) storage_outages: Counter,
+    pub(crate) storage_unwritable: Gauge,
     pub(crate) cell_messages_dropped: Counter,
     pub(crate) cell_voters_missing: Gauge,
     pub(crate) cell_join_requests: Counter,
@@ -70,6 +72,8 @@
             stall_seconds: seconds_histogram(),
             duties_wait_seconds: seconds_histogram(),
             snapshots: Counter::default(),
+            storage_outages: Counter::default(),
+            storage_unwritable: Gauge::default(),
             cell_messages_dropped: Counter::default(),
             cell_voters_missing: Gauge::default(),
             cell_join_requests: Counter::default(),
@@ -120,6 +124,10 @@
         let duties_wait = self.duties_wait_seconds.clone();
         registry.register("duties_wait_seconds", "Time from election to duties", duties_wait);
         registry.register("snapshots", "Snapshots made or installed", self.snapshots.clone());
+        let outages = self.storage_outages.clone();
+        registry.register("storage_outages", "Times the log became unwritable", outages);
+        let unwritable = self.storage_unwritable.clone();
+        registry.register("storage_unwritable", "1 while the log is unwritable", unwritable);
         let dropped = self.cell_messages_dropped.clone();
         registry.register("cell_messages_dropped", "Messages dropped, queue full", dropped);
         let missing = self.cell_voters_missing.clone();
--- a/crates/control/src/recovered.rs
+++ b/crates/control/src/recovered.rs
@@ -8,8 +8,11 @@
 use crate::error::ControlError;
 use crate::settings::{CellStart, ControlSettings};
 use crate::state_codec::decode_state;
-use corktack_core::consensus::{ConsensusSettings, PersistedState, Replica};
+use corktack_core::consensus::{
+    CellConfig, ConsensusError, ConsensusSettings, PersistedState, Replica,
+};
 use corktack_core::state::ControlState;
+use corktack_core::time::Timestamp;
 use corktack_storage::{DataFolder, ReplicaLog};
 
 /// Most entry bytes in one append message. A lower limit takes more round trips to bring a replica up to
@@ -19,9 +22,35 @@
 /// [`MAX_APPEND_BYTES`].
 const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
 
+/// What a replica is started with besides its data folder.
+pub(crate) struct ReplicaStart {
+    settings: ConsensusSettings,
+    bootstrap: Option<CellConfig>,
+}
+
+impl ReplicaStart {
+    fn new(settings: &ControlSettings) -> Self {
+        let bootstrap = match &settings.start {
+            CellStart::Bootstrap(cell) => Some(cell.clone()),
+            CellStart::Join(_) => None,
+        };
+        Self { settings: consensus_settings(settings), bootstrap }
+    }
+
+    /// Starts a replica from what its log holds.
+    pub(crate) fn replica(
+        &self,
+        persisted: PersistedState,
+        now: Timestamp,
+    ) -> Result<Replica, ConsensusError> {
+        Replica::new(self.settings.clone(), persisted, self.bootstrap.clone(), now)
+    }
+}
+
 /// The parts of a replica that were recovered from its data folder.
 pub(crate) struct Recovered {
     pub(crate) replica: Replica,
+    pub(crate) start: ReplicaStart,
     pub(crate) log: ReplicaLog,
     pub(crate) disks: Disks,
     pub(crate) state: ControlState,
@@ -36,13 +65,9 @@
         let (log, persisted) = ReplicaLog::open(&folder, &settings.cell.0)?;
         let disks = Disks::open(&folder)?;
         let (state, applied) = recover_state(&persisted)?;
-        let bootstrap = match &settings.start {
-            CellStart::Bootstrap(cell) => Some(cell.clone()),
-            CellStart::Join(_) => None,
-        };
-        let consensus = consensus_settings(settings);
-        let replica = Replica::new(consensus, persisted, bootstrap, clock.now())?;
-        Ok(Self { replica, log, disks, state, applied })
+        let start = ReplicaStart::new(settings);
+        let replica = start.replica(persisted, clock.now())?;
+        Ok(Self { replica, start, log, disks, state, applied })
     }
 }
 
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -126,6 +126,14 @@
         log::info!("control replica stopped");
     }
 
+    /// Waits until the replica has ended by itself, after a failure that it cannot recover from: the process
+    /// then serves nothing any more, and should end so that it is started anew.
+    pub async fn ended(&self) {
+        let mut status = self.status.clone();
+        // An error means that the thread has ended without publishing it, for example by a panic.
+        drop(status.wait_for(|status| !status.running).await);
+    }
+
     async fn transfer_leadership(&mut self) {
         let is_sole_voter = self.status.borrow().cell.voters.len() < 2;
         let is_leader = self.status.borrow().role == Role::Leader;
--- a/crates/control/src/starting.rs
+++ b/crates/control/src/starting.rs
@@ -68,6 +68,7 @@
         let parts = ConsensusParts {
             clock: self.clock,
             replica: recovered.replica,
+            start: recovered.start,
             log: recovered.log,
             state: recovered.state,
             applied: recovered.applied,
--- a/crates/core/src/consensus/transfer.rs
+++ b/crates/core/src/consensus/transfer.rs
@@ -4,9 +4,9 @@
 //! the whole log. A transfer in progress is part of the leader's state.
 
 use super::leader::LeadershipTransfer;
-use super::message::MessageBody;
+use super::message::{Message, MessageBody};
 use super::replica::{Replica, RoleState};
-use super::voter_ids;
+use super::{Action, voter_ids};
 use crate::identity::ReplicaId;
 use crate::time::Timestamp;
 
@@ -44,6 +44,17 @@
         }
     }
 
+    /// Gives up leadership before the driver drops this replica, because its log cannot be written. Returns
+    /// the message that asks the most up-to-date other voter to take over at once; none if this replica does
+    /// not lead. All other actions that were not handed out are void.
+    pub fn resign(&mut self) -> Vec<Action<Message>> {
+        self.outbox.clear();
+        if self.is_leader() {
+            self.send_timeout_now();
+        }
+        std::mem::take(&mut self.outbox)
+    }
+
     /// Tells the most up-to-date other voter to start an election, without waiting for the outcome.
     pub(super) fn send_timeout_now(&mut self) {
         if let Some(target) = self.most_up_to_date_voter() {
