--- a/crates/storage/tests/replica_log.rs
+++ b/crates/storage/tests/replica_log.rs
@@ -278,8 +278,8 @@
 /// operations is made, and the next one fails.
 fn fail_change(disk: &MemoryDisk, change: Change, operations: u64) -> ChangedLog {
     let (mut log, _) = open(disk, change.settings());
-    let mut before = PersistedState::default();
-    before.hard_state = hard_state(1).expect("hard state");
+    let hard_state_before = hard_state(1).expect("hard state");
+    let mut before = PersistedState { hard_state: hard_state_before, ..Default::default() };
     for index in 1..=3 {
         before.entries.push(entry(1, index));
         log.persist(hard_state(1), &[entry(1, index)]).expect("persisted");
