Roles: a start waits for a full disk, and a control replica that has ended ends its process

A process that starts while its disk is full ended with an error and would be started again and again until there is room; it waits now, with a pause that grows from 0.1 to 1 s, a log line every 10 s and an ear for the stop signal.

--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -31,6 +31,14 @@
     NoSystem,
 }
 
+impl ControlError {
+    /// Reports whether the start failed only because the disk is full. A later start may succeed.
+    #[must_use]
+    pub fn is_disk_full(&self) -> bool {
+        matches!(self, Self::Storage(error) if error.is_disk_full())
+    }
+}
+
 /// Why a command or read has no result.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum RequestError {
@@ -59,7 +67,8 @@
 }
 
 /// Shows an error with its causes, separated by colons.
-pub(crate) struct Causes<'a>(pub(crate) &'a dyn Error);
+#[derive(Clone, Copy, Debug)]
+pub struct Causes<'a>(pub &'a dyn Error);
 
 impl fmt::Display for Causes<'_> {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,7 +29,7 @@
 mod stop;
 
 pub use consensus::ReplicaStatus;
-pub use error::{ControlError, RequestError};
+pub use error::{Causes, ControlError, RequestError};
 pub use identity::{Identity, find_identity};
 pub use registry::{RegistryError, RegistryHandle};
 pub use registry_calls::{MemberCalls, MemberTarget, PromotionAuthority, RegistryCalls};
--- a/crates/server/src/control.rs
+++ b/crates/server/src/control.rs
@@ -3,6 +3,7 @@
 //! Decides whether a replica with an empty data folder may bootstrap a cell, and converts the settings of the
 //! process into those of `corktack_control`, which implements the replica.
 
+use crate::disk_wait::start_once_writable;
 use crate::listeners::{ListenError, bind, bound_address};
 use crate::proxy::new_incarnation;
 use crate::settings::{ControlSettings, millis};
@@ -48,11 +49,20 @@
     /// The replica reported an error at its start.
     #[error(transparent)]
     Control(#[from] ControlError),
+    /// The replica has ended by itself, after a failure that it cannot recover from.
+    #[error("the control replica has ended by itself")]
+    Ended,
     /// A signal handler cannot be installed.
     #[error("signals cannot be listened for")]
     Signals(#[source] std::io::Error),
 }
 
+impl ControlProcessError {
+    fn is_disk_full(&self) -> bool {
+        matches!(self, Self::Control(error) if error.is_disk_full())
+    }
+}
+
 /// Whether a replica with an empty data folder may bootstrap a new cell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Bootstrap {
@@ -208,7 +218,7 @@
 /// Runs a control replica until SIGTERM or SIGINT, then stops it as planned.
 ///
 /// # Errors
-/// Returns [`ControlProcessError`] if the replica cannot start.
+/// Returns [`ControlProcessError`] if the replica cannot start, or has ended by itself.
 pub fn run_until_stopped(
     settings: ControlSettings,
     bootstrap: Bootstrap,
@@ -217,9 +227,16 @@
     actix_rt::System::new().block_on(async {
         write_events_on_signal(events).map_err(ControlProcessError::Signals)?;
         let mut stop = StopSignals::listen().map_err(ControlProcessError::Signals)?;
-        let control = start(settings, bootstrap)?;
-        stop.received().await;
-        control.stop().await;
+        let start = || start(settings.clone(), bootstrap);
+        let started = tokio::select! {
+            started = start_once_writable(start, ControlProcessError::is_disk_full) => started?,
+            () = stop.received() => return Ok(()),
+        };
+        tokio::select! {
+            () = stop.received() => (),
+            () = started.replica().ended() => return Err(ControlProcessError::Ended),
+        }
+        started.stop().await;
         Ok(())
     })
 }
--- a/crates/server/src/deployment/mod.rs
+++ b/crates/server/src/deployment/mod.rs
@@ -44,6 +44,13 @@
     NoDataFolder,
 }
 
+impl DeploymentError {
+    /// Reports whether the start failed only because the disk is full.
+    pub(crate) fn is_disk_full(&self) -> bool {
+        matches!(self, Self::Control(error) if error.is_disk_full())
+    }
+}
+
 /// Configuration of a process of a deployment.
 #[derive(Clone, Debug)]
 pub struct Deployment {
--- a/crates/server/src/deployment/start.rs
+++ b/crates/server/src/deployment/start.rs
@@ -4,6 +4,7 @@
 
 use super::gateway::{RunningGateway, forward_reach_reports};
 use super::{Deployment, DeploymentError};
+use crate::disk_wait::start_once_writable;
 use crate::listeners::bind;
 use crate::watch_client::{self, NoViewStore, WatchInputs};
 use corktack_control::{
@@ -51,6 +52,20 @@
         Ok((control, registry))
     }
 
+    /// Starts the control replica as [`Deployment::start_control`] does, once its disk accepts writes. A
+    /// process that ended instead would be started again and again until then.
+    ///
+    /// # Errors
+    /// [`DeploymentError`] when a part cannot be started for another reason; no part is left running.
+    pub async fn start_control_once_writable<W: Wire + Send + Sync + std::fmt::Debug>(
+        &self,
+        wire: W,
+        authority: Option<Arc<dyn PromotionAuthority>>,
+    ) -> Result<(ControlHandle, Registry), DeploymentError> {
+        let start = || self.start_control(wire.clone(), authority.clone());
+        start_once_writable(start, DeploymentError::is_disk_full).await
+    }
+
     /// Starts the gateway of this machine, inside an actix system; the gateway serves callers at `callers`.
     /// Returns its handles and the registry of its metrics.
     ///
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod deployment;
 pub mod dev;
+pub mod disk_wait;
 pub mod explain;
 pub mod listeners;
 pub mod manifest;
--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of operations on files, and the kinds of damage found in their content.
 
+use std::io::ErrorKind;
 use std::path::PathBuf;
 
 /// Operation on a file or folder that failed.
@@ -112,3 +113,14 @@
     #[error("an earlier write failed; the log accepts no writes until it is opened again")]
     Poisoned,
 }
+
+impl StorageError {
+    /// Reports whether the operating system refused a change because the disk is full or a quota is used up.
+    #[must_use]
+    pub fn is_disk_full(&self) -> bool {
+        let (Self::Io { source, .. } | Self::Unwritable { source, .. }) = self else {
+            return false;
+        };
+        matches!(source.kind(), ErrorKind::StorageFull | ErrorKind::QuotaExceeded)
+    }
+}
