Watch: a configuration that could not be written to disk is written again

A proxy of the PostgreSQL path reports the revision that it has on disk. If its disk was full when a configuration came, the thread that writes it logged the error and waited for the next one, so that the proxy reported the old revision until the next change. It tries again after 0.5 s now.

Test: server watch_client, a_configuration_that_could_not_be_written_is_written_again.

--- a/crates/server/src/watch_client/store.rs
+++ b/crates/server/src/watch_client/store.rs
@@ -6,10 +6,16 @@
 use super::metrics::WatchMetrics;
 use corktack_core::view::{Revision, View};
 use corktack_storage::StorageError;
+use corktack_tasks::run_essential;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::time::Duration;
 use tokio::sync::mpsc;
 
+/// Pause after a failed write, unless a newer configuration comes first. A shorter pause tries more often while
+/// the disk is full; a longer one delays the report that the configuration is on disk.
+const SAVE_RETRY_PAUSE: Duration = Duration::from_millis(500);
+
 /// Storage of the last configuration in force.
 pub trait ViewStore: Send {
     /// Returns the configuration that was saved last, or `None` when none was saved or the stored one is
@@ -57,8 +63,9 @@
         let (views, queued_views) = channel();
         let (synced_sender, synced) = mpsc::unbounded_channel();
         let thread = std::thread::Builder::new().name("view-sync".to_owned());
+        let write = move || write_views(store, &queued_views, &synced_sender, &metrics);
         thread.spawn(move || {
-            write_views(store, &queued_views, &synced_sender, &metrics);
+            run_essential("view-sync", write);
             drop(store_guard);
         })?;
         Ok(Self { views, synced })
@@ -87,12 +94,16 @@
         while let Ok(newer) = views.try_recv() {
             view = newer;
         }
-        match store.save(&view) {
-            Ok(()) => drop(synced_sender.send(view.revision)),
-            Err(error) => {
-                metrics.sync_failures.inc();
-                log::error!(error:? = error; "the configuration in force cannot be put on disk");
+        while let Err(error) = store.save(&view) {
+            metrics.sync_failures.inc();
+            log::error!(error:? = error; "the configuration in force cannot be put on disk, trying again");
+            match views.recv_timeout(SAVE_RETRY_PAUSE) {
+                Ok(newer) => view = newer,
+                Err(RecvTimeoutError::Timeout) => (),
+                Err(RecvTimeoutError::Disconnected) => return,
             }
         }
+        // The receiver is dropped only at the end of the process.
+        let _ = synced_sender.send(view.revision);
     }
 }
--- a/crates/server/tests/watch_client.rs
+++ b/crates/server/tests/watch_client.rs
@@ -8,7 +8,7 @@
 use corktack_server::watch_client::{
     self, NoViewStore, ViewFile, ViewStore, WatchHandle, WatchInputs, WatchSettings,
 };
-use corktack_storage::{DataFolder, StorageError};
+use corktack_storage::{DataFolder, Operation, StorageError};
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use prometheus_client::registry::Registry;
 use rstest::rstest;
@@ -248,6 +248,38 @@
     assert_eq!(watch.views().borrow().classes.len(), 2);
 }
 
+/// A store whose next writes fail.
+struct FullStore {
+    failures_left: u32,
+}
+
+impl ViewStore for FullStore {
+    fn load(&self) -> Result<Option<View>, StorageError> {
+        Ok(None)
+    }
+
+    fn save(&mut self, _view: &View) -> Result<(), StorageError> {
+        let Some(failures_left) = self.failures_left.checked_sub(1) else { return Ok(()) };
+        self.failures_left = failures_left;
+        Err(StorageError::Io {
+            operation: Operation::Write,
+            path: "view".into(),
+            source: std::io::ErrorKind::StorageFull.into(),
+        })
+    }
+}
+
+/// Guards against a proxy that reports an old revision until the next change, because its disk was full when
+/// the last one came.
+#[actix_rt::test]
+async fn a_configuration_that_could_not_be_written_is_written_again() {
+    let (listener, address) = listen().await;
+    let _watch = start_with_store(Box::new(FullStore { failures_left: 2 }), vec![address]);
+    let (mut proxy, _) = accept(&listener).await;
+    proxy.send(delta(1)).await.expect("sent to the proxy");
+    acknowledge_until(&mut proxy, Revision(1)).await;
+}
+
 /// A store whose drop blocks until the test allows it.
 struct BlockingStore {
     allow_drop: Receiver<()>,
