Tasks: a panic of a task without which a process serves nothing ends the process

Tasks of one session, one connection or one call stay as they are: their panic costs that caller its connection.

--- a/crates/control/src/cell/outbound.rs
+++ b/crates/control/src/cell/outbound.rs
@@ -17,6 +17,7 @@
 use corktack_protocol::cell::CellName;
 use corktack_protocol::frame::{FrameCodec, FrameError};
 use corktack_protocol::liveness::Liveness;
+use corktack_tasks::essential;
 use futures_util::SinkExt;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -128,7 +129,8 @@
         );
         let hello = self.hello(member.id);
         let reachable = Arc::new(Notify::new());
-        self.arbiter.spawn(run_link(address, hello, messages, backoff, Arc::clone(&reachable)));
+        let running = run_link(address, hello, messages, backoff, Arc::clone(&reachable));
+        self.arbiter.spawn(essential("cell-link", running));
         Link { address, queue, reachable }
     }
 
--- a/crates/control/src/starting.rs
+++ b/crates/control/src/starting.rs
@@ -23,6 +23,7 @@
 use actix_web::dev::ServerHandle;
 use corktack_core::consensus::CellMember;
 use corktack_core::registry::{CellRepair, CellRepairDuty};
+use corktack_tasks::{essential, run_essential};
 use prometheus_client::registry::Registry;
 use std::net::TcpListener;
 use std::sync::{Arc, mpsc};
@@ -86,7 +87,9 @@
             metrics: self.metrics.clone(),
         };
         let thread = std::thread::Builder::new().name(THREAD_NAME.to_owned());
-        let run = move || ConsensusThread::new(parts).run(&inputs);
+        let run = move || {
+            run_essential(THREAD_NAME, || ConsensusThread::new(parts).run(&inputs));
+        };
         thread.spawn(run).map_err(ControlError::Thread)
     }
 
@@ -134,7 +137,10 @@
         let (consensus, stop) = (self.consensus.clone(), self.cell_stop.clone());
         self.first_arbiter().spawn(async move {
             match tokio::net::TcpListener::from_std(listener) {
-                Ok(listener) => accept_replicas(listener, settings, consensus, stop).await,
+                Ok(listener) => {
+                    let accepting = accept_replicas(listener, settings, consensus, stop);
+                    essential("accept-replicas", accepting).await;
+                }
                 Err(error) => log::error!(error:% = error; "replicas are not accepted"),
             }
         });
@@ -152,18 +158,19 @@
         // counts as silent.
         let proof_timeout = self.settings.proxy_heartbeat_timeout / 2;
         let currency_checks = self.currency_checks.clone();
-        first.spawn(currency_checks.run(
-            interval,
-            proof_timeout,
-            self.consensus.clone(),
-            self.stop.clone(),
-        ));
+        let (consensus, stop) = (self.consensus.clone(), self.stop.clone());
+        let checking = currency_checks.run(interval, proof_timeout, consensus, stop);
+        first.spawn(essential("currency-checks", checking));
         let table = server.table.clone();
-        first.spawn(send_summaries(table, interval, self.consensus.clone(), self.stop.clone()));
+        let (consensus, stop) = (self.consensus.clone(), self.stop.clone());
+        let sending = send_summaries(table, interval, consensus, stop);
+        first.spawn(essential("send-summaries", sending));
         let arbiters = self.proxy_arbiters();
         first.spawn(async move {
             match tokio::net::TcpListener::from_std(listener) {
-                Ok(listener) => accept_proxies(listener, server, arbiters).await,
+                Ok(listener) => {
+                    essential("accept-proxies", accept_proxies(listener, server, arbiters)).await;
+                }
                 Err(error) => log::error!(error:% = error; "proxies are not accepted"),
             }
         });
@@ -200,7 +207,7 @@
             metrics: self.metrics.clone(),
         };
         let stop = self.stop.clone();
-        self.first_arbiter().spawn(join_task.run(stop));
+        self.first_arbiter().spawn(essential("join", join_task.run(stop)));
     }
 
     /// Polls the platform's list, if one is configured.
@@ -210,7 +217,8 @@
             (self.status.clone(), self.consensus.clone(), self.stop.clone());
         // The HTTP client can't move between threads, so the task creates it on its arbiter.
         self.first_arbiter().spawn_fn(move || {
-            actix_rt::spawn(poll_platform(source, status, consensus, stop));
+            let polling = poll_platform(source, status, consensus, stop);
+            actix_rt::spawn(essential("poll-platform", polling));
         });
     }
 
--- a/crates/edge/src/handle.rs
+++ b/crates/edge/src/handle.rs
@@ -17,6 +17,7 @@
 use actix_rt::Arbiter;
 use corktack_core::classify::ProfileCache;
 use corktack_core::view::View;
+use corktack_tasks::essential;
 use futures_util::FutureExt;
 use prometheus_client::registry::Registry;
 use std::cell::RefCell;
@@ -134,7 +135,10 @@
 ) -> Result<Arbiter, EdgeError> {
     let arbiter = Arbiter::new();
     let started = arbiter.spawn_fn(move || match TcpListener::from_std(listener) {
-        Ok(listener) => drop(actix_rt::spawn(accept_callers(arbiter_index, shared, listener))),
+        Ok(listener) => {
+            let accepting = accept_callers(arbiter_index, shared, listener);
+            actix_rt::spawn(essential("accept-callers", accepting));
+        }
         Err(error) => {
             log::error!(
                 cause = error.to_string().as_str();
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -17,6 +17,7 @@
 use crate::tunnel::Tunnels;
 use crate::wire::Wire;
 use corktack_core::view::View;
+use corktack_tasks::essential;
 use prometheus_client::registry::Registry;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -94,11 +95,14 @@
             metrics.clone(),
         );
         let shared = Rc::new(GatewayContext::new(wire, settings, routes, metrics, limits, clock));
-        actix_rt::spawn(run_allowance_reports(Rc::clone(&shared.limits), limits_link));
-        actix_rt::spawn(apply_views(Rc::clone(&shared), views));
-        actix_rt::spawn(accept_callers(callers, Rc::clone(&shared)));
-        actix_rt::spawn(accept_tunnels(peers, Rc::clone(&shared)));
-        actix_rt::spawn(sweep(Rc::clone(&shared)));
+        actix_rt::spawn(essential(
+            "allowance-reports",
+            run_allowance_reports(Rc::clone(&shared.limits), limits_link),
+        ));
+        actix_rt::spawn(essential("apply-views", apply_views(Rc::clone(&shared), views)));
+        actix_rt::spawn(essential("accept-callers", accept_callers(callers, Rc::clone(&shared))));
+        actix_rt::spawn(essential("accept-tunnels", accept_tunnels(peers, Rc::clone(&shared))));
+        actix_rt::spawn(essential("sweep", sweep(Rc::clone(&shared))));
         Ok(GatewayHandle { shared })
     }
 }
--- a/crates/owner/src/groups.rs
+++ b/crates/owner/src/groups.rs
@@ -14,6 +14,7 @@
 use corktack_core::resources::MemberSpec;
 use corktack_core::routing::SecondObservers;
 use corktack_core::view::{GroupView, View};
+use corktack_tasks::essential;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Weak};
 use tokio_util::sync::CancellationToken;
@@ -239,10 +240,10 @@
     token: CancellationToken,
     task: impl Future<Output = ()> + Send + 'static,
 ) {
-    context.spawn(async move {
+    context.spawn(essential("group-task", async move {
         tokio::select! {
             () = token.cancelled() => {}
             () = task => {}
         }
-    });
+    }));
 }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -53,6 +53,7 @@
 use actix_rt::Arbiter;
 use corktack_core::view::View;
 use corktack_protocol::control::Observation;
+use corktack_tasks::essential;
 use prometheus_client::registry::Registry;
 pub use settings::OwnerSettings;
 use std::net::{SocketAddr, TcpListener};
@@ -96,8 +97,8 @@
             (0..settings.arbiters.max(1)).map(|_| Arbiter::new()).collect();
         let handles = arbiters.iter().map(Arbiter::handle).collect();
         let context = Arc::new(OwnerContext::new(settings, handles, view, observations, registry));
-        context.spawn(groups::apply_views(Arc::clone(&context)));
-        context.spawn(link::accept(Arc::clone(&context), listener));
+        context.spawn(essential("apply-views", groups::apply_views(Arc::clone(&context))));
+        context.spawn(essential("accept-edges", link::accept(Arc::clone(&context), listener)));
         Ok(OwnerHandle { context, arbiters, address })
     }
 }
--- a/crates/server/src/watch_client/mod.rs
+++ b/crates/server/src/watch_client/mod.rs
@@ -20,6 +20,7 @@
 
 use corktack_core::view::View;
 use corktack_storage::StorageError;
+use corktack_tasks::essential;
 use inputs::Request;
 use prometheus_client::registry::Registry;
 use std::sync::Arc;
@@ -125,6 +126,6 @@
         metrics,
     };
     let arbiter = actix_rt::Arbiter::new();
-    arbiter.spawn(task.run());
+    arbiter.spawn(essential("watch", task.run()));
     Ok(WatchHandle { views, confirmed_current, requests, arbiter, store_closed })
 }
