Cell repair: a learner that is gone for good does not stay a member

Each would cost the leader a link, its heartbeats and room in the cell; callers lose nothing by it at once.

A complete cell removes a learner that was silent for replace_after. A learner that comes back has no leader and requests to join at once. A replica whose log cannot be written requests nothing meanwhile: it could not follow, and would be added and removed in turn.

Test: core registry, a_silent_learner_is_removed_once_no_voter_is_missing (3 cases; without the change the case of_a_complete_cell fails).

--- a/crates/control/src/joining.rs
+++ b/crates/control/src/joining.rs
@@ -67,7 +67,7 @@
         let replica = self.member.id.0;
         match reason {
             Some(reason) => log::info!(replica, reason:? = reason; "replica requests to join"),
-            None => log::info!(replica; "replica has a place in its cell"),
+            None => log::info!(replica; "replica requests to join no longer"),
         }
     }
 
@@ -86,6 +86,10 @@
 
     fn reason(&self) -> Option<JoinReason> {
         let status = self.status.borrow();
+        if status.storage_unwritable_since.is_some() {
+            // The replica could not follow a leader now. It returns to the cell first.
+            return None;
+        }
         let membership = OwnMembership {
             replica: self.member.id,
             cell: &status.cell,
--- a/crates/core/src/registry/cell_repair.rs
+++ b/crates/core/src/registry/cell_repair.rs
@@ -110,10 +110,10 @@
             return Some(CellChange::Promote(ready.id));
         }
         let has_excess = cell.voters.len() > self.settings.voters;
-        if ready.is_none() && !has_excess {
-            return None;
-        }
-        self.longest_silent_voter(cell, health).map(|voter| CellChange::Remove(voter.id))
+        let may_remove_voter = ready.is_some() || has_excess;
+        let silent_voter = may_remove_voter.then(|| self.longest_silent_voter(cell, health));
+        let removed = silent_voter.flatten().or_else(|| self.silent_learner(cell, health))?;
+        Some(CellChange::Remove(removed.id))
     }
 
     /// Returns how many voters the cell lacks and why; none if all its voters answer.
@@ -156,6 +156,17 @@
         health.is_some_and(|health| health.time_since_response >= self.settings.replace_after)
     }
 
+    /// Returns a learner of a complete cell that is silent. A learner that comes back requests to join again;
+    /// one that is gone for good would stay for ever.
+    fn silent_learner<'a>(
+        &self,
+        cell: &'a CellConfig,
+        health: &BTreeMap<ReplicaId, CellMemberHealth>,
+    ) -> Option<&'a CellMember> {
+        let mut learners = cell.learners.iter().filter(|_| self.is_complete(cell));
+        learners.find(|member| self.is_silent(health, member))
+    }
+
     /// Returns the silent voter that answered least recently: of several, it is the least likely to return.
     fn longest_silent_voter<'a>(
         &self,
--- a/crates/core/tests/registry/cell_repair.rs
+++ b/crates/core/tests/registry/cell_repair.rs
@@ -108,6 +108,20 @@
     assert_eq!(REPAIR.next_change(&cell(&[1, 2], &[3]), &health), None);
 }
 
+/// Guards against learners that are gone for good and stay members: each lost machine would add one.
+#[rstest]
+#[case::of_a_complete_cell(&[1, 2, 3], 60, Some(CellChange::Remove(ReplicaId(4))))]
+#[case::that_was_silent_for_a_moment(&[1, 2, 3], 3, None)]
+#[case::while_voters_are_missing(&[1, 2], 60, None)]
+fn a_silent_learner_is_removed_once_no_voter_is_missing(
+    #[case] voters: &[u64],
+    #[case] silence: u64,
+    #[case] expected: Option<CellChange>,
+) {
+    let health = health(&[(2, 0, true), (3, 0, true), (4, silence, true)]);
+    assert_eq!(REPAIR.next_change(&cell(voters, &[4]), &health), expected);
+}
+
 #[rstest]
 #[case::all_voters_answer(&[1, 2, 3], &[], &[(2, 0, true), (3, 3, true)], None)]
 #[case::a_voter_is_gone(&[1, 2, 3], &[], &[(2, 0, true), (3, 5, true)],
