Control: inputs that keep coming do not put off the next try to open the log

Found at reading: during an outage of the disk the thread looked for the end of its pause only when no input waited. The lack of voters that a former leader has counted leaves its metric at the outage, too.

--- a/crates/control/src/consensus/outage.rs
+++ b/crates/control/src/consensus/outage.rs
@@ -8,6 +8,7 @@
 use super::input::ConsensusInput;
 use super::thread::{ConsensusError, ConsensusThread};
 use crate::backoff::Backoff;
+use crate::cell::PeerMessage;
 use crate::error::{Causes, RequestError};
 use crate::state_codec::decode_state;
 use corktack_core::consensus::{Action, PersistedState};
@@ -82,11 +83,12 @@
         self.parts.metrics.storage_unwritable.set(1);
         for action in self.parts.replica.resign() {
             if let Action::Send { to, message } = action {
-                self.parts.links.send(to, crate::cell::PeerMessage::Consensus(message));
+                self.parts.links.send(to, PeerMessage::Consensus(message));
             }
         }
         let now = self.parts.clock.now();
         self.parts.duties.apply_role(now, None);
+        self.parts.metrics.record_shortage(None);
         self.pending.refuse_all(RequestError::StorageUnwritable);
         self.revision_queries.clear();
         self.parts.status.send_modify(|status| status.begin_outage(began));
@@ -99,13 +101,15 @@
         deadline: Instant,
         inputs: &Receiver<ConsensusInput>,
     ) -> bool {
-        loop {
-            match inputs.recv_timeout(deadline.saturating_duration_since(Instant::now())) {
+        // Inputs that keep coming must not put off the next try.
+        while let Some(remaining) = deadline.checked_duration_since(Instant::now()) {
+            match inputs.recv_timeout(remaining) {
                 Ok(ConsensusInput::Stop) | Err(RecvTimeoutError::Disconnected) => return true,
                 Ok(input) => self.refuse_input(input),
                 Err(RecvTimeoutError::Timeout) => return false,
             }
         }
+        false
     }
 
     /// Refuses a request, or drops an input that concerns the cell or the duties of a leader: its sender
