--- a/crates/sim/tests/run.rs
+++ b/crates/sim/tests/run.rs
@@ -37,7 +37,7 @@
 #[case(Variant::SnapshotNotCompared, 10, "ConfigurationReverted")]
 #[case(Variant::SnapshotNotProven, 15, "ConfigurationReverted")]
 #[case(Variant::PromoteEveryMember, 80, "TwoPrimaries")]
-#[case(Variant::TermNotPersisted, 3194, "TwoLeaders")]
+#[case(Variant::TermNotPersisted, 477, "TwoLeaders")]
 #[case(Variant::LogNotPersisted, 2, "LogsDiffer")]
 #[case(Variant::RefusedWriteRuns, 6, "RefusedWriteRan")]
 // Two nodes called for a promotion under one fence: the cell was restarted between a decision and its call.
