--- a/crates/core/src/registry/cell_repair_duty.rs
+++ b/crates/core/src/registry/cell_repair_duty.rs
@@ -35,7 +35,7 @@
 }
 
 impl CellRepairDuty {
-    /// Returns the duty of a replica that has evaluated its cell never before.
+    /// Creates the duty; its first evaluation is due as soon as the replica leads.
     #[must_use]
     pub fn new(repair: CellRepair) -> Self {
         Self { repair, joiners: BTreeMap::new(), next_evaluation: Timestamp::ZERO, shortage: None }
