--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod members;
 mod net;
+mod returning;
 
 use fleet::Fleet;
 use net::Record;
@@ -47,6 +48,7 @@
         return Verdict::NotRun(error.to_string());
     }
     let run = match case {
+        "returning" => returning::run,
         "leaving" => leaving::run,
         _ => return Verdict::NotRun(format!("no case {case}")),
     };
