--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod members;
 mod net;
 mod returning;
+mod stopping;
 
 use fleet::Fleet;
 use net::Record;
@@ -48,6 +49,7 @@
         return Verdict::NotRun(error.to_string());
     }
     let run = match case {
+        "stopping" => stopping::run,
         "returning" => returning::run,
         "leaving" => leaving::run,
         _ => return Verdict::NotRun(format!("no case {case}")),
