Planned stop: every session ends between two statements, and running statements are awaited

Cause: `next_message` ended a session at a stop only after 30 ms without a statement, so that a session with shorter pauses never ended. `drain` returned at a fixed time, whether or not statements ran. The end of the transactions' grace was a notification without a state: a transaction whose statement ran at that moment missed it. A holder without callers of its own ended at once, with the statements that it ran for other gateways; and a session could begin between the end of the last one and the end of the process.

Change: the stop has a phase that sessions read (`StopProgress`). Once sessions are to end, a session ends right after an answer when it is outside a transaction and nothing else was received: the caller sees the end before it sends again. From the end of the transactions' grace no statement is begun: starts and statements are refused at once as not run. The stop waits for all sessions and for requests of other gateways, up to 11/12 of the time until the process is killed; a holder that stops refuses new work as not held. A session at its end closes its sending side first and reads on, as a close with unread bytes would reset the connection and could take the last answer with it.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -125,7 +125,8 @@
         self.shared.routes.has_document()
     }
 
-    /// Ends sessions as they become idle; returns once all have ended or the grace period is over.
+    /// Ends every session between two statements; returns once all have ended, and the requests of other
+    /// gateways with them, or [`GatewaySettings::stop_limit`] is over.
     pub async fn drain(&self) {
         drain(&self.shared).await;
     }
@@ -170,7 +171,7 @@
         shared.routes.close_unused();
         shared
             .metrics
-            .record_connection_totals(&shared.routes.connection_totals(), shared.sessions.get());
+            .record_connection_totals(&shared.routes.connection_totals(), shared.stop.sessions());
         shared.metrics.record_limits(shared.limits.totals());
     }
 }
--- a/crates/gateway/src/holder/mod.rs
+++ b/crates/gateway/src/holder/mod.rs
@@ -11,6 +11,7 @@
 mod operations;
 mod statement;
 
+use crate::drain::StopPhase;
 use crate::error::LinkError;
 use crate::group::LocatedConnection;
 use crate::shared::GatewayContext;
@@ -19,7 +20,7 @@
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_protocol::frame::FrameCodec;
 use corktack_protocol::liveness::Liveness;
-use corktack_protocol::tunnel::{LoneRequest, TunnelReply, TunnelRequest};
+use corktack_protocol::tunnel::{LoneRequest, TunnelRefusal, TunnelReply, TunnelRequest};
 use frames::{HolderFrames, LOG_TARGET, send, with_heartbeats};
 use futures_util::StreamExt;
 use lent::serve_lent;
@@ -53,12 +54,28 @@
     drop(Liveness::WITHIN_DEPLOYMENT.apply(&stream));
     let mut frames = HolderFrames::new(stream, FrameCodec::default());
     while let Some(Ok(request)) = frames.next().await {
-        if serve_request(&shared, &mut frames, request).await.is_err() {
+        let _in_progress = shared.stop.count_peer_request();
+        let served = if begins_work(&request) && shared.stop.has_reached(StopPhase::EndingSessions)
+        {
+            send(&mut frames, TunnelReply::Refused(TunnelRefusal::NotHeld)).await
+        } else {
+            serve_request(&shared, &mut frames, request).await
+        };
+        if served.is_err() {
             return;
         }
     }
 }
 
+/// Reports whether a request takes a connection to a member. A gateway that stops would cut the work short,
+/// so that it refuses such a request; the other gateway asks another holder.
+const fn begins_work(request: &TunnelRequest) -> bool {
+    matches!(
+        request,
+        TunnelRequest::Acquire { .. } | TunnelRequest::Open { .. } | TunnelRequest::Run { .. }
+    )
+}
+
 async fn serve_request<W: Wire>(
     shared: &GatewayContext<W>,
     frames: &mut HolderFrames,
--- a/crates/gateway/src/retry_after.rs
+++ b/crates/gateway/src/retry_after.rs
@@ -23,6 +23,8 @@
 /// Retry time if there is no configuration yet. After a loss of all machines of a large deployment it comes
 /// 0.4 to 1.1 s after the start, of which callers have already waited a part.
 pub(crate) const NO_CONFIGURATION: Duration = Duration::from_millis(500);
+/// Retry time of a caller whose gateway stops: other gateways serve it at once.
+pub(crate) const GATEWAY_STOPS: Duration = Duration::from_millis(10);
 
 /// Returns the text of a refusal, which promises that the operation did not run.
 pub(crate) fn not_run(why: impl Display, retry_after: Duration) -> String {
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -1,12 +1,14 @@
 //! Connection of a caller: reads its messages, has the session answer them in order, and closes the
 //! connection.
 //!
-//! Idle transactions are rolled back here, and sessions end at a planned stop, which
-//! [`shared`](crate::shared) signals.
+//! Idle transactions are rolled back here, and sessions end at a planned stop, whose progress
+//! [`drain`](crate::drain) signals: between two statements, so that no statement that was read stays without an
+//! answer.
 
 use super::Session;
 use super::response::Response;
 use super::transaction::Transaction;
+use crate::drain::StopPhase;
 use crate::retry_after::{self, not_run};
 use crate::shared::GatewayContext;
 use crate::wire::Wire;
@@ -28,9 +30,13 @@
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest time for sending an answer. Bounds how long a caller that reads nothing keeps its session.
 const SEND_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time without a statement after which a session is closed at a planned stop. A shorter time cuts off
+/// Time without a statement after which an idle session is closed at a planned stop. A shorter time cuts off
 /// statements in transit; a longer one lengthens the stop.
 const IDLE_BEFORE_CLOSE: Duration = Duration::from_millis(30);
+/// Longest wait, after the end of a session at a planned stop, until the caller closes its side. A shorter
+/// one resets the connection of a distant caller before it has read its last answer; a longer one lengthens
+/// the stop.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Reason why a caller's connection ends; none is a fault of this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,14 +61,15 @@
         output: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
         shared: Rc::clone(&shared),
     };
-    shared.sessions.set(shared.sessions.get() + 1);
-    let result = caller.run().await;
-    shared.sessions.set(shared.sessions.get() - 1);
-    if let Err(EndReason::Wire) = result {
-        // The connection ends whether or not the caller reads the error.
-        let _ = caller.refuse(ErrorCode::Malformed, "no message of the wire").await;
+    let _session = shared.stop.count_session();
+    match caller.run().await {
+        Err(EndReason::Wire) => {
+            // The connection ends whether or not the caller reads the error.
+            let _ = caller.refuse(ErrorCode::Malformed, "no message of the wire").await;
+        }
+        Err(EndReason::Stopping) => caller.close().await,
+        _ => (),
     }
-    shared.session_ended.notify_waiters();
 }
 
 /// A caller's connection with its buffers.
@@ -80,6 +87,9 @@
         let CallerMessage::Start { database, key } = first else {
             return self.refuse(ErrorCode::Malformed, "a session begins with its start").await;
         };
+        if self.shared.stop.has_reached(StopPhase::Closing) {
+            return self.refuse_at_stop().await;
+        }
         if !self.shared.wait_for_document().await {
             let text = not_run("no configuration yet", retry_after::NO_CONFIGURATION);
             return self.refuse(ErrorCode::Busy, &text).await;
@@ -98,7 +108,13 @@
     async fn serve(&mut self, session: &mut Session<W>) -> Result<(), EndReason> {
         loop {
             match self.next_message(session).await? {
-                CallerMessage::Query(request) => self.answer(session, request).await?,
+                CallerMessage::Query(_) if self.refuses_statements(session) => {
+                    return self.refuse_at_stop().await;
+                }
+                CallerMessage::Query(request) => {
+                    self.answer(session, request).await?;
+                    self.end_if_stopping(session)?;
+                }
                 CallerMessage::Terminate => return Ok(()),
                 CallerMessage::Start { .. } => {
                     return self.refuse(ErrorCode::Malformed, "the session has begun").await;
@@ -107,6 +123,28 @@
         }
     }
 
+    /// Reports whether a planned stop is so far that no statement outside a transaction is begun.
+    fn refuses_statements(&self, session: &Session<W>) -> bool {
+        self.shared.stop.has_reached(StopPhase::Closing) && session.transaction.is_none()
+    }
+
+    /// Ends the session after an answer at a planned stop, if it is outside a transaction and the caller has
+    /// sent nothing else, or if transactions are rolled back already.
+    fn end_if_stopping(&self, session: &mut Session<W>) -> Result<(), EndReason> {
+        let is_outside = session.transaction.is_none();
+        let is_stopping = self.shared.stop.has_reached(StopPhase::EndingSessions);
+        let is_closing = self.shared.stop.has_reached(StopPhase::Closing);
+        if is_closing && !is_outside {
+            session.transaction.fail();
+            return Err(EndReason::Stopping);
+        }
+        // A statement that was received is served or refused.
+        if is_stopping && is_outside && self.input.is_empty() {
+            return Err(EndReason::Stopping);
+        }
+        Ok(())
+    }
+
     async fn answer(
         &mut self,
         session: &mut Session<W>,
@@ -153,11 +191,16 @@
         loop {
             let idle_deadline =
                 session.transaction.idle_limit().map(|limit| Instant::now() + limit);
-            let is_stopping = shared.stopping.get();
+            let is_stopping = shared.stop.has_reached(StopPhase::EndingSessions);
             let is_outside = session.transaction.is_none();
             if is_stopping && is_outside && self.input.is_empty() {
                 let received = timeout_at(Instant::now() + IDLE_BEFORE_CLOSE, self.receive()).await;
-                return received.unwrap_or(Err(EndReason::Stopping));
+                match received {
+                    Ok(received) => return received,
+                    Err(_) if self.input.is_empty() => return Err(EndReason::Stopping),
+                    // A part of a statement has arrived.
+                    Err(_) => (),
+                }
             }
             // After a pause of the process, messages and timers are due at once: messages are handled first.
             tokio::select! {
@@ -167,8 +210,8 @@
                     log::info!(database = session.database.as_str(); "idle transaction rolled back");
                     session.transaction.fail();
                 }
-                () = shared.stop_began.notified(), if !is_stopping && is_outside => (),
-                () = shared.transaction_grace_ended.notified(), if !is_outside => {
+                () = shared.stop.reached(StopPhase::EndingSessions), if !is_stopping && is_outside => (),
+                () = shared.stop.reached(StopPhase::Closing), if is_stopping || !is_outside => {
                     session.transaction.fail();
                     return Err(EndReason::Stopping);
                 }
@@ -193,6 +236,29 @@
         }
     }
 
+    /// Refuses the start of a session or a statement, which a planned stop would cut short.
+    async fn refuse_at_stop(&mut self) -> Result<(), EndReason> {
+        let text = not_run("the gateway stops", retry_after::GATEWAY_STOPS);
+        self.refuse(ErrorCode::Busy, &text).await?;
+        Err(EndReason::Stopping)
+    }
+
+    /// Closes the connection once the caller has closed its side, or after [`CLOSE_TIMEOUT`]. Closing with
+    /// unread bytes would reset the connection, and the caller could lose its last answer.
+    async fn close(&mut self) {
+        let closing = async {
+            self.stream.shutdown().await?;
+            loop {
+                self.input.clear();
+                if self.stream.read_buf(&mut self.input).await? == 0 {
+                    return std::io::Result::Ok(());
+                }
+            }
+        };
+        // The connection ends in any case.
+        drop(timeout_at(Instant::now() + CLOSE_TIMEOUT, closing).await);
+    }
+
     /// Sends an error after which the connection ends.
     async fn refuse(&mut self, code: ErrorCode, text: &str) -> Result<(), EndReason> {
         let error = Reply::Error { code, text: text.to_owned() };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -32,7 +32,10 @@
     /// Time at the start of a planned stop in which sessions continue, while new callers are directed to
     /// other gateways.
     pub drain_notice: Duration,
-    /// Grace period of open transactions after the notice: they are rolled back at its end, and sessions that
-    /// are still open after the same time again are left.
+    /// Grace period of open transactions after the notice: they are rolled back at its end, and no more
+    /// statements are begun.
     pub transaction_grace: Duration,
+    /// Longest duration of a planned stop, from its start. Statements that still run at a member then are
+    /// abandoned.
+    pub stop_limit: Duration,
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,13 +5,13 @@
 //! the planned stop.
 
 use crate::clock::SteadyClock;
+use crate::drain::StopProgress;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::routes::Routes;
 use crate::settings::GatewaySettings;
 use crate::wire::Wire;
 use corktack_core::time::Timestamp;
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -31,14 +31,8 @@
     pub(crate) routes: Routes<W>,
     pub(crate) metrics: Metrics,
     pub(crate) limits: Rc<Limits>,
-    /// Number of open sessions.
-    pub(crate) sessions: Cell<usize>,
-    /// Set when a planned stop begins to close idle sessions.
-    pub(crate) stopping: Cell<bool>,
-    pub(crate) stop_began: Notify,
-    /// Signals that the grace period of open transactions is over.
-    pub(crate) transaction_grace_ended: Notify,
-    pub(crate) session_ended: Notify,
+    /// Progress of a planned stop, and the work that it waits for.
+    pub(crate) stop: StopProgress,
     document_arrived: Notify,
     started_at: Instant,
     clock: SteadyClock,
@@ -59,11 +53,7 @@
             settings,
             metrics,
             limits: Rc::new(limits),
-            sessions: Cell::new(0),
-            stopping: Cell::new(false),
-            stop_began: Notify::new(),
-            transaction_grace_ended: Notify::new(),
-            session_ended: Notify::new(),
+            stop: StopProgress::new(),
             document_arrived: Notify::new(),
             started_at: Instant::now(),
             clock,
--- a/crates/gateway/tests/retry_after.rs
+++ b/crates/gateway/tests/retry_after.rs
@@ -15,6 +15,7 @@
         not_run("the limit is reached", retry_after::HOME_UNANSWERED),
         not_run("nothing proves that the configuration is current", retry_after::UNCONFIRMED),
         not_run("no configuration yet", retry_after::NO_CONFIGURATION),
+        not_run("the gateway stops", retry_after::GATEWAY_STOPS),
     ];
     let expected = [
         "not run: no member can be reached; retry_after_ms=250",
@@ -22,6 +23,7 @@
         "not run: the limit is reached; retry_after_ms=500",
         "not run: nothing proves that the configuration is current; retry_after_ms=1000",
         "not run: no configuration yet; retry_after_ms=500",
+        "not run: the gateway stops; retry_after_ms=10",
     ];
     assert_eq!(texts, expected);
 }
--- a/crates/gateway/tests/sessions/caller.rs
+++ b/crates/gateway/tests/sessions/caller.rs
@@ -88,15 +88,25 @@
 
     /// Sends a statement and waits for its whole answer.
     pub async fn query(&mut self, text: &str) -> Answered {
+        self.query_unless_closed(text).await.expect("a whole answer")
+    }
+
+    /// Sends a statement and waits for its whole answer; none if the gateway closes the connection, or has
+    /// closed it, without any part of an answer.
+    pub async fn query_unless_closed(&mut self, text: &str) -> Option<Answered> {
         self.queries += 1;
         let id = self.last_id();
-        self.send(&format!("query|{id}|{text}\n")).await;
+        let query = format!("query|{id}|{text}\n");
+        self.stream.write_all(query.as_bytes()).await.ok()?;
         let mut lines = Vec::new();
         loop {
-            let line = self.line().await.expect("a whole answer");
+            let Some(line) = self.line().await else {
+                assert!(lines.is_empty(), "a part of an answer: {lines:?}");
+                return None;
+            };
             if let Some(ready) = line.strip_prefix("ready|") {
                 let state = ready.split('|').next().unwrap_or_default().to_owned();
-                return Answered { lines, state };
+                return Some(Answered { lines, state });
             }
             lines.push(line);
         }
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -13,6 +13,7 @@
 mod restarts;
 mod routing;
 mod state;
+mod stopping;
 mod tenants;
 mod tunnels;
 mod wire;
--- a/crates/gateway/tests/sessions/world/document.rs
+++ b/crates/gateway/tests/sessions/world/document.rs
@@ -105,6 +105,7 @@
         drain_limit: LONG,
         drain_notice: Duration::ZERO,
         transaction_grace: LONG,
+        stop_limit: LONG,
     }
 }
 
--- a/crates/gateway/tests/sessions/world/mod.rs
+++ b/crates/gateway/tests/sessions/world/mod.rs
@@ -201,6 +201,27 @@
         })
     }
 
+    /// Starts gateways whose planned stops begin without a notice, with this grace period of transactions and
+    /// this longest duration.
+    pub fn with_stop_times(
+        members: &[&Member],
+        gateways: usize,
+        max_connections: u32,
+        transaction_grace: Duration,
+        stop_limit: Duration,
+    ) -> Self {
+        let (bound, view) = Self::prepare(members, gateways, max_connections);
+        Self::launch_adjusted(bound, view, None, |settings| {
+            settings.transaction_grace = transaction_grace;
+            settings.stop_limit = stop_limit;
+        })
+    }
+
+    /// Performs a planned stop of a gateway, whose process stays.
+    pub async fn stop_gateway(&self, index: usize) {
+        self._handles[index].drain().await;
+    }
+
     fn launch_adjusted(
         bound: Vec<GatewaySockets>,
         view: View,
--- a/crates/server/src/deployment/settings.rs
+++ b/crates/server/src/deployment/settings.rs
@@ -57,6 +57,10 @@
 /// free only late. A lower value abandons busy members, a higher one delays requests that wait for a
 /// connection.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Fraction of the time until the process is killed for which a planned stop waits for statements that run at
+/// members. A lower value abandons statements that would still be answered; a higher one leaves too little
+/// time to store the configuration and to exit.
+const STOP_LIMIT_FRACTION: f64 = 11.0 / 12.0;
 
 impl Deployment {
     /// Returns the settings of this machine's control replica, without its calls to registered back ends.
@@ -121,6 +125,7 @@
             drain_limit: self.bounds.drain / 2,
             drain_notice: self.bounds.stop_grace / 3,
             transaction_grace: self.bounds.stop_grace / 6,
+            stop_limit: self.bounds.stop_grace.mul_f64(STOP_LIMIT_FRACTION),
         })
     }
 }
