Planned stop: idle sessions end before busy ones

A session that ends after an answer may have its caller's next statement in transit, which then stays without an answer; an idle session seldom has.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -15,8 +15,10 @@
 pub(crate) enum StopPhase {
     /// Callers are served; before a stop, and during its notice.
     Serving,
-    /// Sessions end as soon as they are between two statements and outside a transaction. Other gateways get
-    /// no more connections.
+    /// Sessions outside a transaction end when they have been idle for a short time. Other gateways get no
+    /// more connections.
+    EndingIdleSessions,
+    /// Sessions outside a transaction end after their next answer as well.
     EndingSessions,
     /// Open transactions are rolled back once no statement of theirs runs, and no statement is begun.
     Closing,
@@ -104,9 +106,14 @@
     let (stop, settings) = (&shared.stop, &shared.settings);
     let began = Instant::now();
     sleep_until(began + settings.drain_notice).await;
-    enter(stop, StopPhase::EndingSessions);
-    let transactions_end = began + settings.drain_notice + settings.transaction_grace;
-    let ended = timeout_at(transactions_end, stop.all_work_ended()).await;
+    enter(stop, StopPhase::EndingIdleSessions);
+    let idle_end = began + settings.drain_notice + settings.transaction_grace / 2;
+    let mut ended = timeout_at(idle_end, stop.all_work_ended()).await;
+    if ended.is_err() {
+        enter(stop, StopPhase::EndingSessions);
+        let transactions_end = began + settings.drain_notice + settings.transaction_grace;
+        ended = timeout_at(transactions_end, stop.all_work_ended()).await;
+    }
     enter(stop, StopPhase::Closing);
     if ended.is_err()
         && timeout_at(began + settings.stop_limit, stop.all_work_ended()).await.is_err()
--- a/crates/gateway/src/holder/mod.rs
+++ b/crates/gateway/src/holder/mod.rs
@@ -55,12 +55,12 @@
     let mut frames = HolderFrames::new(stream, FrameCodec::default());
     while let Some(Ok(request)) = frames.next().await {
         let _in_progress = shared.stop.count_peer_request();
-        let served = if begins_work(&request) && shared.stop.has_reached(StopPhase::EndingSessions)
-        {
-            send(&mut frames, TunnelReply::Refused(TunnelRefusal::NotHeld)).await
-        } else {
-            serve_request(&shared, &mut frames, request).await
-        };
+        let served =
+            if begins_work(&request) && shared.stop.has_reached(StopPhase::EndingIdleSessions) {
+                send(&mut frames, TunnelReply::Refused(TunnelRefusal::NotHeld)).await
+            } else {
+                serve_request(&shared, &mut frames, request).await
+            };
         if served.is_err() {
             return;
         }
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -191,7 +191,7 @@
         loop {
             let idle_deadline =
                 session.transaction.idle_limit().map(|limit| Instant::now() + limit);
-            let is_stopping = shared.stop.has_reached(StopPhase::EndingSessions);
+            let is_stopping = shared.stop.has_reached(StopPhase::EndingIdleSessions);
             let is_outside = session.transaction.is_none();
             if is_stopping && is_outside && self.input.is_empty() {
                 let received = timeout_at(Instant::now() + IDLE_BEFORE_CLOSE, self.receive()).await;
@@ -210,7 +210,7 @@
                     log::info!(database = session.database.as_str(); "idle transaction rolled back");
                     session.transaction.fail();
                 }
-                () = shared.stop.reached(StopPhase::EndingSessions), if !is_stopping && is_outside => (),
+                () = shared.stop.reached(StopPhase::EndingIdleSessions), if !is_stopping && is_outside => (),
                 () = shared.stop.reached(StopPhase::Closing), if is_stopping || !is_outside => {
                     session.transaction.fail();
                     return Err(EndReason::Stopping);
