Promotion: every log that may hold an acknowledged commit counts, and a primary that is back is kept

Members were asked and held only if they were ready, so that a leaving replica went on acknowledging while the other one received nothing. 2. The answers of all registered replicas were needed, but not that of a replica that had left and whose log its successor brings back. The held one sufficed from then on. 3. Nobody looked whether the primary was back once the members were asked: neither the gateways' reports nor the primary itself. 4. A member that may not be chosen (refused) was not asked, and the next one was chosen in its place once the refusal allowed it. On related paths: a replica that registers after the choice was not held; a replica stayed held if its leader was gone, or after the promotion; an answer from before a release counted for a later question; a new leader did not supersede a decision of its predecessor that could still be carried out.

No member is chosen that is behind another log. A primary that too few gateways report, or that answers the leader itself, is kept, unless a call to the authority is open. Replicas stay held until a primary serves, new ones too, and are released then; a new leader releases what its predecessor may have held, or supersedes its decision. Where no replica is held, the choice is as before, but a member is not chosen that has begun to leave since it was asked, and a primary that is back is kept if no member has answered.

A replica that leaves and never gets a successor blocks the promotion of a group with synchronous replicas, as it may hold the only copy; the operator can set their number to 0.

--- a/crates/control/src/leader/duties.rs
+++ b/crates/control/src/leader/duties.rs
@@ -8,7 +8,7 @@
 use super::limits::LeaderLimits;
 use crate::back_end::{BackEndCall, BackEndCaller, BackEndResult, Operation};
 use crate::metrics::{Metrics, PhaseLabel};
-use crate::registry_calls::{RegistryAnswer, RegistryCaller};
+use crate::registry_calls::{MemberTarget, RegistryAnswer, RegistryCaller};
 use crate::settings::ControlSettings;
 use corktack_core::failover::{CallTarget, FailoverSettings, ProposalId};
 use corktack_core::limits::{AllowanceGrant, AllowanceReport, LimitBounds};
@@ -234,8 +234,8 @@
     pub(crate) fn record_registry_answer(&mut self, now: Timestamp, answer: RegistryAnswer) {
         let Some(leadership) = self.begun() else { return };
         match answer {
-            RegistryAnswer::Status(call, status) => {
-                leadership.promotion.record_member_answer(&call.group, &call.member, status);
+            RegistryAnswer::Status(MemberTarget { group, member, .. }, asked_at, status) => {
+                leadership.promotion.record_member_answer(&group, &member, asked_at, status);
             }
             RegistryAnswer::Promotion(group, fence, answer) => {
                 leadership.promotion.record_authority_answer(now, &group, fence, answer);
--- a/crates/control/src/registry_calls/call.rs
+++ b/crates/control/src/registry_calls/call.rs
@@ -2,6 +2,7 @@
 
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::registry::{MemberAnswer, PromotionAnswer};
+use corktack_core::time::Timestamp;
 use futures_util::future::LocalBoxFuture;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -50,8 +51,8 @@
 /// The result of a call.
 #[derive(Debug)]
 pub(crate) enum RegistryAnswer {
-    /// The result of a status call to a member.
-    Status(MemberTarget, MemberAnswer),
+    /// The result of a status call to a member, with the time at which the leader asked for it.
+    Status(MemberTarget, Timestamp, MemberAnswer),
     /// The authority's answer to the promotion request with a fencing token.
     Promotion(GroupName, u64, PromotionAnswer),
 }
--- a/crates/control/src/registry_calls/caller.rs
+++ b/crates/control/src/registry_calls/caller.rs
@@ -44,11 +44,11 @@
 
     async fn run(self, action: PromotionAction) {
         let answer = match action {
-            PromotionAction::RequestStatus { group, member, address, hold } => {
+            PromotionAction::RequestStatus { group, member, address, hold, asked_at } => {
                 let call = MemberTarget { group, member, address };
                 let status =
                     timeout(STATUS_TIMEOUT, self.calls.members.status(call.clone(), hold)).await;
-                RegistryAnswer::Status(call, status.unwrap_or(MemberAnswer::Silent))
+                RegistryAnswer::Status(call, asked_at, status.unwrap_or(MemberAnswer::Silent))
             }
             PromotionAction::RequestPromotion { group, target, fence } => {
                 log::info!(group:% = group, member:% = target, fence; "promotion is called for");
--- a/crates/core/src/registry/promotion/evaluation.rs
+++ b/crates/core/src/registry/promotion/evaluation.rs
@@ -16,11 +16,11 @@
 //!    asks the primary as well.
 
 use super::evidence::{candidates, primary_of};
-use super::{GatewayContact, GroupState, LOG_TARGET, PromotionManager};
+use super::{
+    GatewayContact, GroupContext, GroupState, LOG_TARGET, Phase, PromotionManager, Reason,
+};
 use crate::identity::{GroupName, MemberName};
 use crate::registry::back_end::BackEndState;
-use crate::registry::state::RegistryState;
-use crate::time::Timestamp;
 use std::collections::BTreeSet;
 
 /// Fraction of the gateways whose reports suffice, without a probe by the leader. If fewer gateways
@@ -36,16 +36,10 @@
 
 impl PromotionManager {
     /// Starts to ask the members if the primary must be replaced or may have failed.
-    pub(super) fn evaluate_primary(
-        &self,
-        now: Timestamp,
-        state: &RegistryState,
-        group: &GroupName,
-        group_state: &mut GroupState,
-        gateways: GatewayContact,
-    ) {
+    pub(super) fn evaluate_primary(&self, context: GroupContext<'_>, group_state: &mut GroupState) {
+        let GroupContext { state, group, .. } = context;
         let Some(primary) = primary_of(state, group) else {
-            self.evaluate_vacancy(now, state, group, group_state);
+            self.evaluate_vacancy(context, group_state);
             return;
         };
         group_state.vacant_since = None;
@@ -55,50 +49,62 @@
                 target: LOG_TARGET, group:% = group, member:% = primary;
                 "primary leaves: it is replaced"
             );
-            group_state.phase = Self::asking_phase(None);
+            group_state.begin(Reason::Gone, None);
             return;
         }
-        self.evaluate_suspicion(now, group, primary, group_state, gateways);
+        self.evaluate_suspicion(context, primary, group_state);
     }
 
     /// Starts to ask the members of a group that has had no primary for the vacancy timeout.
-    fn evaluate_vacancy(
-        &self,
-        now: Timestamp,
-        state: &RegistryState,
-        group: &GroupName,
-        group_state: &mut GroupState,
-    ) {
-        let since = *group_state.vacant_since.get_or_insert(now);
-        let has_candidate = candidates(state, group).next().is_some();
-        if has_candidate && now.saturating_since(since) >= self.settings.vacancy_timeout {
-            group_state.phase = Self::asking_phase(None);
+    fn evaluate_vacancy(&self, context: GroupContext<'_>, group_state: &mut GroupState) {
+        let since = *group_state.vacant_since.get_or_insert(context.now);
+        let has_candidate = candidates(context.state, context.group).next().is_some();
+        let waited = context.now.saturating_since(since);
+        if has_candidate && waited >= self.settings.vacancy_timeout {
+            group_state.begin(Reason::Gone, None);
+        }
+    }
+
+    /// Returns the number of gateways that report a member as unreachable.
+    fn suspecting(&self, group: &GroupName, member: &MemberName) -> usize {
+        let gateways = self.unreachable_reports.get(&(group.clone(), member.clone()));
+        gateways.map_or(0, BTreeSet::len)
+    }
+
+    /// Reports whether the primary is back: fewer gateways report it as unreachable than its replacement needs.
+    /// No call to the authority may be open, as the member that it names could still be promoted.
+    pub(super) fn is_back(&self, context: GroupContext<'_>, group_state: &GroupState) -> bool {
+        if group_state.reason != Reason::Unreachable || group_state.open_calls > 0 {
+            return false;
+        }
+        let Some(primary) = primary_of(context.state, context.group) else { return false };
+        let suspecting = self.suspecting(context.group, &primary);
+        match &group_state.phase {
+            Phase::Asking { suspect: Some(_), .. } => suspecting == 0,
+            _ => suspecting < required_gateways(context.gateways),
         }
     }
 
     /// Evaluates the reports of the gateways that cannot reach the primary.
     fn evaluate_suspicion(
         &self,
-        now: Timestamp,
-        group: &GroupName,
+        context: GroupContext<'_>,
         primary: MemberName,
         group_state: &mut GroupState,
-        gateways: GatewayContact,
     ) {
-        let suspecting = self.unreachable_reports.get(&(group.clone(), primary.clone()));
-        let suspecting = suspecting.map_or(0, BTreeSet::len);
+        let GroupContext { now, group, gateways, .. } = context;
+        let suspecting = self.suspecting(group, &primary);
         if suspecting == 0 {
             group_state.suspected_since = None;
             return;
         }
         let GatewayContact { reporting, silent } = gateways;
-        let required = ((reporting + silent) as f64 * SUSPECTING_FRACTION).ceil() as usize;
-        if suspecting >= required.max(MIN_SUSPECTING) {
+        if suspecting >= required_gateways(gateways) {
             log::warn!(
                 target: LOG_TARGET, group:% = group, member:% = primary, suspecting, heard = reporting, silent;
                 "primary is unreachable: it is replaced"
             );
-            group_state.phase = Self::asking_phase(None);
+            group_state.begin(Reason::Unreachable, None);
             return;
         }
         let waited = now.saturating_since(*group_state.suspected_since.get_or_insert(now));
@@ -110,6 +116,12 @@
             target: LOG_TARGET, group:% = group, member:% = primary, suspecting, heard = reporting, silent;
             "primary is suspected"
         );
-        group_state.phase = Self::asking_phase(Some(primary));
+        group_state.begin(Reason::Unreachable, Some(primary));
     }
 }
+
+/// Returns the number of gateways whose reports suffice, without a probe by the leader.
+fn required_gateways(GatewayContact { reporting, silent }: GatewayContact) -> usize {
+    let required = ((reporting + silent) as f64 * SUSPECTING_FRACTION).ceil() as usize;
+    required.max(MIN_SUSPECTING)
+}
--- a/crates/core/src/registry/promotion/messages.rs
+++ b/crates/core/src/registry/promotion/messages.rs
@@ -3,6 +3,7 @@
 use super::super::state::RegistryCommand;
 use crate::identity::{GroupName, MemberName, ProxyName};
 use crate::statement::MemberStatus;
+use crate::time::Timestamp;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -107,8 +108,11 @@
         address: SocketAddr,
         /// Whether the member must stop receiving from the primary before it answers.
         hold: bool,
+        /// Time of the request, which its answer must name.
+        asked_at: Timestamp,
     },
-    /// Let a member receive from the primary again after it was held for a choice that is not made.
+    /// Let a member receive from the primary again after it was held. This call and those that hold the
+    /// member must be made one after the other, in the order of the actions.
     Release {
         /// Group of the member.
         group: GroupName,
--- a/crates/core/src/registry/promotion/mod.rs
+++ b/crates/core/src/registry/promotion/mod.rs
@@ -8,16 +8,24 @@
 //! ([`Replica::has_applied_own_term`](crate::consensus::Replica::has_applied_own_term)).
 //!
 //! The candidate is the most advanced member, asked after the primary became unreachable. Where
-//! commits are acknowledged only once replicas hold them, the replicas first stop receiving from the
-//! primary, all of them must answer, and no replica is chosen that is behind another.
+//! commits are acknowledged only once replicas hold them, the promoted member must hold every
+//! acknowledged commit:
+//! - Each replica first stops receiving from the primary, and stays so until the replacement ends.
+//! - Each log that may hold an acknowledged commit counts: those of all replicas, whether or not they
+//!   can be promoted, and of replicas that left, until the successor at their address has registered.
+//!   No member is chosen that is behind one of them.
+//! - The primary is kept if it is back before a decision; replicas are released only if no decision
+//!   can be carried out any more.
 //!
 //! The module holds the phase of each group and the gateways' reports on primaries, for one
 //! leadership. Primaries and decisions come from the registry state, and the leader performs the
 //! actions. `evaluation` decides when a primary is replaced, `evidence` whether the members'
-//! answers suffice, and `steps` performs the replacement.
+//! answers suffice, `steps` performs the replacement, and `holds` holds and releases replicas.
 
 mod evaluation;
 mod evidence;
+mod group_state;
+mod holds;
 mod messages;
 mod steps;
 
@@ -29,51 +37,14 @@
 use crate::identity::{GroupName, MemberName, ProxyName};
 use crate::time::Timestamp;
 use evidence::{AnswerAssessment, assess_answers};
+use group_state::{GroupContext, GroupState, Phase, Reason};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Target of the log lines of `evaluation` and `steps`, by which operators may filter.
 const LOG_TARGET: &str = module_path!();
-
-#[derive(Clone, Debug)]
-enum Phase {
-    /// No failure of the primary is known.
-    Steady,
-    /// The leader asks the members for their positions.
-    Asking {
-        since: Timestamp,
-        /// Primary that must be unreachable for the leader before another member is chosen; none if
-        /// the leader need not check.
-        suspect: Option<MemberName>,
-        /// Answers by member; none while an answer is outstanding.
-        answers: BTreeMap<MemberName, Option<MemberAnswer>>,
-    },
-    /// The decision is proposed to the log.
-    Deciding { since: Timestamp, target: MemberName },
-    /// The leader calls the authority until the member is primary.
-    Calling {
-        since: Timestamp,
-        target: MemberName,
-        fence: u64,
-        next_call: Timestamp,
-        in_flight: bool,
-        accepted: bool,
-    },
-}
-
-/// Replacement state of one group.
-#[derive(Clone, Debug)]
-struct GroupState {
-    phase: Phase,
-    vacant_since: Option<Timestamp>,
-    /// Start of the current suspicion, in which too few gateways for a replacement report the primary
-    /// as unreachable.
-    suspected_since: Option<Timestamp>,
-    /// Members that are not chosen before the given time.
-    refused: BTreeMap<MemberName, Timestamp>,
-    /// Highest fence handled so far; only decisions above it are acted on, which excludes decisions
-    /// of earlier leaders, as the state contained these when the leadership began.
-    last_fence: u64,
-}
+/// Number of answer timeouts after which members that are held are asked again, which is longer than a call to
+/// a member takes.
+const HELD_ANSWER_TIMEOUTS: u32 = 2;
 
 /// Replaces primaries of registered groups, for the duration of one leadership.
 #[derive(Clone, Debug)]
@@ -84,18 +55,6 @@
     unreachable_reports: BTreeMap<(GroupName, MemberName), BTreeSet<ProxyName>>,
 }
 
-impl GroupState {
-    fn new(last_fence: u64) -> Self {
-        Self {
-            phase: Phase::Steady,
-            vacant_since: None,
-            suspected_since: None,
-            refused: BTreeMap::new(),
-            last_fence,
-        }
-    }
-}
-
 impl PromotionManager {
     /// Returns the state of a new leadership.
     #[must_use]
@@ -123,15 +82,20 @@
         self.unreachable_reports.retain(|_, gateways| !gateways.is_empty());
     }
 
-    /// Records the result of [`PromotionAction::RequestStatus`].
+    /// Records the result of a [`PromotionAction::RequestStatus`] of the time `asked_at`. An answer to an
+    /// older request is ignored: the member may have received more since.
     pub fn record_member_answer(
         &mut self,
         group: &GroupName,
         member: &MemberName,
+        asked_at: Timestamp,
         answer: MemberAnswer,
     ) {
         let Some(group_state) = self.groups.get_mut(group) else { return };
-        let Phase::Asking { answers, .. } = &mut group_state.phase else { return };
+        let Phase::Asking { since, answers, .. } = &mut group_state.phase else { return };
+        if *since != asked_at {
+            return;
+        }
         if let Some(entry) = answers.get_mut(member) {
             *entry = Some(answer);
         }
@@ -161,17 +125,13 @@
             PromotionAnswer::Accepted => *accepted = true,
             PromotionAnswer::Unknown => *next_call = now + settings.call_retry_delay,
             PromotionAnswer::Refused => {
+                group_state.open_calls = group_state.open_calls.saturating_sub(1);
                 group_state.refused.insert(target.clone(), now + settings.refusal_cooldown);
-                group_state.phase = Self::asking_phase(None);
+                group_state.ask_anew(None);
             }
         }
     }
 
-    /// Returns the phase that asks all members at the next evaluation.
-    fn asking_phase(suspect: Option<MemberName>) -> Phase {
-        Phase::Asking { since: Timestamp::ZERO, suspect, answers: BTreeMap::new() }
-    }
-
     /// Advances every group and returns the actions that the leader must perform. `state` must contain
     /// every entry that earlier leaders committed.
     pub fn advance(
@@ -189,15 +149,9 @@
             let last_fence = state.promotion(group).map_or(0, |promotion| promotion.fence.0);
             let mut group_state =
                 self.groups.remove(group).unwrap_or_else(|| GroupState::new(last_fence));
-            let hold_replicas = service.synchronous_replicas > 0;
-            self.advance_group(
-                now,
-                state,
-                group,
-                &mut group_state,
-                (gateways, hold_replicas),
-                &mut actions,
-            );
+            let holds_replicas = service.synchronous_replicas > 0;
+            let context = GroupContext { now, state, group, gateways, holds_replicas };
+            self.advance_group(context, &mut group_state, &mut actions);
             self.groups.insert(group.clone(), group_state);
         }
         actions
@@ -205,63 +159,59 @@
 
     fn advance_group(
         &mut self,
-        now: Timestamp,
-        state: &RegistryState,
-        group: &GroupName,
+        context: GroupContext<'_>,
         group_state: &mut GroupState,
-        (gateways, hold_replicas): (GatewayContact, bool),
         actions: &mut Vec<PromotionAction>,
     ) {
         if let Phase::Steady = group_state.phase {
-            self.evaluate_primary(now, state, group, group_state, gateways);
+            self.evaluate_primary(context, group_state);
         }
-        self.advance_asking(now, state, group, group_state, hold_replicas, actions);
-        self.advance_decision(now, state, group, group_state);
-        self.call_authority(now, state, group, group_state, actions);
+        Self::take_over(context, group_state, actions);
+        self.advance_asking(context, group_state, actions);
+        self.advance_decision(context, group_state);
+        self.call_authority(context, group_state, actions);
+        Self::hold_new_replicas(context, group_state, actions);
     }
 
     /// Assesses the members' answers, and asks again, chooses a candidate or keeps the primary.
     fn advance_asking(
         &mut self,
-        now: Timestamp,
-        state: &RegistryState,
-        group: &GroupName,
+        context: GroupContext<'_>,
         group_state: &mut GroupState,
-        hold_replicas: bool,
         actions: &mut Vec<PromotionAction>,
     ) {
-        let Phase::Asking { since, suspect, answers } = &group_state.phase else { return };
-        let overdue = now.saturating_since(*since) >= self.settings.answer_timeout;
-        let assessment = assess_answers(state, group, suspect.as_ref(), answers, hold_replicas);
+        let Phase::Asking { since, answers, .. } = &group_state.phase else { return };
+        let elapsed = context.now.saturating_since(*since);
+        let overdue = elapsed >= self.settings.answer_timeout;
+        // A member that is held answers two requests; an answer that comes after the next request is lost.
+        let is_answered = answers.values().all(Option::is_some);
+        let may_repeat = !context.holds_replicas
+            || is_answered
+            || elapsed >= self.settings.answer_timeout * HELD_ANSWER_TIMEOUTS;
+        let assessment = assess_answers(context, group_state);
         match assessment {
-            _ if answers.is_empty() => {
-                self.ask_members(now, state, group, group_state, hold_replicas, actions)
-            }
-            AnswerAssessment::PrimaryServes => {
-                self.keep_primary(state, group, group_state, hold_replicas, actions)
-            }
-            AnswerAssessment::Complete => self.choose_candidate(now, group, group_state, actions),
+            _ if answers.is_empty() => self.ask_members(context, group_state, actions),
+            AnswerAssessment::PrimaryServes => self.keep_primary(context, group_state, actions),
+            AnswerAssessment::Complete => self.choose_candidate(context, group_state, actions),
             AnswerAssessment::Sufficient if overdue => {
-                self.choose_candidate(now, group, group_state, actions);
+                self.choose_candidate(context, group_state, actions);
             }
             AnswerAssessment::SuspectMayServe if overdue => {
-                self.keep_primary(state, group, group_state, hold_replicas, actions);
+                self.keep_primary(context, group_state, actions);
+            }
+            AnswerAssessment::Insufficient if overdue && self.is_back(context, group_state) => {
+                self.keep_primary(context, group_state, actions);
             }
-            AnswerAssessment::Insufficient if overdue => {
-                self.ask_members(now, state, group, group_state, hold_replicas, actions)
+            AnswerAssessment::Insufficient if overdue && may_repeat => {
+                self.ask_members(context, group_state, actions);
             }
             _ => (),
         }
     }
 
     /// Begins to call the authority once the decision is in the log.
-    fn advance_decision(
-        &self,
-        now: Timestamp,
-        state: &RegistryState,
-        group: &GroupName,
-        group_state: &mut GroupState,
-    ) {
+    fn advance_decision(&self, context: GroupContext<'_>, group_state: &mut GroupState) {
+        let GroupContext { now, state, group, .. } = context;
         let Phase::Deciding { since, target } = &group_state.phase else { return };
         let decided = state.promotion(group);
         let decided = decided.filter(|promotion| {
@@ -283,7 +233,7 @@
                 accepted: false,
             };
         } else if now.saturating_since(*since) >= self.settings.promotion_timeout {
-            group_state.phase = Self::asking_phase(None);
+            group_state.ask_anew(None);
         }
     }
 }
--- a/crates/core/src/registry/state.rs
+++ b/crates/core/src/registry/state.rs
@@ -4,7 +4,7 @@
 //! ceilings of tenants' limits. Each replica applies the same commands of the log. Snapshots store
 //! the state by position, so the order and number of the fields must not change.
 
-use super::back_end::{BackEndReport, BackEndState, RegisteredBackEnd};
+use super::back_end::{BackEndReport, BackEndRole, BackEndState, RegisteredBackEnd};
 use super::document::{Document, StoredDocument};
 use crate::identity::{GroupName, MemberName};
 use crate::limits::CeilingChange;
@@ -112,6 +112,32 @@
     promotions: BTreeMap<GroupName, Promotion>,
     /// Ceilings of tenants' limits, for tenants whose ceiling is above the default.
     ceilings: BTreeMap<TenantName, u64>,
+    /// Replicas that left, for those entries of the log that this process has applied. A snapshot doesn't
+    /// contain them.
+    #[serde(skip)]
+    departures: Departures,
+}
+
+/// Replicas that left, until a successor registers at their address.
+#[derive(Clone, Debug, Default)]
+struct Departures(BTreeMap<MemberName, Arc<RegisteredBackEnd>>);
+
+impl PartialEq for Departures {
+    /// The departures depend on where a process began to apply the log, and are no part of the agreed state.
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+impl Eq for Departures {}
+
+impl Departures {
+    fn remove_succeeded_by(&mut self, successor: &RegisteredBackEnd) {
+        let is_succeeded = |left: &RegisteredBackEnd| {
+            left.group == successor.group && left.address == successor.address
+        };
+        self.0.retain(|_, left| !is_succeeded(left));
+    }
 }
 
 impl RegistryState {
@@ -163,6 +189,7 @@
         let stored = self.back_ends.get(&member).map(|record| record.back_end.state);
         // `Draining` is final, whatever state a faulty process reports later.
         back_end.state = stored.map_or(back_end.state, |stored| stored.max(back_end.state));
+        self.departures.remove_succeeded_by(&back_end);
         let record = BackEndRecord { back_end: Arc::new(back_end), sequence: report.sequence };
         self.back_ends.insert(member.clone(), record);
         changes.back_ends.insert(member);
@@ -191,8 +218,11 @@
         member: MemberName,
         changes: &mut RegistryChanges,
     ) -> RegistryOutcome {
-        if self.back_ends.remove(&member).is_some() {
+        if let Some(record) = self.back_ends.remove(&member) {
             changes.back_ends.insert(member.clone());
+            if record.back_end.role == BackEndRole::Replica {
+                self.departures.0.insert(member.clone(), record.back_end);
+            }
         }
         self.departed.entry(member).or_insert(revision);
         self.trim_departed();
@@ -205,6 +235,7 @@
             let oldest = self.departed.iter().min_by_key(|(_, revision)| **revision);
             let Some(oldest) = oldest.map(|(member, _)| member.clone()) else { return };
             self.departed.remove(&oldest);
+            self.departures.0.remove(&oldest);
         }
     }
 
@@ -254,6 +285,15 @@
         self.back_ends.iter().map(|(member, record)| (member, &record.back_end))
     }
 
+    /// Returns the replicas of a group that left and at whose address no successor has registered. The
+    /// successor takes over the log, which may hold the only copy of an acknowledged commit.
+    pub fn replicas_without_successor(
+        &self,
+        group: &GroupName,
+    ) -> impl Iterator<Item = (&MemberName, &Arc<RegisteredBackEnd>)> {
+        self.departures.0.iter().filter(move |(_, left)| left.group == *group)
+    }
+
     /// Returns the last promotion decision for a group.
     #[must_use]
     pub fn promotion(&self, group: &GroupName) -> Option<&Promotion> {
--- a/crates/core/tests/consensus/leadership.rs
+++ b/crates/core/tests/consensus/leadership.rs
@@ -124,10 +124,10 @@
 
     fn perform(&mut self, id: u64, term: Term, action: PromotionAction) {
         match action {
-            PromotionAction::RequestStatus { group, member, .. } => {
+            PromotionAction::RequestStatus { group, member, asked_at, .. } => {
                 let (_, duty) = self.duties.get_mut(&id).expect("the duty that acts");
                 let answer = status_of(&member);
-                duty.record_member_answer(&group, &member, answer);
+                duty.record_member_answer(&group, &member, asked_at, answer);
             }
             PromotionAction::Propose(command) => {
                 self.network.propose(id, &encode(&command));
--- a/crates/core/tests/registry/main.rs
+++ b/crates/core/tests/registry/main.rs
@@ -6,3 +6,4 @@
 mod heartbeats;
 mod promotion;
 mod support;
+mod synchronous;
--- a/crates/core/tests/registry/promotion.rs
+++ b/crates/core/tests/registry/promotion.rs
@@ -11,24 +11,26 @@
 };
 use corktack_core::statement::MemberStatus;
 use corktack_core::time::Timestamp;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Number of reporting gateways.
 const GATEWAYS: usize = 6;
 /// Number of gateways whose reports suffice to replace a primary: half.
-const REQUIRED_GATEWAYS: usize = 3;
+pub const REQUIRED_GATEWAYS: usize = 3;
 /// Milliseconds after which the leader asks a primary that fewer gateways report as unreachable.
 const SUSPICION_DELAY_MS: u64 = 800;
 
 /// A registry and the leader's promotions for it, on a virtual clock.
-struct World {
-    registry: Registry,
-    duty: PromotionManager,
-    gateways: GatewayContact,
-    now: Timestamp,
+pub struct World {
+    pub registry: Registry,
+    pub duty: PromotionManager,
+    pub gateways: GatewayContact,
+    pub now: Timestamp,
+    /// Time of the latest request to each member.
+    asked_at: BTreeMap<MemberName, Timestamp>,
 }
 
-fn status(primary: bool, term: u64, index: u64) -> MemberAnswer {
+pub fn status(primary: bool, term: u64, index: u64) -> MemberAnswer {
     MemberAnswer::Status(MemberStatus {
         primary,
         term,
@@ -37,39 +39,56 @@
     })
 }
 
-fn gateway(number: usize) -> ProxyName {
+pub fn gateway(number: usize) -> ProxyName {
     ProxyName::new(format!("g{number}")).expect("a valid name")
 }
 
 impl World {
-    fn new(synchronous_replicas: u32) -> Self {
+    /// Returns a world whose leader has taken over from an earlier one.
+    pub fn new(synchronous_replicas: u32) -> Self {
+        let mut world = Self::at_begin_of_leadership(synchronous_replicas);
+        let actions = world.advance();
+        let is_release =
+            |action: &PromotionAction| matches!(action, PromotionAction::Release { .. });
+        assert!(actions.iter().all(is_release), "{actions:?}");
+        world
+    }
+
+    pub fn at_begin_of_leadership(synchronous_replicas: u32) -> Self {
         Self {
             registry: Registry::with_group(synchronous_replicas),
             duty: PromotionManager::new(PromotionSettings::default()),
             gateways: GatewayContact { reporting: GATEWAYS, silent: 0 },
             now: Timestamp::from_millis(1_000),
+            asked_at: BTreeMap::new(),
         }
     }
 
-    fn advance(&mut self) -> Vec<PromotionAction> {
-        self.duty.advance(self.now, &self.registry.state, self.gateways)
+    pub fn advance(&mut self) -> Vec<PromotionAction> {
+        let actions = self.duty.advance(self.now, &self.registry.state, self.gateways);
+        for action in &actions {
+            if let PromotionAction::RequestStatus { member, asked_at, .. } = action {
+                self.asked_at.insert(member.clone(), *asked_at);
+            }
+        }
+        actions
     }
 
     /// Lets one gateway, too few, report the primary as unreachable until the leader asks the members.
-    fn suspect_by_one_gateway(&mut self) -> Vec<PromotionAction> {
+    pub fn suspect_by_one_gateway(&mut self) -> Vec<PromotionAction> {
         self.report_unreachable(1, 1);
         assert!(self.advance().is_empty(), "other gateways may report the same");
         assert!(self.after(SUSPICION_DELAY_MS - 1).is_empty());
         self.after(1)
     }
 
-    fn after(&mut self, millis: u64) -> Vec<PromotionAction> {
+    pub fn after(&mut self, millis: u64) -> Vec<PromotionAction> {
         self.now = self.now + std::time::Duration::from_millis(millis);
         self.advance()
     }
 
     /// Lets this number of gateways report a member as unreachable.
-    fn report_unreachable(&mut self, gateways: usize, number: u16) {
+    pub fn report_unreachable(&mut self, gateways: usize, number: u16) {
         for gateway_number in 0..gateways {
             self.duty.record_reach_report(ReachReport {
                 gateway: gateway(gateway_number),
@@ -80,25 +99,32 @@
         }
     }
 
-    fn answer(&mut self, number: u16, answer: MemberAnswer) {
-        self.duty.record_member_answer(&group(), &member(number), answer);
+    /// Delivers an answer to the latest request to the member.
+    pub fn answer(&mut self, number: u16, answer: MemberAnswer) {
+        let asked_at = self.asked_at.get(&member(number)).copied().unwrap_or(Timestamp::ZERO);
+        self.answer_request_of(asked_at, number, answer);
+    }
+
+    /// Delivers an answer to the request that was made at this time.
+    pub fn answer_request_of(&mut self, asked_at: Timestamp, number: u16, answer: MemberAnswer) {
+        self.duty.record_member_answer(&group(), &member(number), asked_at, answer);
     }
 
     /// Delivers the positions of both replicas; member 2 is ahead.
-    fn answer_replicas(&mut self) {
+    pub fn answer_replicas(&mut self) {
         self.answer(2, status(false, 1, 20));
         self.answer(3, status(false, 1, 10));
     }
 
     /// Commits a proposed decision to the log and returns its fence.
-    fn commit(&mut self, actions: &[PromotionAction]) -> u64 {
+    pub fn commit(&mut self, actions: &[PromotionAction]) -> u64 {
         let [PromotionAction::Propose(command)] = actions else { panic!("{actions:?}") };
         self.registry.apply(command.clone());
         self.registry.state.promotion(&group()).expect("a decision").fence.0
     }
 
     /// Runs until the leader calls the authority for member 2, and returns the fence.
-    fn call_for_member_2(&mut self) -> u64 {
+    pub fn call_for_member_2(&mut self) -> u64 {
         self.report_unreachable(REQUIRED_GATEWAYS, 1);
         assert_eq!(asked(&self.advance()), names(&[2, 3]));
         self.answer_replicas();
@@ -109,11 +135,11 @@
     }
 }
 
-fn names(numbers: &[u16]) -> BTreeSet<MemberName> {
+pub fn names(numbers: &[u16]) -> BTreeSet<MemberName> {
     numbers.iter().map(|number| member(*number)).collect()
 }
 
-fn asked(actions: &[PromotionAction]) -> BTreeSet<MemberName> {
+pub fn asked(actions: &[PromotionAction]) -> BTreeSet<MemberName> {
     let asked = actions.iter().filter_map(|action| match action {
         PromotionAction::RequestStatus { member, .. } => Some(member.clone()),
         _ => None,
@@ -121,14 +147,14 @@
     asked.collect()
 }
 
-fn called(actions: &[PromotionAction]) -> Option<(MemberName, u64)> {
+pub fn called(actions: &[PromotionAction]) -> Option<(MemberName, u64)> {
     actions.iter().find_map(|action| match action {
         PromotionAction::RequestPromotion { target, fence, .. } => Some((target.clone(), *fence)),
         _ => None,
     })
 }
 
-fn proposed(actions: &[PromotionAction]) -> Option<MemberName> {
+pub fn proposed(actions: &[PromotionAction]) -> Option<MemberName> {
     actions.iter().find_map(|action| match action {
         PromotionAction::Propose(RegistryCommand::Promote { target, .. }) => Some(target.clone()),
         _ => None,
--- a/crates/core/tests/registry/support.rs
+++ b/crates/core/tests/registry/support.rs
@@ -103,6 +103,13 @@
         self.apply(RegistryCommand::Report { member: member(number), report }).1
     }
 
+    /// Registers a ready replica at the address of another one, whose log it has.
+    pub fn apply_successor(&mut self, number: u16, of: u16) {
+        let mut report = report(number, BackEndState::Ready, BackEndRole::Replica, 1);
+        report.back_end.address = back_end(of, BackEndState::Ready, BackEndRole::Replica).address;
+        self.apply(RegistryCommand::Report { member: member(number), report });
+    }
+
     pub fn state_of(&self, number: u16) -> Option<BackEndState> {
         self.state.back_end(&member(number)).map(|back_end| back_end.state)
     }
--- a/crates/sim/src/run/control/promotion.rs
+++ b/crates/sim/src/run/control/promotion.rs
@@ -61,8 +61,9 @@
                 PromotionAction::RequestPromotion { fence, .. } => {
                     context.notes.push(Note::PromotionCalled { machine, fence });
                 }
-                PromotionAction::RequestStatus { group, member, .. } => {
-                    self.manager.record_member_answer(&group, &member, replica_status());
+                PromotionAction::RequestStatus { group, member, asked_at, .. } => {
+                    let answer = replica_status();
+                    self.manager.record_member_answer(&group, &member, asked_at, answer);
                 }
                 PromotionAction::Release { .. } => {}
             }
