Promotion: calls that hold and release a replica are made one after the other

What callers would see: with synchronous replicas, a commit that is lost by a promotion, or a primary whose commits nobody acknowledges. Each call is made on a connection of its own: a release that was still in flight could reach the replica after the next hold, and the leader took it for held while it received.

Change: calls to one address that hold or release take turns, in the order of the core's actions. Calls that only ask don't wait. A call that ended by its timeout may still be carried out late by the member; that stays open.

--- a/crates/control/src/registry_calls/caller.rs
+++ b/crates/control/src/registry_calls/caller.rs
@@ -3,6 +3,7 @@
 //! The results reach the consensus thread as inputs.
 
 use super::call::{MemberTarget, RegistryAnswer, RegistryCalls};
+use super::order::CallOrder;
 use crate::consensus::{ConsensusHandle, ConsensusInput};
 use crate::stop::StopSignal;
 use actix_rt::ArbiterHandle;
@@ -24,6 +25,8 @@
     pub(crate) arbiter: ArbiterHandle,
     pub(crate) consensus: ConsensusHandle,
     pub(crate) stop: StopSignal,
+    /// Order of the calls that hold and release a member.
+    pub(crate) order: CallOrder,
 }
 
 impl RegistryCaller {
@@ -46,6 +49,7 @@
         let answer = match action {
             PromotionAction::RequestStatus { group, member, address, hold, asked_at } => {
                 let call = MemberTarget { group, member, address };
+                let _turn = if hold { Some(self.order.turn(address).await) } else { None };
                 let status =
                     timeout(STATUS_TIMEOUT, self.calls.members.status(call.clone(), hold)).await;
                 RegistryAnswer::Status(call, asked_at, status.unwrap_or(MemberAnswer::Silent))
@@ -61,6 +65,7 @@
             PromotionAction::Release { group, member, address } => {
                 let call = MemberTarget { group, member, address };
                 // A member that misses this call is released by the next promotion or restart.
+                let _turn = self.order.turn(call.address).await;
                 drop(timeout(STATUS_TIMEOUT, self.calls.members.release(call)).await);
                 return;
             }
--- a/crates/control/src/registry_calls/mod.rs
+++ b/crates/control/src/registry_calls/mod.rs
@@ -5,7 +5,9 @@
 
 mod call;
 mod caller;
+mod order;
 
 pub(crate) use call::RegistryAnswer;
 pub use call::{MemberCalls, MemberTarget, PromotionAuthority, RegistryCalls};
 pub(crate) use caller::RegistryCaller;
+pub(crate) use order::CallOrder;
--- a/crates/control/src/starting.rs
+++ b/crates/control/src/starting.rs
@@ -16,7 +16,7 @@
 use crate::platform::poll_platform;
 use crate::proxies::{CurrencyChecks, ProxyServer, ProxyTable, accept_proxies, send_summaries};
 use crate::recovered::Recovered;
-use crate::registry_calls::RegistryCaller;
+use crate::registry_calls::{CallOrder, RegistryCaller};
 use crate::settings::{CellStart, ControlSettings};
 use crate::stop::StopSignal;
 use actix_rt::{Arbiter, ArbiterHandle};
@@ -120,6 +120,7 @@
             arbiter: self.first_arbiter(),
             consensus: self.consensus.clone(),
             stop: self.stop.clone(),
+            order: CallOrder::default(),
         });
         LeaderDuties::new(&self.settings, back_ends, registry, self.metrics.clone())
     }
