Promotion: a line tells why the members are asked again

Operators could not see why a group with synchronous replicas stays without a primary: a member that does not answer, or a replica that left and whose successor has not registered. The line names both numbers. Core registry tests passed; no decision changed.

--- a/crates/core/src/registry/promotion/steps.rs
+++ b/crates/core/src/registry/promotion/steps.rs
@@ -4,7 +4,7 @@
 //! Each step moves the group to its next phase. The most advanced member that answered is chosen; a
 //! member that the authority refused, or that did not become primary, is excluded for a time.
 
-use super::evidence::{best_candidate, primary_of};
+use super::evidence::{best_candidate, primary_of, statuses};
 use super::{
     GroupContext, GroupState, LOG_TARGET, Phase, PromotionAction, PromotionManager, Reason,
 };
@@ -25,6 +25,14 @@
         group_state.refused.retain(|_, until| now < *until);
         let Phase::Asking { suspect, answers: earlier, .. } = &group_state.phase else { return };
         let (suspect, is_repeated) = (suspect.clone(), !earlier.is_empty());
+        if is_repeated {
+            log::info!(
+                target: LOG_TARGET, group:% = group, asked = earlier.len(),
+                answered = statuses(earlier).count(),
+                without_successor = state.replicas_without_successor(group).count();
+                "answers allow no choice: members are asked again"
+            );
+        }
         let primary = primary_of(state, group);
         let asks_primary =
             is_repeated && group_state.reason == Reason::Unreachable && group_state.open_calls == 0;
