Planned stop: statements that were read with an earlier one are answered

At the end of the transactions' grace a session inside a transaction ended after its answer, also if the caller's next statement, a commit say, had been read with that one: it stayed without an answer. A session ends only when nothing else was received.

--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -128,21 +128,19 @@
         self.shared.stop.has_reached(StopPhase::Closing) && session.transaction.is_none()
     }
 
-    /// Ends the session after an answer at a planned stop, if it is outside a transaction and the caller has
-    /// sent nothing else, or if transactions are rolled back already.
+    /// Ends the session after an answer at a planned stop, if it is outside a transaction or transactions are
+    /// rolled back already. Statements that were received are served or refused before.
     fn end_if_stopping(&self, session: &mut Session<W>) -> Result<(), EndReason> {
-        let is_outside = session.transaction.is_none();
-        let is_stopping = self.shared.stop.has_reached(StopPhase::EndingSessions);
-        let is_closing = self.shared.stop.has_reached(StopPhase::Closing);
-        if is_closing && !is_outside {
-            session.transaction.fail();
-            return Err(EndReason::Stopping);
-        }
-        // A statement that was received is served or refused.
-        if is_stopping && is_outside && self.input.is_empty() {
-            return Err(EndReason::Stopping);
+        let last_phase = if session.transaction.is_none() {
+            StopPhase::EndingSessions
+        } else {
+            StopPhase::Closing
+        };
+        if !self.input.is_empty() || !self.shared.stop.has_reached(last_phase) {
+            return Ok(());
         }
-        Ok(())
+        session.transaction.fail();
+        Err(EndReason::Stopping)
     }
 
     async fn answer(
--- a/crates/gateway/tests/sessions/caller.rs
+++ b/crates/gateway/tests/sessions/caller.rs
@@ -94,10 +94,26 @@
     /// Sends a statement and waits for its whole answer; none if the gateway closes the connection, or has
     /// closed it, without any part of an answer.
     pub async fn query_unless_closed(&mut self, text: &str) -> Option<Answered> {
-        self.queries += 1;
-        let id = self.last_id();
-        let query = format!("query|{id}|{text}\n");
+        let query = self.next_query(text);
         self.stream.write_all(query.as_bytes()).await.ok()?;
+        self.answered().await
+    }
+
+    /// Sends two statements at once and waits for the whole answer to each.
+    pub async fn query_two(&mut self, first: &str, second: &str) -> [Answered; 2] {
+        let queries = self.next_query(first) + &self.next_query(second);
+        self.send(&queries).await;
+        let first = self.answered().await.expect("a whole answer");
+        [first, self.answered().await.expect("a whole second answer")]
+    }
+
+    fn next_query(&mut self, text: &str) -> String {
+        self.queries += 1;
+        format!("query|{}|{text}\n", self.last_id())
+    }
+
+    /// Waits for a whole answer; none if the connection ends without any part of it.
+    async fn answered(&mut self) -> Option<Answered> {
         let mut lines = Vec::new();
         loop {
             let Some(line) = self.line().await else {
--- a/crates/gateway/tests/sessions/stopping.rs
+++ b/crates/gateway/tests/sessions/stopping.rs
@@ -97,6 +97,23 @@
     assert!(!primary.texts().contains(&"commit".to_owned()));
 }
 
+// Guards against a commit that was read with the statement before it and stays without an answer.
+#[actix_rt::test]
+async fn a_commit_that_was_received_before_the_grace_ended_is_served() {
+    let (primary, world) = slow_primary(SHORT_GRACE, LONG).await;
+    let mut caller = Caller::start(world.gateways[0], LINEARIZABLE, "a").await;
+    assert!(caller.query("begin").await.is_success());
+    assert!(caller.query("write x").await.is_success());
+    primary.state.borrow_mut().statement_time = STATEMENT_TIME;
+    let stopping = async {
+        statement_runs(&primary).await;
+        world.stop_gateway(0).await;
+    };
+    let (answers, ()) = join(caller.query_two("write y", "commit"), stopping).await;
+    assert!(answers.iter().all(|answer| answer.lines == ["complete|by-m1"]), "{answers:?}");
+    assert_eq!(answers[1].state, "idle");
+}
+
 // Guards against a stop that cuts an open transaction off before its grace period is over.
 #[actix_rt::test]
 async fn an_open_transaction_can_commit_within_its_grace() {
