--- a/crates/control/tests/member_holds.rs
+++ b/crates/control/tests/member_holds.rs
@@ -3,12 +3,9 @@
 mod support;
 
 use corktack_control::{MemberCalls, MemberTarget, PromotionAuthority, RegistryCalls};
-use corktack_core::identity::{GroupName, MemberName, ZoneName};
+use corktack_core::identity::{GroupName, MemberName};
 use corktack_core::position::{Position, Term};
-use corktack_core::registry::{
-    BackEndReport, BackEndRole, BackEndState, Document, DocumentLimits, MemberAnswer,
-    PromotionAnswer, RegisteredBackEnd, ServiceRule, StoredDocument,
-};
+use corktack_core::registry::{MemberAnswer, PromotionAnswer};
 use corktack_core::statement::MemberStatus;
 use corktack_core::view::View;
 use corktack_protocol::control::{MemberHealth, Observation};
@@ -18,6 +15,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use support::proxy::Proxy;
+use support::registered_group::{MEMBERS, document, first_report, group, member};
 use support::{Cell, wait_until};
 
 /// Time that a member takes for a release; longer than the leader waits before it holds the member again.
@@ -25,39 +23,6 @@
 /// Number of holds of one replica after which the test ends.
 const HOLDS: usize = 3;
 
-fn group() -> GroupName {
-    GroupName::new("calls").expect("a valid name")
-}
-
-fn member(number: u16) -> MemberName {
-    MemberName::new(format!("m{number}")).expect("a valid name")
-}
-
-fn document() -> StoredDocument {
-    let document = Document {
-        version: 1,
-        routes: Vec::new(),
-        services: vec![ServiceRule { name: group(), max_connections: 9, synchronous_replicas: 1 }],
-        limits: DocumentLimits { transaction_idle: Duration::from_secs(3) },
-        tenants: None,
-    };
-    StoredDocument { document: Arc::new(document), source: "source".into() }
-}
-
-/// Returns the first heartbeat of a member; member 1 is the primary.
-fn first_report(number: u16) -> BackEndReport {
-    let role = if number == 1 { BackEndRole::Primary } else { BackEndRole::Replica };
-    let back_end = RegisteredBackEnd {
-        group: group(),
-        address: ([127, 0, 0, 1], number).into(),
-        zone: ZoneName::new("amba.a").expect("a valid name"),
-        capacity: 3,
-        state: BackEndState::Ready,
-        role,
-    };
-    BackEndReport { back_end, sequence: 1, warmup: Duration::ZERO }
-}
-
 /// What one member saw of the calls that hold and release it.
 #[derive(Clone, Debug, Default)]
 struct Seen {
@@ -135,8 +100,8 @@
     let cell = Cell::start_with(1, |settings| settings.registry_calls = Some(calls.clone()));
     let leader = cell.leader().await;
     let registry = cell.replicas[leader].running().registry();
-    assert_eq!(registry.put_document(document()).await, Ok(1));
-    for number in 1..=3 {
+    assert_eq!(registry.put_document(document(1)).await, Ok(1));
+    for number in 1..=MEMBERS {
         assert_eq!(registry.apply_report(member(number), first_report(number)).await, Ok(()));
     }
     let mut gateway = Proxy::connect(cell.replicas[leader].proxies, "g-1", View::default()).await;
@@ -148,7 +113,7 @@
         (members.with(&member(2), |seen| seen.holds) >= HOLDS).then_some(())
     })
     .await;
-    for number in 2..=3 {
+    for number in 2..=MEMBERS {
         let seen = members.with(&member(number), |seen| seen.clone());
         assert_eq!(seen.overlaps, 0, "{seen:?}");
     }
--- a/crates/control/tests/promotion_fences.rs
+++ b/crates/control/tests/promotion_fences.rs
@@ -5,12 +5,9 @@
 use corktack_control::{
     ControlSettings, MemberCalls, MemberTarget, PromotionAuthority, RegistryCalls,
 };
-use corktack_core::identity::{GroupName, MemberName, ReplicaId, ZoneName};
+use corktack_core::identity::{GroupName, MemberName, ReplicaId};
 use corktack_core::position::{Position, Term};
-use corktack_core::registry::{
-    BackEndReport, BackEndRole, BackEndState, Document, DocumentLimits, MemberAnswer,
-    PromotionAnswer, RegisteredBackEnd, ServiceRule, StoredDocument,
-};
+use corktack_core::registry::{MemberAnswer, PromotionAnswer};
 use corktack_core::statement::MemberStatus;
 use corktack_core::view::View;
 use corktack_protocol::control::{MemberHealth, Observation};
@@ -18,45 +15,11 @@
 use futures_util::future::{LocalBoxFuture, pending, ready};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 use support::proxy::Proxy;
+use support::registered_group::{MEMBERS, document, first_report, group, member};
 use support::{Cell, wait_until};
 
 const REPLICAS: usize = 3;
-const MEMBERS: u16 = 3;
-
-fn group() -> GroupName {
-    GroupName::new("calls").expect("a valid name")
-}
-
-fn member(number: u16) -> MemberName {
-    MemberName::new(format!("m{number}")).expect("a valid name")
-}
-
-fn document() -> StoredDocument {
-    let document = Document {
-        version: 1,
-        routes: Vec::new(),
-        services: vec![ServiceRule { name: group(), max_connections: 9, synchronous_replicas: 0 }],
-        limits: DocumentLimits { transaction_idle: Duration::from_secs(3) },
-        tenants: None,
-    };
-    StoredDocument { document: Arc::new(document), source: "source".into() }
-}
-
-/// Returns the first heartbeat of a member; member 1 is the primary.
-fn first_report(number: u16) -> BackEndReport {
-    let role = if number == 1 { BackEndRole::Primary } else { BackEndRole::Replica };
-    let back_end = RegisteredBackEnd {
-        group: group(),
-        address: ([127, 0, 0, 1], number).into(),
-        zone: ZoneName::new("amba.a").expect("a valid name"),
-        capacity: 3,
-        state: BackEndState::Ready,
-        role,
-    };
-    BackEndReport { back_end, sequence: 1, warmup: Duration::ZERO }
-}
 
 /// Members of which all but the primary answer; member 2 is the most advanced replica.
 #[derive(Debug)]
@@ -119,7 +82,7 @@
         let cell = Cell::start_with(REPLICAS as u64, |settings| use_authority(settings, &calls));
         let leader = cell.leader().await;
         let registry = cell.replicas[leader].running().registry();
-        assert_eq!(registry.put_document(document()).await, Ok(1));
+        assert_eq!(registry.put_document(document(0)).await, Ok(1));
         for number in 1..=MEMBERS {
             let registered = registry.apply_report(member(number), first_report(number)).await;
             assert_eq!(registered, Ok(()));
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod links;
 pub mod operator;
 pub mod proxy;
+pub mod registered_group;
 
 use awc::http::{Method, StatusCode};
 use corktack_control::{
