Callers: messages sent half-way share one account of memory

Cause: the input buffer of each connection grew to the size limit of a message, whatever the others held, and a message that was begun could wait for ever.

Change: `core::clients` keeps a table of the clients' connections with what each waits for and the bytes held for it, and decides, without input or output, whose connection is closed when memory runs short: the one with the most bytes times waiting time, never one whose statement is run. `corktack-clients` tells the task that serves it, makes the asking one wait until the room is there, counts and logs. A buffer that has grown isn't kept for the next message. A message must be whole 30 s after its first byte: the largest takes 4 s on the narrowest link. A caller that is closed with a part of a message is told BUSY with a time to return: nothing of it was run. A message over the size limit is refused, and the connection closed so that the refusal arrives.

`core` tests `clients`: the choice, and with a drawn order of events that the limits hold, that no working client is named and that bytes are counted.

The table also limits the number of connections; no limit is set yet.

--- /dev/null
+++ b/crates/clients/src/resources.rs
@@ -0,0 +1,70 @@
+//! Memory and file descriptors of the machine that a process runs on, and the share of them for clients.
+
+use corktack_core::clients::ClientLimits;
+use rustix::process::Resource;
+use std::time::Duration;
+
+/// Share of the memory for the bytes held for clients. The rest is for the process itself, its idle
+/// connections, and what the allocator keeps of freed memory.
+const CLIENT_MEMORY_SHARE: f64 = 0.3;
+/// Longest time in which a client may send a message or a request body: several times that of the largest on a
+/// link of 2 Mbit/s. A shorter time disconnects clients behind slow links.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Resources of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessResources {
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: usize,
+    /// Descriptors that the process may open.
+    pub file_descriptors: usize,
+}
+
+/// Memory that is assumed if the system does not tell, in bytes.
+const FALLBACK_MEMORY_BYTES: usize = 160 * 1024 * 1024;
+/// Descriptors that are assumed if the system sets no limit.
+const FALLBACK_DESCRIPTORS: usize = 65_536;
+const MEMORY_FILE: &str = "/proc/meminfo";
+const BYTES_PER_KIB: usize = 1024;
+
+impl ProcessResources {
+    /// Returns the memory of the machine and the descriptors that the operating system allows.
+    #[must_use]
+    pub fn of_system() -> Self {
+        let file_descriptors = rustix::process::getrlimit(Resource::Nofile).current;
+        Self {
+            memory_bytes: system_memory_bytes(),
+            file_descriptors: file_descriptors
+                .and_then(|limit| usize::try_from(limit).ok())
+                .unwrap_or(FALLBACK_DESCRIPTORS),
+        }
+    }
+
+    /// Returns the limits for the clients that a process is there for: callers, or members and operators.
+    #[must_use]
+    pub fn client_limits(&self) -> ClientLimits {
+        ClientLimits {
+            max_connections: usize::MAX,
+            max_bytes: (self.memory_bytes as f64 * CLIENT_MEMORY_SHARE) as usize,
+            message_timeout: MESSAGE_TIMEOUT,
+        }
+    }
+}
+
+fn system_memory_bytes() -> usize {
+    let total = std::fs::read_to_string(MEMORY_FILE).ok().and_then(|text| total_bytes(&text));
+    total.unwrap_or_else(|| {
+        log::warn!(
+            file = MEMORY_FILE, assumed = FALLBACK_MEMORY_BYTES;
+            "memory of the machine is not known"
+        );
+        FALLBACK_MEMORY_BYTES
+    })
+}
+
+/// Returns the total in a text like that of `/proc/meminfo`.
+fn total_bytes(text: &str) -> Option<usize> {
+    let total = text.lines().find_map(|line| line.strip_prefix("MemTotal:"))?;
+    let kib: usize = total.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    Some(kib * BYTES_PER_KIB)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,8 @@
 //!   operations tenants may start).
 //! - Decisions of a gateway: [`gateway`] (members, holders, freshness), [`scheduling`] (which request gets a
 //!   slot), [`limits`].
+//! - Decisions of every process with clients outside the deployment: [`clients`] (whose connection is closed
+//!   when connections or memory run short).
 //! - Decisions of an owner and an edge, which serve the PostgreSQL protocol: [`admission`], [`routing`],
 //!   [`pool`], [`session`], [`classify`], [`binding`], [`backend`].
 
@@ -19,6 +21,7 @@
 pub mod backend;
 pub mod binding;
 pub mod classify;
+pub mod clients;
 pub mod consensus;
 pub mod distance;
 pub mod failover;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -10,19 +10,24 @@
 use crate::holder::accept_tunnels;
 use crate::limits::{Limits, LimitsLink, run_allowance_reports};
 use crate::metrics::Metrics;
+use crate::retry_after::{self, not_run};
 use crate::routes::Routes;
 use crate::session::serve_caller;
 use crate::settings::GatewaySettings;
 use crate::shared::GatewayContext;
 use crate::tunnel::Tunnels;
 use crate::wire::Wire;
+use bytes::BytesMut;
+use corktack_clients::{ClientMetrics, Clients, CloseReason, TooManyClients};
+use corktack_core::statement::{ErrorCode, Reply};
 use corktack_core::view::View;
 use corktack_tasks::essential;
 use prometheus_client::registry::Registry;
+use std::io::Write;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 
 /// Pause after a failed accept, most likely for want of file descriptors. A shorter pause spends processor
@@ -53,6 +58,8 @@
     pub reach_reports: mpsc::UnboundedSender<MemberReach>,
     /// Reports and grants for the limits of tenants.
     pub limits: LimitsLink,
+    /// Metrics of the process's clients, which the callers are part of.
+    pub client_metrics: ClientMetrics,
 }
 
 fn to_async_listener(listener: std::net::TcpListener) -> Result<TcpListener, GatewayError> {
@@ -79,7 +86,13 @@
     ) -> Result<GatewayHandle<W>, GatewayError> {
         let callers = to_async_listener(listeners.callers)?;
         let peers = to_async_listener(listeners.peers)?;
-        let GatewayLinks { views, confirmed_current, reach_reports, limits: limits_link } = links;
+        let GatewayLinks {
+            views,
+            confirmed_current,
+            reach_reports,
+            limits: limits_link,
+            client_metrics,
+        } = links;
         let settings = Rc::new(settings);
         let clock = SteadyClock::start();
         let metrics = Metrics::register(registry);
@@ -94,7 +107,16 @@
             clock,
             metrics.clone(),
         );
-        let shared = Rc::new(GatewayContext::new(wire, settings, routes, metrics, limits, clock));
+        let callers_account = Clients::new("callers", settings.callers, client_metrics);
+        let shared = Rc::new(GatewayContext::new(
+            wire,
+            settings,
+            routes,
+            metrics,
+            limits,
+            callers_account,
+            clock,
+        ));
         actix_rt::spawn(essential(
             "allowance-reports",
             run_allowance_reports(Rc::clone(&shared.limits), limits_link),
@@ -154,9 +176,12 @@
 async fn accept_callers<W: Wire>(listener: TcpListener, shared: Rc<GatewayContext<W>>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                actix_rt::spawn(serve_caller(stream, Rc::clone(&shared)));
-            }
+            Ok((stream, _)) => match shared.callers.connect() {
+                Ok(client) => {
+                    actix_rt::spawn(serve_caller(stream, client, Rc::clone(&shared)));
+                }
+                Err(TooManyClients) => refuse_caller(&shared, stream),
+            },
             Err(error) => {
                 log::warn!(error:% = error; "cannot accept a caller's connection");
                 tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
@@ -165,6 +190,17 @@
     }
 }
 
+/// Refuses a connection without waiting, as no descriptor is left for connections that end.
+fn refuse_caller<W: Wire>(shared: &GatewayContext<W>, stream: TcpStream) {
+    let reason = CloseReason::ConnectionRefused.text();
+    let text = not_run(reason, retry_after::CLIENT_LIMITS);
+    let mut output = BytesMut::new();
+    shared.wire.encode_reply(&Reply::Error { code: ErrorCode::Busy, text }, &mut output);
+    // The runtime doesn't know yet that the socket takes bytes, so that the socket itself is asked. A refusal
+    // that it doesn't take at once is lost: the client is to go either way.
+    let _ = stream.into_std().and_then(|stream| (&stream).write(&output));
+}
+
 async fn sweep<W: Wire>(shared: Rc<GatewayContext<W>>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
@@ -173,5 +209,6 @@
             .metrics
             .record_connection_totals(&shared.routes.connection_totals(), shared.stop.sessions());
         shared.metrics.record_limits(shared.limits.totals());
+        shared.callers.sweep();
     }
 }
--- a/crates/gateway/src/retry_after.rs
+++ b/crates/gateway/src/retry_after.rs
@@ -26,6 +26,10 @@
 /// Retry time of a caller whose gateway stops: other gateways serve it at once.
 pub(crate) const GATEWAY_STOPS: Duration = Duration::from_millis(10);
 
+/// Retry time of a caller that was refused because connections or memory for callers run short. With a lower
+/// value refused callers come back before others have left; with a higher one they wait although there is room.
+pub(crate) const CLIENT_LIMITS: Duration = Duration::from_millis(250);
+
 /// Returns the text of a refusal, which promises that the operation did not run.
 pub(crate) fn not_run(why: impl Display, retry_after: Duration) -> String {
     format!("not run: {why}; retry_after_ms={}", retry_after.as_millis())
--- /dev/null
+++ b/crates/gateway/src/session/caller.rs
@@ -0,0 +1,177 @@
+//! Connection of a caller: its buffers, and the memory that they take.
+//!
+//! Buffers above [`FREE_BUFFER_BYTES`] are accounted for with the caller's [`Client`], before they grow and for
+//! as long as they are kept. When memory runs short, the clients decide whose connection is closed.
+
+use crate::wire::Wire;
+use bytes::BytesMut;
+use corktack_clients::{Client, OutOfMemory};
+use corktack_core::clients::ClientPhase;
+use corktack_core::statement::{CallerMessage, Reply};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+/// Initial size of the buffers, in bytes; they grow with the messages. A smaller size costs allocations, a
+/// larger one memory for each session.
+const INITIAL_BUFFER_BYTES: usize = 1024;
+/// Size up to which a buffer is kept for the next message and not accounted for, in bytes: the number of
+/// connections bounds the memory of small buffers. A larger size takes more memory for each session; a smaller
+/// one accounts for ordinary messages.
+const FREE_BUFFER_BYTES: usize = 4 * 1024;
+/// Sizes of a buffer that grows, in bytes; larger ones are doubled.
+const BUFFER_STEPS: [usize; 4] = [INITIAL_BUFFER_BYTES, FREE_BUFFER_BYTES, 16 * 1024, 128 * 1024];
+/// Longest time for sending an answer. Bounds how long a caller that reads nothing keeps its session.
+const SEND_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait, after the end of a session, until the caller closes its side. A shorter one resets the
+/// connection of a distant caller before it has read its last answer; a longer one lengthens a planned stop.
+pub(super) const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Reason why no message of a caller can be received, or no answer sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallerError {
+    /// The caller closed the connection, or it failed or timed out.
+    Gone,
+    /// The caller sent bytes that are no message of the protocol.
+    Wire,
+    /// There is no memory for the message that the caller has begun.
+    MemoryShort,
+}
+
+/// Connection of a caller, with its buffers.
+pub(super) struct CallerConnection<W: Wire> {
+    stream: TcpStream,
+    wire: W,
+    client: Rc<Client>,
+    input: BytesMut,
+    output: BytesMut,
+}
+
+impl<W: Wire> CallerConnection<W> {
+    pub(super) fn new(stream: TcpStream, wire: W, client: Rc<Client>) -> Self {
+        Self {
+            stream,
+            wire,
+            client,
+            input: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
+            output: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
+        }
+    }
+
+    /// Reports whether a part of the next message has arrived, or the whole of it.
+    pub(super) fn has_input(&self) -> bool {
+        !self.input.is_empty()
+    }
+
+    /// Waits for the next message. Dropping the future loses no bytes.
+    pub(super) async fn receive(
+        &mut self,
+        receiving: ClientPhase,
+    ) -> Result<CallerMessage, CallerError> {
+        loop {
+            if let Some(message) = self.decode()? {
+                return Ok(message);
+            }
+            if self.has_input() {
+                self.client.enter(receiving);
+            }
+            self.make_room().await?;
+            self.read().await?;
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), CallerError> {
+        match self.stream.read_buf(&mut self.input).await {
+            Ok(0) | Err(_) => Err(CallerError::Gone),
+            Ok(_) => Ok(()),
+        }
+    }
+
+    /// Removes the next message from the input if it is whole.
+    fn decode(&mut self) -> Result<Option<CallerMessage>, CallerError> {
+        let message = self.wire.decode_caller(&mut self.input).map_err(|error| {
+            log::info!(error:% = error; "cannot decode a caller's message");
+            CallerError::Wire
+        })?;
+        if self.input.is_empty() {
+            free_unused(&mut self.input);
+            self.client.release();
+        }
+        Ok(message)
+    }
+
+    /// Enlarges the input buffer if it is full, once there is memory for it.
+    async fn make_room(&mut self) -> Result<(), CallerError> {
+        let length = self.input.len();
+        if length < self.input.capacity() {
+            return Ok(());
+        }
+        let enlarged = next_buffer_size(length);
+        let held = self.client.hold(accounted(enlarged) + accounted(self.output.capacity())).await;
+        held.map_err(|OutOfMemory| CallerError::MemoryShort)?;
+        self.input.reserve(enlarged - length);
+        Ok(())
+    }
+
+    /// Appends a message to those that [`CallerConnection::send`] sends.
+    pub(super) fn queue(&mut self, reply: &Reply) {
+        self.wire.encode_reply(reply, &mut self.output);
+    }
+
+    /// Appends messages to those that [`CallerConnection::send`] sends.
+    pub(super) fn queue_with(&mut self, encode: impl FnOnce(&W, &mut BytesMut)) {
+        encode(&self.wire, &mut self.output);
+    }
+
+    /// Sends the queued messages.
+    pub(super) async fn send(&mut self) -> Result<(), CallerError> {
+        let sending = self.stream.write_all(&self.output);
+        let sent = timeout_at(Instant::now() + SEND_TIMEOUT, sending).await;
+        self.output.clear();
+        sent.map_err(|_| CallerError::Gone)?.map_err(|_| CallerError::Gone)
+    }
+
+    /// Drops what was received and not decoded, and the memory for it.
+    pub(super) fn discard_input(&mut self) {
+        self.input = BytesMut::with_capacity(INITIAL_BUFFER_BYTES);
+        self.client.release();
+    }
+
+    /// Closes the connection once the caller has closed its side, or after [`CLOSE_TIMEOUT`]. Closing with
+    /// unread bytes would reset the connection, and the caller could lose its last answer.
+    pub(super) async fn close(&mut self) {
+        self.discard_input();
+        let closing = async {
+            self.stream.shutdown().await?;
+            loop {
+                self.input.clear();
+                if self.stream.read_buf(&mut self.input).await? == 0 {
+                    return std::io::Result::Ok(());
+                }
+            }
+        };
+        // The connection ends in any case.
+        drop(timeout_at(Instant::now() + CLOSE_TIMEOUT, closing).await);
+    }
+}
+
+/// Returns the size of a buffer that is to hold more than `length` bytes. From the last step on, the allocator maps
+/// a buffer by itself, so that it leaves no gap in the heap.
+fn next_buffer_size(length: usize) -> usize {
+    let step = BUFFER_STEPS.into_iter().find(|step| *step > length);
+    step.unwrap_or(2 * length)
+}
+
+/// Replaces an empty buffer that has grown.
+fn free_unused(buffer: &mut BytesMut) {
+    if buffer.is_empty() && buffer.capacity() > FREE_BUFFER_BYTES {
+        *buffer = BytesMut::with_capacity(INITIAL_BUFFER_BYTES);
+    }
+}
+
+/// Returns the bytes that a buffer of this capacity is accounted for with.
+const fn accounted(capacity: usize) -> usize {
+    if capacity > FREE_BUFFER_BYTES { capacity } else { 0 }
+}
--- a/crates/gateway/src/session/mod.rs
+++ b/crates/gateway/src/session/mod.rs
@@ -1,12 +1,13 @@
 //! One caller's session: the state kept between its statements (session values, commit positions,
 //! transaction).
 //!
-//! [`serve`] handles the caller's connection; [`alone`] and [`read`] run statements outside a transaction,
+//! [`serve`] handles the caller's connection ([`caller`]); [`alone`] and [`read`] run statements outside a transaction,
 //! [`opening`] and [`transaction`] those inside. [`response`] builds the answers, [`decision`] the log line
 //! that explains a statement's outcome. The routes say what the caller may do; the group provides
 //! connections.
 
 mod alone;
+mod caller;
 mod decision;
 mod open_transaction;
 mod opening;
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -6,84 +6,91 @@
 //! answer.
 
 use super::Session;
+use super::caller::{CLOSE_TIMEOUT, CallerConnection, CallerError};
 use super::response::Response;
 use super::transaction::Transaction;
 use crate::drain::StopPhase;
 use crate::retry_after::{self, not_run};
 use crate::shared::GatewayContext;
 use crate::wire::Wire;
-use bytes::BytesMut;
+use corktack_clients::{Client, CloseReason};
+use corktack_core::clients::ClientPhase;
 use corktack_core::statement::TransactionState;
 use corktack_core::statement::{CallerMessage, ErrorCode, ReadyState, Reply, Request};
 use corktack_protocol::liveness::Liveness;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// Initial size of the buffers, in bytes; they grow with the messages. A smaller size costs allocations, a
-/// larger one memory for each session.
-const INITIAL_BUFFER_BYTES: usize = 1024;
 /// Longest wait for the first message of a connection. Bounds how long a connection without messages occupies
 /// a socket.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
-/// Longest time for sending an answer. Bounds how long a caller that reads nothing keeps its session.
-const SEND_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time without a statement after which an idle session is closed at a planned stop. A shorter time cuts off
 /// statements in transit; a longer one lengthens the stop.
 const IDLE_BEFORE_CLOSE: Duration = Duration::from_millis(30);
-/// Longest wait, after the end of a session at a planned stop, until the caller closes its side. A shorter
-/// one resets the connection of a distant caller before it has read its last answer; a longer one lengthens
-/// the stop.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Reason why a caller's connection ends; none is a fault of this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum EndReason {
-    /// The caller closed the connection, or it failed or timed out.
-    CallerGone,
-    /// The caller sent bytes that are no message of the protocol.
-    Wire,
+    /// The connection can't be used further.
+    Connection(CallerError),
     /// The gateway stops.
     Stopping,
     /// The caller's key is no longer valid; the caller has got the error.
     Unauthenticated,
 }
 
-/// Serves a caller until it disconnects or the gateway stops.
-pub(crate) async fn serve_caller<W: Wire>(stream: TcpStream, shared: Rc<GatewayContext<W>>) {
+impl From<CallerError> for EndReason {
+    fn from(error: CallerError) -> Self {
+        Self::Connection(error)
+    }
+}
+
+/// Serves a caller until it disconnects or the gateway stops, or its connection is closed to make room.
+pub(crate) async fn serve_caller<W: Wire>(
+    stream: TcpStream,
+    client: Client,
+    shared: Rc<GatewayContext<W>>,
+) {
     // The socket options lower latency and detect a lost caller sooner; the connection works without them.
     drop(Liveness::TO_CALLERS.apply(&stream));
-    let mut caller = Caller {
-        stream,
-        input: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
-        output: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
-        shared: Rc::clone(&shared),
-    };
+    let client = Rc::new(client);
+    let connection = CallerConnection::new(stream, shared.wire.clone(), Rc::clone(&client));
+    let mut caller = Caller { connection, client: Rc::clone(&client), shared: Rc::clone(&shared) };
     let _session = shared.stop.count_session();
-    match caller.run().await {
-        Err(EndReason::Wire) => {
+    let ended = tokio::select! {
+        // A caller whose connection is to be closed begins no more statements.
+        biased;
+        reason = client.closed() => return caller.end_disconnected(reason).await,
+        ended = caller.run() => ended,
+    };
+    match ended {
+        Err(EndReason::Connection(CallerError::Wire)) => {
             // The connection ends whether or not the caller reads the error.
             let _ = caller.refuse(ErrorCode::Malformed, "no message of the wire").await;
+            caller.connection.close().await;
         }
-        Err(EndReason::Stopping) => caller.close().await,
+        Err(EndReason::Connection(CallerError::MemoryShort)) => {
+            caller.end_disconnected(CloseReason::MemoryShort).await;
+        }
+        Err(EndReason::Stopping) => caller.connection.close().await,
         _ => (),
     }
 }
 
-/// A caller's connection with its buffers.
+/// A caller's connection, and what serves it.
 struct Caller<W: Wire> {
-    stream: TcpStream,
-    input: BytesMut,
-    output: BytesMut,
+    connection: CallerConnection<W>,
+    client: Rc<Client>,
     shared: Rc<GatewayContext<W>>,
 }
 
 impl<W: Wire> Caller<W> {
     async fn run(&mut self) -> Result<(), EndReason> {
-        let first = timeout_at(Instant::now() + START_TIMEOUT, self.receive()).await;
-        let first = first.map_err(|_| EndReason::CallerGone)??;
+        let receiving = self.connection.receive(ClientPhase::Connecting);
+        let first = timeout_at(Instant::now() + START_TIMEOUT, receiving).await;
+        let first = first.map_err(|_| CallerError::Gone)??;
         let CallerMessage::Start { database, key } = first else {
             return self.refuse(ErrorCode::Malformed, "a session begins with its start").await;
         };
@@ -99,19 +106,21 @@
             Err(refused) => return self.refuse(refused.code(), &refused.to_string()).await,
         }
         let ready = ReadyState { state: TransactionState::Idle, position: None };
-        self.shared.wire.encode_reply(&Reply::Ready(ready), &mut self.output);
-        self.send().await?;
+        self.connection.queue(&Reply::Ready(ready));
+        self.connection.send().await?;
         let mut session = Session::new(Rc::clone(&self.shared), database, key);
         self.serve(&mut session).await
     }
 
     async fn serve(&mut self, session: &mut Session<W>) -> Result<(), EndReason> {
         loop {
+            self.client.enter(resting_phase(session));
             match self.next_message(session).await? {
                 CallerMessage::Query(_) if self.refuses_statements(session) => {
                     return self.refuse_at_stop().await;
                 }
                 CallerMessage::Query(request) => {
+                    self.client.enter(ClientPhase::Working);
                     self.answer(session, request).await?;
                     self.end_if_stopping(session)?;
                 }
@@ -136,7 +145,7 @@
         } else {
             StopPhase::Closing
         };
-        if !self.input.is_empty() || !self.shared.stop.has_reached(last_phase) {
+        if self.connection.has_input() || !self.shared.stop.has_reached(last_phase) {
             return Ok(());
         }
         session.transaction.fail();
@@ -158,8 +167,8 @@
             self.shared.metrics.record_refusal(reason, session.decision.borrow().priority());
         }
         self.log_statement(session, &id, &response, elapsed);
-        response.encode(&self.shared.wire, &mut self.output);
-        self.send().await?;
+        self.connection.queue_with(|wire, output| response.encode(wire, output));
+        self.connection.send().await?;
         if is_authenticated { Ok(()) } else { Err(EndReason::Unauthenticated) }
     }
 
@@ -191,11 +200,12 @@
                 session.transaction.idle_limit().map(|limit| Instant::now() + limit);
             let is_stopping = shared.stop.has_reached(StopPhase::EndingIdleSessions);
             let is_outside = session.transaction.is_none();
-            if is_stopping && is_outside && self.input.is_empty() {
-                let received = timeout_at(Instant::now() + IDLE_BEFORE_CLOSE, self.receive()).await;
-                match received {
-                    Ok(received) => return received,
-                    Err(_) if self.input.is_empty() => return Err(EndReason::Stopping),
+            let receiving = receiving_phase(session);
+            if is_stopping && is_outside && !self.connection.has_input() {
+                let received = self.connection.receive(receiving);
+                match timeout_at(Instant::now() + IDLE_BEFORE_CLOSE, received).await {
+                    Ok(received) => return Ok(received?),
+                    Err(_) if !self.connection.has_input() => return Err(EndReason::Stopping),
                     // A part of a statement has arrived.
                     Err(_) => (),
                 }
@@ -203,7 +213,7 @@
             // After a pause of the process, messages and timers are due at once: messages are handled first.
             tokio::select! {
                 biased;
-                message = self.receive() => return message,
+                message = self.connection.receive(receiving) => return Ok(message?),
                 () = sleep_until_deadline(idle_deadline) => {
                     log::info!(database = session.database.as_str(); "idle transaction rolled back");
                     session.transaction.fail();
@@ -217,23 +227,6 @@
         }
     }
 
-    async fn receive(&mut self) -> Result<CallerMessage, EndReason> {
-        loop {
-            match self.shared.wire.decode_caller(&mut self.input) {
-                Ok(Some(message)) => return Ok(message),
-                Ok(None) => (),
-                Err(error) => {
-                    log::info!(error:% = error; "cannot decode a caller's message");
-                    return Err(EndReason::Wire);
-                }
-            }
-            match self.stream.read_buf(&mut self.input).await {
-                Ok(0) | Err(_) => return Err(EndReason::CallerGone),
-                Ok(_) => (),
-            }
-        }
-    }
-
     /// Refuses the start of a session or a statement, which a planned stop would cut short.
     async fn refuse_at_stop(&mut self) -> Result<(), EndReason> {
         let text = not_run("the gateway stops", retry_after::GATEWAY_STOPS);
@@ -241,35 +234,40 @@
         Err(EndReason::Stopping)
     }
 
-    /// Closes the connection once the caller has closed its side, or after [`CLOSE_TIMEOUT`]. Closing with
-    /// unread bytes would reset the connection, and the caller could lose its last answer.
-    async fn close(&mut self) {
-        let closing = async {
-            self.stream.shutdown().await?;
-            loop {
-                self.input.clear();
-                if self.stream.read_buf(&mut self.input).await? == 0 {
-                    return std::io::Result::Ok(());
-                }
-            }
-        };
-        // The connection ends in any case.
-        drop(timeout_at(Instant::now() + CLOSE_TIMEOUT, closing).await);
-    }
-
     /// Sends an error after which the connection ends.
     async fn refuse(&mut self, code: ErrorCode, text: &str) -> Result<(), EndReason> {
-        let error = Reply::Error { code, text: text.to_owned() };
-        self.shared.wire.encode_reply(&error, &mut self.output);
-        self.send().await
+        self.connection.queue(&Reply::Error { code, text: text.to_owned() });
+        Ok(self.connection.send().await?)
     }
 
-    /// Sends the contents of the output buffer.
-    async fn send(&mut self) -> Result<(), EndReason> {
-        let sending = self.stream.write_all(&self.output);
-        let sent = timeout_at(Instant::now() + SEND_TIMEOUT, sending).await;
-        self.output.clear();
-        sent.map_err(|_| EndReason::CallerGone)?.map_err(|_| EndReason::CallerGone)
+    /// Ends a connection that is closed to keep a limit. A caller that has sent a part of a message is told
+    /// that nothing of it was run.
+    async fn end_disconnected(&mut self, reason: CloseReason) {
+        // A new caller waits for the descriptor of one whose place it has taken.
+        let is_told = reason != CloseReason::ConnectionsShort && self.connection.has_input();
+        self.connection.discard_input();
+        if !is_told {
+            return;
+        }
+        let text = not_run(reason.text(), retry_after::CLIENT_LIMITS);
+        // The connection ends whether or not the caller reads the error.
+        let refused = self.refuse(ErrorCode::Busy, &text);
+        drop(timeout_at(Instant::now() + CLOSE_TIMEOUT, refused).await);
+        self.connection.close().await;
+    }
+}
+
+/// Returns the phase of a caller whose session waits for the next statement.
+fn resting_phase<W: Wire>(session: &Session<W>) -> ClientPhase {
+    if session.transaction.is_open() { ClientPhase::Working } else { ClientPhase::Idle }
+}
+
+/// Returns the phase of a caller that has sent a part of a statement.
+fn receiving_phase<W: Wire>(session: &Session<W>) -> ClientPhase {
+    if session.transaction.is_open() {
+        ClientPhase::ReceivingInTransaction
+    } else {
+        ClientPhase::Receiving
     }
 }
 
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -37,6 +37,11 @@
         matches!(self, Self::None)
     }
 
+    /// Reports whether the caller may go on in a transaction: it has begun, and did not fail.
+    pub(super) const fn is_open(&self) -> bool {
+        matches!(self, Self::Begun { .. } | Self::Open(_))
+    }
+
     pub(super) const fn is_failed(&self) -> bool {
         matches!(self, Self::Failed | Self::RolledBack)
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a gateway, as the process that starts it passes them in.
 
+use corktack_core::clients::ClientLimits;
 use corktack_core::identity::{Incarnation, ProxyName, ZoneName};
 use corktack_core::limits::LimitBounds;
 use std::net::SocketAddr;
@@ -17,6 +18,8 @@
     /// Longest time since control last confirmed the configuration as current in which operations may begin;
     /// with none, operations begin by the last configuration, however old.
     pub max_confirmation_age: Option<Duration>,
+    /// Limits of the callers' connections and of the memory held for them.
+    pub callers: ClientLimits,
     /// Address at which other gateways reach this one.
     pub peers: SocketAddr,
     /// Zone of the gateway, in which it prefers members.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -11,6 +11,7 @@
 use crate::routes::Routes;
 use crate::settings::GatewaySettings;
 use crate::wire::Wire;
+use corktack_clients::Clients;
 use corktack_core::time::Timestamp;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,6 +32,8 @@
     pub(crate) routes: Routes<W>,
     pub(crate) metrics: Metrics,
     pub(crate) limits: Rc<Limits>,
+    /// Callers' connections.
+    pub(crate) callers: Rc<Clients>,
     /// Progress of a planned stop, and the work that it waits for.
     pub(crate) stop: StopProgress,
     document_arrived: Notify,
@@ -45,6 +48,7 @@
         routes: Routes<W>,
         metrics: Metrics,
         limits: Limits,
+        callers: Rc<Clients>,
         clock: SteadyClock,
     ) -> Self {
         Self {
@@ -53,6 +57,7 @@
             settings,
             metrics,
             limits: Rc::new(limits),
+            callers,
             stop: StopProgress::new(),
             document_arrived: Notify::new(),
             started_at: Instant::now(),
--- a/crates/gateway/tests/retry_after.rs
+++ b/crates/gateway/tests/retry_after.rs
@@ -16,6 +16,7 @@
         not_run("nothing proves that the configuration is current", retry_after::UNCONFIRMED),
         not_run("no configuration yet", retry_after::NO_CONFIGURATION),
         not_run("the gateway stops", retry_after::GATEWAY_STOPS),
+        not_run("all connections are in use", retry_after::CLIENT_LIMITS),
     ];
     let expected = [
         "not run: no member can be reached; retry_after_ms=250",
@@ -24,6 +25,7 @@
         "not run: nothing proves that the configuration is current; retry_after_ms=1000",
         "not run: no configuration yet; retry_after_ms=500",
         "not run: the gateway stops; retry_after_ms=10",
+        "not run: all connections are in use; retry_after_ms=250",
     ];
     assert_eq!(texts, expected);
 }
--- a/crates/gateway/tests/sessions/world/document.rs
+++ b/crates/gateway/tests/sessions/world/document.rs
@@ -1,6 +1,7 @@
 //! Configuration of the tests: routes, tenants and members in the view, and settings of the gateways.
 
 use crate::member::Member;
+use corktack_core::clients::ClientLimits;
 use corktack_core::identity::{GroupName, Incarnation, MemberName, ProxyName, ZoneName};
 use corktack_core::limits::LimitBounds;
 use corktack_core::registry::{
@@ -31,6 +32,9 @@
 pub const ONE_SHARE: u32 = 4;
 /// Time that is long enough for an overloaded machine; no test waits for it to pass.
 pub(super) const LONG: Duration = Duration::from_secs(60);
+/// Limits of callers that no test meets unless it is about them.
+const CALLERS: ClientLimits =
+    ClientLimits { max_connections: 1_000, max_bytes: 64 * 1024 * 1024, message_timeout: LONG };
 /// Returns the group of the tests.
 pub fn group() -> GroupName {
     GroupName::new("calls").expect("a valid name")
@@ -97,6 +101,7 @@
         incarnation: Incarnation(1),
         limits: LimitBounds::default(),
         max_confirmation_age: None,
+        callers: CALLERS,
         peers,
         zone: zone(),
         connect_timeout: LONG,
--- a/crates/gateway/tests/sessions/world/mod.rs
+++ b/crates/gateway/tests/sessions/world/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::member::Member;
 use crate::wire::TestWire;
+use corktack_clients::ClientMetrics;
 use corktack_core::gateway::home_weight;
 use corktack_core::gateway::{GatewayLocation, HolderTable, MemberCapacity};
 use corktack_core::identity::{Incarnation, MemberName};
@@ -254,6 +255,7 @@
                     confirmed_current: confirmed_current.clone(),
                     reach_reports,
                     limits,
+                    client_metrics: ClientMetrics::default(),
                 };
                 let gateway = Gateway::start(settings, TestWire, listeners, links, &mut registry);
                 registries.push(registry);
@@ -296,7 +298,13 @@
         let (limits, control) = limits_link();
         self.controls.push(control);
         let confirmed_current = self.confirmation.subscribe();
-        let links = GatewayLinks { views, confirmed_current, reach_reports, limits };
+        let links = GatewayLinks {
+            views,
+            confirmed_current,
+            reach_reports,
+            limits,
+            client_metrics: ClientMetrics::default(),
+        };
         let gateway = Gateway::start(settings, TestWire, listeners, links, &mut registry);
         self._handles.push(gateway.expect("a gateway starts"));
     }
--- a/crates/server/src/deployment/mod.rs
+++ b/crates/server/src/deployment/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::listeners::ListenError;
 use crate::watch_client::WatchError;
+use corktack_clients::ProcessResources;
 use corktack_control::ControlError;
 use corktack_core::identity::{NameError, ZoneName};
 use corktack_gateway::GatewayError;
@@ -71,6 +72,8 @@
     pub bootstrap: bool,
     /// Data folder, on machines that have a disk.
     pub data_folder: Option<PathBuf>,
+    /// Memory and descriptors of the process.
+    pub resources: ProcessResources,
     /// Bounds that the deployment must keep.
     pub bounds: DeploymentBounds,
 }
--- a/crates/server/src/deployment/settings.rs
+++ b/crates/server/src/deployment/settings.rs
@@ -117,6 +117,7 @@
             incarnation: Incarnation(0),
             limits: self.bounds.limits,
             max_confirmation_age: self.bounds.max_confirmation_age,
+            callers: self.resources.client_limits(),
             peers: self.peer_address(),
             zone: self.zone.clone(),
             connect_timeout: MEMBER_CONNECT_TIMEOUT,
--- a/crates/server/src/deployment/start.rs
+++ b/crates/server/src/deployment/start.rs
@@ -7,6 +7,7 @@
 use crate::disk_wait::start_once_writable;
 use crate::listeners::bind;
 use crate::watch_client::{self, NoViewStore, WatchInputs};
+use corktack_clients::ClientMetrics;
 use corktack_control::{
     ControlHandle, ControlListeners, ControlReplica, PromotionAuthority, find_identity,
 };
@@ -75,6 +76,7 @@
         &self,
         wire: W,
         callers: SocketAddr,
+        client_metrics: ClientMetrics,
     ) -> Result<(RunningGateway<W>, Registry), DeploymentError> {
         let peers = self.listen_address(self.peers_port());
         let listeners =
@@ -101,6 +103,7 @@
             confirmed_current: watch.confirmed_current(),
             reach_reports,
             limits,
+            client_metrics,
         };
         let gateway = Gateway::start(settings, wire, listeners, links, &mut registry)?;
         log::info!(machine = self.name.as_str(), callers:% = callers; "gateway starts");
