Callers: a message in small pieces is searched once

What callers saw: beside 300 clients that send messages of 1 MiB in pieces of 512 bytes, the ordinary sessions of a gateway got through 172 requests in 4 s, where they get through 350 in 2 s alone.

Cause: with each piece the whole buffer was searched again for the end of the message, one byte at a time: the work grows with the square of the size.

The codec still keeps no state.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -117,10 +117,14 @@
 
     /// Reads the next message of the member.
     pub(crate) async fn read_reply(&mut self) -> Result<Reply, LinkError> {
+        let mut searched = 0;
         loop {
-            if let Some(reply) = self.wire.decode_reply(&mut self.input)? {
+            if self.wire.is_decodable(&self.input, searched)
+                && let Some(reply) = self.wire.decode_reply(&mut self.input)?
+            {
                 return Ok(reply);
             }
+            searched = self.input.len();
             self.transport.read(&mut self.input).await?;
         }
     }
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -46,6 +46,8 @@
     wire: W,
     client: Rc<Client>,
     input: BytesMut,
+    /// Number of bytes at the start of `input` that hold no whole message.
+    searched: usize,
     output: BytesMut,
 }
 
@@ -56,6 +58,7 @@
             wire,
             client,
             input: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
+            searched: 0,
             output: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
         }
     }
@@ -70,16 +73,15 @@
         &mut self,
         receiving: ClientPhase,
     ) -> Result<CallerMessage, CallerError> {
-        loop {
-            if let Some(message) = self.decode()? {
-                return Ok(message);
-            }
+        while !self.wire.is_decodable(&self.input, self.searched) {
+            self.searched = self.input.len();
             if self.has_input() {
                 self.client.enter(receiving);
             }
             self.make_room().await?;
             self.read().await?;
         }
+        self.decode()
     }
 
     async fn read(&mut self) -> Result<(), CallerError> {
@@ -89,8 +91,9 @@
         }
     }
 
-    /// Removes the next message from the input if it is whole.
-    fn decode(&mut self) -> Result<Option<CallerMessage>, CallerError> {
+    /// Removes the next message, which is whole, from the input.
+    fn decode(&mut self) -> Result<CallerMessage, CallerError> {
+        self.searched = 0;
         let message = self.wire.decode_caller(&mut self.input).map_err(|error| {
             log::info!(error:% = error; "cannot decode a caller's message");
             CallerError::Wire
@@ -99,7 +102,7 @@
             free_unused(&mut self.input);
             self.client.release();
         }
-        Ok(message)
+        message.ok_or(CallerError::Wire)
     }
 
     /// Enlarges the input buffer if it is full, once there is memory for it.
@@ -136,6 +139,7 @@
     /// Drops what was received and not decoded, and the memory for it.
     pub(super) fn discard_input(&mut self) {
         self.input = BytesMut::with_capacity(INITIAL_BUFFER_BYTES);
+        self.searched = 0;
         self.client.release();
     }
 
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -8,6 +8,10 @@
 /// Encodes and decodes messages. It keeps no state between calls: a message is decoded once the buffer holds
 /// the whole of it.
 pub trait Wire: Clone + 'static {
+    /// Reports whether the buffer holds a whole message or breaks the protocol, so that decoding it has a
+    /// result. The first `searched` bytes were found not to, which saves searching them again.
+    fn is_decodable(&self, buffer: &[u8], searched: usize) -> bool;
+
     /// Removes the next message of a caller from the buffer; returns none if it isn't complete yet.
     ///
     /// # Errors
--- a/crates/gateway/tests/sessions/wire.rs
+++ b/crates/gateway/tests/sessions/wire.rs
@@ -89,6 +89,10 @@
 }
 
 impl Wire for TestWire {
+    fn is_decodable(&self, buffer: &[u8], searched: usize) -> bool {
+        buffer[searched..].contains(&b'\n')
+    }
+
     fn decode_caller(&self, buffer: &mut BytesMut) -> Result<Option<CallerMessage>, WireError> {
         let Some(line) = take_line(buffer) else { return Ok(None) };
         let fields: Vec<&str> = line.split('|').collect();
