Callers: connections have a share of the descriptors

Cause: accepts were unbounded.

Change: callers get 0.8 of the descriptors (`limits.file_descriptors`, or the limit of the process).

--- a/crates/clients/src/resources.rs
+++ b/crates/clients/src/resources.rs
@@ -4,6 +4,9 @@
 use rustix::process::Resource;
 use std::time::Duration;
 
+/// Share of the descriptors for the connections of clients; the others are for files and for connections within
+/// the deployment. A higher share leaves too few for connections to members and other processes.
+const CLIENT_DESCRIPTOR_SHARE: f64 = 0.8;
 /// Share of the memory for the bytes held for clients. The rest is for the process itself, its idle
 /// connections, and what the allocator keeps of freed memory.
 const CLIENT_MEMORY_SHARE: f64 = 0.3;
@@ -44,7 +47,7 @@
     #[must_use]
     pub fn client_limits(&self) -> ClientLimits {
         ClientLimits {
-            max_connections: usize::MAX,
+            max_connections: (self.file_descriptors as f64 * CLIENT_DESCRIPTOR_SHARE) as usize,
             max_bytes: (self.memory_bytes as f64 * CLIENT_MEMORY_SHARE) as usize,
             message_timeout: MESSAGE_TIMEOUT,
         }
