Callers: whole messages are accounted for while they are run

Cause: a message existed up to seven times: as a line, as a text, as parts of the statement, encoded for the member or another gateway, in buffers that double; only the input buffer had a limit.

Inside a transaction the answer is ABORTED, and the transaction is rolled back. New reason `memory_short` of `corktack_gateway_refusals_total`.

--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -5,9 +5,11 @@
 //! closed and why. A server asks [`Clients::connect`] for each accepted connection, and drops the connection
 //! when [`Client::closed`] returns. Clients of one address live on one thread.
 
+mod allocator;
 mod metrics;
 mod resources;
 
+pub use allocator::return_large_blocks;
 pub use metrics::ClientMetrics;
 pub use resources::ProcessResources;
 
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -159,6 +159,8 @@
     NoHolder,
     /// No position is known by which a read is fresh enough.
     NoPosition,
+    /// There is no memory for the statement.
+    MemoryShort,
 }
 
 impl RefusalReason {
@@ -172,6 +174,7 @@
             Self::MemberFull => "member_full",
             Self::NoHolder => "no_holder",
             Self::NoPosition => "no_position",
+            Self::MemoryShort => "memory_short",
         }
     }
 }
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -23,6 +23,9 @@
 const FREE_BUFFER_BYTES: usize = 4 * 1024;
 /// Sizes of a buffer that grows, in bytes; larger ones are doubled.
 const BUFFER_STEPS: [usize; 4] = [INITIAL_BUFFER_BYTES, FREE_BUFFER_BYTES, 16 * 1024, 128 * 1024];
+/// Copies of a message that exist at the same time while a statement is run: as
+/// parts of the statement, and encoded for a member or another gateway, in buffers that grow by doubling.
+const WORK_COPIES: usize = 6;
 /// Longest time for sending an answer. Bounds how long a caller that reads nothing keeps its session.
 const SEND_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest wait, after the end of a session, until the caller closes its side. A shorter one resets the
@@ -40,6 +43,13 @@
     MemoryShort,
 }
 
+/// A message of a caller.
+pub(super) struct Received {
+    pub(super) message: CallerMessage,
+    /// Whether there is memory to run the message.
+    pub(super) has_memory: bool,
+}
+
 /// Connection of a caller, with its buffers.
 pub(super) struct CallerConnection<W: Wire> {
     stream: TcpStream,
@@ -72,7 +82,7 @@
     pub(super) async fn receive(
         &mut self,
         receiving: ClientPhase,
-    ) -> Result<CallerMessage, CallerError> {
+    ) -> Result<Received, CallerError> {
         while !self.wire.is_decodable(&self.input, self.searched) {
             self.searched = self.input.len();
             if self.has_input() {
@@ -81,7 +91,8 @@
             self.make_room().await?;
             self.read().await?;
         }
-        self.decode()
+        let has_memory = self.begin_work().await.is_ok();
+        Ok(Received { message: self.decode()?, has_memory })
     }
 
     async fn read(&mut self) -> Result<(), CallerError> {
@@ -98,10 +109,7 @@
             log::info!(error:% = error; "cannot decode a caller's message");
             CallerError::Wire
         })?;
-        if self.input.is_empty() {
-            free_unused(&mut self.input);
-            self.client.release();
-        }
+        free_unused(&mut self.input);
         message.ok_or(CallerError::Wire)
     }
 
@@ -118,6 +126,32 @@
         Ok(())
     }
 
+    /// Holds memory for an answer. Without it the connection ends, as nothing may be sent in place of the answer
+    /// to a statement that may have run.
+    async fn hold_for_answer(&self, bytes: usize) -> Result<(), CallerError> {
+        self.client.hold(bytes).await.map_err(|OutOfMemory| CallerError::Gone)
+    }
+
+    /// Returns the memory for the buffers at rest.
+    fn memory_at_rest(&self) -> usize {
+        accounted(self.input.capacity()) + accounted(self.output.capacity())
+    }
+
+    /// Accounts for the message at the start of the input, which is whole, while the gateway works on it.
+    ///
+    /// # Errors
+    /// [`OutOfMemory`] if there is no memory for the message, which is not to be run then.
+    async fn begin_work(&self) -> Result<(), OutOfMemory> {
+        self.client.enter(ClientPhase::Working);
+        let work = accounted(self.input.len()) * WORK_COPIES;
+        self.client.hold(self.memory_at_rest() + work).await
+    }
+
+    /// Accounts no longer for the last message.
+    pub(super) async fn end_work(&self) -> Result<(), CallerError> {
+        self.hold_for_answer(self.memory_at_rest()).await
+    }
+
     /// Appends a message to those that [`CallerConnection::send`] sends.
     pub(super) fn queue(&mut self, reply: &Reply) {
         self.wire.encode_reply(reply, &mut self.output);
--- a/crates/gateway/src/session/mod.rs
+++ b/crates/gateway/src/session/mod.rs
@@ -26,7 +26,7 @@
 use corktack_core::identity::GroupName;
 use corktack_core::position::Position;
 use corktack_core::registry::Consistency;
-use corktack_core::statement::{ErrorCode, PreparedShape, Request, Statement};
+use corktack_core::statement::{ErrorCode, PreparedShape, Request, Statement, TransactionState};
 use corktack_core::tenancy::ApiKey;
 use decision::Decision;
 use response::Response;
@@ -135,6 +135,15 @@
         })
     }
 
+    /// Refuses a statement for which there is no memory; it was not run. A transaction is rolled back.
+    fn refuse_for_memory(&mut self) -> Response {
+        if self.transaction.is_none() {
+            return Response::memory_short(ErrorCode::Busy, TransactionState::Idle);
+        }
+        self.transaction.fail();
+        Response::memory_short(ErrorCode::Aborted, self.transaction.state())
+    }
+
     /// Records a failed attempt at a member.
     fn record_attempt(&self, outcome: &str) {
         self.decision.borrow_mut().record_attempt(outcome);
--- a/crates/gateway/src/session/response.rs
+++ b/crates/gateway/src/session/response.rs
@@ -4,7 +4,7 @@
 
 use crate::answer::{Answer, Failure};
 use crate::error::{AcquireError, RefusalReason};
-use crate::retry_after::not_run;
+use crate::retry_after::{self, not_run};
 use crate::wire::Wire;
 use bytes::BytesMut;
 use corktack_core::limits::OverLimit;
@@ -54,6 +54,13 @@
         Self { refusal, ..Self::failure(ErrorCode::OverLimit, &text, state) }
     }
 
+    /// Returns a refusal of a statement for which there is no memory, with the time to retry.
+    pub(crate) fn memory_short(code: ErrorCode, state: TransactionState) -> Self {
+        let text = not_run("no memory for the statement", retry_after::CLIENT_LIMITS);
+        let refusal = Some(RefusalReason::MemoryShort);
+        Self { refusal, ..Self::failure(code, &text, state) }
+    }
+
     /// Reports whether the answer promises that the operation did not run.
     pub(crate) fn did_not_run(&self) -> bool {
         self.code().is_some_and(ErrorCode::did_not_run)
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -6,7 +6,7 @@
 //! answer.
 
 use super::Session;
-use super::caller::{CLOSE_TIMEOUT, CallerConnection, CallerError};
+use super::caller::{CLOSE_TIMEOUT, CallerConnection, CallerError, Received};
 use super::response::Response;
 use super::transaction::Transaction;
 use crate::drain::StopPhase;
@@ -91,7 +91,11 @@
         let receiving = self.connection.receive(ClientPhase::Connecting);
         let first = timeout_at(Instant::now() + START_TIMEOUT, receiving).await;
         let first = first.map_err(|_| CallerError::Gone)??;
-        let CallerMessage::Start { database, key } = first else {
+        let Received { message, has_memory } = first;
+        if !has_memory {
+            return Err(CallerError::MemoryShort.into());
+        }
+        let CallerMessage::Start { database, key } = message else {
             return self.refuse(ErrorCode::Malformed, "a session begins with its start").await;
         };
         if self.shared.stop.has_reached(StopPhase::Closing) {
@@ -115,13 +119,13 @@
     async fn serve(&mut self, session: &mut Session<W>) -> Result<(), EndReason> {
         loop {
             self.client.enter(resting_phase(session));
-            match self.next_message(session).await? {
+            let Received { message, has_memory } = self.next_message(session).await?;
+            match message {
                 CallerMessage::Query(_) if self.refuses_statements(session) => {
                     return self.refuse_at_stop().await;
                 }
                 CallerMessage::Query(request) => {
-                    self.client.enter(ClientPhase::Working);
-                    self.answer(session, request).await?;
+                    self.answer(session, request, has_memory).await?;
                     self.end_if_stopping(session)?;
                 }
                 CallerMessage::Terminate => return Ok(()),
@@ -156,10 +160,12 @@
         &mut self,
         session: &mut Session<W>,
         request: Request,
+        has_memory: bool,
     ) -> Result<(), EndReason> {
         let started_at = Instant::now();
         let id = request.id.clone();
-        let response = session.handle(request).await;
+        let response =
+            if has_memory { session.handle(request).await } else { session.refuse_for_memory() };
         let elapsed = started_at.elapsed();
         let is_authenticated = response.code() != Some(ErrorCode::Unauthenticated);
         self.shared.metrics.record_statement(response.code(), elapsed);
@@ -167,6 +173,7 @@
             self.shared.metrics.record_refusal(reason, session.decision.borrow().priority());
         }
         self.log_statement(session, &id, &response, elapsed);
+        self.connection.end_work().await?;
         self.connection.queue_with(|wire, output| response.encode(wire, output));
         self.connection.send().await?;
         if is_authenticated { Ok(()) } else { Err(EndReason::Unauthenticated) }
@@ -193,7 +200,7 @@
 
     /// Waits for the next message. Rolls back a transaction that is idle for too long; at a planned stop,
     /// ends a session that is outside a transaction.
-    async fn next_message(&mut self, session: &mut Session<W>) -> Result<CallerMessage, EndReason> {
+    async fn next_message(&mut self, session: &mut Session<W>) -> Result<Received, EndReason> {
         let shared = Rc::clone(&self.shared);
         loop {
             let idle_deadline =
--- a/crates/gateway/tests/metric_names.rs
+++ b/crates/gateway/tests/metric_names.rs
@@ -36,7 +36,7 @@
     ErrorCode::Other,
 ];
 
-const REASONS: [RefusalReason; 7] = [
+const REASONS: [RefusalReason; 8] = [
     RefusalReason::OverLimit,
     RefusalReason::NoSlot,
     RefusalReason::NoMember,
@@ -44,6 +44,7 @@
     RefusalReason::MemberFull,
     RefusalReason::NoHolder,
     RefusalReason::NoPosition,
+    RefusalReason::MemoryShort,
 ];
 
 const OUTCOMES: [RemoteOutcome; 5] = [
@@ -122,6 +123,7 @@
         corktack_gateway_elsewhere_total{outcome="served"}
         corktack_gateway_refusals_total{reason="member_full",priority="0"}
         corktack_gateway_refusals_total{reason="member_unreachable",priority="0"}
+        corktack_gateway_refusals_total{reason="memory_short",priority="0"}
         corktack_gateway_refusals_total{reason="no_holder",priority="0"}
         corktack_gateway_refusals_total{reason="no_member",priority="0"}
         corktack_gateway_refusals_total{reason="no_position",priority="0"}
