Callers: large messages are read at a pace

Cause: each round of the one thread served every connection that had bytes, up to a buffer of 1 MiB each; a message of 1 MiB costs some 2 ms.

Change: bytes of messages above 4 KiB, and reads beyond 16 for one message, count for a pace of 16 MiB/s over all callers, a read as 4 KiB at least; beyond a burst of 0.25 s the caller waits before its next read, of 64 KiB at most. A single message of 1 MiB is read in one burst. Of a connection that ends 64 KiB are dropped at most.

--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -14,7 +14,7 @@
 pub use resources::ProcessResources;
 
 use corktack_core::clients::{
-    ByteGrant, ClientId, ClientLimits, ClientPhase, ClientTable, ClientTotals, Connected,
+    ByteGrant, BytePace, ClientId, ClientLimits, ClientPhase, ClientTable, ClientTotals, Connected,
 };
 use corktack_core::time::Timestamp;
 use std::cell::{Cell, RefCell};
@@ -22,12 +22,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// Shortest time between two log lines about closed clients of an address. A lower value lets a crowd of
 /// clients fill the log.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Size that a read of a large message counts for at least, in bytes: a read has a cost of its own.
+const MIN_PACED_BYTES: usize = 4 * 1024;
+
 /// Reason why a client was refused or its connection closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum CloseReason {
@@ -78,6 +81,7 @@
     /// Name of the address in metrics and log lines.
     address: &'static str,
     table: RefCell<ClientTable>,
+    pace: RefCell<BytePace>,
     closings: RefCell<HashMap<ClientId, Rc<Closing>>>,
     /// Notified when a connection is closed or holds fewer bytes.
     room_made: Notify,
@@ -102,6 +106,7 @@
         Rc::new(Self {
             address,
             table: RefCell::new(ClientTable::new(limits)),
+            pace: RefCell::new(BytePace::new(limits.bytes_per_second)),
             closings: RefCell::default(),
             room_made: Notify::new(),
             started_at: Instant::now(),
@@ -240,6 +245,16 @@
         }
     }
 
+    /// Waits after bytes of a large message were read, so that the large messages of all clients leave time for
+    /// the others.
+    pub async fn pace(&self, bytes: usize) {
+        let counted = bytes.max(MIN_PACED_BYTES);
+        let pause = self.clients.pace.borrow_mut().record(counted, self.clients.now());
+        if !pause.is_zero() {
+            sleep(pause).await;
+        }
+    }
+
     /// Ends the accounting of all bytes that are held for the client.
     pub fn release(&self) {
         // Fewer bytes are always granted.
--- a/crates/clients/src/resources.rs
+++ b/crates/clients/src/resources.rs
@@ -7,6 +7,8 @@
 /// Share of the descriptors for the connections of clients; the others are for files and for connections within
 /// the deployment. A higher share leaves too few for connections to members and other processes.
 const CLIENT_DESCRIPTOR_SHARE: f64 = 0.8;
+/// Connections of clients that only ask for the state of the process: probes and metrics.
+const MAX_PROBE_CONNECTIONS: usize = 256;
 /// Share of the memory for the bytes held for clients. The rest is for the process itself, its idle
 /// connections, and what the allocator keeps of freed memory.
 const CLIENT_MEMORY_SHARE: f64 = 0.3;
@@ -14,6 +16,11 @@
 /// link of 2 Mbit/s. A shorter time disconnects clients behind slow links.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Rate at which the large messages of all clients together are read, in bytes per second. Reading and passing on
+/// 16 MB takes some percent of a core. A higher rate lets a crowd take the time of ordinary callers; a lower one
+/// delays large messages that come together.
+const MAX_BYTES_PER_SECOND: usize = 16 * 1024 * 1024;
+
 /// Resources of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessResources {
@@ -50,6 +57,18 @@
             max_connections: (self.file_descriptors as f64 * CLIENT_DESCRIPTOR_SHARE) as usize,
             max_bytes: (self.memory_bytes as f64 * CLIENT_MEMORY_SHARE) as usize,
             message_timeout: MESSAGE_TIMEOUT,
+            bytes_per_second: MAX_BYTES_PER_SECOND,
+        }
+    }
+
+    /// Returns the limits for clients that only ask for the state of the process. They send no bodies.
+    #[must_use]
+    pub const fn probe_limits(&self) -> ClientLimits {
+        ClientLimits {
+            max_connections: MAX_PROBE_CONNECTIONS,
+            max_bytes: 0,
+            message_timeout: MESSAGE_TIMEOUT,
+            bytes_per_second: MAX_BYTES_PER_SECOND,
         }
     }
 }
--- a/crates/core/src/clients/table.rs
+++ b/crates/core/src/clients/table.rs
@@ -24,6 +24,8 @@
     pub max_bytes: usize,
     /// Longest time from the first to the last byte of a message.
     pub message_timeout: Duration,
+    /// Most bytes that are read of the large messages of all clients together, in bytes per second.
+    pub bytes_per_second: usize,
 }
 
 /// Outcome of [`ClientTable::connect`].
--- a/crates/core/tests/clients.rs
+++ b/crates/core/tests/clients.rs
@@ -1,7 +1,7 @@
 //! Whose connection is closed when connections or memory run short.
 
 use corktack_core::clients::{
-    ByteGrant, ClientId, ClientLimits, ClientPhase, ClientTable, ClientTotals, Connected,
+    ByteGrant, BytePace, ClientId, ClientLimits, ClientPhase, ClientTable, ClientTotals, Connected,
 };
 use corktack_core::time::Timestamp;
 use proptest::prelude::*;
@@ -15,7 +15,12 @@
 }
 
 fn table(max_connections: usize, max_bytes: usize) -> ClientTable {
-    ClientTable::new(ClientLimits { max_connections, max_bytes, message_timeout: MESSAGE_TIMEOUT })
+    ClientTable::new(ClientLimits {
+        max_connections,
+        max_bytes,
+        message_timeout: MESSAGE_TIMEOUT,
+        bytes_per_second: 1_000,
+    })
 }
 
 fn open(table: &mut ClientTable, now: Timestamp) -> ClientId {
@@ -160,6 +165,15 @@
     assert_eq!(table.overdue(at(30_001)), vec![], "a connection is named once");
 }
 
+#[test]
+fn bytes_beyond_a_burst_wait_until_they_are_on_pace() {
+    let mut pace = BytePace::new(1_000);
+    assert_eq!(pace.record(250, at(5_000)), Duration::ZERO);
+    assert_eq!(pace.record(100, at(5_000)), Duration::from_millis(100));
+    assert_eq!(pace.record(100, at(5_100)), Duration::from_millis(100));
+    assert_eq!(pace.record(100, at(9_000)), Duration::ZERO);
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Connect,
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -23,6 +23,10 @@
 const FREE_BUFFER_BYTES: usize = 4 * 1024;
 /// Sizes of a buffer that grows, in bytes; larger ones are doubled.
 const BUFFER_STEPS: [usize; 4] = [INITIAL_BUFFER_BYTES, FREE_BUFFER_BYTES, 16 * 1024, 128 * 1024];
+/// Most bytes that are read at once: what a caller has to wait for by the pace follows from it.
+const MAX_READ_BYTES: u64 = 64 * 1024;
+/// Number of reads up to which a message is not paced: one for each of its parts, and some.
+const MAX_FREE_PIECES: u32 = 16;
 /// Copies of a message that exist at the same time while a statement is run: as
 /// parts of the statement, and encoded for a member or another gateway, in buffers that grow by doubling.
 const WORK_COPIES: usize = 6;
@@ -32,6 +36,9 @@
 /// connection of a distant caller before it has read its last answer; a longer one lengthens a planned stop.
 pub(super) const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Most bytes that are read and dropped after the end of a session, so that the caller gets the last answer.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024;
+
 /// Reason why no message of a caller can be received, or no answer sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CallerError {
@@ -59,6 +66,8 @@
     /// Number of bytes at the start of `input` that hold no whole message.
     searched: usize,
     output: BytesMut,
+    /// Number of reads since the last message.
+    pieces: u32,
 }
 
 impl<W: Wire> CallerConnection<W> {
@@ -70,6 +79,7 @@
             input: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
             searched: 0,
             output: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
+            pieces: 0,
         }
     }
 
@@ -95,16 +105,21 @@
         Ok(Received { message: self.decode()?, has_memory })
     }
 
+    /// Reads some bytes, and pauses if they belong to a large message or come in many pieces.
     async fn read(&mut self) -> Result<(), CallerError> {
-        match self.stream.read_buf(&mut self.input).await {
-            Ok(0) | Err(_) => Err(CallerError::Gone),
-            Ok(_) => Ok(()),
+        let read = (&mut self.stream).take(MAX_READ_BYTES).read_buf(&mut self.input).await;
+        let bytes = read.ok().filter(|bytes| *bytes > 0).ok_or(CallerError::Gone)?;
+        self.pieces += 1;
+        if self.input.len() > FREE_BUFFER_BYTES || self.pieces > MAX_FREE_PIECES {
+            self.client.pace(bytes).await;
         }
+        Ok(())
     }
 
     /// Removes the next message, which is whole, from the input.
     fn decode(&mut self) -> Result<CallerMessage, CallerError> {
         self.searched = 0;
+        self.pieces = 0;
         let message = self.wire.decode_caller(&mut self.input).map_err(|error| {
             log::info!(error:% = error; "cannot decode a caller's message");
             CallerError::Wire
@@ -183,12 +198,15 @@
         self.discard_input();
         let closing = async {
             self.stream.shutdown().await?;
-            loop {
+            let mut discarded = 0;
+            while discarded < MAX_DISCARDED_BYTES {
                 self.input.clear();
-                if self.stream.read_buf(&mut self.input).await? == 0 {
-                    return std::io::Result::Ok(());
+                match self.stream.read_buf(&mut self.input).await? {
+                    0 => break,
+                    bytes => discarded += bytes,
                 }
             }
+            std::io::Result::Ok(())
         };
         // The connection ends in any case.
         drop(timeout_at(Instant::now() + CLOSE_TIMEOUT, closing).await);
--- a/crates/gateway/tests/sessions/world/document.rs
+++ b/crates/gateway/tests/sessions/world/document.rs
@@ -33,8 +33,12 @@
 /// Time that is long enough for an overloaded machine; no test waits for it to pass.
 pub(super) const LONG: Duration = Duration::from_secs(60);
 /// Limits of callers that no test meets unless it is about them.
-const CALLERS: ClientLimits =
-    ClientLimits { max_connections: 1_000, max_bytes: 64 * 1024 * 1024, message_timeout: LONG };
+const CALLERS: ClientLimits = ClientLimits {
+    max_connections: 1_000,
+    max_bytes: 64 * 1024 * 1024,
+    message_timeout: LONG,
+    bytes_per_second: 64 * 1024 * 1024,
+};
 /// Returns the group of the tests.
 pub fn group() -> GroupName {
     GroupName::new("calls").expect("a valid name")
