Sessions: values and prepared statements have a limit and an account

Cause: the number and size of a session's values and names had no bound. They also stay on every pooled connection that was brought to them, 64 prepared statements of any size on each.

Change: a session holds at most 1,000 values and prepared statements of 2 MiB together, more than one value of the size of a whole message; a further one is refused with FAILED and changes nothing. What a session holds is accounted for, twice at rest (session and connection), with its copies while a statement is run; under pressure the session with the most for the longest ends. A connection whose profile exceeds 64 KiB is closed when it is given back, and buffers that have grown are freed.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -52,7 +52,7 @@
 pub use peers::PeerTable;
 pub use preference::{Preference, ReaderPreferences};
 pub use primary_choice::{PrimaryCandidate, PrimaryEvidence, choose_primary};
-pub use profile::{ConnectionProfile, SessionProfile, UnknownPreparedStatement};
+pub use profile::{ConnectionProfile, SessionFull, SessionProfile, UnknownPreparedStatement};
 pub use reader_choice::{ReaderCandidate, choose_available_reader};
 pub use remote_attempt::{RemoteAttempt, RemoteFailure};
 pub use round_trip::RoundTrip;
--- a/crates/core/src/gateway/profile.rs
+++ b/crates/core/src/gateway/profile.rs
@@ -17,11 +17,26 @@
 /// one, statements are prepared again more often.
 const PREPARED_LIMIT: usize = 64;
 
+/// Largest size of a session's values and prepared statements together, in bytes, and their largest number.
+/// The size holds more than one value of the size of a whole message. Higher limits let one session take more
+/// memory, on this gateway and on the connections that are brought to its values.
+const MAX_SESSION_BYTES: usize = 2 * 1024 * 1024;
+const MAX_SESSION_ENTRIES: usize = 1_000;
+/// Memory that a value or prepared statement takes beside its texts, in bytes.
+const ENTRY_OVERHEAD_BYTES: usize = 64;
+
 /// A prepared statement name that the session does not have.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("no prepared statement has the name {0:?}")]
 pub struct UnknownPreparedStatement(pub String);
 
+/// A session would have more or larger values and prepared statements than is allowed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "a session has at most {MAX_SESSION_ENTRIES} values and prepared statements, of {MAX_SESSION_BYTES} bytes together"
+)]
+pub struct SessionFull;
+
 /// Values and prepared statements of a session.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SessionProfile {
@@ -31,13 +46,43 @@
 
 impl SessionProfile {
     /// Sets a session value.
-    pub fn set(&mut self, name: String, value: String) {
+    ///
+    /// # Errors
+    /// [`SessionFull`] if the session would hold too much; nothing is changed.
+    pub fn set(&mut self, name: String, value: String) -> Result<(), SessionFull> {
+        let replaced = self.values.get(&name).map(|value| value_bytes(&name, value));
+        self.check_room(replaced, value_bytes(&name, &value))?;
         self.values.insert(name, value);
+        Ok(())
     }
 
     /// Stores a prepared statement under a name, replacing an earlier one of the same name.
-    pub fn prepare(&mut self, name: String, shape: PreparedShape) {
+    ///
+    /// # Errors
+    /// [`SessionFull`] if the session would hold too much; nothing is changed.
+    pub fn prepare(&mut self, name: String, shape: PreparedShape) -> Result<(), SessionFull> {
+        let replaced = self.prepared.get(&name).map(|shape| value_bytes(&name, &shape.text));
+        self.check_room(replaced, value_bytes(&name, &shape.text))?;
         self.prepared.insert(name, shape);
+        Ok(())
+    }
+
+    /// Checks that an entry may be added, in place of one that takes `replaced` bytes.
+    fn check_room(&self, replaced: Option<usize>, added: usize) -> Result<(), SessionFull> {
+        let entries = self.values.len() + self.prepared.len() + usize::from(replaced.is_none());
+        let bytes = self.bytes() - replaced.unwrap_or_default() + added;
+        if entries > MAX_SESSION_ENTRIES || bytes > MAX_SESSION_BYTES {
+            return Err(SessionFull);
+        }
+        Ok(())
+    }
+
+    /// Returns the memory that the values and prepared statements take, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let values = self.values.iter().map(|(name, value)| value_bytes(name, value));
+        let prepared = self.prepared.iter().map(|(name, shape)| value_bytes(name, &shape.text));
+        values.sum::<usize>() + prepared.sum::<usize>()
     }
 
     /// Returns the statement that was prepared under a name.
@@ -67,6 +112,11 @@
     }
 }
 
+/// Returns the memory that an entry of a session takes, in bytes.
+const fn value_bytes(name: &str, text: &str) -> usize {
+    name.len() + text.len() + ENTRY_OVERHEAD_BYTES
+}
+
 /// Values and prepared statements of a connection to a member.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConnectionProfile {
@@ -102,6 +152,14 @@
         session.values.iter().filter(|(name, value)| self.values.get(*name) != Some(*value))
     }
 
+    /// Returns the memory that the values and prepared statements take, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let values = self.values.iter().map(|(name, value)| value_bytes(name, value));
+        let prepared = self.prepared.iter().map(|(shape, name)| value_bytes(name, &shape.text));
+        values.sum::<usize>() + prepared.sum::<usize>()
+    }
+
     /// Returns the statements that bring the connection to exactly the session's values, in order.
     #[must_use]
     pub fn alignment(&self, session: &SessionProfile) -> Vec<OwnStatement> {
--- a/crates/core/src/tenancy/key.rs
+++ b/crates/core/src/tenancy/key.rs
@@ -18,6 +18,12 @@
         Self(text.into())
     }
 
+    /// Returns the length of the key, in bytes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Reports whether the key is empty.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -15,7 +15,7 @@
 fn session(values: &[(&str, &str)]) -> SessionProfile {
     let mut session = SessionProfile::default();
     for (name, value) in values {
-        session.set((*name).to_owned(), (*value).to_owned());
+        session.set((*name).to_owned(), (*value).to_owned()).expect("a small value");
     }
     session
 }
@@ -121,7 +121,7 @@
 #[test]
 fn statement_names_belong_to_the_session() {
     let mut session = SessionProfile::default();
-    session.prepare("s1".to_owned(), shape("q1"));
+    session.prepare("s1".to_owned(), shape("q1")).expect("a small shape");
     assert_eq!(session.shape("s1"), Ok(&shape("q1")));
     assert!(session.shape("s2").is_err());
     assert_eq!(session.deallocate("s1"), Ok(()));
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -19,6 +19,11 @@
 /// larger one memory for each connection.
 const INITIAL_BUFFER_BYTES: usize = 2 * 1024;
 
+/// Size up to which a buffer is kept for the next exchange, and a profile on a connection that is not in use, in
+/// bytes. Larger ones take memory on each connection of a pool; smaller ones are allocated or set again more
+/// often.
+const MAX_IDLE_BYTES: usize = 64 * 1024;
+
 /// Outcome of statements that the gateway runs for itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum OwnOutcome {
@@ -35,9 +40,11 @@
     transport: Transport,
     input: BytesMut,
     output: BytesMut,
-    pub(crate) profile: ConnectionProfile,
+    profile: ConnectionProfile,
     /// Principal for which the connection was opened.
     principal: Principal,
+    /// Memory that the profile takes, in bytes.
+    profile_bytes: usize,
     /// Set while an answer is outstanding: the connection may not be returned to the pool.
     awaits_answer: bool,
     /// Time of the member's last answer.
@@ -52,6 +59,7 @@
             input: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
             output: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
             profile: ConnectionProfile::default(),
+            profile_bytes: 0,
             principal,
             awaits_answer: false,
             answered_at: Instant::now(),
@@ -64,6 +72,44 @@
         &self.principal
     }
 
+    /// Returns the session values and prepared statements that the member holds for the connection.
+    pub(crate) const fn profile(&self) -> &ConnectionProfile {
+        &self.profile
+    }
+
+    /// Sets the profile of a connection that another gateway has used.
+    pub(crate) fn set_profile(&mut self, profile: ConnectionProfile) {
+        self.profile_bytes = profile.bytes();
+        self.profile = profile;
+    }
+
+    /// Marks the state at the member as unknown.
+    pub(crate) fn mark_unknown(&mut self) {
+        self.profile.mark_unknown();
+    }
+
+    /// Records the effect of one of the gateway's own statements that the member completed.
+    fn apply_completed(&mut self, statement: &OwnStatement) {
+        self.profile.apply_completed(statement);
+        self.profile_bytes = match statement {
+            OwnStatement::Set { .. } | OwnStatement::Prepare { .. } | OwnStatement::Reset => {
+                self.profile.bytes()
+            }
+            _ => self.profile_bytes,
+        };
+    }
+
+    /// Frees what the buffers no longer need, and reports whether the connection takes little enough memory to
+    /// be kept while it is not in use.
+    pub(crate) fn shrink(&mut self) -> bool {
+        for buffer in [&mut self.input, &mut self.output] {
+            if buffer.is_empty() && buffer.capacity() > MAX_IDLE_BYTES {
+                *buffer = BytesMut::with_capacity(INITIAL_BUFFER_BYTES);
+            }
+        }
+        self.profile_bytes <= MAX_IDLE_BYTES
+    }
+
     /// Reports whether every request has been answered.
     pub(crate) const fn has_no_pending_answer(&self) -> bool {
         !self.awaits_answer
@@ -143,7 +189,7 @@
     ) -> Result<Answer, LinkError> {
         let answer = self.exchange(&MemberRequest::Own(statement), deadline).await?;
         if answer.outcome.is_ok() {
-            self.profile.apply_completed(statement);
+            self.apply_completed(statement);
         }
         Ok(answer)
     }
@@ -177,7 +223,7 @@
         let mut refused = None;
         for statement in statements {
             match self.read_answer().await?.outcome {
-                Ok(_) => self.profile.apply_completed(statement),
+                Ok(_) => self.apply_completed(statement),
                 Err(failure) => {
                     self.profile.mark_unknown();
                     refused = refused.or(Some(failure));
--- a/crates/gateway/src/group/remote/mod.rs
+++ b/crates/gateway/src/group/remote/mod.rs
@@ -289,7 +289,7 @@
         self.with_member(&member, |member| member.remote_in_use += 1);
         let transport = Transport::Tunnel(granted.tunnel);
         let mut connection = MemberConnection::new(self.wire.clone(), transport, principal);
-        connection.profile = granted.profile;
+        connection.set_profile(granted.profile);
         let lease = Lease::remote(Rc::clone(self), member, connection);
         LocatedConnection { lease, position: granted.position }
     }
--- a/crates/gateway/src/holder/lent.rs
+++ b/crates/gateway/src/holder/lent.rs
@@ -130,7 +130,7 @@
     }
 
     fn accept_release(&mut self, profile: ConnectionProfile) {
-        self.lease.connection().profile = profile;
+        self.lease.connection().set_profile(profile);
         self.lease.end_transaction();
     }
 
--- a/crates/gateway/src/holder/statement.rs
+++ b/crates/gateway/src/holder/statement.rs
@@ -54,7 +54,7 @@
     let newest = group.newest_position();
     match opened {
         Ok(result) => {
-            let profile = lease.connection().profile.clone();
+            let profile = lease.connection().profile().clone();
             let outcome = outcome_of(result);
             lease.set_idle_in_transaction(true);
             Ok((Some(lease), TunnelReply::Opened { profile, position, newest, outcome }))
@@ -71,7 +71,7 @@
     position: Option<ReadPosition>,
 ) -> TunnelReply {
     let newest = lease.group().newest_position();
-    let profile = lease.connection().profile.clone();
+    let profile = lease.connection().profile().clone();
     TunnelReply::Granted { profile, position, newest }
 }
 
--- a/crates/gateway/src/member/mod.rs
+++ b/crates/gateway/src/member/mod.rs
@@ -179,13 +179,14 @@
     /// Takes a connection back; keeps it if the member still takes work and the limit allows it.
     pub(crate) fn give_back(
         &mut self,
-        connection: MemberConnection<W>,
+        mut connection: MemberConnection<W>,
         now: Instant,
         drain_limit: Duration,
     ) {
+        let is_small = connection.shrink();
         let takes_no_work =
             self.pauses.is_draining() && !self.pauses.accepts_writes(now, drain_limit);
-        if takes_no_work || self.pool.open() > self.pool.limit() {
+        if takes_no_work || !is_small || self.pool.open() > self.pool.limit() {
             self.pool.close(connection);
         } else {
             self.pool.add_idle(connection, now);
--- a/crates/gateway/src/member/pool.rs
+++ b/crates/gateway/src/member/pool.rs
@@ -143,7 +143,7 @@
         while !self.idle.is_empty() {
             // Prefer the most recently used one among equals, so that the others reach the idle limit.
             let candidates = self.idle.iter().enumerate().rev().filter(|(_, idle)| may_use(idle));
-            let distance = |idle: &IdleConnection<W>| idle.connection.profile.distance(session);
+            let distance = |idle: &IdleConnection<W>| idle.connection.profile().distance(session);
             let nearest = candidates.min_by_key(|(_, idle)| distance(idle));
             let index = nearest.map(|(index, _)| index)?;
             let connection = self.idle.remove(index).connection;
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -27,7 +27,7 @@
 const MAX_READ_BYTES: u64 = 64 * 1024;
 /// Number of reads up to which a message is not paced: one for each of its parts, and some.
 const MAX_FREE_PIECES: u32 = 16;
-/// Copies of a message that exist at the same time while a statement is run: as
+/// Copies of a message and of the session's values that exist at the same time while a statement is run: as
 /// parts of the statement, and encoded for a member or another gateway, in buffers that grow by doubling.
 const WORK_COPIES: usize = 6;
 /// Longest time for sending an answer. Bounds how long a caller that reads nothing keeps its session.
@@ -68,6 +68,8 @@
     output: BytesMut,
     /// Number of reads since the last message.
     pieces: u32,
+    /// Memory that the session's state takes, in bytes.
+    session_bytes: usize,
 }
 
 impl<W: Wire> CallerConnection<W> {
@@ -80,6 +82,7 @@
             searched: 0,
             output: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
             pieces: 0,
+            session_bytes: 0,
         }
     }
 
@@ -135,7 +138,7 @@
             return Ok(());
         }
         let enlarged = next_buffer_size(length);
-        let held = self.client.hold(accounted(enlarged) + accounted(self.output.capacity())).await;
+        let held = self.client.hold(accounted(enlarged) + self.session_memory()).await;
         held.map_err(|OutOfMemory| CallerError::MemoryShort)?;
         self.input.reserve(enlarged - length);
         Ok(())
@@ -147,9 +150,15 @@
         self.client.hold(bytes).await.map_err(|OutOfMemory| CallerError::Gone)
     }
 
-    /// Returns the memory for the buffers at rest.
+    /// Returns the memory for the session's state at rest: in the session, and on a connection to a member.
+    const fn session_memory(&self) -> usize {
+        accounted(2 * self.session_bytes)
+    }
+
+    /// Returns the memory for the buffers and the session's state at rest.
     fn memory_at_rest(&self) -> usize {
-        accounted(self.input.capacity()) + accounted(self.output.capacity())
+        let buffers = accounted(self.input.capacity()) + accounted(self.output.capacity());
+        buffers + self.session_memory()
     }
 
     /// Accounts for the message at the start of the input, which is whole, while the gateway works on it.
@@ -158,12 +167,13 @@
     /// [`OutOfMemory`] if there is no memory for the message, which is not to be run then.
     async fn begin_work(&self) -> Result<(), OutOfMemory> {
         self.client.enter(ClientPhase::Working);
-        let work = accounted(self.input.len()) * WORK_COPIES;
+        let work = accounted(self.input.len() + self.session_bytes) * WORK_COPIES;
         self.client.hold(self.memory_at_rest() + work).await
     }
 
-    /// Accounts no longer for the last message.
-    pub(super) async fn end_work(&self) -> Result<(), CallerError> {
+    /// Accounts for the session's state from now on, and no longer for the last message.
+    pub(super) async fn end_work(&mut self, session_bytes: usize) -> Result<(), CallerError> {
+        self.session_bytes = session_bytes;
         self.hold_for_answer(self.memory_at_rest()).await
     }
 
--- a/crates/gateway/src/session/mod.rs
+++ b/crates/gateway/src/session/mod.rs
@@ -22,7 +22,7 @@
 use crate::routes::{Admission, Route};
 use crate::shared::GatewayContext;
 use crate::wire::Wire;
-use corktack_core::gateway::{KnownPosition, OwnPosition, ReadBound, SessionProfile};
+use corktack_core::gateway::{KnownPosition, OwnPosition, ReadBound, SessionFull, SessionProfile};
 use corktack_core::identity::GroupName;
 use corktack_core::position::Position;
 use corktack_core::registry::Consistency;
@@ -80,12 +80,12 @@
         match request.statement {
             Statement::Malformed => self.own_failure(ErrorCode::Malformed, "no such statement"),
             Statement::Set { name, value } => {
-                self.profile.set(name, value);
-                self.own_success()
+                let stored = self.profile.set(name, value);
+                self.own_outcome(stored)
             }
             Statement::Prepare { name, shape } => {
-                self.profile.prepare(name, shape);
-                self.own_success()
+                let stored = self.profile.prepare(name, shape);
+                self.own_outcome(stored)
             }
             Statement::Deallocate { ref name } => match self.profile.deallocate(name) {
                 Ok(()) => self.own_success(),
@@ -144,11 +144,24 @@
         Response::memory_short(ErrorCode::Aborted, self.transaction.state())
     }
 
+    /// Returns the memory that the session's names, values and prepared statements take, in bytes.
+    fn bytes(&self) -> usize {
+        self.database.len() + self.key.len() + self.profile.bytes()
+    }
+
     /// Records a failed attempt at a member.
     fn record_attempt(&self, outcome: &str) {
         self.decision.borrow_mut().record_attempt(outcome);
     }
 
+    /// Returns the answer to a statement that stores something in the session.
+    fn own_outcome(&mut self, stored: Result<(), SessionFull>) -> Response {
+        match stored {
+            Ok(()) => self.own_success(),
+            Err(full) => self.own_failure(ErrorCode::Failed, &full.to_string()),
+        }
+    }
+
     /// Returns a success of a statement that the gateway handles without a member.
     fn own_success(&self) -> Response {
         Response::own_success(self.transaction.state())
--- a/crates/gateway/src/session/open_transaction.rs
+++ b/crates/gateway/src/session/open_transaction.rs
@@ -25,7 +25,7 @@
     /// Rolls back in the background; closes the connection instead if an answer is outstanding.
     pub(super) fn abandon(mut self) {
         if self.has_changed_profile {
-            self.lease.connection().profile.mark_unknown();
+            self.lease.connection().mark_unknown();
         }
         if self.lease.connection().has_no_pending_answer() {
             roll_back_in_background(self.lease, ROLLBACK_TIMEOUT);
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -173,7 +173,7 @@
             self.shared.metrics.record_refusal(reason, session.decision.borrow().priority());
         }
         self.log_statement(session, &id, &response, elapsed);
-        self.connection.end_work().await?;
+        self.connection.end_work(session.bytes()).await?;
         self.connection.queue_with(|wire, output| response.encode(wire, output));
         self.connection.send().await?;
         if is_authenticated { Ok(()) } else { Err(EndReason::Unauthenticated) }
--- a/crates/gateway/src/session/transaction.rs
+++ b/crates/gateway/src/session/transaction.rs
@@ -190,9 +190,9 @@
     ) -> Result<Answer, Unanswered> {
         open.lease.set_idle_in_transaction(false);
         let deadline = Instant::now() + open.route.rule.statement_timeout;
-        let before = open.lease.connection().profile.clone();
+        let before = open.lease.connection().profile().clone();
         let prepared = align(&mut open.lease, &self.profile, shape, deadline).await?;
-        open.has_changed_profile |= open.lease.connection().profile != before;
+        open.has_changed_profile |= *open.lease.connection().profile() != before;
         forward(&mut open.lease, request.into(), prepared.as_deref(), None, deadline).await
     }
 
@@ -267,7 +267,7 @@
         let state = answer.ready.state;
         if state == TransactionState::Idle {
             open.lease.in_transaction = false;
-            open.lease.connection().profile.mark_unknown();
+            open.lease.connection().mark_unknown();
         } else {
             self.transaction = Transaction::Failed;
             open.abandon();
