Callers: answers that nobody reads are accounted for

What callers saw: an answer is collected whole and kept until its caller has read it, for up to 10 s, whatever the others keep. The 10 s counted from the start of an answer, so that a long one on a slow link was cut while it was read.

Change: an answer that the socket doesn't take at once is accounted for, and its connection may be closed under pressure; the limit of 10 s counts from the last bytes that were taken. One that exceeds it ends the connection to the member: a read is tried again within its attempts and then has no answer, a write is in doubt, as both ran; the member isn't counted as at fault.

If there is no memory for an answer to a statement that may have run, the caller's connection ends without a word: BUSY would promise that nothing ran.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,8 +1,10 @@
 //! A member's whole answer to one statement, the reason if there is none, and the reader that assembles an
 //! answer from messages.
 
+use crate::byte_budget::{BudgetExceeded, ByteBudget, HeldBytes};
 use crate::error::LinkError;
 use corktack_core::statement::{ErrorCode, ReadyState, Reply};
+use std::rc::Rc;
 
 /// Error code and text with which a statement failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,20 +35,30 @@
 }
 
 /// Collects the messages of one answer.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct AnswerReader {
     rows: Vec<String>,
+    /// Memory for the rows, until the answer is whole.
+    held: HeldBytes,
     outcome: Option<Result<Option<String>, Failure>>,
 }
 
 impl AnswerReader {
+    pub(crate) fn new(budget: &Rc<ByteBudget>) -> Self {
+        Self { rows: Vec::new(), held: budget.start(), outcome: None }
+    }
+
     /// Adds a message; returns the answer once it is whole.
     ///
     /// # Errors
-    /// [`LinkError::Closed`] for messages out of order: the connection can't be used further.
+    /// [`LinkError::Closed`] for messages out of order, [`LinkError::AnswerTooLong`] if there is no memory for
+    /// a row: the connection can't be used further.
     pub(crate) fn add(&mut self, reply: Reply) -> Result<Option<Answer>, LinkError> {
         match reply {
-            Reply::Row(row) if self.outcome.is_none() => self.rows.push(row),
+            Reply::Row(row) if self.outcome.is_none() => {
+                self.held.add(row.len()).map_err(|BudgetExceeded| LinkError::AnswerTooLong)?;
+                self.rows.push(row);
+            }
             Reply::Complete(signature) if self.outcome.is_none() => {
                 self.outcome = Some(Ok(signature));
             }
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -2,6 +2,7 @@
 //!
 //! The requests use no group, as control sends them also through gateways that don't serve the group.
 
+use crate::byte_budget::ByteBudget;
 use crate::dial::{Destination, dial};
 use crate::error::DialFailure;
 use crate::settings::GatewaySettings;
@@ -77,7 +78,8 @@
     deadline: Instant,
 ) -> Option<MemberAnswer> {
     let destination = Destination { group, member, address, principal: &Principal::Anonymous };
-    let mut connection = match dial(wire, settings, destination).await {
+    let answers = ByteBudget::new(settings.max_answer_bytes);
+    let mut connection = match dial(wire, settings, destination, &answers).await {
         Ok((connection, _)) => connection,
         Err(error) if error.failure() == DialFailure::Full && Instant::now() < deadline => {
             return None;
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -5,6 +5,7 @@
 //! [`answer`](crate::answer) assembles whole answers.
 
 use crate::answer::{Answer, AnswerReader, Failure};
+use crate::byte_budget::ByteBudget;
 use crate::error::LinkError;
 use crate::transport::Transport;
 use crate::tunnel::TunnelClient;
@@ -13,6 +14,7 @@
 use corktack_core::gateway::{ConnectionProfile, SessionProfile};
 use corktack_core::statement::{MemberRequest, OwnStatement, PreparedShape, Reply};
 use corktack_core::tenancy::Principal;
+use std::rc::Rc;
 use tokio::time::{Instant, timeout_at};
 
 /// Initial size of the buffers, in bytes; they grow with the messages. A smaller size costs allocations, a
@@ -45,6 +47,8 @@
     principal: Principal,
     /// Memory that the profile takes, in bytes.
     profile_bytes: usize,
+    /// Budget of the answers that arrive.
+    answers: Rc<ByteBudget>,
     /// Set while an answer is outstanding: the connection may not be returned to the pool.
     awaits_answer: bool,
     /// Time of the member's last answer.
@@ -52,7 +56,12 @@
 }
 
 impl<W: Wire> MemberConnection<W> {
-    pub(crate) fn new(wire: W, transport: Transport, principal: Principal) -> Self {
+    pub(crate) fn new(
+        wire: W,
+        transport: Transport,
+        principal: Principal,
+        answers: Rc<ByteBudget>,
+    ) -> Self {
         Self {
             wire,
             transport,
@@ -61,6 +70,7 @@
             profile: ConnectionProfile::default(),
             profile_bytes: 0,
             principal,
+            answers,
             awaits_answer: false,
             answered_at: Instant::now(),
         }
@@ -151,7 +161,7 @@
     }
 
     async fn read_answer(&mut self) -> Result<Answer, LinkError> {
-        let mut reader = AnswerReader::default();
+        let mut reader = AnswerReader::new(&self.answers);
         loop {
             let reply = self.read_reply().await?;
             if let Some(answer) = reader.add(reply)? {
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -1,6 +1,7 @@
 //! Opens connections to members: connects the socket, sends the start message, and waits until the member is
 //! ready. The timeouts are in the settings.
 
+use crate::byte_budget::ByteBudget;
 use crate::connection::MemberConnection;
 use crate::error::{DialError, LinkError};
 use crate::settings::GatewaySettings;
@@ -11,6 +12,7 @@
 use corktack_core::tenancy::{Principal, TenantName};
 use corktack_protocol::liveness::Liveness;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -29,11 +31,12 @@
     wire: &W,
     settings: &GatewaySettings,
     destination: Destination<'_>,
+    answers: &Rc<ByteBudget>,
 ) -> Result<(MemberConnection<W>, ReadyState), DialError> {
     let stream = timeout(settings.connect_timeout, TcpStream::connect(destination.address)).await;
     let stream = stream.map_err(|_| DialError::Unreachable(LinkError::TimedOut))?;
     let stream = stream.map_err(|error| DialError::Unreachable(LinkError::Io(error)))?;
-    let opening = open(wire, settings, destination, stream);
+    let opening = open(wire, settings, destination, stream, Rc::clone(answers));
     let opened = timeout(settings.dial_timeout, opening).await;
     opened.map_err(|_| DialError::Link(LinkError::TimedOut))?.map_err(DialError::into_startup_error)
 }
@@ -43,10 +46,11 @@
     settings: &GatewaySettings,
     Destination { group, member, principal, .. }: Destination<'_>,
     stream: TcpStream,
+    answers: Rc<ByteBudget>,
 ) -> Result<(MemberConnection<W>, ReadyState), DialError> {
     Liveness::WITHIN_DEPLOYMENT.apply(&stream).map_err(LinkError::Io)?;
     let mut connection =
-        MemberConnection::new(wire.clone(), Transport::Direct(stream), principal.clone());
+        MemberConnection::new(wire.clone(), Transport::Direct(stream), principal.clone(), answers);
     let start = MemberRequest::Start {
         group: group.as_str(),
         client_name: principal.tenant().map_or(settings.name.as_str(), TenantName::as_str),
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -52,6 +52,9 @@
     /// The member sent bytes that are no message of the protocol.
     #[error(transparent)]
     Wire(#[from] WireError),
+    /// There is no memory for the answer, of which a part has arrived. The statement ran.
+    #[error("no memory for the answer")]
+    AnswerTooLong,
     /// The answer did not arrive before the deadline.
     #[error("no answer in time")]
     TimedOut,
--- a/crates/gateway/src/group/connect.rs
+++ b/crates/gateway/src/group/connect.rs
@@ -29,7 +29,7 @@
             address: back_end.address,
             principal: principal.unwrap_or(&Principal::Anonymous),
         };
-        match dial(&self.wire, &self.settings, destination).await {
+        match dial(&self.wire, &self.settings, destination, &self.answers).await {
             Ok((connection, _)) => {
                 self.record_reached(&member);
                 pending.complete();
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -33,6 +33,7 @@
 pub(crate) use remote::RemoteOpening;
 pub(crate) use request::{ConnectionRequest, LocatedConnection, Location, RemoteMember, Target};
 
+use crate::byte_budget::ByteBudget;
 use crate::clock::SteadyClock;
 use crate::connection::MemberConnection;
 use crate::member::Member;
@@ -81,6 +82,8 @@
     clock: SteadyClock,
     reach: mpsc::UnboundedSender<MemberReach>,
     tunnels: Rc<Tunnels>,
+    /// Budget of the answers that arrive from members.
+    answers: Rc<ByteBudget>,
     metrics: Metrics,
 }
 
@@ -92,6 +95,7 @@
         clock: SteadyClock,
         reach: mpsc::UnboundedSender<MemberReach>,
         tunnels: Rc<Tunnels>,
+        answers: Rc<ByteBudget>,
         metrics: Metrics,
     ) -> Self {
         let freshness = RefCell::default();
@@ -107,6 +111,7 @@
             clock,
             reach,
             tunnels,
+            answers,
             metrics,
         }
     }
--- a/crates/gateway/src/group/notes.rs
+++ b/crates/gateway/src/group/notes.rs
@@ -120,6 +120,10 @@
         log::info!(
             group:% = self.name, member:% = name, error:% = error; "connection to a member lost"
         );
+        if matches!(error, LinkError::AnswerTooLong) {
+            // The member is not at fault.
+            return;
+        }
         let now = self.now();
         self.with_member(name, |member| member.record_failed(now));
         if matches!(error, LinkError::TimedOut) {
--- a/crates/gateway/src/group/remote/mod.rs
+++ b/crates/gateway/src/group/remote/mod.rs
@@ -288,7 +288,9 @@
     ) -> LocatedConnection<W> {
         self.with_member(&member, |member| member.remote_in_use += 1);
         let transport = Transport::Tunnel(granted.tunnel);
-        let mut connection = MemberConnection::new(self.wire.clone(), transport, principal);
+        let answers = Rc::clone(&self.answers);
+        let mut connection =
+            MemberConnection::new(self.wire.clone(), transport, principal, answers);
         connection.set_profile(granted.profile);
         let lease = Lease::remote(Rc::clone(self), member, connection);
         LocatedConnection { lease, position: granted.position }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 
 mod answer;
 mod ask;
+mod byte_budget;
 mod clock;
 mod connection;
 mod dial;
--- a/crates/gateway/src/routes/mod.rs
+++ b/crates/gateway/src/routes/mod.rs
@@ -5,6 +5,7 @@
 
 mod membership;
 
+use crate::byte_budget::ByteBudget;
 use crate::clock::SteadyClock;
 use crate::group::{Group, MemberReach};
 use crate::metrics::{ConnectionTotals, Metrics};
@@ -87,6 +88,8 @@
     /// Time of the last request to which control answered that the configuration is current.
     confirmed_at: watch::Receiver<Option<std::time::Instant>>,
     tunnels: Rc<Tunnels>,
+    /// Budget of the answers that arrive from members.
+    answers: Rc<ByteBudget>,
     clock: SteadyClock,
     metrics: Metrics,
 }
@@ -103,6 +106,7 @@
     ) -> Self {
         let place = GatewayLocation { zone: settings.zone.clone(), address: settings.peers };
         let membership = Membership::new(settings.name.clone(), place);
+        let answers = ByteBudget::new(settings.max_answer_bytes);
         Self {
             wire,
             settings,
@@ -114,6 +118,7 @@
             reach,
             confirmed_at,
             tunnels,
+            answers,
             clock,
             metrics,
         }
@@ -227,6 +232,7 @@
             self.clock,
             self.reach.clone(),
             Rc::clone(&self.tunnels),
+            Rc::clone(&self.answers),
             self.metrics.clone(),
         )
     }
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -4,10 +4,11 @@
 //! as long as they are kept. When memory runs short, the clients decide whose connection is closed.
 
 use crate::wire::Wire;
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use corktack_clients::{Client, OutOfMemory};
 use corktack_core::clients::ClientPhase;
 use corktack_core::statement::{CallerMessage, Reply};
+use futures_util::FutureExt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -30,7 +31,8 @@
 /// Copies of a message and of the session's values that exist at the same time while a statement is run: as
 /// parts of the statement, and encoded for a member or another gateway, in buffers that grow by doubling.
 const WORK_COPIES: usize = 6;
-/// Longest time for sending an answer. Bounds how long a caller that reads nothing keeps its session.
+/// Longest time in which a caller reads nothing of an answer. Bounds how long a caller that reads nothing keeps
+/// its session.
 const SEND_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest wait, after the end of a session, until the caller closes its side. A shorter one resets the
 /// connection of a distant caller before it has read its last answer; a longer one lengthens a planned stop.
@@ -189,10 +191,38 @@
 
     /// Sends the queued messages.
     pub(super) async fn send(&mut self) -> Result<(), CallerError> {
-        let sending = self.stream.write_all(&self.output);
-        let sent = timeout_at(Instant::now() + SEND_TIMEOUT, sending).await;
-        self.output.clear();
-        sent.map_err(|_| CallerError::Gone)?.map_err(|_| CallerError::Gone)
+        let memory = self.memory_at_rest();
+        while !self.output.is_empty() {
+            let sent = match self.stream.write(&self.output).now_or_never() {
+                Some(sent) => sent,
+                None => self.send_when_read(memory).await?,
+            };
+            match sent {
+                Ok(0) | Err(_) => return Err(CallerError::Gone),
+                Ok(sent) => self.output.advance(sent),
+            }
+        }
+        free_unused(&mut self.output);
+        if self.client.held() > self.session_memory() {
+            self.hold_for_answer(self.memory_at_rest()).await?;
+        }
+        Ok(())
+    }
+
+    /// Sends some of the queued messages once the caller has read earlier ones.
+    async fn send_when_read(
+        &mut self,
+        memory: usize,
+    ) -> Result<std::io::Result<usize>, CallerError> {
+        self.client.enter(ClientPhase::Sending);
+        self.hold_for_answer(memory).await?;
+        let sending = self.stream.write(&self.output);
+        timeout_at(Instant::now() + SEND_TIMEOUT, sending).await.map_err(|_| CallerError::Gone)
+    }
+
+    /// Reports whether a message was sent in part: no other one may follow.
+    pub(super) fn is_sending(&self) -> bool {
+        !self.output.is_empty()
     }
 
     /// Drops what was received and not decoded, and the memory for it.
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -251,7 +251,9 @@
     /// that nothing of it was run.
     async fn end_disconnected(&mut self, reason: CloseReason) {
         // A new caller waits for the descriptor of one whose place it has taken.
-        let is_told = reason != CloseReason::ConnectionsShort && self.connection.has_input();
+        let is_told = reason != CloseReason::ConnectionsShort
+            && self.connection.has_input()
+            && !self.connection.is_sending();
         self.connection.discard_input();
         if !is_told {
             return;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -20,6 +20,8 @@
     pub max_confirmation_age: Option<Duration>,
     /// Limits of the callers' connections and of the memory held for them.
     pub callers: ClientLimits,
+    /// Most bytes of all answers of members together that have arrived in part.
+    pub max_answer_bytes: usize,
     /// Address at which other gateways reach this one.
     pub peers: SocketAddr,
     /// Zone of the gateway, in which it prefers members.
--- a/crates/gateway/src/tunnel/outcome.rs
+++ b/crates/gateway/src/tunnel/outcome.rs
@@ -10,7 +10,9 @@
     let refusal = |failure: Failure| MemberRefusal { code: failure.code, text: failure.text };
     let failure = |error: LinkError| match error {
         LinkError::TimedOut | LinkError::HolderSilent => RunFailure::TimedOut,
-        LinkError::Io(_) | LinkError::Closed | LinkError::Wire(_) => RunFailure::Lost,
+        LinkError::Io(_) | LinkError::Closed | LinkError::Wire(_) | LinkError::AnswerTooLong => {
+            RunFailure::Lost
+        }
     };
     match result {
         Ok(Answer { rows, outcome, ready }) => {
--- a/crates/gateway/tests/sessions/world/document.rs
+++ b/crates/gateway/tests/sessions/world/document.rs
@@ -106,6 +106,7 @@
         limits: LimitBounds::default(),
         max_confirmation_age: None,
         callers: CALLERS,
+        max_answer_bytes: CALLERS.max_bytes,
         peers,
         zone: zone(),
         connect_timeout: LONG,
