Sessions: statements sent ahead wait behind those of callers that wait

Cause: the queue for a connection to a member took statements in the order of their arrival. Sessions that are always there with the next statement kept it full, and a refusal was answered with the next statement at once, at the full speed of the process, with a log line each.

Change: after more than 16 messages in a row that had arrived before the answer to the one before was sent (a transaction has 12 statements), a session's statements wait in priority classes behind all others, and after a refusal it pauses 0.1 s before its next statement. A caller that waits for its answers never meets it.

--- a/crates/gateway/src/session/alone.rs
+++ b/crates/gateway/src/session/alone.rs
@@ -92,6 +92,8 @@
 /// A statement of the caller that is to be run, with its route, permit and deadlines.
 pub(super) struct PendingStatement<'s, W: Wire> {
     route: &'s Route<W>,
+    /// Priority class in which the statement waits; 0 is served first.
+    priority: u32,
     principal: &'s Principal,
     permit: &'s OperationPermit,
     request: &'s Request,
@@ -118,8 +120,16 @@
                 Ok(permit) => permit,
                 Err(over) => return Response::over_limit(&over, TransactionState::Idle),
             };
-        let pending =
-            PendingStatement { route, principal, permit: &permit, request, shape, deadlines };
+        let priority = self.priority(route);
+        let pending = PendingStatement {
+            route,
+            priority,
+            principal,
+            permit: &permit,
+            request,
+            shape,
+            deadlines,
+        };
         let response = self.run_counted(&pending).await;
         if response.did_not_run() {
             permit.return_operations();
@@ -214,7 +224,7 @@
             target,
             session,
             principal: Some(self.principal),
-            kind: StatementKind { priority: self.route.rule.priority, writes: !kind.is_read() },
+            kind: StatementKind { priority: self.priority, writes: !kind.is_read() },
             bound: kind.bound(),
             needs_slot: true,
             wait_deadline: self.deadlines.wait_deadline,
@@ -227,7 +237,7 @@
             passed: PassedStatement::from(self.request),
             shape: self.shape,
             session,
-            priority: self.route.rule.priority,
+            priority: self.priority,
             kind,
         }
     }
--- a/crates/gateway/src/session/caller.rs
+++ b/crates/gateway/src/session/caller.rs
@@ -28,6 +28,9 @@
 const MAX_READ_BYTES: u64 = 64 * 1024;
 /// Number of reads up to which a message is not paced: one for each of its parts, and some.
 const MAX_FREE_PIECES: u32 = 16;
+/// Number of messages in a row that a caller may send without waiting for answers, and be served like others:
+/// more than a transaction has statements.
+const MAX_SENT_AHEAD: u32 = 16;
 /// Copies of a message and of the session's values that exist at the same time while a statement is run: as
 /// parts of the statement, and encoded for a member or another gateway, in buffers that grow by doubling.
 const WORK_COPIES: usize = 6;
@@ -72,6 +75,8 @@
     pieces: u32,
     /// Memory that the session's state takes, in bytes.
     session_bytes: usize,
+    /// Number of messages in a row that had arrived before the answer to the one before was sent.
+    sent_ahead: u32,
 }
 
 impl<W: Wire> CallerConnection<W> {
@@ -85,6 +90,7 @@
             output: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
             pieces: 0,
             session_bytes: 0,
+            sent_ahead: 0,
         }
     }
 
@@ -93,6 +99,20 @@
         !self.input.is_empty()
     }
 
+    /// Records that an answer was sent, and whether the next message is there already.
+    pub(super) fn record_answered(&mut self) {
+        if !self.has_input() {
+            self.sent_ahead = 0;
+        } else if self.wire.is_decodable(&self.input, self.searched) {
+            self.sent_ahead += 1;
+        }
+    }
+
+    /// Reports whether the caller sends many messages without waiting for answers.
+    pub(super) const fn sends_ahead(&self) -> bool {
+        self.sent_ahead > MAX_SENT_AHEAD
+    }
+
     /// Waits for the next message. Dropping the future loses no bytes.
     pub(super) async fn receive(
         &mut self,
--- a/crates/gateway/src/session/mod.rs
+++ b/crates/gateway/src/session/mod.rs
@@ -35,6 +35,10 @@
 use std::rc::Rc;
 use transaction::Transaction;
 
+/// Number of priority classes by which statements that were sent ahead wait behind the others: more than there
+/// are.
+const SENT_AHEAD_CLASSES: u32 = 1_000;
+
 /// A session's last commit in a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OwnCommit {
@@ -54,6 +58,8 @@
     /// The session's last commit in each group: positions of different groups can't be compared.
     own_commits: BTreeMap<GroupName, OwnCommit>,
     transaction: Transaction<W>,
+    /// Whether the caller sends many statements without waiting for answers.
+    sends_ahead: bool,
     /// Decisions made for the current statement, for its log line.
     decision: RefCell<Decision>,
 }
@@ -67,6 +73,7 @@
             profile: SessionProfile::default(),
             own_commits: BTreeMap::new(),
             transaction: Transaction::None,
+            sends_ahead: false,
             decision: RefCell::default(),
         }
     }
@@ -144,6 +151,13 @@
         Response::memory_short(ErrorCode::Aborted, self.transaction.state())
     }
 
+    /// Returns the priority class in which a statement on a route waits for a connection. Callers that wait for
+    /// their answers go first.
+    fn priority(&self, route: &Route<W>) -> u32 {
+        let behind = if self.sends_ahead { SENT_AHEAD_CLASSES } else { 0 };
+        route.rule.priority.saturating_add(behind)
+    }
+
     /// Returns the memory that the session's names, values and prepared statements take, in bytes.
     fn bytes(&self) -> usize {
         self.database.len() + self.key.len() + self.profile.bytes()
--- a/crates/gateway/src/session/opening.rs
+++ b/crates/gateway/src/session/opening.rs
@@ -147,7 +147,7 @@
                 target: attempts.target(),
                 session: &self.profile,
                 principal: Some(principal),
-                kind: attempts.kind(route.rule.priority),
+                kind: attempts.kind(self.priority(route)),
                 bound: attempts.bound,
                 needs_slot: true,
                 wait_deadline: deadlines.wait_deadline,
@@ -231,7 +231,7 @@
             passed: PassedStatement::from(request),
             shape,
             session: &self.profile,
-            priority: route.rule.priority,
+            priority: self.priority(route),
             kind: connection_request
                 .bound
                 .map_or(LoneKind::Write, |bound| LoneKind::Read { bound }),
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -21,7 +21,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// Longest wait for the first message of a connection. Bounds how long a connection without messages occupies
 /// a socket.
@@ -30,6 +30,10 @@
 /// statements in transit; a longer one lengthens the stop.
 const IDLE_BEFORE_CLOSE: Duration = Duration::from_millis(30);
 
+/// Pause after the refusal of a statement whose caller has sent further ones without waiting for the answer. A
+/// shorter pause spends more time on refusals; a longer one leaves capacity unused that such callers might have.
+const SENT_AHEAD_PAUSE: Duration = Duration::from_millis(100);
+
 /// Reason why a caller's connection ends; none is a fault of this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum EndReason {
@@ -164,10 +168,12 @@
     ) -> Result<(), EndReason> {
         let started_at = Instant::now();
         let id = request.id.clone();
+        session.sends_ahead = self.connection.sends_ahead();
         let response =
             if has_memory { session.handle(request).await } else { session.refuse_for_memory() };
         let elapsed = started_at.elapsed();
         let is_authenticated = response.code() != Some(ErrorCode::Unauthenticated);
+        let is_refused = response.refusal().is_some();
         self.shared.metrics.record_statement(response.code(), elapsed);
         if let Some(reason) = response.refusal() {
             self.shared.metrics.record_refusal(reason, session.decision.borrow().priority());
@@ -176,6 +182,11 @@
         self.connection.end_work(session.bytes()).await?;
         self.connection.queue_with(|wire, output| response.encode(wire, output));
         self.connection.send().await?;
+        self.connection.record_answered();
+        if is_refused && session.sends_ahead {
+            self.client.enter(resting_phase(session));
+            sleep(SENT_AHEAD_PAUSE).await;
+        }
         if is_authenticated { Ok(()) } else { Err(EndReason::Unauthenticated) }
     }
 
