Callers: errors and log lines repeat the start of a long name only

What callers saw: 400 sessions that execute statements that were not prepared, with names of 1 MiB, took a gateway beyond its memory (162 MB, ended, none of the ordinary requests served); with the account of messages it still took 109 MB.

Cause: the error repeated the name with its control characters escaped, up to five times its size, in the answer and in the log line; the ids of failed statements and the names of unknown databases went into both whole.

Change: names, ids and texts of clients are repeated up to 256 characters (`core::text::shortened`), several times what is in use.

--- a/crates/core/src/gateway/profile.rs
+++ b/crates/core/src/gateway/profile.rs
@@ -9,6 +9,7 @@
 //! session, and to report which of these the member completed.
 
 use crate::statement::{OwnStatement, PreparedShape};
+use crate::text::shortened;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -25,11 +26,17 @@
 /// Memory that a value or prepared statement takes beside its texts, in bytes.
 const ENTRY_OVERHEAD_BYTES: usize = 64;
 
-/// A prepared statement name that the session does not have.
+/// A prepared statement name that the session does not have; the start of a long one.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("no prepared statement has the name {0:?}")]
 pub struct UnknownPreparedStatement(pub String);
 
+impl UnknownPreparedStatement {
+    fn new(name: &str) -> Self {
+        Self(shortened(name).to_owned())
+    }
+}
+
 /// A session would have more or larger values and prepared statements than is allowed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error(
@@ -90,7 +97,7 @@
     /// # Errors
     /// [`UnknownPreparedStatement`] if the session has no such statement.
     pub fn shape(&self, name: &str) -> Result<&PreparedShape, UnknownPreparedStatement> {
-        self.prepared.get(name).ok_or_else(|| UnknownPreparedStatement(name.to_owned()))
+        self.prepared.get(name).ok_or_else(|| UnknownPreparedStatement::new(name))
     }
 
     /// Returns a copy with the values and without the prepared statements, for a gateway that runs
@@ -105,10 +112,7 @@
     /// # Errors
     /// [`UnknownPreparedStatement`] if the session has no such statement.
     pub fn deallocate(&mut self, name: &str) -> Result<(), UnknownPreparedStatement> {
-        self.prepared
-            .remove(name)
-            .map(drop)
-            .ok_or_else(|| UnknownPreparedStatement(name.to_owned()))
+        self.prepared.remove(name).map(drop).ok_or_else(|| UnknownPreparedStatement::new(name))
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod state;
 pub mod statement;
 pub mod tenancy;
+pub mod text;
 pub mod time;
 pub mod view;
 pub mod watch;
--- a/crates/gateway/src/routes/mod.rs
+++ b/crates/gateway/src/routes/mod.rs
@@ -18,6 +18,7 @@
 use corktack_core::registry::{Document, RouteRule};
 use corktack_core::statement::ErrorCode;
 use corktack_core::tenancy::{ApiKey, Principal, TenantDirectory};
+use corktack_core::text::shortened;
 use corktack_core::view::View;
 use membership::Membership;
 use std::cell::RefCell;
@@ -50,7 +51,7 @@
 /// Reason why a caller is not admitted. No text contains the caller's key.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum NotAdmitted {
-    /// No route exists for the database.
+    /// No route exists for the database; the start of a long name.
     #[error("{0}")]
     UnknownDatabase(String),
     /// The route requires a key, and the caller's key belongs to no tenant.
@@ -140,7 +141,7 @@
     /// Admits a caller with this key to a database, or returns why it is not admitted.
     pub(crate) fn admit(&self, database: &str, key: &ApiKey) -> Result<Admission<W>, NotAdmitted> {
         let routes = self.routes.borrow();
-        let unknown = || NotAdmitted::UnknownDatabase(database.to_owned());
+        let unknown = || NotAdmitted::UnknownDatabase(shortened(database).to_owned());
         let route = routes.get(database).ok_or_else(unknown)?;
         let principal = self.principal(&route.rule, key)?;
         if !self.is_recently_confirmed() {
--- a/crates/gateway/src/session/serve.rs
+++ b/crates/gateway/src/session/serve.rs
@@ -17,6 +17,7 @@
 use corktack_core::clients::ClientPhase;
 use corktack_core::statement::TransactionState;
 use corktack_core::statement::{CallerMessage, ErrorCode, ReadyState, Reply, Request};
+use corktack_core::text::shortened;
 use corktack_protocol::liveness::Liveness;
 use std::rc::Rc;
 use std::time::Duration;
@@ -199,11 +200,11 @@
         elapsed: Duration,
     ) {
         let decision = session.decision.borrow();
-        let database = session.database.as_str();
+        let (id, database) = (shortened(id), session.database.as_str());
         if let Some(code) = response.code() {
             let outcome = format!("{code:?}");
             let refusal = response.refusal();
-            decision.log(id, database, &outcome, response.text(), refusal, elapsed);
+            decision.log(id, database, &outcome, shortened(response.text()), refusal, elapsed);
         } else if self.shared.metrics.is_sample() {
             decision.log(id, database, "Done", "sampled", None, elapsed);
         }
