Holder: statements of other gateways have a budget of memory

Cause, by reading: what callers send to many gateways comes together at the one that holds the connections to a member; its memory for the statements had no limit, and the buffers of tunnels kept the size of the largest frame.

Change: statements above 4 KiB that another gateway has passed on count for a budget of 0.05 of the memory; beyond it the holder refuses with none_free, as it does when connections run short: the statement was not run.

--- a/crates/clients/src/resources.rs
+++ b/crates/clients/src/resources.rs
@@ -12,9 +12,10 @@
 /// Share of the memory for the bytes held for clients. The rest is for the process itself, its idle
 /// connections, and what the allocator keeps of freed memory.
 const CLIENT_MEMORY_SHARE: f64 = 0.3;
-/// Share of the memory for answers that arrive from members. They exist in several copies, so that they take some
-/// times their share for a moment.
+/// Shares of the memory for answers that arrive from members, and for statements of other gateways. Both exist
+/// in several copies, so that each takes some times its share for a moment.
 const ANSWER_MEMORY_SHARE: f64 = 0.1;
+const PEER_MEMORY_SHARE: f64 = 0.05;
 /// Longest time in which a client may send a message or a request body: several times that of the largest on a
 /// link of 2 Mbit/s. A shorter time disconnects clients behind slow links.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -70,6 +71,12 @@
         (self.memory_bytes as f64 * ANSWER_MEMORY_SHARE) as usize
     }
 
+    /// Returns the memory for statements of other gateways.
+    #[must_use]
+    pub fn peer_bytes(&self) -> usize {
+        (self.memory_bytes as f64 * PEER_MEMORY_SHARE) as usize
+    }
+
     /// Returns the limits for clients that only ask for the state of the process. They send no bodies.
     #[must_use]
     pub const fn probe_limits(&self) -> ClientLimits {
--- a/crates/gateway/src/holder/mod.rs
+++ b/crates/gateway/src/holder/mod.rs
@@ -14,8 +14,9 @@
 use crate::drain::StopPhase;
 use crate::error::LinkError;
 use crate::group::LocatedConnection;
+use crate::retry_after;
 use crate::shared::GatewayContext;
-use crate::tunnel::{OperationsRequest, RemoteRequest};
+use crate::tunnel::{OperationsRequest, RemoteRequest, shrink_buffers};
 use crate::wire::Wire;
 use corktack_core::identity::{GroupName, MemberName};
 use corktack_protocol::frame::FrameCodec;
@@ -33,6 +34,10 @@
 /// time on attempts that fail; a longer one keeps tunnels waiting although descriptors are free again.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Size up to which a statement of another gateway is not accounted for, in bytes: the number of tunnels bounds
+/// the memory for small statements.
+const FREE_STATEMENT_BYTES: usize = 4 * 1024;
+
 /// Serves tunnels of other gateways until the process ends.
 pub(crate) async fn accept_tunnels<W: Wire>(listener: TcpListener, shared: Rc<GatewayContext<W>>) {
     loop {
@@ -55,15 +60,21 @@
     let mut frames = HolderFrames::new(stream, FrameCodec::default());
     while let Some(Ok(request)) = frames.next().await {
         let _in_progress = shared.stop.count_peer_request();
-        let served =
-            if begins_work(&request) && shared.stop.has_reached(StopPhase::EndingIdleSessions) {
-                send(&mut frames, TunnelReply::Refused(TunnelRefusal::NotHeld)).await
-            } else {
-                serve_request(&shared, &mut frames, request).await
-            };
+        let mut held = shared.peer_statements.start();
+        let served = if begins_work(&request)
+            && shared.stop.has_reached(StopPhase::EndingIdleSessions)
+        {
+            send(&mut frames, TunnelReply::Refused(TunnelRefusal::NotHeld)).await
+        } else if held.add(statement_bytes(&request)).is_err() {
+            let refusal = TunnelRefusal::NoneFree { retry_after: retry_after::NO_ROOM_REPORTED };
+            send(&mut frames, TunnelReply::Refused(refusal)).await
+        } else {
+            serve_request(&shared, &mut frames, request).await
+        };
         if served.is_err() {
             return;
         }
+        shrink_buffers(&mut frames);
     }
 }
 
@@ -76,6 +87,16 @@
     )
 }
 
+/// Returns the memory that the statement of a request takes, in bytes; 0 for an ordinary one.
+fn statement_bytes(request: &TunnelRequest) -> usize {
+    match request {
+        TunnelRequest::Open { statement, .. } | TunnelRequest::Run { statement, .. } => {
+            Some(statement.bytes()).filter(|bytes| *bytes > FREE_STATEMENT_BYTES).unwrap_or(0)
+        }
+        _ => 0,
+    }
+}
+
 async fn serve_request<W: Wire>(
     shared: &GatewayContext<W>,
     frames: &mut HolderFrames,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,6 +22,8 @@
     pub callers: ClientLimits,
     /// Most bytes of all answers of members together that have arrived in part.
     pub max_answer_bytes: usize,
+    /// Most bytes of all statements of other gateways together that are run at the same time.
+    pub max_peer_bytes: usize,
     /// Address at which other gateways reach this one.
     pub peers: SocketAddr,
     /// Zone of the gateway, in which it prefers members.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,6 +4,7 @@
 //! [`handle`](crate::handle) reports when the first configuration is there; [`drain`](crate::drain) advances
 //! the planned stop.
 
+use crate::byte_budget::ByteBudget;
 use crate::clock::SteadyClock;
 use crate::drain::StopProgress;
 use crate::limits::Limits;
@@ -34,6 +35,8 @@
     pub(crate) limits: Rc<Limits>,
     /// Callers' connections.
     pub(crate) callers: Rc<Clients>,
+    /// Budget of the statements of other gateways.
+    pub(crate) peer_statements: Rc<ByteBudget>,
     /// Progress of a planned stop, and the work that it waits for.
     pub(crate) stop: StopProgress,
     document_arrived: Notify,
@@ -51,6 +54,7 @@
         callers: Rc<Clients>,
         clock: SteadyClock,
     ) -> Self {
+        let peer_statements = ByteBudget::new(settings.max_peer_bytes);
         Self {
             routes,
             wire,
@@ -58,6 +62,7 @@
             metrics,
             limits: Rc::new(limits),
             callers,
+            peer_statements,
             stop: StopProgress::new(),
             document_arrived: Notify::new(),
             started_at: Instant::now(),
--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -3,7 +3,7 @@
 //! [`Tunnels`](super::Tunnels) sends requests; [`transport`](crate::transport) carries the bytes of a granted
 //! connection. The client detects a lost holder by missing heartbeats.
 
-use super::link::{HEARTBEAT_INTERVAL, HEARTBEAT_SLACK, link_error};
+use super::link::{HEARTBEAT_INTERVAL, HEARTBEAT_SLACK, link_error, shrink_buffers};
 use super::outcome::result_of;
 use crate::answer::{Answer, Unanswered};
 use crate::error::LinkError;
@@ -131,6 +131,11 @@
         self.is_silent
     }
 
+    /// Frees what the buffers of an idle tunnel no longer need.
+    pub(super) fn shrink(&mut self) {
+        shrink_buffers(&mut self.frames);
+    }
+
     /// Reports whether the holder closed the idle tunnel, or sent an unexpected message on it.
     pub(super) fn is_broken(&self) -> bool {
         let mut byte = [0_u8; 1];
--- a/crates/gateway/src/tunnel/mod.rs
+++ b/crates/gateway/src/tunnel/mod.rs
@@ -14,6 +14,6 @@
     GrantedConnection, OpenedAtHolder, OperationsRequest, RanAtHolder, RemoteRequest, TunnelClient,
     TunnelError,
 };
-pub(crate) use link::{FIRST_HEARTBEAT, HEARTBEAT_INTERVAL, link_error};
+pub(crate) use link::{FIRST_HEARTBEAT, HEARTBEAT_INTERVAL, link_error, shrink_buffers};
 pub(crate) use outcome::outcome_of;
 pub(crate) use pool::Tunnels;
--- a/crates/gateway/src/tunnel/pool.rs
+++ b/crates/gateway/src/tunnel/pool.rs
@@ -299,7 +299,8 @@
     }
 
     /// Adds a tunnel to the pool, or closes it if the pool is full.
-    fn keep_idle(&self, tunnel: TunnelClient) {
+    fn keep_idle(&self, mut tunnel: TunnelClient) {
+        tunnel.shrink();
         let mut idle = self.idle.borrow_mut();
         let tunnels = idle.entry(tunnel.holder().address).or_default();
         if tunnels.len() < MAX_IDLE_TUNNELS {
--- a/crates/gateway/tests/sessions/world/document.rs
+++ b/crates/gateway/tests/sessions/world/document.rs
@@ -107,6 +107,7 @@
         max_confirmation_age: None,
         callers: CALLERS,
         max_answer_bytes: CALLERS.max_bytes,
+        max_peer_bytes: CALLERS.max_bytes,
         peers,
         zone: zone(),
         connect_timeout: LONG,
--- a/crates/protocol/src/tunnel.rs
+++ b/crates/protocol/src/tunnel.rs
@@ -168,6 +168,16 @@
     pub kind: LoneKind,
 }
 
+impl LoneRequest {
+    /// Returns the memory that the texts take, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let arguments = self.arguments.as_ref().map_or(0, String::len);
+        let shape = self.shape.as_ref().map_or(0, |shape| shape.text.len());
+        self.id.len() + self.text.len() + arguments + shape + self.session.bytes()
+    }
+}
+
 /// Error with which a member refused, as the member sent it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRefusal {
--- a/crates/server/src/deployment/settings.rs
+++ b/crates/server/src/deployment/settings.rs
@@ -119,6 +119,7 @@
             max_confirmation_age: self.bounds.max_confirmation_age,
             callers: self.resources.client_limits(),
             max_answer_bytes: self.resources.answer_bytes(),
+            max_peer_bytes: self.resources.peer_bytes(),
             peers: self.peer_address(),
             zone: self.zone.clone(),
             connect_timeout: MEMBER_CONNECT_TIMEOUT,
