--- a/crates/cli/tests/pages.rs
+++ b/crates/cli/tests/pages.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 /// Crates that register metrics.
-const CRATES: [&str; 5] = ["edge", "owner", "control", "gateway", "server"];
+const CRATES: [&str; 6] = ["edge", "owner", "control", "gateway", "clients", "server"];
 /// Suffixes that the text exposition format adds to a metric name, depending on the metric type.
 const SUFFIXES: [&str; 2] = ["", "_total"];
 
