--- a/crates/gateway/src/group/acquire.rs
+++ b/crates/gateway/src/group/acquire.rs
@@ -101,7 +101,7 @@
     ) -> Result<Location<W>, AcquireError> {
         let lease = match connection {
             LocalConnection::Idle(member, connection) => {
-                Lease::new(Rc::clone(self), member, connection)
+                Lease::new(Rc::clone(self), member, *connection)
             }
             LocalConnection::ToOpen(member, back_end) => {
                 self.open(member, &back_end, request.principal).await?
--- a/crates/gateway/src/group/choice.rs
+++ b/crates/gateway/src/group/choice.rs
@@ -31,7 +31,7 @@
 /// A connection of this gateway that a request may use.
 pub(super) enum LocalConnection<W: Wire> {
     /// An idle connection, taken out of the pool.
-    Idle(MemberName, MemberConnection<W>),
+    Idle(MemberName, Box<MemberConnection<W>>),
     /// A connection to be opened; the pool counts it as open already.
     ToOpen(MemberName, Arc<RegisteredBackEnd>),
 }
@@ -289,7 +289,7 @@
     request: &ConnectionRequest<'_>,
 ) -> Option<LocalConnection<W>> {
     if let Some(connection) = member.pool.take_idle(request.session, request.principal) {
-        return Some(LocalConnection::Idle(name, connection));
+        return Some(LocalConnection::Idle(name, Box::new(connection)));
     }
     if !member.may_open(Instant::now()) && !member.pool.close_longest_idle() {
         return None;
--- a/crates/gateway/src/group/mod.rs
+++ b/crates/gateway/src/group/mod.rs
@@ -87,17 +87,20 @@
     metrics: Metrics,
 }
 
+/// What a group shares with the others of its gateway.
+#[derive(Clone)]
+pub(crate) struct SharedParts {
+    pub(crate) settings: Rc<GatewaySettings>,
+    pub(crate) clock: SteadyClock,
+    pub(crate) reach: mpsc::UnboundedSender<MemberReach>,
+    pub(crate) tunnels: Rc<Tunnels>,
+    pub(crate) answers: Rc<ByteBudget>,
+    pub(crate) metrics: Metrics,
+}
+
 impl<W: Wire> Group<W> {
-    pub(crate) fn new(
-        name: GroupName,
-        wire: W,
-        settings: Rc<GatewaySettings>,
-        clock: SteadyClock,
-        reach: mpsc::UnboundedSender<MemberReach>,
-        tunnels: Rc<Tunnels>,
-        answers: Rc<ByteBudget>,
-        metrics: Metrics,
-    ) -> Self {
+    pub(crate) fn new(name: GroupName, wire: W, shared: SharedParts) -> Self {
+        let SharedParts { settings, clock, reach, tunnels, answers, metrics } = shared;
         let freshness = RefCell::default();
         let state = RefCell::new(GroupState::new(&settings.name));
         Self {
--- a/crates/gateway/src/routes/mod.rs
+++ b/crates/gateway/src/routes/mod.rs
@@ -7,7 +7,7 @@
 
 use crate::byte_budget::ByteBudget;
 use crate::clock::SteadyClock;
-use crate::group::{Group, MemberReach};
+use crate::group::{Group, MemberReach, SharedParts};
 use crate::metrics::{ConnectionTotals, Metrics};
 use crate::retry_after::{self, not_run};
 use crate::settings::GatewaySettings;
@@ -226,16 +226,15 @@
     }
 
     fn new_group(&self, name: &GroupName) -> Group<W> {
-        Group::new(
-            name.clone(),
-            self.wire.clone(),
-            Rc::clone(&self.settings),
-            self.clock,
-            self.reach.clone(),
-            Rc::clone(&self.tunnels),
-            Rc::clone(&self.answers),
-            self.metrics.clone(),
-        )
+        let shared = SharedParts {
+            settings: Rc::clone(&self.settings),
+            clock: self.clock,
+            reach: self.reach.clone(),
+            tunnels: Rc::clone(&self.tunnels),
+            answers: Rc::clone(&self.answers),
+            metrics: self.metrics.clone(),
+        };
+        Group::new(name.clone(), self.wire.clone(), shared)
     }
 
     fn update_tenants(&self, document: &Document) {
