Clients: memory of a crowd that has gone is returned to the system

The blocks were free in the allocator's heap, between others.

Change: when connections have fallen by more than 512, or the bytes held by more than 24 MiB, `malloc_trim` returns free blocks; single large messages don't reach that.

--- a/crates/clients/src/allocator.rs
+++ b/crates/clients/src/allocator.rs
@@ -15,3 +15,11 @@
         log::warn!("the allocator keeps large blocks that are freed");
     }
 }
+
+/// Returns the memory of freed small blocks to the system, which takes some milliseconds.
+pub(crate) fn return_free_memory() {
+    #[allow(unsafe_code)] // No safe wrapper of `malloc_trim` exists.
+    // SAFETY: `malloc_trim` has no preconditions; it takes the allocator's locks.
+    let is_returned = unsafe { libc::malloc_trim(0) };
+    log::debug!(is_returned; "memory of clients that have gone is returned");
+}
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -9,6 +9,7 @@
 mod metrics;
 mod resources;
 
+use allocator::return_free_memory;
 pub use allocator::return_large_blocks;
 pub use metrics::ClientMetrics;
 pub use resources::ProcessResources;
@@ -28,6 +29,10 @@
 /// clients fill the log.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Number of connections, and of bytes, by which the totals have fallen when free memory is returned to the system.
+/// Lower numbers spend time on little memory; single large messages must not reach them.
+const MIN_GONE_CONNECTIONS: usize = 512;
+const MIN_FREED_BYTES: usize = 24 * 1024 * 1024;
 /// Size that a read of a large message counts for at least, in bytes: a read has a cost of its own.
 const MIN_PACED_BYTES: usize = 4 * 1024;
 
@@ -90,6 +95,8 @@
     logged_at: Cell<Option<Instant>>,
     /// Clients refused or closed since the last log line.
     unlogged: Cell<u64>,
+    /// Most connections and most bytes since free memory was last returned to the system.
+    most: Cell<ClientTotals>,
 }
 
 /// Tells the task that serves a connection to close it.
@@ -113,6 +120,7 @@
             metrics,
             logged_at: Cell::new(None),
             unlogged: Cell::new(0),
+            most: Cell::default(),
         })
     }
 
@@ -154,12 +162,24 @@
         Ok(Client { clients: Rc::clone(self), id, closing, bytes: Cell::new(0) })
     }
 
-    /// Closes connections whose clients take too long to send a message, and updates the gauges. To be called
-    /// regularly.
+    /// Closes connections whose clients take too long to send a message, updates the gauges, and returns free
+    /// memory to the system when a crowd has gone. To be called regularly.
     pub fn sweep(&self) {
         let overdue = self.table.borrow_mut().overdue(self.now());
         self.close(&overdue, CloseReason::MessageTimeout);
-        self.metrics.record_totals(self.address, self.totals());
+        let totals = self.totals();
+        self.metrics.record_totals(self.address, totals);
+        let before = self.most.get();
+        let most = ClientTotals {
+            connections: before.connections.max(totals.connections),
+            bytes: before.bytes.max(totals.bytes),
+        };
+        let is_crowd_gone = totals.connections + MIN_GONE_CONNECTIONS < most.connections
+            || totals.bytes + MIN_FREED_BYTES < most.bytes;
+        if is_crowd_gone {
+            return_free_memory();
+        }
+        self.most.set(if is_crowd_gone { totals } else { most });
     }
 
     fn close(&self, ids: &[ClientId], reason: CloseReason) {
